Begin with the module, its checks, and the seams that all parts share

The tree was empty. Before any part is built, the pieces that every part needs stand here: typed calls over net/rpc with deadline and trace parent, findings, strict settings, logs, metrics, traces, the shell of a program, and the seams to store, workers and targets as structs of functions.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Two commands matter to a newcomer: `make demo` and `make test`.
+BIN := bin
+TOOLS := $(or $(XDG_CACHE_HOME),$(HOME)/.cache)/turmericgap-tools
+LINT_VERSION := v2.15.0
+LINT := $(TOOLS)/golangci-lint
+
+.PHONY: build demo test fmt check lint tools
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+demo: build
+	./script/demo.sh
+
+test: check build
+	go test -race -count=1 ./...
+	./script/knownred.sh
+
+check: tools
+	@out=$$(go tool gofumpt -l . ); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	go vet ./...
+	$(LINT) run ./...
+
+fmt: tools
+	go tool gofumpt -w .
+	go tool goimports -w -local turmericgap .
+
+tools:
+	@if ! $(LINT) version 2>/dev/null | grep -q "$(LINT_VERSION:v%=%)"; then \
+		mkdir -p $(TOOLS) && GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION); fi
--- /dev/null
+++ b/logger/logger.go
@@ -0,0 +1,28 @@
+package logger
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Level is the level of all loggers of the process; it may be changed at run time.
+var Level = zap.NewAtomicLevelAt(zapcore.InfoLevel)
+
+// New returns the root logger of a program, writing JSON lines to standard error.
+func New(program string) *zap.Logger {
+	c := zap.NewProductionConfig()
+	c.Level = Level
+	c.Sampling = nil
+	c.DisableCaller = true
+	c.DisableStacktrace = true
+	c.EncoderConfig.TimeKey = "time"
+	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	l, err := c.Build()
+	if err != nil {
+		return zap.NewNop()
+	}
+	return l.Named(program)
+}
+
+// Part returns a logger whose sentences start with the prefix of one part.
+func Part(l *zap.Logger, prefix string) *zap.Logger { return l.Named(prefix) }
--- /dev/null
+++ b/rpc/options.go
@@ -0,0 +1,22 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+const dialTimeout = time.Second
+
+// Option sets up a Client.
+type Option func(*Client)
+
+// Dial sets how connections are opened; the default is TCP.
+func Dial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.dial = dial }
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
--- /dev/null
+++ b/trace/otlp/otlp.go
@@ -0,0 +1,20 @@
+// Package otlp sends spans over OTLP and HTTP to the collector at the given address.
+package otlp
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+
+	"turmericgap/trace"
+)
+
+// Name chooses this exporter in the settings.
+const Name = "otlp"
+
+func init() { trace.Register(Name, newExporter) }
+
+func newExporter(ctx context.Context, address string) (sdktrace.SpanExporter, error) {
+	return otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(address), otlptracehttp.WithInsecure())
+}
--- /dev/null
+++ b/turmericgap.go
@@ -0,0 +1,147 @@
+package turmericgap
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"turmericgap/logger"
+	"turmericgap/metric"
+	"turmericgap/trace"
+)
+
+// Defaults.
+const (
+	DefaultName           = "turmericgap"
+	DefaultShutdownWithin = 30 * time.Second
+	opsReadTimeout        = 5 * time.Second
+	opsHeaderBytes        = 16 << 10
+)
+
+// Page answers a request on the operators' port.
+type Page = http.HandlerFunc
+
+// Service is the shell of one program of the cell.
+type Service struct {
+	opts     Options
+	stopping atomic.Bool
+	ops      *http.Server
+}
+
+// New returns a Service; without options it logs, and stops on a signal.
+func New(opts ...Option) *Service {
+	o := Options{Name: DefaultName, ShutdownWithin: DefaultShutdownWithin, Pages: map[string]Page{}}
+	for _, f := range opts {
+		f(&o)
+	}
+	if o.Logger == nil {
+		o.Logger = logger.New(o.Name)
+	}
+	if o.Metrics == nil {
+		o.Metrics = metric.New()
+	}
+	return &Service{opts: o}
+}
+
+// Init adds options to a Service that does not run yet.
+func (s *Service) Init(opts ...Option) {
+	for _, f := range opts {
+		f(&s.opts)
+	}
+}
+
+// Logger gives the service's root logger.
+func (s *Service) Logger() *zap.Logger { return s.opts.Logger }
+
+// Metrics gives the service's metrics.
+func (s *Service) Metrics() *metric.Registry { return s.opts.Metrics }
+
+// Run starts the service and returns after its graceful shutdown on SIGTERM or SIGINT.
+func (s *Service) Run() error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(stop)
+	flush, err := trace.Start(context.Background(), s.opts.Name, s.opts.TraceExporter, s.opts.TraceAddress)
+	if err != nil {
+		return err
+	}
+	if err := s.serveOps(); err != nil {
+		return err
+	}
+	for _, f := range s.opts.Start {
+		if err := f(); err != nil {
+			return err
+		}
+	}
+	s.opts.Logger.Info("service: started")
+	sig := <-stop
+	s.opts.Logger.Info("service: stopping", zap.String("signal", sig.String()))
+	s.shutdown(flush)
+	return nil
+}
+
+func (s *Service) shutdown(flush func(context.Context) error) {
+	s.stopping.Store(true)
+	deadline := time.Now().Add(s.opts.ShutdownWithin)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	for _, f := range s.opts.Stop {
+		f(deadline)
+	}
+	if err := flush(ctx); err != nil {
+		s.opts.Logger.Warn("service: spans were lost", zap.Error(err))
+	}
+	if s.ops != nil {
+		_ = s.ops.Close()
+	}
+	s.opts.Logger.Info("service: stopped")
+	_ = s.opts.Logger.Sync()
+}
+
+func (s *Service) serveOps() error {
+	if s.opts.OpsAddress == "" {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", s.opts.Metrics)
+	mux.Handle("/log/level", logger.Level)
+	mux.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/ready", s.serveReady)
+	for path, page := range s.opts.Pages {
+		mux.HandleFunc(path, page)
+	}
+	l, err := net.Listen("tcp", s.opts.OpsAddress)
+	if err != nil {
+		return eris.Wrap(err, "operators' port")
+	}
+	s.ops = &http.Server{Handler: mux, ReadTimeout: opsReadTimeout, MaxHeaderBytes: opsHeaderBytes}
+	go func() {
+		if err := s.ops.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			s.opts.Logger.Error("service: operators' port failed", zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+func (s *Service) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if s.stopping.Load() {
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	if s.opts.Ready != nil {
+		if err := s.opts.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+	}
+	w.WriteHeader(http.StatusOK)
+}
