--- /dev/null
+++ b/planner/message.go
@@ -0,0 +1,91 @@
+package planner
+
+import (
+	"time"
+
+	"turmericgap/job"
+)
+
+// Job is an accepted submission.
+type Job struct {
+	ID       string
+	Spec     *job.Submission
+	Accepted time.Time
+}
+
+// Decision is what the rules and limits say of a job.
+type Decision struct {
+	// Rule is the id of the rule that matched; empty if none did.
+	Rule     string
+	Priority int
+	// Refused is the reason for a refusal; empty means accepted.
+	Refused string
+	// RetryAfter is when a refused job may be offered again; zero means that it is hopeless.
+	RetryAfter     time.Duration
+	TimeoutSeconds int64
+	Retries        int
+}
+
+// Start is a task to be started; its resources are taken already.
+type Start struct {
+	Job    string
+	Task   int
+	Worker string
+	// Waited is the time since the job was accepted.
+	Waited time.Duration
+	Rule   string
+}
+
+// Preempt is a running task that must give way: it is asked for a checkpoint, then stopped.
+type Preempt struct {
+	Job    string
+	Task   int
+	Worker string
+	// For is the job that gets the capacity.
+	For    string
+	Reason string
+}
+
+// Plan is the outcome of Next.
+type Plan struct {
+	Starts   []Start
+	Preempts []Preempt
+}
+
+// End tells how an attempt surely ended.
+type End struct {
+	// Requeue puts the task back into the queue.
+	Requeue bool
+	// OK says that the task gave its answer, so that Ran is worth learning from.
+	OK  bool
+	Ran time.Duration
+	// Peak is the largest usage seen; zero means unknown.
+	Peak job.Resources
+}
+
+// Explanation tells why a job stands where it does.
+type Explanation struct {
+	Job string `json:"job"`
+	// Known is false if the planner does not hold the job.
+	Known bool `json:"known"`
+	// Rule is the id of the rule that decided.
+	Rule    string `json:"rule"`
+	Pending int    `json:"pending"`
+	Running int    `json:"running"`
+	// WaitsFor says in a sentence what the next task waits for; empty if none waits.
+	WaitsFor string `json:"waitsFor,omitempty"`
+}
+
+// Stats is a summary of the planner's state.
+type Stats struct {
+	// Pending counts waiting tasks by class.
+	Pending map[string]int `json:"pending"`
+	Running int            `json:"running"`
+	Workers int            `json:"workers"`
+	// Open counts workers that get new tasks.
+	Open int           `json:"open"`
+	Has  job.Resources `json:"has"`
+	Used job.Resources `json:"used"`
+	// Packing is the largest share of millicores, memory or accelerators that is used.
+	Packing float64 `json:"packing"`
+}
