--- a/planner/message.go
+++ b/planner/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"turmericgap/job"
+	"turmericgap/rule"
 )
 
 // Job is an accepted submission.
@@ -74,6 +75,15 @@
 	Running int    `json:"running"`
 	// WaitsFor says in a sentence what the next task waits for; empty if none waits.
 	WaitsFor string `json:"waitsFor,omitempty"`
+	// LateAt is when the job goes before others, ReservedAt when its reserved room should be free.
+	LateAt     time.Time `json:"lateAt,omitzero"`
+	ReservedAt time.Time `json:"reservedAt,omitzero"`
+	// Pool is charged and holds Holds; Charge is what the next task will take.
+	Pool   string        `json:"pool,omitempty"`
+	Holds  job.Resources `json:"holds"`
+	Charge job.Resources `json:"charge"`
+	// Rules tells which rules were asked and why they did not hold.
+	Rules rule.Explanation `json:"rules"`
 }
 
 // Stats is a summary of the planner's state.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -1,11 +1,13 @@
 package planner
 
 import (
-	"slices"
-	"sort"
 	"time"
 
 	"turmericgap/job"
+	"turmericgap/learn"
+	"turmericgap/placement"
+	"turmericgap/queue"
+	"turmericgap/quota"
 	"turmericgap/rule"
 	"turmericgap/worker"
 )
@@ -14,301 +16,200 @@
 // for concurrent use.
 type Planner struct {
 	options Options
+	index   *placement.Index
+	queue   *queue.Queue[*entry]
+	ledger  *quota.Ledger
+	learner *learn.Learner
 	jobs    map[string]*entry
-	order   []*entry
-	workers map[string]*node
-	sorted  []*node
-	pending int
-	running int
-}
-
-type entry struct {
-	id       string
-	spec     *job.Submission
-	accepted time.Time
-	decision Decision
-	pending  []int
-	running  map[int]string
-	final    bool
-}
-
-type node struct {
-	info  worker.Info
-	free  job.Resources
-	open  bool
-	probe bool
-	tasks int
-}
+	// running holds all tasks that hold resources, held those of each worker.
+	running []*task
+	held    map[string][]*task
+	// rules counts the tasks under each rule, classes the waiting ones of each class.
+	rules        map[string]*tally
+	classes      map[string]int
+	pending      int
+	reservations []*reservation
+	// wanting holds blocked jobs for which room may be made, oldest the late one that waits longest.
+	wanting []*entry
+	oldest  *entry
+	// reserved is when a reservation was last worked out.
+	reserved time.Time
+	// freed says that capacity was freed since the last pass.
+	freed bool
+	// now is the latest time that the owner gave.
+	now   time.Time
+	terms queue.Terms
+}
+
+type tally struct{ pending, running int }
 
 // New makes a planner without workers.
 func New(opts ...Option) *Planner {
-	return &Planner{
-		options: newOptions(opts),
+	o := newOptions(opts)
+	p := &Planner{
+		options: o,
+		index:   placement.New(o.Seed),
+		queue:   queue.New[*entry](),
+		ledger:  quota.New(),
+		learner: learn.New(learn.DefaultMostClasses),
 		jobs:    map[string]*entry{},
-		workers: map[string]*node{},
-	}
-}
-
-// SetRules replaces the rules; jobs that are known keep their decision.
-func (p *Planner) SetRules(l *rule.List) { p.options.Rules = l }
-
-// SetWorker adds or changes a worker. One that is not open gets nothing new; one on probe gets one
-// task at a time.
-func (p *Planner) SetWorker(_ time.Time, info worker.Info, open, probe bool) {
-	n, ok := p.workers[info.ID]
-	if !ok {
-		n = &node{}
-		p.workers[info.ID] = n
-		at := sort.Search(len(p.sorted), func(i int) bool { return p.sorted[i].info.ID > info.ID })
-		p.sorted = slices.Insert(p.sorted, at, n)
-	}
-	n.free = n.free.Plus(info.Has.Minus(n.info.Has))
-	n.info, n.open, n.probe = info, open && !info.Leaving, probe
-}
-
-// RemoveWorker forgets a worker; its tasks are released one by one.
-func (p *Planner) RemoveWorker(id string) {
-	n, ok := p.workers[id]
-	if !ok {
-		return
-	}
-	delete(p.workers, id)
-	at := slices.Index(p.sorted, n)
-	p.sorted = slices.Delete(p.sorted, at, at+1)
-}
-
-// Admit says whether the job would be accepted, and changes nothing.
-func (p *Planner) Admit(now time.Time, j *Job) Decision {
-	d := p.decide(now, j.Spec)
-	switch {
-	case d.Refused != "":
-	case !p.possible(j.Spec):
-		d.Refused = "its tasks fit no worker of the zone, even empty"
-	case p.pending+j.Spec.Tasks > p.options.MostPending:
-		d.Refused, d.RetryAfter = "the queue is full", time.Second
-	}
-	return d
-}
-
-func (p *Planner) decide(now time.Time, s *job.Submission) Decision {
-	if p.options.Rules == nil {
-		return Decision{}
+		held:    map[string][]*task{},
+		rules:   map[string]*tally{},
+		classes: map[string]int{},
 	}
-	var r rule.Request
-	r.ForJob(now, s)
-	e := p.options.Rules.Decide(&r)
-	if e == nil {
-		return Decision{}
+	p.terms = queue.Terms{
+		Share: func(pool string) float64 {
+			has, _ := p.index.Totals()
+			return p.ledger.Share(pool, has)
+		},
+		Within: func(k *queue.Key) bool { return p.ledger.Within(k.Pool, k.Each.Times(max(k.Gang, 1))) },
 	}
-	return Decision{
-		Rule: e.Rule, Priority: e.Priority, Refused: e.Refuse,
-		RetryAfter:     time.Duration(e.RetryAfterSeconds) * time.Second,
-		TimeoutSeconds: e.TimeoutSeconds, Retries: e.Retries,
+	for team := range o.Quotas {
+		p.ledger.Join(team)
 	}
+	p.setQuotas()
+	return p
 }
 
-func (p *Planner) possible(s *job.Submission) bool {
-	fit := 0
-	for _, n := range p.sorted {
-		if s.Zone != "" && s.Zone != n.info.Zone {
-			continue
-		}
-		has := n.info.Has
-		for s.Each.Fits(has) && fit < s.Tasks {
-			has = has.Minus(s.Each)
-			fit++
-		}
-	}
-	return fit >= s.Tasks || (!s.Gang && fit > 0)
-}
-
-// Add enqueues all tasks of a job whose record is durable.
-func (p *Planner) Add(now time.Time, j *Job) Decision {
-	if e, ok := p.jobs[j.ID]; ok {
-		return e.decision
-	}
-	e := &entry{
-		id: j.ID, spec: j.Spec, accepted: j.Accepted, decision: p.decide(now, j.Spec),
-		running: map[int]string{}, pending: make([]int, j.Spec.Tasks),
+func (p *Planner) setQuotas() {
+	for team, most := range p.options.Quotas {
+		p.ledger.Set(team, most, true)
 	}
-	for i := range e.pending {
-		e.pending[i] = i
-	}
-	p.jobs[j.ID] = e
-	p.order = append(p.order, e)
-	p.pending += len(e.pending)
-	return e.decision
 }
 
-// Occupy notes that a task holds its resources on a worker already.
-func (p *Planner) Occupy(jobID string, task int, workerID string) {
-	e, ok := p.jobs[jobID]
-	if !ok {
-		return
+// SetRules replaces the rules. Jobs that wait are decided anew, as they stood when they were
+// accepted; one that was accepted is never refused afterwards.
+func (p *Planner) SetRules(l *rule.List) {
+	p.options.Rules = l
+	p.ledger.Unlimit()
+	p.setQuotas()
+	for _, e := range p.waiting() {
+		p.queue.Remove(&e.item)
+		p.countPending(e, -len(e.pending))
+		p.ledger.Leave(e.pool)
+		p.decide(e)
+		p.countPending(e, len(e.pending))
+		p.enqueue(e)
 	}
-	at := slices.Index(e.pending, task)
-	if at < 0 {
-		return
-	}
-	e.pending = slices.Delete(e.pending, at, at+1)
-	p.take(e, task, workerID)
+	p.freed = true
 }
 
-func (p *Planner) take(e *entry, task int, workerID string) {
-	e.running[task] = workerID
-	p.pending--
-	p.running++
-	if n, ok := p.workers[workerID]; ok {
-		n.free = n.free.Minus(e.spec.Each)
-		n.tasks++
-	}
+// waiting gives the jobs with pending tasks in the queue's own order.
+func (p *Planner) waiting() []*entry {
+	entries := make([]*entry, 0, p.queue.Len())
+	p.queue.Each(func(e *entry) { entries = append(entries, e) })
+	return entries
 }
 
-// Next decides up to most starts. Their resources are taken at once; a gang starts whole or not.
-func (p *Planner) Next(now time.Time, most int) Plan {
-	var plan Plan
-	for _, e := range p.order {
-		if len(e.pending) == 0 || len(plan.Starts) >= most {
-			continue
-		}
-		if e.spec.Gang && !p.wholeFits(e) {
-			continue
-		}
-		for len(e.pending) > 0 && (e.spec.Gang || len(plan.Starts) < most) {
-			n := p.first(e.spec)
-			if n == nil {
-				break
-			}
-			task := e.pending[0]
-			e.pending = e.pending[1:]
-			p.take(e, task, n.info.ID)
-			plan.Starts = append(plan.Starts, Start{
-				Job: e.id, Task: task, Worker: n.info.ID, Waited: now.Sub(e.accepted), Rule: e.decision.Rule,
-			})
+// SetWorker adds or changes a worker. One that is not open gets nothing new; one on probe gets one
+// task at a time.
+func (p *Planner) SetWorker(now time.Time, info worker.Info, open, probe bool) {
+	p.tick(now)
+	known := p.index.Node(info.ID)
+	p.unreserveWorker(info.ID)
+	n := p.index.Set(info, open, probe)
+	if known == nil {
+		// What an attempt holds outlives the worker's absence from the VM list. Without this a
+		// worker that comes back would look empty, and be overfilled.
+		for _, t := range p.held[info.ID] {
+			p.index.Take(n, t.charge)
+			t.zone = info.Zone
 		}
 	}
-	return plan
-}
-
-func (n *node) fits(s *job.Submission) bool {
-	return n.open && (!n.probe || n.tasks == 0) && s.Each.Fits(n.free) && (s.Zone == "" || s.Zone == n.info.Zone)
+	p.freed = true
 }
 
-func (p *Planner) first(s *job.Submission) *node {
-	for _, n := range p.sorted {
-		if n.fits(s) {
-			return n
+// RemoveWorker forgets a worker; its tasks are released one by one.
+func (p *Planner) RemoveWorker(id string) {
+	p.unreserveWorker(id)
+	p.index.Remove(id)
+}
+
+func (p *Planner) tick(now time.Time) {
+	if now.After(p.now) {
+		p.now = now
+	}
+}
+
+// take charges a task to its worker and pool.
+func (p *Planner) take(e *entry, index int, workerID string) *task {
+	t := &task{
+		entry: e, index: index, worker: workerID, charge: e.charge, pool: e.pool, rule: e.decision.Rule, started: p.now, at: len(p.running),
+		end: p.now.Add(e.estimate.High), borrowed: !p.ledger.Within(e.pool, e.charge),
+	}
+	p.running = append(p.running, t)
+	p.held[workerID] = append(p.held[workerID], t)
+	e.running[index] = t
+	p.ledger.Take(t.pool, t.charge)
+	p.tally(t.rule).running++
+	if n := p.index.Node(workerID); n != nil {
+		t.zone = n.Info.Zone
+		p.spend(n, t)
+		p.index.Take(n, t.charge)
+	}
+	return t
+}
+
+// drop is the opposite of take.
+func (p *Planner) drop(t *task) {
+	last := len(p.running) - 1
+	p.running[t.at] = p.running[last]
+	p.running[t.at].at = t.at
+	p.running[last] = nil
+	p.running = p.running[:last]
+	p.unhold(t)
+	delete(t.entry.running, t.index)
+	p.ledger.Give(t.pool, t.charge)
+	p.tally(t.rule).running--
+	p.untally(t.rule)
+	if n := p.index.Node(t.worker); n != nil {
+		p.index.Give(n, t.charge)
+	}
+	p.freed = true
+}
+
+func (p *Planner) unhold(t *task) {
+	held := p.held[t.worker]
+	for i := range held {
+		if held[i] == t {
+			held = append(held[:i], held[i+1:]...)
+			break
 		}
 	}
-	return nil
-}
-
-func (p *Planner) wholeFits(e *entry) bool {
-	fit := 0
-	for _, n := range p.sorted {
-		if !n.fits(e.spec) {
-			continue
-		}
-		free := n.free
-		for e.spec.Each.Fits(free) && fit < len(e.pending) {
-			free = free.Minus(e.spec.Each)
-			fit++
-			if n.probe {
-				break
-			}
-		}
+	if p.held[t.worker] = held; len(held) == 0 {
+		delete(p.held, t.worker)
 	}
-	return fit >= len(e.pending)
 }
 
-// Release frees what an attempt held after it has surely ended.
-func (p *Planner) Release(_ time.Time, jobID string, task int, end End) {
-	e, ok := p.jobs[jobID]
-	if !ok {
-		return
-	}
-	workerID, ok := e.running[task]
+func (p *Planner) tally(ruleID string) *tally {
+	t, ok := p.rules[ruleID]
 	if !ok {
-		return
+		t = &tally{}
+		p.rules[ruleID] = t
 	}
-	delete(e.running, task)
-	p.running--
-	if n, ok := p.workers[workerID]; ok {
-		n.free = n.free.Plus(e.spec.Each)
-		n.tasks--
-	}
-	if end.Requeue && !e.final {
-		e.pending = append(e.pending, task)
-		p.pending++
-	}
-	p.forget(e)
+	return t
 }
 
-// Drop forgets the pending tasks of a job that is final.
-func (p *Planner) Drop(jobID string) {
-	e, ok := p.jobs[jobID]
-	if !ok {
-		return
+func (p *Planner) untally(ruleID string) {
+	if t := p.rules[ruleID]; t != nil && *t == (tally{}) {
+		delete(p.rules, ruleID)
 	}
-	p.pending -= len(e.pending)
-	e.pending, e.final = nil, true
-	p.forget(e)
 }
 
-func (p *Planner) forget(e *entry) {
-	if len(e.pending) > 0 || len(e.running) > 0 {
-		return
-	}
-	delete(p.jobs, e.id)
-	if at := slices.Index(p.order, e); at >= 0 {
-		p.order = slices.Delete(p.order, at, at+1)
+func (p *Planner) countPending(e *entry, n int) {
+	p.pending += n
+	p.tally(e.decision.Rule).pending += n
+	p.untally(e.decision.Rule)
+	if p.classes[e.spec.Class] += n; p.classes[e.spec.Class] == 0 {
+		delete(p.classes, e.spec.Class)
 	}
 }
 
 // Usage notes what a running task lately used.
-func (p *Planner) Usage(string, int, job.Resources) {}
-
-// Why explains what a job waits for.
-func (p *Planner) Why(_ time.Time, jobID string) Explanation {
-	e, ok := p.jobs[jobID]
-	if !ok {
-		return Explanation{Job: jobID}
-	}
-	x := Explanation{Job: jobID, Known: true, Rule: e.decision.Rule, Pending: len(e.pending), Running: len(e.running)}
-	if x.Pending > 0 {
-		x.WaitsFor = "a worker with enough free capacity"
-	}
-	return x
-}
-
-// Stats sums up the planner's state.
-func (p *Planner) Stats(_ time.Time) Stats {
-	s := Stats{Pending: map[string]int{}, Running: p.running, Workers: len(p.sorted)}
-	for _, e := range p.order {
-		if len(e.pending) > 0 {
-			s.Pending[e.spec.Class] += len(e.pending)
-		}
-	}
-	for _, n := range p.sorted {
-		if n.open {
-			s.Open++
-		}
-		s.Has = s.Has.Plus(n.info.Has)
-		s.Used = s.Used.Plus(n.info.Has.Minus(n.free))
-	}
-	s.Packing = packing(s.Used, s.Has)
-	return s
-}
-
-func packing(used, has job.Resources) float64 {
-	most := 0.0
-	share := func(u, h int64) {
-		if h > 0 {
-			most = max(most, float64(u)/float64(h))
+func (p *Planner) Usage(jobID string, index int, used job.Resources) {
+	if e, ok := p.jobs[jobID]; ok {
+		if t, ok := e.running[index]; ok {
+			t.peak = t.peak.Max(used)
 		}
 	}
-	share(used.Millicores, has.Millicores)
-	share(used.MemoryMB, has.MemoryMB)
-	share(used.Accelerators, has.Accelerators)
-	return most
 }
--- /dev/null
+++ b/planner/preempt.go
@@ -0,0 +1,194 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"turmericgap/job"
+	"turmericgap/placement"
+)
+
+const (
+	// preemptTime is how long a victim takes to checkpoint and stop, at the most that is planned for.
+	preemptTime = 4 * time.Second
+	// preemptEvery bounds how often victims are sought for one job.
+	preemptEvery = time.Second
+	// reclaimAfter is how long a job within its quota waits before borrowed capacity is taken back.
+	reclaimAfter = 5 * time.Second
+	// mostVictims bounds the tasks that one job preempts at a time.
+	mostVictims = 512
+)
+
+// makeRoom helps blocked jobs: by preemption where that may be, and one by a reservation, which is
+// the late one that waits longest, so that not even large work can starve.
+func (p *Planner) makeRoom(now time.Time, plan *Plan) {
+	first := p.oldest
+	for _, e := range p.wanting {
+		if e.item.Queued() && !p.claims(now, e, plan) && first == nil {
+			first = e
+		}
+	}
+	if first != nil && first.item.Queued() && first.reservation == nil {
+		p.reserve(now, first)
+	}
+}
+
+// claims reports whether tasks were preempted for a job, now or before.
+func (p *Planner) claims(now time.Time, e *entry, plan *Plan) bool {
+	if e.reservation != nil && e.reservation.claimed {
+		return true
+	}
+	if now.Sub(e.preempted) < preemptEvery || len(p.reservations) >= mostReservations {
+		return false
+	}
+	return (e.effect.Preemption.May && p.preempt(now, e, plan, "urgent work", e.outranks)) ||
+		(p.mayReclaim(now, e) && p.preempt(now, e, plan, "borrowed capacity is due", p.borrowedFrom(e)))
+}
+
+func (p *Planner) mayReclaim(now time.Time, e *entry) bool {
+	return now.Sub(e.waitsSince) >= reclaimAfter && p.ledger.Within(e.pool, e.charge.Times(e.tasksNext()))
+}
+
+// yields reports whether a task may be preempted at all: services, sessions and what is not
+// repeatable only if their rule says so.
+func (t *task) yields() bool {
+	x := &t.entry.effect.Preemption
+	if t.leaving || x.Never {
+		return false
+	}
+	return x.EvenNotRepeatable || (t.entry.spec.Repeatable && !t.entry.service())
+}
+
+func (e *entry) outranks(t *task) bool {
+	return t.entry.band() < e.band() && !t.entry.effect.Preemption.May
+}
+
+func (p *Planner) borrowedFrom(e *entry) func(*task) bool {
+	return func(t *task) bool { return t.borrowed && t.pool != e.pool && p.ledger.Over(t.pool) }
+}
+
+// lost is the work that is lost at worst, in core seconds.
+func (t *task) lost(now time.Time) int64 {
+	return 1 + int64(now.Sub(t.started)/time.Second)*(1+t.charge.Millicores)/1000
+}
+
+// option is one more slot on a node, for the price of some victims.
+type option struct {
+	node    *placement.Node
+	victims []*task
+	cost    int64
+}
+
+// preempt asks the tasks whose loss costs least to give way. For a gang it does so only if all of
+// its tasks will fit.
+func (p *Planner) preempt(now time.Time, e *entry, plan *Plan, reason string, may func(*task) bool) bool {
+	e.preempted = now
+	need := min(len(e.pending), mostVictims)
+	zones := map[string][]option{}
+	var names []string
+	p.index.Each(func(n *placement.Node) {
+		zone := n.Info.Zone
+		if e.spec.Zone != "" && e.spec.Zone != zone || !n.Open || n.Probe || n.Reserved() {
+			return
+		}
+		if options := p.slots(now, e, n, need, may); len(options) > 0 {
+			if zones[zone] == nil {
+				names = append(names, zone)
+			}
+			zones[zone] = append(zones[zone], options...)
+		}
+	})
+	chosen := choose(zones, names, need, e.spec.Gang)
+	if len(chosen) == 0 {
+		return false
+	}
+	p.yield(now, e, chosen, plan, reason)
+	return true
+}
+
+// slots gives the slots of one node, cheapest first. A slot's price is at least that of the one
+// before it on the node, since it can only be had after it.
+func (p *Planner) slots(now time.Time, e *entry, n *placement.Node, need int, may func(*task) bool) []option {
+	var victims []*task
+	for _, t := range p.held[n.Info.ID] {
+		if t.yields() && may(t) {
+			victims = append(victims, t)
+		}
+	}
+	slices.SortStableFunc(victims, func(a, b *task) int { return cmp.Compare(a.lost(now), b.lost(now)) })
+	room := n.Now()
+	have := placement.Count(room, e.charge, need)
+	var options []option
+	for range have {
+		options = append(options, option{node: n})
+	}
+	var group []*task
+	var cost, least int64
+	for _, t := range victims {
+		room = room.Plus(t.charge)
+		group, cost = append(group, t), cost+t.lost(now)
+		for count := placement.Count(room, e.charge, need); have < count; have++ {
+			least = max(least, cost)
+			options = append(options, option{node: n, victims: group, cost: least})
+			group, cost = nil, 0
+		}
+	}
+	return options
+}
+
+// choose takes the cheapest slots; a gang's must all be in one zone.
+func choose(zones map[string][]option, names []string, need int, gang bool) []option {
+	if !gang {
+		var all []option
+		for _, name := range names {
+			all = append(all, zones[name]...)
+		}
+		return cheapest(all, need)
+	}
+	var best []option
+	for _, name := range names {
+		if o := cheapest(zones[name], need); len(o) == need && (best == nil || total(o) < total(best)) {
+			best = o
+		}
+	}
+	return best
+}
+
+func cheapest(options []option, need int) []option {
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
+	return options[:min(need, len(options))]
+}
+
+func total(options []option) int64 {
+	sum := int64(0)
+	for _, o := range options {
+		sum += o.cost
+	}
+	return sum
+}
+
+// yield marks the victims and keeps their room for the job.
+func (p *Planner) yield(now time.Time, e *entry, chosen []option, plan *Plan, reason string) {
+	p.unreserve(e.reservation)
+	r := &reservation{entry: e, at: now.Add(preemptTime), until: now.Add(preemptTime + reservePatience), claimed: true}
+	room := map[string]job.Resources{}
+	counts := map[string]int{}
+	for _, o := range chosen {
+		id := o.node.Info.ID
+		if counts[id] == 0 {
+			room[id] = o.node.Now()
+			r.kept = append(r.kept, kept{worker: id})
+		}
+		counts[id]++
+		for _, t := range o.victims {
+			t.leaving = true
+			room[id] = room[id].Plus(t.charge)
+			plan.Preempts = append(plan.Preempts, Preempt{Job: t.entry.id, Task: t.index, Worker: id, For: e.id, Reason: reason})
+		}
+	}
+	for i := range r.kept {
+		r.kept[i].count = counts[r.kept[i].worker]
+	}
+	p.hold(r, func(n *placement.Node, count int) job.Resources { return room[n.Info.ID].Minus(e.charge.Times(count)) })
+}
--- /dev/null
+++ b/queue/pass.go
@@ -0,0 +1,126 @@
+package queue
+
+import "time"
+
+// Terms are the questions that a pass asks about pools.
+type Terms struct {
+	// Share is how much of its quota a pool holds.
+	Share func(pool string) float64
+	// Within reports whether the pool could start one more of the lane within its quota.
+	Within func(k *Key) bool
+}
+
+// Pass goes once through what could start, in order.
+type Pass[T any] struct {
+	q     *Queue[T]
+	now   time.Time
+	terms Terms
+	// borrow is the second phase, in which pools may go beyond their quota.
+	borrow  bool
+	tried   int
+	looked  int
+	cursor  *Item[T]
+	lateEnd bool
+	// byTurn says that the last item came by the turn of the late ones.
+	byTurn bool
+}
+
+// Begin starts a pass; the one before it ends.
+func (q *Queue[T]) Begin(now time.Time, terms Terms) *Pass[T] {
+	q.pass = Pass[T]{q: q, now: now, terms: terms}
+	return &q.pass
+}
+
+// Next gives the item that should start next, or nil at the end. The caller starts some of it, or
+// calls Block.
+func (p *Pass[T]) Next() *Item[T] {
+	if p.tried >= mostBlocked {
+		p.q.cut = true
+		return nil
+	}
+	if it := p.next(); it != nil || p.borrow {
+		return it
+	}
+	p.borrow, p.cursor, p.lateEnd, p.looked = true, nil, false, 0
+	return p.next()
+}
+
+func (p *Pass[T]) next() *Item[T] {
+	p.byTurn = false
+	if p.q.turn >= lateTurn {
+		if it := p.late(); it != nil {
+			p.byTurn = true
+			return it
+		}
+	}
+	if it := p.band(Top, Highest); it != nil {
+		return it
+	}
+	if it := p.late(); it != nil {
+		return it
+	}
+	return p.band(Lowest, Top-1)
+}
+
+// Started notes a start, so that late items get their turns.
+func (p *Pass[T]) Started() {
+	p.q.turn++
+	if p.byTurn {
+		p.q.turn = 0
+	}
+}
+
+// Block passes over the lane of an item until Unblock.
+func (p *Pass[T]) Block(it *Item[T]) {
+	p.tried++
+	l := it.lane
+	l.blocked = true
+	l.relink()
+	p.q.blocked = append(p.q.blocked, l)
+}
+
+func (p *Pass[T]) late() *Item[T] {
+	if p.lateEnd {
+		return nil
+	}
+	var found *Item[T]
+	visit := func(it *Item[T]) bool {
+		if it.LateAt.After(p.now) || p.looked >= mostLate {
+			p.lateEnd = true
+			return false
+		}
+		p.cursor = it
+		if it.lane.blocked || (!p.borrow && !p.terms.Within(&it.lane.key)) {
+			p.looked++
+			return true
+		}
+		found = it
+		return false
+	}
+	if p.cursor == nil {
+		p.q.late.Ascend(visit)
+	} else {
+		p.q.late.AscendGreaterOrEqual(p.cursor, visit)
+	}
+	return found
+}
+
+func (p *Pass[T]) band(from, to int) *Item[T] {
+	for b := to; b >= from; b-- {
+		var best *Item[T]
+		var bestShare float64
+		for _, t := range p.q.bands[b-Lowest] {
+			it, ok := t.ready.Min()
+			if !ok || (!p.borrow && !p.terms.Within(&it.lane.key)) {
+				continue
+			}
+			if share := p.terms.Share(t.pool); best == nil || share < bestShare {
+				best, bestShare = it, share
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
