--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -23,17 +23,32 @@
 // makeRoom helps blocked jobs: by preemption where that may be, and one by a reservation, which is
 // the late one that waits longest, so that not even large work can starve.
 func (p *Planner) makeRoom(now time.Time, plan *Plan) {
-	first := p.oldest
+	var first *entry
 	for _, e := range p.wanting {
-		if e.item.Queued() && !p.claims(now, e, plan) && first == nil {
+		if e.item.Queued() && !p.claims(now, e, plan) && e.stuck(now) && (first == nil || e.needsMore(first)) {
 			first = e
 		}
 	}
+	if p.oldest != nil {
+		first = p.oldest
+	}
 	if first != nil && first.item.Queued() && first.reservation == nil {
 		p.reserve(now, first)
 	}
 }
 
+// stuck reports whether a job has waited for capacity so long that others must have overtaken it.
+func (e *entry) stuck(now time.Time) bool { return now.Sub(e.waitsSince) >= reserveAfter }
+
+// needsMore orders blocked jobs for a reservation: by band, then by what must be free at once,
+// since small work finds room without one.
+func (e *entry) needsMore(o *entry) bool {
+	if e.band() != o.band() {
+		return e.band() > o.band()
+	}
+	return e.charge.Millicores*int64(e.tasksNext()) > o.charge.Millicores*int64(o.tasksNext())
+}
+
 // claims reports whether tasks were preempted for a job, now or before.
 func (p *Planner) claims(now time.Time, e *entry, plan *Plan) bool {
 	if e.reservation != nil && e.reservation.claimed {
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -12,6 +12,8 @@
 	mostReservations = 8
 	// reserveEvery bounds how often the running tasks are gone through for a reservation.
 	reserveEvery = 250 * time.Millisecond
+	// reserveAfter is how long a job waits for capacity before room is reserved for it.
+	reserveAfter = 10 * time.Second
 	// reservePatience is how long past its time a reservation is held, at least.
 	reservePatience = 30 * time.Second
 )
