--- a/planner/next.go
+++ b/planner/next.go
@@ -8,7 +8,7 @@
 )
 
 // mostWanting bounds the blocked jobs for which one pass tries to make room.
-const mostWanting = 4
+const mostWanting = 16
 
 // Next decides up to most starts. Their resources are taken at once. A gang's starts come whole in
 // one plan, also if they are more than most.
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -25,18 +25,32 @@
 func (p *Planner) makeRoom(now time.Time, plan *Plan) {
 	var first *entry
 	for _, e := range p.wanting {
-		if e.item.Queued() && !p.claims(now, e, plan) && e.stuck(now) && (first == nil || e.needsMore(first)) {
+		if e.item.Queued() && !p.claims(now, e, plan) && p.mayReserve(e) && e.stuck(now) && (first == nil || e.needsMore(first)) {
 			first = e
 		}
 	}
-	if p.oldest != nil {
+	if p.oldest != nil && p.mayReserve(p.oldest) {
 		first = p.oldest
 	}
-	if first != nil && first.item.Queued() && first.reservation == nil {
+	if first != nil {
 		p.reserve(now, first)
 	}
 }
 
+// mayReserve allows one reservation for each job, and of all gangs only one: two that drain workers
+// at a time cost more packing than they save waiting.
+func (p *Planner) mayReserve(e *entry) bool {
+	if !e.item.Queued() || e.reservation != nil || len(p.reservations) >= mostReservations {
+		return false
+	}
+	for _, r := range p.reservations {
+		if e.spec.Gang && r.entry.spec.Gang && !r.claimed {
+			return false
+		}
+	}
+	return true
+}
+
 // stuck reports whether a job has waited for capacity so long that others must have overtaken it.
 func (e *entry) stuck(now time.Time) bool { return now.Sub(e.waitsSince) >= reserveAfter }
 
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	mostReservations = 8
+	mostReservations = 16
 	// reserveEvery bounds how often the running tasks are gone through for a reservation.
 	reserveEvery = 250 * time.Millisecond
 	// reserveAfter is how long a job waits for capacity before room is reserved for it.
@@ -170,10 +170,10 @@
 	}
 }
 
-// reserve keeps room for a blocked job where it will be free soonest. Only one reservation of this
-// kind is held: a second one would cost more packing than it saves waiting.
+// reserve keeps room for a blocked job where it will be free soonest. Without it, whatever is freed
+// goes to smaller work at once, and larger work of the same priority waits for hours.
 func (p *Planner) reserve(now time.Time, e *entry) {
-	if len(p.reservations) > 0 || now.Sub(p.reserved) < reserveEvery {
+	if now.Sub(p.reserved) < reserveEvery {
 		return
 	}
 	p.reserved = now
@@ -189,7 +189,7 @@
 func (p *Planner) forecast(now time.Time, e *entry) (f *forecast, at time.Time) {
 	f = &forecast{room: map[*placement.Node]job.Resources{}, fits: map[string]int{}, each: e.charge, need: e.tasksNext()}
 	p.index.Each(func(n *placement.Node) {
-		if n.Open && !n.Probe && (e.spec.Zone == "" || e.spec.Zone == n.Info.Zone) && e.charge.Fits(n.Info.Has) {
+		if n.Open && !n.Probe && !n.Reserved() && (e.spec.Zone == "" || e.spec.Zone == n.Info.Zone) && e.charge.Fits(n.Info.Has) {
 			f.add(n, n.Now())
 		}
 	})
--- a/policy/load.go
+++ b/policy/load.go
@@ -159,7 +159,7 @@
 			team: branch, class: "roster", tasks: [2]int{40, 120}, millicores: []int64{1000, 2000, 4000}, memoryPer: [2]int64{2000, 6000},
 			run: 12 * time.Minute, spread: 0.5, deadline: briefing,
 		}
-		g.poisson(from.Add(time.Hour), to.Add(-100*time.Minute), 4.2, roster)
+		g.poisson(from.Add(time.Hour), to.Add(-100*time.Minute), 3.8, roster)
 		large := *roster
 		large.class, large.tasks, large.millicores, large.memoryPer = "fleet", [2]int{6, 10}, []int64{12000}, [2]int64{3000, 4500}
 		large.run, large.gang, large.deadline = 20*time.Minute, true, briefing
@@ -189,7 +189,7 @@
 			team: team, class: "matching", tasks: [2]int{100, 300}, millicores: []int64{2000, 3000, 4000, 6000}, memoryPer: [2]int64{1000, 3000},
 			run: 10 * time.Minute, spread: 0.6, deadline: to,
 		}
-		g.poisson(from, to.Add(-2*time.Hour), 1.95, matching)
+		g.poisson(from, to.Add(-2*time.Hour), 1.8, matching)
 		large := *matching
 		large.class, large.tasks, large.millicores, large.memoryPer = "closing", [2]int{4, 12}, []int64{20000}, [2]int64{1500, 2500}
 		large.run, large.gang = 25*time.Minute, true
--- a/policy/replay.go
+++ b/policy/replay.go
@@ -193,19 +193,20 @@
 	}
 }
 
-// sample compares what is used with the most that could be: no policy can use more of a part than
-// there is, or than is asked for.
+// sample compares what is used with the most that could be. It looks only while more is asked for
+// than there is of some part: then no policy can use more than all of that part.
 func (r *replay) sample(now time.Time) {
-	if now.After(r.load.To) || r.pending == 0 {
+	has := r.report.has
+	if now.After(r.load.To) || r.demand.Fits(has) {
 		return
 	}
 	used := r.policy.Stats(now).Used
-	part := func(used, has, demand int64) float64 {
-		return float64(used) / float64(max(1, min(has, demand)))
+	packing := 0.0
+	if r.demand.Millicores > has.Millicores {
+		packing = float64(used.Millicores) / float64(has.Millicores)
 	}
-	has := r.report.has
-	r.report.packing = append(r.report.packing, max(
-		part(used.Millicores, has.Millicores, r.demand.Millicores),
-		part(used.MemoryMB, has.MemoryMB, r.demand.MemoryMB),
-	))
+	if r.demand.MemoryMB > has.MemoryMB {
+		packing = max(packing, float64(used.MemoryMB)/float64(has.MemoryMB))
+	}
+	r.report.packing = append(r.report.packing, packing)
 }
--- a/policy/report.go
+++ b/policy/report.go
@@ -97,7 +97,7 @@
 	return c.waits[min(len(c.waits)-1, int(q*float64(len(c.waits))))]
 }
 
-// Packing is the mean share of the bound that was used while work waited.
+// Packing is the mean share of the bound that was used while more was asked for.
 func (r *Report) Packing() float64 {
 	if len(r.packing) == 0 {
 		return 1
@@ -112,7 +112,7 @@
 // String gives the report as a table, the same for each run of a seed.
 func (r *Report) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s, %s: %.2f offered, packing %.3f of the bound while work waited (%d of %d samples), %d preempted, %d core s lost, %d refused\n",
+	fmt.Fprintf(&b, "%s, %s: %.2f offered, packing %.3f of the bound while more is asked for than there is (%d of %d samples), %d preempted, %d core s lost, %d refused\n",
 		r.Load, r.Policy, r.Offered, r.Packing(), len(r.packing), samples, r.Preempted, r.LostCoreSeconds, r.Refused)
 	fmt.Fprintf(&b, "  %-12s %8s %12s %12s %12s %9s\n", "class", "starts", "p50", "p99", "max", "missed")
 	for _, c := range r.Classes {
