--- a/policy/load.go
+++ b/policy/load.go
@@ -59,6 +59,12 @@
 // midnight is the evening's date for all loads: a Friday before a month's end.
 var midnight = time.Date(2027, 2, 26, 0, 0, 0, 0, time.UTC)
 
+// Offered shares. The nights are lower, since their work must end before the deadline.
+const (
+	nightLoad = 0.82
+	peakLoad  = 0.9
+)
+
 type generator struct {
 	*rand.Rand
 	load Load
@@ -141,11 +147,23 @@
 	}
 }
 
-func (g *generator) done() *Load {
+// done scales the run times of batch tasks until the offered work is the given share.
+func (g *generator) done(offered float64) *Load {
+	for range 3 {
+		g.scale(offered / g.load.offered())
+	}
 	sort.SliceStable(g.load.Jobs, func(i, j int) bool { return g.load.Jobs[i].At.Before(g.load.Jobs[j].At) })
 	return &g.load
 }
 
+func (g *generator) scale(factor float64) {
+	for i := range g.load.Jobs {
+		for k := range g.load.Jobs[i].Runs {
+			g.load.Jobs[i].Runs[k] = time.Duration(float64(g.load.Jobs[i].Runs[k]) * factor)
+		}
+	}
+}
+
 // Kayal is a Friday night to the Saturday's briefing at 06:00: rosters and certificates under
 // bookings, at about nine tenths of the cell while the rosters run.
 func Kayal(seed uint64) *Load {
@@ -173,7 +191,7 @@
 			run: 4 * time.Second, spread: 0.5,
 		})
 	}
-	return g.done()
+	return g.done(nightLoad)
 }
 
 // Padan is a month-end night from 20:00 to 06:00: bulk matching that has to fit, sweeps and balance
@@ -203,7 +221,7 @@
 			run: 3 * time.Second, spread: 0.4,
 		})
 	}
-	return g.done()
+	return g.done(nightLoad)
 }
 
 // TwoYear is the peak of a day at the size expected in two years: 770 workers with 1,000
@@ -240,5 +258,5 @@
 			run: 30 * time.Second, spread: 0.3, urgent: true,
 		})
 	}
-	return g.done()
+	return g.done(peakLoad)
 }
