Plan by bands, shares and reservations, and measure it

Cause: first-fit in order lets booking checks wait for minutes behind rosters and lets large gangs starve until the night is over.

The queue has bands by priority, shares of teams within a band, and late items (long waiting or pressed by a deadline) that get one turn in eight. Placement is indexed by classes of free capacity. A blocked job that was overtaken gets a reservation; work that ends before it is due may use the room. Urgent work and teams below their quota take room back by preemption.

--- a/planner/entry.go
+++ b/planner/entry.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math/bits"
 	"time"
 
 	"turmericgap/job"
@@ -16,6 +17,9 @@
 	lateAfterTop = time.Minute
 	// slackMargin is kept between the latest start and the deadline, besides the run itself.
 	slackMargin = 2 * time.Minute
+	// sizeLead is how much older a job counts for each doubling of its tasks' size: where large and
+	// small work both fit, the large goes first, since the small finds room later as well.
+	sizeLead = 30 * time.Minute
 )
 
 // entry is a job with tasks that wait or run.
@@ -104,6 +108,7 @@
 	k := queue.Key{
 		Band: e.band(), Pool: e.pool, Rule: e.decision.Rule, Zone: e.spec.Zone, Each: e.charge, Spread: e.spread(),
 	}
+	k.Bounded = e.effect.MostRunning > 0 || (e.effect.Quota != nil && !e.effect.Quota.Borrow)
 	if e.spec.Gang {
 		k.Gang = len(e.pending)
 	}
@@ -113,7 +118,7 @@
 // lateAt is when the job must go before others: when it has waited long, or when its deadline
 // would be missed if its tasks, run in waves of width, started later.
 func (e *entry) lateAt(width int) time.Time {
-	at := e.accepted.Add(lateAfter)
+	at := e.accepted.Add(lateAfter - e.lead())
 	if e.band() >= queue.Top {
 		at = e.accepted.Add(lateAfterTop)
 	}
@@ -122,12 +127,18 @@
 	}
 	waves := (len(e.pending) + width - 1) / max(width, 1)
 	need := time.Duration(max(waves, 1)) * e.estimate.High
-	if latest := e.spec.Deadline.Add(-need - need/4 - slackMargin); latest.Before(at) {
+	if latest := e.spec.Deadline.Add(-need - need/4 - slackMargin - e.lead()); latest.Before(at) {
 		return latest
 	}
 	return at
 }
 
+// lead is the head start of large tasks.
+func (e *entry) lead() time.Duration {
+	const core = 1000
+	return sizeLead * time.Duration(bits.Len64(uint64(e.charge.Millicores/core)))
+}
+
 func (e *entry) takePending() int {
 	index := e.pending[0]
 	e.pending = e.pending[1:]
--- a/planner/next.go
+++ b/planner/next.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"turmericgap/job"
@@ -10,25 +11,46 @@
 // mostWanting bounds the blocked jobs for which one pass tries to make room.
 const mostWanting = 16
 
+// mostUnfit bounds the sizes that are remembered to fit nowhere.
+const mostUnfit = 32
+
 // Next decides up to most starts. Their resources are taken at once. A gang's starts come whole in
 // one plan, also if they are more than most.
 func (p *Planner) Next(now time.Time, most int) Plan {
 	p.tick(now)
 	p.expire(now)
+	if p.freed || len(p.freedOn) > 0 {
+		p.unfit = p.unfit[:0]
+	}
+	var plan Plan
+	p.queue.Renew()
 	if p.freed {
 		p.queue.Unblock()
 		p.wanting, p.oldest, p.freed = p.wanting[:0], nil, false
 	}
-	var plan Plan
+	// The first pass is for what is new; each further one for lanes that what was freed may serve.
+	for more := true; more && len(plan.Starts) < most; more = p.queue.Open(p.chance) {
+		p.pass(now, most, &plan)
+	}
+	if len(plan.Starts) < most {
+		clear(p.freedOn)
+		p.freedOn = p.freedOn[:0]
+	}
+	p.makeRoom(now, &plan)
+	return plan
+}
+
+// pass goes once through the lanes that are not blocked.
+func (p *Planner) pass(now time.Time, most int, plan *Plan) {
 	pass := p.queue.Begin(now, p.terms)
 	for len(plan.Starts) < most {
 		it := pass.Next()
 		if it == nil {
 			break
 		}
-		e := it.Value
-		if p.try(now, e, &plan) {
-			pass.Started()
+		e, key := it.Value, *it.Key()
+		if p.try(now, e, plan) {
+			pass.Started(&key)
 			continue
 		}
 		if e.waits == waitsCapacity {
@@ -36,12 +58,13 @@
 		}
 		pass.Block(it)
 	}
-	p.makeRoom(now, &plan)
-	return plan
 }
 
 // want notes a blocked job; of too many, those of the lowest bands are left out.
 func (p *Planner) want(now time.Time, e *entry) {
+	if slices.Contains(p.wanting, e) {
+		return
+	}
 	if !e.item.LateAt.After(now) && (p.oldest == nil || e.item.LateAt.Before(p.oldest.item.LateAt)) {
 		p.oldest = e
 	}
@@ -99,15 +122,44 @@
 			}
 		}
 	}
-	q := placement.Query{
-		Each: e.charge, Zone: e.spec.Zone, Prefer: e.effect.Zones, Strategy: e.strategy, Near: e.near,
-	}
-	if n := p.index.Find(&q); n != nil {
-		return n
+	if !p.unfits(e) {
+		q := placement.Query{
+			Each: e.charge, Zone: e.spec.Zone, Prefer: e.effect.Zones, Strategy: e.strategy, Near: e.near,
+		}
+		if n := p.index.Find(&q); n != nil {
+			return n
+		}
+		p.noteUnfit(e)
 	}
 	return p.backfill(now, e)
 }
 
+// unfit is a size for which no worker of a zone had room.
+type unfit struct {
+	each job.Resources
+	zone string
+}
+
+// unfits reports whether no less was sought in vain since anything was freed.
+func (p *Planner) unfits(e *entry) bool {
+	for i := range p.unfit {
+		if u := &p.unfit[i]; u.each.Fits(e.charge) && (u.zone == "" || u.zone == e.spec.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
+// noteUnfit keeps the smallest sizes.
+func (p *Planner) noteUnfit(e *entry) {
+	p.unfit = slices.DeleteFunc(p.unfit, func(u unfit) bool {
+		return e.charge.Fits(u.each) && (e.spec.Zone == "" || e.spec.Zone == u.zone)
+	})
+	if len(p.unfit) < mostUnfit {
+		p.unfit = append(p.unfit, unfit{e.charge, e.spec.Zone})
+	}
+}
+
 // start takes the resources of the job's next tasks, one on each node.
 func (p *Planner) start(now time.Time, e *entry, nodes []*placement.Node, plan *Plan) {
 	if e.spec.Gang {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -34,13 +34,20 @@
 	oldest  *entry
 	// reserved is when a reservation was last worked out.
 	reserved time.Time
-	// freed says that capacity was freed since the last pass.
-	freed bool
+	// freed says that anything may start since the last pass; otherwise only what has a chance on
+	// the workers of freedOn, or any gang or bounded job if something has ended.
+	freed   bool
+	freedOn []*placement.Node
+	// unfit holds sizes for which there was no room since anything was freed.
+	unfit []unfit
 	// now is the latest time that the owner gave.
 	now   time.Time
 	terms queue.Terms
 }
 
+// mostFreed bounds the workers that are remembered one by one.
+const mostFreed = 64
+
 type tally struct{ pending, running int }
 
 // New makes a planner without workers.
@@ -164,8 +171,23 @@
 	p.untally(t.rule)
 	if n := p.index.Node(t.worker); n != nil {
 		p.index.Give(n, t.charge)
+		p.freedOn = append(p.freedOn, n)
 	}
-	p.freed = true
+	p.freed = p.freed || len(p.freedOn) > mostFreed
+}
+
+// chance reports whether a blocked lane may start now that something was freed. Without the
+// question, each end of a task would have every lane of a full cell tried in vain.
+func (p *Planner) chance(k *queue.Key) bool {
+	if k.Gang > 0 || k.Bounded {
+		return len(p.freedOn) > 0
+	}
+	for _, n := range p.freedOn {
+		if k.Each.Fits(n.Now()) {
+			return true
+		}
+	}
+	return false
 }
 
 func (p *Planner) unhold(t *task) {
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -24,8 +24,12 @@
 // the late one that waits longest, so that not even large work can starve.
 func (p *Planner) makeRoom(now time.Time, plan *Plan) {
 	var first *entry
+	p.wanting = slices.DeleteFunc(p.wanting, (*entry).served)
+	if p.oldest != nil && p.oldest.served() {
+		p.oldest = nil
+	}
 	for _, e := range p.wanting {
-		if e.item.Queued() && !p.claims(now, e, plan) && p.mayReserve(e) && e.stuck(now) && (first == nil || e.needsMore(first)) {
+		if !p.claims(now, e, plan) && p.mayReserve(e) && e.stuck(now) && (first == nil || e.needsMore(first)) {
 			first = e
 		}
 	}
@@ -37,10 +41,13 @@
 	}
 }
 
+// served reports whether a job no longer waits for capacity.
+func (e *entry) served() bool { return !e.item.Queued() || e.waits != waitsCapacity }
+
 // mayReserve allows one reservation for each job, and of all gangs only one: two that drain workers
 // at a time cost more packing than they save waiting.
 func (p *Planner) mayReserve(e *entry) bool {
-	if !e.item.Queued() || e.reservation != nil || len(p.reservations) >= mostReservations {
+	if e.reservation != nil || len(p.reservations) >= mostReservations {
 		return false
 	}
 	for _, r := range p.reservations {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,23 +1,109 @@
 package policy
 
 import (
+	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
+	"turmericgap/job"
 	"turmericgap/planner"
 	"turmericgap/rule/standard"
 )
 
-func TestLoads(t *testing.T) {
-	for _, l := range []*Load{Kayal(1), Padan(1), TwoYear(1, 20)} {
+func ours(l *Load) Policy {
+	return Planner("planner", planner.Rules(standard.List()), planner.Quotas(l.Quotas))
+}
+
+// A change of the decisions shows as a change of these figures, beside those of the baselines on
+// the same load. UPDATE_GOLDEN=1 writes them anew.
+func TestMeasure(t *testing.T) {
+	for _, l := range []*Load{Kayal(1), Padan(1), TwoYear(1, 10)} {
+		t.Run(l.Name, func(t *testing.T) {
+			is := is.New(t)
+			var got strings.Builder
+			for _, p := range []Policy{FirstFit(), RandomOfTwo(1), ours(l)} {
+				got.WriteString(Replay(l, p).String())
+			}
+			t.Log(got.String())
+			path := "testdata/" + strings.ReplaceAll(l.Name, " ", "-") + ".txt"
+			if os.Getenv("UPDATE_GOLDEN") != "" {
+				is.NoErr(os.WriteFile(path, []byte(got.String()), 0o644))
+			}
+			want, err := os.ReadFile(path)
+			is.NoErr(err)
+			is.Equal(string(want), got.String())
+		})
+	}
+}
+
+// full makes a planner with 770 workers that are full, and pending tasks of 22 teams with so many
+// sizes of each kind.
+func full(pending, sizes int) (*planner.Planner, time.Time) {
+	l := TwoYear(1, 1)
+	p := planner.New(planner.Rules(standard.List()), planner.Quotas(l.Quotas))
+	now := l.From
+	for i := range l.Workers {
+		p.SetWorker(now, l.Workers[i], true, false)
+	}
+	for i := 0; i*10 < pending+9000; i++ {
+		s := &job.Submission{
+			Key: fmt.Sprint(i), Team: fmt.Sprintf("team%02d", i%22), Class: []string{"sweep", "matching", "other"}[i%3],
+			Kind: job.Batch, Tasks: 10, Repeatable: true, RunSeconds: 10,
+			Each: job.Resources{Millicores: int64(1000 + 250*(i/22%sizes)), MemoryMB: int64(2000 + 500*(i/22%sizes))},
+		}
+		p.Add(now, &planner.Job{ID: s.Key, Spec: s, Accepted: now})
+	}
+	return p, now
+}
+
+// One operation ends a task and decides the start that takes its place.
+func BenchmarkDecide(b *testing.B) {
+	for _, sizes := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("sizes=%d", sizes), func(b *testing.B) { decide(b, sizes) })
+	}
+}
+
+func decide(b *testing.B, sizes int) {
+	p, now := full(10_000, sizes)
+	var running []planner.Start
+	for {
+		plan := p.Next(now, 64)
+		if len(plan.Starts) == 0 {
+			break
+		}
+		running = append(running, plan.Starts...)
+	}
+	b.ReportAllocs()
+	took := make([]time.Duration, 0, 1<<20)
+	starts, i := 0, 0
+	for b.Loop() {
+		now = now.Add(3 * time.Millisecond)
 		began := time.Now()
-		for _, p := range []Policy{
-			FirstFit(), RandomOfTwo(1),
-			Planner("planner", planner.Rules(standard.List()), planner.Quotas(l.Quotas)),
-		} {
-			r := Replay(l, p)
-			t.Logf("%s (%v)", r, time.Since(began))
-			began = time.Now()
+		s := running[i%len(running)]
+		p.Release(now, s.Job, s.Task, planner.End{OK: true, Ran: 10 * time.Second, Requeue: true})
+		plan := p.Next(now, 64)
+		took = append(took, time.Since(began))
+		starts += len(plan.Starts)
+		if len(plan.Starts) > 0 {
+			running[i%len(running)] = plan.Starts[0]
+			running = append(running, plan.Starts[1:]...)
+		} else {
+			running[i%len(running)] = running[len(running)-1]
+			running = running[:len(running)-1]
 		}
+		i++
+	}
+	b.ReportMetric(float64(starts)/b.Elapsed().Seconds(), "starts/s")
+	b.ReportMetric(float64(quantile(took, 0.99).Microseconds()), "p99-us")
+	b.ReportMetric(float64(quantile(took, 1).Microseconds()), "max-us")
+	b.ReportMetric(float64(p.Stats(now).Running), "running")
+	left := 0
+	for _, n := range p.Stats(now).Pending {
+		left += n
 	}
+	b.ReportMetric(float64(left), "pending")
 }
--- a/policy/report.go
+++ b/policy/report.go
@@ -93,8 +93,13 @@
 	if c == nil || len(c.waits) == 0 {
 		return 0
 	}
-	slices.Sort(c.waits)
-	return c.waits[min(len(c.waits)-1, int(q*float64(len(c.waits))))]
+	return quantile(c.waits, q)
+}
+
+// quantile sorts the values.
+func quantile(values []time.Duration, q float64) time.Duration {
+	slices.Sort(values)
+	return values[min(len(values)-1, int(q*float64(len(values))))]
 }
 
 // Packing is the mean share of the bound that was used while more was asked for.
--- a/queue/lane.go
+++ b/queue/lane.go
@@ -16,6 +16,8 @@
 	head *Item[T]
 	// blocked says that its first item could not start.
 	blocked bool
+	// tried is the round in which it was last tried in vain.
+	tried uint64
 }
 
 func (l *lane[T]) Len() int           { return len(l.heap) }
@@ -72,5 +74,10 @@
 type team[T any] struct {
 	pool  string
 	lanes int
+	// share is the pool's share as it was asked for at stamp.
+	share float64
+	stamp uint64
+	// first is for Open alone.
+	first *lane[T]
 	ready *btree.BTreeG[*Item[T]]
 }
--- a/queue/pass.go
+++ b/queue/pass.go
@@ -27,6 +27,7 @@
 
 // Begin starts a pass; the one before it ends.
 func (q *Queue[T]) Begin(now time.Time, terms Terms) *Pass[T] {
+	q.stamp++
 	q.pass = Pass[T]{q: q, now: now, terms: terms}
 	return &q.pass
 }
@@ -63,7 +64,12 @@
 }
 
 // Started notes a start, so that late items get their turns.
-func (p *Pass[T]) Started() {
+func (p *Pass[T]) Started(k *Key) {
+	for _, t := range p.q.bands[k.Band-Lowest] {
+		if t.pool == k.Pool {
+			t.stamp = 0
+		}
+	}
 	p.q.turn++
 	if p.byTurn {
 		p.q.turn = 0
@@ -74,7 +80,7 @@
 func (p *Pass[T]) Block(it *Item[T]) {
 	p.tried++
 	l := it.lane
-	l.blocked = true
+	l.blocked, l.tried = true, p.q.round
 	l.relink()
 	p.q.blocked = append(p.q.blocked, l)
 }
@@ -114,8 +120,11 @@
 			if !ok || (!p.borrow && !p.terms.Within(&it.lane.key)) {
 				continue
 			}
-			if share := p.terms.Share(t.pool); best == nil || share < bestShare {
-				best, bestShare = it, share
+			if t.stamp != p.q.stamp {
+				t.stamp, t.share = p.q.stamp, p.terms.Share(t.pool)
+			}
+			if best == nil || t.share < bestShare {
+				best, bestShare = it, t.share
 			}
 		}
 		if best != nil {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -41,6 +41,8 @@
 	Gang int
 	// Spread says that tasks are spread over racks.
 	Spread bool
+	// Bounded says that a limit or quota may hold the items back although they fit.
+	Bounded bool
 }
 
 // Item waits in a queue.
@@ -76,6 +78,8 @@
 	cut     bool
 	seq     uint64
 	turn    int
+	stamp   uint64
+	round   uint64
 	pass    Pass[T]
 }
 
@@ -146,19 +150,45 @@
 	return (*b)[at]
 }
 
-// Unblock lets blocked lanes be tried again, since something was freed. If the last pass was cut
-// short, only the top bands are: the others go on where it ended, so that each lane has its try.
+// Open lets one blocked lane of each team and band be tried again: the first that has a chance and
+// was not tried since Renew. It reports whether there was any. After a small thing was freed this
+// saves trying all lanes in vain.
+func (q *Queue[T]) Open(chance func(k *Key) bool) bool {
+	opened := false
+	for _, l := range q.blocked {
+		if l.tried == q.round || !chance(&l.key) {
+			continue
+		}
+		if first := l.team.first; first == nil || l.heap[0].before(first.heap[0]) {
+			l.team.first, opened = l, true
+		}
+	}
+	if opened {
+		q.unblock(func(l *lane[T]) bool { return l.team.first == l })
+	}
+	return opened
+}
+
+// Renew begins a round of Open.
+func (q *Queue[T]) Renew() { q.round++ }
+
+// Unblock lets all blocked lanes be tried again. If the last pass was cut short, only the top bands
+// are: the others go on where it ended, so that each lane has its try.
 func (q *Queue[T]) Unblock() {
+	q.unblock(func(l *lane[T]) bool { return !q.cut || l.key.Band >= Top })
+	q.cut = false
+}
+
+func (q *Queue[T]) unblock(open func(l *lane[T]) bool) {
 	kept := q.blocked[:0]
 	for _, l := range q.blocked {
-		if q.cut && l.key.Band < Top {
+		if !open(l) {
 			kept = append(kept, l)
 			continue
 		}
-		l.blocked = false
+		l.blocked, l.team.first = false, nil
 		l.relink()
 	}
 	clear(q.blocked[len(kept):])
 	q.blocked = kept
-	q.cut = false
 }
