--- /dev/null
+++ b/journal/options.go
@@ -0,0 +1,34 @@
+package journal
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Option sets up a Journal.
+type Option func(*Journal)
+
+// Logger sets where the journal logs.
+func Logger(l *zap.Logger) Option { return func(j *Journal) { j.log = l } }
+
+// Rate bounds the journal's writes, a second and at once.
+func Rate(perSecond float64, burst int) Option {
+	return func(j *Journal) { j.rate, j.burst = perSecond, burst }
+}
+
+// Queue bounds what is accepted and not yet durable.
+func Queue(records, valueBytes int) Option {
+	return func(j *Journal) { j.queueRecords, j.queueBytes = records, valueBytes }
+}
+
+// GroupBytes bounds one segment and one part of a snapshot.
+func GroupBytes(n int) Option { return func(j *Journal) { j.groupBytes = n } }
+
+// SnapshotAfter makes a snapshot due after so many segments, or so many bytes in them.
+func SnapshotAfter(segments, valueBytes int) Option {
+	return func(j *Journal) { j.maxSegments, j.maxSegmentBytes = segments, valueBytes }
+}
+
+// CallTimeout bounds one call of the store.
+func CallTimeout(d time.Duration) Option { return func(j *Journal) { j.callTimeout = d } }
--- /dev/null
+++ b/store/etcd/etcd.go
@@ -0,0 +1,272 @@
+package etcd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"turmericgap/store"
+	"turmericgap/store/etcd/wire"
+)
+
+// Name chooses this plug-in in the settings.
+const Name = "etcd"
+
+// Defaults.
+const (
+	DefaultTimeout  = 5 * time.Second
+	DefaultMaxConns = 4
+	// DefaultMaxResponseBytes holds the largest page that the cell asks for, in base64.
+	DefaultMaxResponseBytes = 16 << 20
+	dialTimeout             = time.Second
+	idleTimeout             = 30 * time.Second
+	maxErrorBytes           = 4 << 10
+)
+
+// probes end a watch whose network was cut without a word; it would hear nothing for ever.
+var probes = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 5 * time.Second, Count: 3}
+
+func init() {
+	store.Register(Name, func(endpoint string) (*store.Store, error) { return New(endpoint), nil })
+}
+
+type client struct {
+	endpoint string
+	timeout  time.Duration
+	maxConns int
+	maxBytes int64
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	calls    *http.Client
+	watches  *http.Client
+}
+
+// New returns a client of the gateway at endpoint, such as "http://127.0.0.1:7100" or "127.0.0.1:7100".
+func New(endpoint string, opts ...Option) *store.Store {
+	if !strings.Contains(endpoint, "://") {
+		endpoint = "http://" + endpoint
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes}
+	c := &client{
+		endpoint: strings.TrimSuffix(endpoint, "/"),
+		timeout:  DefaultTimeout,
+		maxConns: DefaultMaxConns,
+		maxBytes: DefaultMaxResponseBytes,
+		dial:     dialer.DialContext,
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	c.calls = &http.Client{Transport: &http.Transport{
+		DialContext: c.dial, MaxConnsPerHost: c.maxConns, MaxIdleConnsPerHost: c.maxConns,
+		IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}}
+	c.watches = &http.Client{Transport: &http.Transport{
+		DialContext: c.dial, DisableCompression: true, DisableKeepAlives: true,
+		ResponseHeaderTimeout: c.timeout,
+	}}
+	return &store.Store{
+		Range: c.rangeKeys, Txn: c.txn, Grant: c.grant, KeepAlive: c.keepAlive, Revoke: c.revoke, Watch: c.watch,
+	}
+}
+
+// post sends one request. Until a connection is there no byte can have left, and the error is
+// ErrNotSent; after that the request may have arrived, whatever went wrong.
+func (c *client) post(ctx context.Context, h *http.Client, path string, body any) (*http.Response, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Join(store.ErrNotSent, err)
+	}
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, c.endpoint+path, bytes.NewReader(raw))
+	if err != nil {
+		return nil, errors.Join(store.ErrNotSent, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := h.Do(req)
+	if err != nil {
+		if !sent.Load() {
+			return nil, errors.Join(store.ErrNotSent, err)
+		}
+		return nil, eris.Wrap(err, "store answer lost")
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return nil, fault(resp)
+	}
+	return resp, nil
+}
+
+// fault tells the definite refusals apart. "Unavailable" is not one of them: a service says it also
+// of a write that its leader took before it was lost.
+func fault(resp *http.Response) error {
+	var e wire.Error
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err == nil {
+		err = json.Unmarshal(raw, &e)
+	}
+	switch {
+	case err != nil:
+		return eris.Errorf("store answered %s", resp.Status)
+	case e.Code == wire.CodeNotFound:
+		return store.ErrLeaseGone
+	case e.Code == wire.CodeInvalidArgument:
+		return errors.Join(store.ErrInvalid, errors.New(e.Message))
+	default:
+		return eris.Errorf("store answered %s: %s", resp.Status, e.Message)
+	}
+}
+
+func roundTrip[Resp any](ctx context.Context, c *client, path string, body any) (Resp, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var out Resp
+	resp, err := c.post(ctx, c.calls, path, body)
+	if err != nil {
+		return out, err
+	}
+	defer resp.Body.Close()
+	// Decode reads the first message alone; a renewal's stream may stay open after it.
+	limited := &io.LimitedReader{R: resp.Body, N: c.maxBytes}
+	if err := json.NewDecoder(limited).Decode(&out); err != nil {
+		if limited.N <= 0 {
+			return out, eris.Errorf("store answer is longer than %d bytes", c.maxBytes)
+		}
+		return out, eris.Wrap(err, "store answer broken")
+	}
+	if path != wire.PathKeepAlive {
+		// What is left is drained, so that the connection can be used again.
+		_, _ = io.CopyN(io.Discard, limited, maxErrorBytes)
+	}
+	return out, nil
+}
+
+func (c *client) rangeKeys(ctx context.Context, r store.Range) (store.RangeResult, error) {
+	req := wire.RangeRequest{Key: []byte(r.Key), RangeEnd: []byte(r.End), Limit: r.Limit}
+	resp, err := roundTrip[wire.RangeResponse](ctx, c, wire.PathRange, req)
+	if err != nil {
+		return store.RangeResult{}, err
+	}
+	out := store.RangeResult{Revision: resp.Header.Revision, More: resp.More}
+	for _, kv := range resp.KVs {
+		out.Pairs = append(out.Pairs, pair(kv))
+	}
+	return out, nil
+}
+
+func pair(kv wire.KeyValue) store.Pair {
+	return store.Pair{
+		Key: string(kv.Key), Value: kv.Value, CreateRevision: kv.CreateRevision,
+		ModRevision: kv.ModRevision, Version: kv.Version, Lease: kv.Lease,
+	}
+}
+
+func (c *client) txn(ctx context.Context, t store.Txn) (store.TxnResult, error) {
+	resp, err := roundTrip[wire.TxnResponse](ctx, c, wire.PathTxn, request(t))
+	if err != nil {
+		return store.TxnResult{}, err
+	}
+	return store.TxnResult{Succeeded: resp.Succeeded, Revision: resp.Header.Revision}, nil
+}
+
+func request(t store.Txn) wire.TxnRequest {
+	var req wire.TxnRequest
+	for _, c := range t.Compares {
+		w := wire.Compare{Key: []byte(c.Key), Target: string(c.Target), Result: wire.ResultEqual}
+		if c.Target == store.CreateRevision {
+			w.CreateRevision = c.Revision
+		} else {
+			w.ModRevision = c.Revision
+		}
+		req.Compare = append(req.Compare, w)
+	}
+	for _, op := range t.Then {
+		if op.Delete {
+			req.Success = append(req.Success, wire.RequestOp{DeleteRange: &wire.DeleteRangeRequest{Key: []byte(op.Key), RangeEnd: []byte(op.End)}})
+			continue
+		}
+		req.Success = append(req.Success, wire.RequestOp{Put: &wire.PutRequest{Key: []byte(op.Key), Value: op.Value, Lease: op.Lease}})
+	}
+	return req
+}
+
+func (c *client) grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	resp, err := roundTrip[wire.LeaseResponse](ctx, c, wire.PathGrant, wire.LeaseRequest{TTL: seconds})
+	if err == nil && resp.ID == 0 {
+		err = eris.New("store granted no lease")
+	}
+	return resp.ID, err
+}
+
+func (c *client) keepAlive(ctx context.Context, lease int64) (time.Duration, error) {
+	resp, err := roundTrip[wire.StreamOf[wire.LeaseResponse]](ctx, c, wire.PathKeepAlive, wire.LeaseRequest{ID: lease})
+	switch {
+	case err != nil:
+		return 0, err
+	case resp.Error != nil:
+		return 0, eris.Errorf("store renewal failed: %s", resp.Error.Message)
+	case resp.Result.TTL <= 0:
+		return 0, store.ErrLeaseGone
+	default:
+		return time.Duration(resp.Result.TTL) * time.Second, nil
+	}
+}
+
+func (c *client) revoke(ctx context.Context, lease int64) error {
+	_, err := roundTrip[wire.LeaseResponse](ctx, c, wire.PathRevoke, wire.LeaseRequest{ID: lease})
+	return err
+}
+
+func (c *client) watch(ctx context.Context, prefix string, from int64, each func(store.Batch)) error {
+	create := wire.WatchCreate{Key: []byte(prefix), RangeEnd: []byte(store.PrefixEnd(prefix)), StartRevision: from}
+	resp, err := c.post(ctx, c.watches, wire.PathWatch, wire.WatchRequest{Create: &create})
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	limited := &io.LimitedReader{R: resp.Body}
+	dec := json.NewDecoder(limited)
+	for {
+		limited.N = c.maxBytes // for each message
+		var m wire.StreamOf[wire.WatchResponse]
+		if err := dec.Decode(&m); err != nil {
+			return eris.Wrap(err, "store watch broken")
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		switch {
+		case m.Error != nil:
+			return eris.Errorf("store watch failed: %s", m.Error.Message)
+		case m.Result.CompactRevision > 0:
+			return store.ErrCompacted
+		case m.Result.Canceled:
+			return eris.New("store watch cancelled")
+		}
+		if len(m.Result.Events) > 0 {
+			each(batch(m.Result))
+		}
+	}
+}
+
+// batch takes the revision from the last event: the header may be ahead of what was delivered, and
+// a watch that resumed from there would miss changes.
+func batch(m wire.WatchResponse) store.Batch {
+	var b store.Batch
+	for _, e := range m.Events {
+		b.Revision = e.KV.ModRevision
+		b.Events = append(b.Events, store.Event{Deleted: e.Type == wire.EventDelete, Pair: pair(e.KV)})
+	}
+	return b
+}
--- /dev/null
+++ b/store/retry/retry.go
@@ -0,0 +1,76 @@
+package retry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"turmericgap/store"
+)
+
+// Defaults.
+const (
+	DefaultMin = 20 * time.Millisecond
+	DefaultMax = 2 * time.Second
+	factor     = 2
+)
+
+// Backoff gives the pauses between tries; it belongs to one goroutine.
+type Backoff struct {
+	min, max time.Duration
+	next     time.Duration
+}
+
+// Option sets up a Backoff.
+type Option func(*Backoff)
+
+// Between bounds the pauses.
+func Between(least, most time.Duration) Option {
+	return func(b *Backoff) { b.min, b.max = least, most }
+}
+
+// New returns a Backoff that starts with its shortest pause.
+func New(opts ...Option) *Backoff {
+	b := &Backoff{min: DefaultMin, max: DefaultMax}
+	for _, o := range opts {
+		o(b)
+	}
+	b.next = b.min
+	return b
+}
+
+// Next gives the next pause: from half to the whole of a time that doubles up to the longest.
+func (b *Backoff) Next() time.Duration {
+	d := b.next
+	b.next = min(b.next*factor, b.max)
+	return d/2 + rand.N(d/2+1)
+}
+
+// Reset starts again with the shortest pause.
+func (b *Backoff) Reset() { b.next = b.min }
+
+// Wait pauses; it fails when ctx ends first.
+func (b *Backoff) Wait(ctx context.Context) error {
+	t := time.NewTimer(b.Next())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// Range reads until it has an answer or ctx ends; a read changes nothing, so it may be repeated.
+func Range(ctx context.Context, s *store.Store, r store.Range, opts ...Option) (store.RangeResult, error) {
+	b := New(opts...)
+	for {
+		res, err := s.Range(ctx, r)
+		if err == nil || ctx.Err() != nil {
+			return res, err
+		}
+		if b.Wait(ctx) != nil {
+			return res, err
+		}
+	}
+}
