--- /dev/null
+++ b/member/beat.go
@@ -0,0 +1,194 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"turmericgap/rpc"
+)
+
+// Beat is one heartbeat from a member to another of its table.
+type Beat struct {
+	From Member
+	// Version is the newest table that the sender knows; Table holds it if the receiver may lack it.
+	Version int64
+	Table   *Table
+	// Rules is the version of the rules that the sender has in force.
+	Rules int64
+	// Ask is for how long the sender asks not to be removed; zero asks for nothing.
+	Ask time.Duration
+}
+
+// BeatReply answers a Beat.
+type BeatReply struct {
+	From    Member
+	Version int64
+	Table   *Table
+	Rules   int64
+	// Promised says that the receiver will not remove the sender, nor take over from it, for
+	// Beat.Ask counted from when it received the Beat.
+	Promised bool
+	// Refused says why it did not promise.
+	Refused string
+}
+
+// Beat serves a peer's heartbeat.
+func (g *Group) Beat(_ context.Context, b *Beat) (*BeatReply, error) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return nil, rpc.Refused(g.opts.Beat, "not a member")
+	}
+	if b.From.Zone != g.self.Zone || b.From.Role != g.self.Role {
+		return nil, rpc.Refused(0, "this is a %s of %s", g.self.Role, g.self.Zone)
+	}
+	if b.Table != nil {
+		g.adopt(b.Table.clone())
+	}
+	r := &BeatReply{From: g.self, Version: g.table.Version, Rules: g.opts.Rules()}
+	if b.Version < g.table.Version {
+		t := g.table.clone()
+		r.Table = &t
+	}
+	p := g.peers[b.From.ID]
+	if p == nil || !p.member.same(b.From) {
+		r.Refused = "asker is not in the table"
+		return r, nil
+	}
+	g.hear(p, b.Version, b.Rules, now)
+	if b.Ask > 0 {
+		r.Refused = g.refusal(p, b)
+		r.Promised = r.Refused == ""
+	}
+	if r.Promised {
+		// The drift allowance covers a clock here that runs faster than the asker's.
+		p.given = later(p.given, now.Add(min(b.Ask, g.opts.Promise)+g.opts.Drift))
+	}
+	return r, nil
+}
+
+// refusal gives the reason not to promise, or nothing.
+func (g *Group) refusal(p *peer, b *Beat) string {
+	switch {
+	case b.Version != g.table.Version:
+		// A newer table may hold a member that the asker does not know to ask.
+		return "tables differ"
+	case p.removing != 0 && p.removing >= g.table.Version:
+		return "a removal is under way"
+	case b.Ask > g.opts.Promise:
+		return "too long"
+	default:
+		return ""
+	}
+}
+
+// hear notes a sign of life and what the peer has.
+func (g *Group) hear(p *peer, version, rules int64, now time.Time) {
+	p.heard, p.suspect, p.rules = now, false, max(p.rules, rules)
+	p.confirmed = max(p.confirmed, version)
+	if g.self.State == Joining && g.joined != 0 && g.allConfirmed() {
+		g.nudge()
+	}
+	if rules > g.opts.Rules() {
+		g.opts.Newer(p.member, rules)
+	}
+}
+
+// beat sends heartbeats to all others of the table.
+func (g *Group) beat(ctx context.Context) {
+	for sleep(ctx, jitter(g.opts.Beat)) {
+		for _, m := range g.due() {
+			g.wg.Go(func() { g.beatOne(ctx, m) })
+		}
+	}
+}
+
+// due begins a round: it gives the peers that no call is under way to.
+func (g *Group) due() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if g.asks(now) && !g.unlisted(g.self.VM) {
+		g.asked = now.Add(g.opts.Promise)
+	}
+	var out []Member
+	for _, p := range g.peers {
+		if !p.suspect && now.Sub(p.heard) > suspectBeats*g.opts.Beat {
+			p.suspect = true
+			g.nudge()
+		}
+		if !p.calling {
+			p.calling = true
+			out = append(out, p.member)
+		}
+	}
+	return out
+}
+
+// asks says that the lease was not renewed for long, so that promises are needed soon or now.
+func (g *Group) asks(now time.Time) bool {
+	return g.joined != 0 && g.lease.until.Sub(now) < g.opts.TTL/2
+}
+
+func (g *Group) unlisted(vm string) bool {
+	vms, known := g.opts.Listed()
+	return known && !vms[vm]
+}
+
+func (g *Group) beatOne(ctx context.Context, m Member) {
+	ctx, cancel := context.WithTimeout(ctx, g.opts.Promise/2)
+	defer cancel()
+	b := g.compose(m)
+	sent := time.Now()
+	r, err := g.opts.Call(ctx, m.Address, b)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.peers[m.ID]
+	if p == nil || !p.member.same(m) {
+		return
+	}
+	p.calling = false
+	if err != nil || !r.From.same(m) {
+		return
+	}
+	if r.Promised {
+		p.promised = later(p.promised, sent.Add(b.Ask))
+	}
+	if r.Table != nil {
+		g.adopt(r.Table.clone())
+	}
+	g.hear(p, r.Version, r.Rules, time.Now())
+}
+
+func (g *Group) compose(m Member) *Beat {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := &Beat{From: g.self, Version: g.table.Version, Rules: g.opts.Rules()}
+	if p := g.peers[m.ID]; p == nil || p.confirmed < b.Version {
+		t := g.table.clone()
+		b.Table = &t
+	}
+	if g.asks(time.Now()) {
+		b.Ask = g.opts.Promise
+	}
+	return b
+}
+
+func (g *Group) suspects() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		if p.suspect {
+			return true
+		}
+	}
+	return false
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,322 @@
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/rpc"
+	"turmericgap/store"
+)
+
+// Defaults.
+const (
+	DefaultTTL     = 6 * time.Second
+	DefaultBeat    = 500 * time.Millisecond
+	DefaultPromise = 3 * time.Second
+	DefaultLook    = 30 * time.Second
+	// CallTimeout bounds one call of the store.
+	CallTimeout = 2 * time.Second
+
+	driftShare   = 20
+	renewShare   = 3
+	suspectBeats = 4
+	// stagger keeps members that see the same key vanish from writing at once.
+	stagger = 200 * time.Millisecond
+	// BeatMethod is the rpc name under which Group.Beat is served.
+	BeatMethod = "member.beat"
+)
+
+// Group is this process's part in the table of its zone and role.
+type Group struct {
+	opts  Options
+	store *store.Store
+	self  Member
+	log   *zap.Logger
+	pool  *rpc.Pool
+
+	mu    sync.Mutex
+	table Table
+	// joined is a version of the table at or after the one that first held this incarnation;
+	// zero while it is not in the table.
+	joined int64
+	lease  held
+	// asked is when the last round of asking for promises began, plus their length.
+	asked   time.Time
+	peers   map[string]*peer
+	leaving bool
+	stopped bool
+
+	// since is when this process joined.
+	since time.Time
+	wake  chan struct{}
+	tell  chan struct{}
+	// writing is held by the one duty that changes the table.
+	writing chan struct{}
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// held is the store lease, counted on the monotonic clock from before the request was sent.
+type held struct {
+	id    int64
+	until time.Time
+	// granted is when the lease was asked for.
+	granted time.Time
+	// keyRevision is that of the member's own key; zero when it may be absent.
+	keyRevision int64
+}
+
+// peer is what this process knows of another member of the table.
+type peer struct {
+	member Member
+	heard  time.Time
+	rules  int64
+	// confirmed is the newest table version that the peer is known to have.
+	confirmed int64
+	// promised is when the peer's promise to this process ends, on this process's count.
+	promised time.Time
+	// given is when this process's promise to the peer ends.
+	given time.Time
+	// removing is the table version that an unresolved removal of the peer compares.
+	removing int64
+	// absent is when the peer's key was first seen to be absent.
+	absent time.Time
+	// suspect says that it was not heard for several heartbeats.
+	suspect bool
+	calling bool
+}
+
+// New returns a Group that is not yet started. The process must already listen on self.Address:
+// holding the address proves that an earlier process that listened there has ended.
+func New(s *store.Store, self Member, opts ...Option) *Group {
+	o := Options{
+		TTL: DefaultTTL, Drift: DefaultTTL / driftShare, Beat: DefaultBeat, Promise: DefaultPromise,
+		Look: DefaultLook, Elects: self.Role == RoleScheduler, Logger: zap.NewNop(),
+		Rules: func() int64 { return 0 }, Newer: func(Member, int64) {}, OnChange: func(Table) {},
+		Listed: func() (map[string]bool, bool) { return nil, false },
+	}
+	for _, f := range opts {
+		f(&o)
+	}
+	if self.Incarnation == 0 {
+		self.Incarnation = rand.Int64()
+	}
+	self.State = Joining
+	g := &Group{
+		opts: o, store: s, self: self, log: o.Logger, peers: make(map[string]*peer),
+		wake: make(chan struct{}, 1), tell: make(chan struct{}, 1), writing: make(chan struct{}, 1),
+		cancel: func() {},
+	}
+	if g.opts.Call == nil {
+		g.pool = rpc.NewPool()
+		g.opts.Call = func(ctx context.Context, address string, b *Beat) (*BeatReply, error) {
+			return rpc.Call[Beat, BeatReply](ctx, g.pool.Get(address), BeatMethod, b)
+		}
+	}
+	return g
+}
+
+// Start joins the table and keeps the membership until Leave or Stop, or until ctx ends.
+func (g *Group) Start(ctx context.Context) error {
+	ctx, g.cancel = context.WithCancel(ctx)
+	g.wg.Go(func() { g.tend(ctx) })
+	g.wg.Go(func() { g.renew(ctx) })
+	g.wg.Go(func() { g.beat(ctx) })
+	g.wg.Go(func() { g.notify(ctx) })
+	return nil
+}
+
+// Stop ends all duties at once and leaves the table as it is; the lease lapses by itself.
+func (g *Group) Stop() {
+	g.mu.Lock()
+	g.stopped = true
+	g.mu.Unlock()
+	g.cancel()
+	g.wg.Wait()
+	if g.pool != nil {
+		g.pool.Close()
+	}
+}
+
+// Valid says whether this member may act now: its lease holds, or the promises of all others do.
+func (g *Group) Valid() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.valid(time.Now())
+}
+
+// Owns gives the epoch under which this process owns its zone, while it may act.
+func (g *Group) Owns() (epoch, epochRevision int64, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaving || g.table.Owner != g.self.ID || !g.valid(time.Now()) {
+		return 0, 0, false
+	}
+	return g.table.Epoch, g.table.EpochRevision, true
+}
+
+// Self gives this process's own entry.
+func (g *Group) Self() Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.self
+}
+
+// Table gives the newest table that this process knows.
+func (g *Group) Table() Table {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.clone()
+}
+
+// Owner gives the member that owns the zone.
+func (g *Group) Owner() (Member, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Find(g.table.Owner)
+}
+
+// Confirmed gives the newest table version that each other member is known to have, by its ID.
+func (g *Group) Confirmed() map[string]int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make(map[string]int64, len(g.peers))
+	for id, p := range g.peers {
+		out[id] = p.confirmed
+	}
+	return out
+}
+
+// Learn takes a table from a watch or a peer; an older one than is known changes nothing.
+func (g *Group) Learn(t Table) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.Zone == g.self.Zone && t.Role == g.self.Role {
+		g.adopt(t.clone())
+	}
+}
+
+// Absent is told by a watch that the lease-bound key of a member of this table has vanished.
+func (g *Group) Absent(id string) {
+	g.mu.Lock()
+	p := g.peers[id]
+	if p != nil && p.absent.IsZero() {
+		p.absent = time.Now()
+	}
+	g.mu.Unlock()
+	if p != nil || id == g.self.ID {
+		g.nudge()
+	}
+}
+
+func (g *Group) valid(now time.Time) bool {
+	if g.stopped || g.joined == 0 {
+		return false
+	}
+	return now.Before(g.lease.until) || g.promised(now)
+}
+
+// promised says whether every other member of the table has promised beyond now. The bound on the
+// last round makes a process that was frozen stop even when it is alone in its table.
+func (g *Group) promised(now time.Time) bool {
+	if !now.Before(g.asked) {
+		return false
+	}
+	for _, p := range g.peers {
+		if !now.Before(p.promised) {
+			return false
+		}
+	}
+	return true
+}
+
+// adopt makes t the known table if it is newer, and keeps one peer record for each other member.
+func (g *Group) adopt(t Table) {
+	if t.Version <= g.table.Version {
+		return
+	}
+	g.table = t
+	for id, p := range g.peers {
+		if !t.holds(p.member) {
+			delete(g.peers, id)
+		}
+	}
+	for _, m := range t.Members {
+		if m.ID == g.self.ID {
+			continue
+		}
+		if p, ok := g.peers[m.ID]; ok {
+			p.member = m
+		} else {
+			g.peers[m.ID] = &peer{member: m, heard: time.Now()}
+		}
+	}
+	if g.joined != 0 && !t.holds(g.self) {
+		g.expelled()
+	}
+	if g.pool != nil {
+		g.pool.Keep(g.addresses())
+	}
+	g.nudge()
+	signal(g.tell)
+}
+
+// expelled forgets what was promised to this process as a member, since it is none any more.
+func (g *Group) expelled() {
+	g.log.Warn("member: removed from the table by others", zap.Int64("version", g.table.Version))
+	g.joined, g.asked, g.self.State = 0, time.Time{}, Joining
+	for _, p := range g.peers {
+		p.promised = time.Time{}
+	}
+}
+
+func (g *Group) addresses() map[string]bool {
+	out := make(map[string]bool, len(g.peers))
+	for _, p := range g.peers {
+		out[p.member.Address] = true
+	}
+	return out
+}
+
+func (g *Group) nudge() { signal(g.wake) }
+
+// signal leaves one token; more would say nothing new.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// notify tells the newest table to OnChange, in order and outside the lock.
+func (g *Group) notify(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.tell:
+			g.opts.OnChange(g.Table())
+		}
+	}
+}
+
+// sleep waits and says whether ctx still goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// jitter spreads d over half of itself up to all of it, so that processes do not act in step.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1)
+}
--- /dev/null
+++ b/member/options.go
@@ -0,0 +1,78 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Options set up a Group.
+type Options struct {
+	// TTL is the lease's length.
+	TTL time.Duration
+	// Drift is taken off the lease for clocks that run at different rates.
+	Drift time.Duration
+	// Beat is the interval of heartbeats.
+	Beat time.Duration
+	// Promise is how long a promise holds on the asker's clock.
+	Promise time.Duration
+	// Look is the longest time between two looks at the store.
+	Look time.Duration
+	// Elects says that the table has an owner.
+	Elects bool
+	// Call sends a heartbeat to a peer; the default is rpc "member.beat".
+	Call func(ctx context.Context, address string, b *Beat) (*BeatReply, error)
+	// Listed gives the VMs of the VM list by their Member.VM; known is false before the first list.
+	Listed func() (vms map[string]bool, known bool)
+	// Rules gives the version of the rules that this process has in force.
+	Rules func() int64
+	// Newer is told of a peer that has newer rules.
+	Newer    func(from Member, version int64)
+	OnChange func(Table)
+	Logger   *zap.Logger
+}
+
+// Option changes Options.
+type Option func(*Options)
+
+// TTL sets the lease's length; the drift allowance becomes a twentieth of it.
+func TTL(d time.Duration) Option {
+	return func(o *Options) { o.TTL, o.Drift = d, d/driftShare }
+}
+
+// Drift sets the drift allowance; give it after TTL.
+func Drift(d time.Duration) Option { return func(o *Options) { o.Drift = d } }
+
+// Interval sets the time between heartbeats.
+func Interval(d time.Duration) Option { return func(o *Options) { o.Beat = d } }
+
+// Promise sets how long a promise holds; it must be shorter than the lease.
+func Promise(d time.Duration) Option { return func(o *Options) { o.Promise = d } }
+
+// Look sets the longest time between two looks at the store.
+func Look(d time.Duration) Option { return func(o *Options) { o.Look = d } }
+
+// Elects says whether the table has an owner; the default is true for schedulers alone.
+func Elects(yes bool) Option { return func(o *Options) { o.Elects = yes } }
+
+// Call sets how heartbeats are sent.
+func Call(f func(ctx context.Context, address string, b *Beat) (*BeatReply, error)) Option {
+	return func(o *Options) { o.Call = f }
+}
+
+// Listed sets where the VM list is read.
+func Listed(f func() (vms map[string]bool, known bool)) Option {
+	return func(o *Options) { o.Listed = f }
+}
+
+// Rules sets how rule versions are told to and learnt from peers.
+func Rules(version func() int64, newer func(from Member, version int64)) Option {
+	return func(o *Options) { o.Rules, o.Newer = version, newer }
+}
+
+// OnChange is told the newest table after each change, from one goroutine.
+func OnChange(f func(Table)) Option { return func(o *Options) { o.OnChange = f } }
+
+// Logger sets the log.
+func Logger(l *zap.Logger) Option { return func(o *Options) { o.Logger = l } }
--- /dev/null
+++ b/member/tend.go
@@ -0,0 +1,290 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"turmericgap/store"
+)
+
+// reading is the table and the present keys as the store had them.
+type reading struct {
+	table Table
+	keys  map[string]present
+}
+
+// tend joins the table and keeps it true: it wakes on changes, on suspicion and at long intervals.
+func (g *Group) tend(ctx context.Context) {
+	var failures, looks backoff
+	for wait := time.Duration(0); g.pause(ctx, wait); {
+		if g.unattended() {
+			wait = g.opts.Look
+			continue
+		}
+		again, err := g.step(ctx)
+		if err != nil {
+			g.log.Warn("member: table not tended", zap.Error(err))
+			if !sleep(ctx, failures.next()) {
+				return
+			}
+			wait = 0
+			continue
+		}
+		failures = backoff{}
+		wait = g.nextLook(&looks, again)
+	}
+}
+
+// pause waits for a nudge, or for d; it says whether ctx still goes on.
+func (g *Group) pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-g.wake:
+	case <-t.C:
+	}
+	return ctx.Err() == nil
+}
+
+// unattended says that there is nothing to do here: the member leaves, or the store is out of
+// reach and renew, the one duty that goes on asking it, will tell when it is back.
+func (g *Group) unattended() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaving || g.joined != 0 && g.lease.id != 0 && !time.Now().Before(g.lease.until)
+}
+
+// nextLook gives the time until the next step: soon if a decision is open, later and later while
+// a peer stays suspect, else long.
+func (g *Group) nextLook(looks *backoff, again time.Duration) time.Duration {
+	if again > 0 {
+		return again
+	}
+	if g.suspects() {
+		return looks.next()
+	}
+	*looks = backoff{}
+	return jitter(g.opts.Look)
+}
+
+// step reads the store, plans and applies one change.
+func (g *Group) step(ctx context.Context) (again time.Duration, err error) {
+	if !g.lockTable(ctx) {
+		return 0, ctx.Err()
+	}
+	defer g.unlockTable()
+	if err := g.ensureLease(ctx); err != nil {
+		return 0, err
+	}
+	r, err := g.read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	g.settle(r)
+	s := g.scene(r)
+	c, err := plan(s)
+	if err != nil || c.empty() {
+		return c.again, err
+	}
+	if !g.claim(c.gone, r.table.Version) {
+		return soon, nil
+	}
+	res, err := g.txn(ctx, s.txn(&c))
+	g.resolve(c.gone, res, err)
+	if err != nil {
+		if errors.Is(err, store.ErrLeaseGone) {
+			g.forgetLease(s.lease)
+		}
+		return 0, err
+	}
+	if !res.Succeeded {
+		return jitter(stagger), nil
+	}
+	g.applied(s, &c, res.Revision)
+	return max(c.again, time.Millisecond), nil
+}
+
+func (g *Group) lockTable(ctx context.Context) bool {
+	select {
+	case g.writing <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (g *Group) unlockTable() { <-g.writing }
+
+func (g *Group) txn(ctx context.Context, t store.Txn) (store.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	return g.store.Txn(ctx, t)
+}
+
+func (g *Group) ensureLease(ctx context.Context) error {
+	if g.leaseID() != 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	sent := time.Now()
+	id, err := g.store.Grant(ctx, g.opts.TTL)
+	if err != nil {
+		return eris.Wrap(err, "grant lease")
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lease = held{id: id, granted: sent}
+	return nil
+}
+
+func (g *Group) read(ctx context.Context) (reading, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	r := reading{table: Table{Zone: g.self.Zone, Role: g.self.Role}, keys: make(map[string]present)}
+	got, err := g.store.Range(ctx, store.Range{Key: TableKey(g.self.Zone, g.self.Role)})
+	if err != nil {
+		return r, eris.Wrap(err, "read member table")
+	}
+	if len(got.Pairs) == 1 {
+		if r.table, err = DecodeTable(got.Pairs[0]); err != nil {
+			return r, err
+		}
+	}
+	prefix := presentPrefix(g.self.Zone, g.self.Role)
+	got, err = g.store.Range(ctx, store.Range{Key: prefix, End: store.PrefixEnd(prefix)})
+	if err != nil {
+		return r, eris.Wrap(err, "read member keys")
+	}
+	for _, p := range got.Pairs {
+		m, err := DecodePresent(p)
+		if err != nil {
+			return r, err
+		}
+		r.keys[m.ID] = present{member: m, lease: p.Lease, revision: p.ModRevision}
+	}
+	return r, nil
+}
+
+// settle takes in what was read: the table, which keys are absent, and whether this process is
+// in. The last finds a join whose answer was lost.
+func (g *Group) settle(r reading) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.adopt(r.table)
+	for id, p := range g.peers {
+		_, there := r.keys[id]
+		switch {
+		case there:
+			p.absent = time.Time{}
+		case p.absent.IsZero():
+			p.absent = time.Now()
+		}
+	}
+	own := r.keys[g.self.ID]
+	if own.lease != 0 && own.lease == g.lease.id && r.table.holds(g.self) {
+		g.entered(r.table, own.revision)
+	}
+}
+
+// entered notes that the table holds this process and its key is bound to its lease.
+func (g *Group) entered(t Table, keyRevision int64) {
+	if !g.table.holds(g.self) {
+		return // A newer table is known already, without this process.
+	}
+	if g.joined == 0 {
+		g.joined, g.since = t.Version, time.Now()
+		g.log.Info("member: joined", zap.Int64("version", t.Version))
+	}
+	own, _ := t.Find(g.self.ID)
+	g.self.State = own.State
+	if g.lease.keyRevision == 0 {
+		g.lease.keyRevision = keyRevision
+		g.extend(g.lease.id, g.lease.granted, g.opts.TTL)
+	}
+}
+
+func (g *Group) scene(r reading) *scene {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := &scene{
+		now: time.Now(), self: g.self, lease: g.lease.id, joined: g.joined != 0, since: g.since,
+		grace: g.opts.TTL + g.opts.Drift, elects: g.opts.Elects, table: r.table, keys: r.keys,
+		others: make(map[string]standing, len(g.peers)), confirmed: g.allConfirmed(),
+	}
+	vms, known := g.opts.Listed()
+	for id, p := range g.peers {
+		s.others[id] = standing{
+			absent: p.absent, given: p.given, unlisted: known && !vms[p.member.VM],
+			established: g.established(p),
+		}
+	}
+	return s
+}
+
+func (g *Group) established(p *peer) bool { return g.joined != 0 && p.confirmed >= g.joined }
+
+func (g *Group) allConfirmed() bool {
+	for _, p := range g.peers {
+		if !g.established(p) {
+			return false
+		}
+	}
+	return true
+}
+
+// claim marks the removals, from when on no promise is given to these members. It fails if one
+// was given since the removals were planned.
+func (g *Group) claim(gone []string, version int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	for _, id := range gone {
+		if p := g.peers[id]; p != nil && now.Before(p.given) {
+			return false
+		}
+	}
+	for _, id := range gone {
+		if p := g.peers[id]; p != nil {
+			p.removing = version
+		}
+	}
+	return true
+}
+
+// resolve takes the marks back if the removal surely did not happen. If its answer was lost the
+// transaction may still apply, until the table's version has moved past what it compares.
+func (g *Group) resolve(gone []string, res store.TxnResult, err error) {
+	definite := err == nil && !res.Succeeded || errors.Is(err, store.ErrNotSent) || errors.Is(err, store.ErrBudget)
+	if !definite {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range gone {
+		if p := g.peers[id]; p != nil {
+			p.removing = 0
+		}
+	}
+}
+
+func (g *Group) applied(s *scene, c *change, revision int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := c.done(revision)
+	keyRevision := s.keys[s.self.ID].revision
+	if c.key {
+		keyRevision = revision
+	}
+	g.adopt(t)
+	g.entered(t, keyRevision)
+	if c.epoch {
+		g.log.Info("member: owns the zone", zap.Int64("epoch", t.Epoch))
+	}
+}
--- /dev/null
+++ b/view/follower.go
@@ -0,0 +1,156 @@
+package view
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/member"
+	"turmericgap/rpc"
+)
+
+// followWait is how long a Keeper may hold a call that waits for its next view.
+const followWait = 5 * time.Second
+
+// NextCall asks a Keeper for the view after the one that the caller last had from it.
+type NextCall struct {
+	Keeper string
+	After  uint64
+	Wait   time.Duration
+	// Workers asks for the workers too, which a gate does not need.
+	Workers bool
+}
+
+// NextReply is a Keeper's view under its own count; Keeper names that count.
+type NextReply struct {
+	Keeper string
+	View   View
+}
+
+// Follower is the gate's side: it follows the Keeper beside it, another one when that is dead, and
+// goes on with its last view when all are.
+type Follower struct {
+	opts   Options
+	beside string
+	log    *zap.Logger
+	board  *board
+	spread *spread
+	pool   *rpc.Pool
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// NewFollower returns a Follower of the Keeper at the address beside, not yet started.
+func NewFollower(beside string, opts ...Option) *Follower {
+	o, pool := build(opts)
+	b := newBoard(o.Groups)
+	o.Seeds = append([]string{beside}, o.Seeds...)
+	return &Follower{
+		opts: o, beside: beside, log: o.Logger, board: b, spread: newSpread(o, b), pool: pool,
+		cancel: func() {},
+	}
+}
+
+// Start begins to follow.
+func (f *Follower) Start(ctx context.Context) {
+	ctx, f.cancel = context.WithCancel(ctx)
+	f.wg.Go(func() { f.follow(ctx) })
+	f.wg.Go(func() { f.spread.run(ctx, f.pool) })
+}
+
+// Close ends all duties.
+func (f *Follower) Close() {
+	f.cancel()
+	f.wg.Wait()
+	f.pool.Close()
+}
+
+// View gives the newest view.
+func (f *Follower) View() *View { return f.board.view.Load() }
+
+// Changed gives a channel that closes at the next change of the view.
+func (f *Follower) Changed() <-chan struct{} { return f.board.wait() }
+
+// Offer takes rules from a peer if they are newer than those known.
+func (f *Follower) Offer(r Rules) { f.spread.take(&r) }
+
+// Heard is told that a process has newer rules, so that they are fetched at once.
+func (f *Follower) Heard(from member.Member, version int64) { f.spread.heard(from, version) }
+
+// InForce gives, process by process, the newest rules that it is known to have.
+func (f *Follower) InForce() []Process { return f.spread.inForce() }
+
+// Register serves the Follower's calls.
+func (f *Follower) Register(s *rpc.Server) { rpc.Handle(s, RulesMethod, f.ServeRules) }
+
+// ServeRules serves rpc "view.rules".
+func (f *Follower) ServeRules(_ context.Context, c *RulesCall) (*RulesReply, error) {
+	return f.spread.serve(c), nil
+}
+
+// follow asks the Keeper beside this process; after a failure one of the others, in turn.
+func (f *Follower) follow(ctx context.Context) {
+	var b backoff
+	last := NextReply{}
+	for failures := 0; ctx.Err() == nil; {
+		address := f.keeper(failures)
+		r, err := f.ask(ctx, address, &last)
+		if err == nil {
+			f.take(&r.View)
+			last = NextReply{Keeper: r.Keeper, View: View{Version: r.View.Version}}
+			b = backoff{}
+			if address != f.beside {
+				// Without this pause and return, a gate would stay with a far Keeper for ever.
+				failures = 0
+				sleep(ctx, jitter(firstBackoff))
+			}
+			continue
+		}
+		f.log.Warn("view: keeper not reached", zap.String("address", address), zap.Error(err))
+		failures++
+		if failures%2 == 0 {
+			sleep(ctx, b.next())
+		}
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, address string, last *NextReply) (*NextReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, followWait+CallTimeout)
+	defer cancel()
+	return f.opts.Ask(ctx, address, &NextCall{Keeper: last.Keeper, After: last.View.Version, Wait: followWait})
+}
+
+// keeper gives the Keeper beside this process on every other try, and the schedulers in turn.
+func (f *Follower) keeper(failures int) string {
+	if failures%2 == 0 {
+		return f.beside
+	}
+	var near, far []string
+	for _, t := range f.board.view.Load().Tables {
+		if t.Role != member.RoleScheduler {
+			continue
+		}
+		for _, m := range t.Members {
+			switch {
+			case m.Address == f.beside:
+			case t.Zone == f.opts.Self.Zone:
+				near = append(near, m.Address)
+			default:
+				far = append(far, m.Address)
+			}
+		}
+	}
+	all := append(near, far...)
+	if len(all) == 0 {
+		return f.beside
+	}
+	return all[failures/2%len(all)]
+}
+
+func (f *Follower) take(v *View) {
+	f.spread.take(&v.Rules)
+	f.board.offerTables(v.Tables...)
+	f.board.offerList(Listing{Version: v.ListVersion, Workers: v.Workers, Targets: v.Targets, Entries: v.Entries})
+}
--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,251 @@
+package view
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/member"
+	"turmericgap/rpc"
+	"turmericgap/store"
+)
+
+// Defaults.
+const (
+	DefaultListEvery = 2 * time.Second
+	DefaultSpread    = 500 * time.Millisecond
+	DefaultQuiet     = 10 * time.Second
+	// CallTimeout bounds one call of the store or of a process.
+	CallTimeout = 2 * time.Second
+	// RulesKey is the store's key of the rule document.
+	RulesKey = member.CellPrefix + "rules"
+
+	firstBackoff = 200 * time.Millisecond
+	lastBackoff  = 4 * time.Second
+)
+
+// Keeper holds the watch of its VM and the newest view.
+type Keeper struct {
+	opts   Options
+	store  *store.Store
+	log    *zap.Logger
+	board  *board
+	spread *spread
+	pool   *rpc.Pool
+	name   string
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New returns a Keeper that is not yet started.
+func New(s *store.Store, opts ...Option) *Keeper {
+	o, pool := build(opts)
+	b := newBoard(o.Groups)
+	return &Keeper{
+		opts: o, store: s, log: o.Logger, board: b, spread: newSpread(o, b), pool: pool,
+		name: newName(), cancel: func() {},
+	}
+}
+
+func build(opts []Option) (Options, *rpc.Pool) {
+	o := Options{
+		ListEvery: DefaultListEvery, Spread: DefaultSpread, Quiet: DefaultQuiet, Logger: zap.NewNop(),
+	}
+	for _, f := range opts {
+		f(&o)
+	}
+	pool := rpc.NewPool()
+	if o.Call == nil {
+		o.Call = func(ctx context.Context, address string, c *RulesCall) (*RulesReply, error) {
+			return rpc.Call[RulesCall, RulesReply](ctx, pool.Get(address), RulesMethod, c)
+		}
+	}
+	if o.Ask == nil {
+		o.Ask = func(ctx context.Context, address string, c *NextCall) (*NextReply, error) {
+			return rpc.Call[NextCall, NextReply](ctx, pool.Get(address), NextMethod, c)
+		}
+	}
+	return o, pool
+}
+
+// Start begins to watch the store, to read the VM list and to pass rules on.
+func (k *Keeper) Start(ctx context.Context) {
+	ctx, k.cancel = context.WithCancel(ctx)
+	k.wg.Go(func() { k.watch(ctx) })
+	k.wg.Go(func() { k.spread.run(ctx, k.pool) })
+	if k.opts.List != nil {
+		k.wg.Go(func() { k.pollList(ctx) })
+	}
+}
+
+// Close ends all duties.
+func (k *Keeper) Close() {
+	k.cancel()
+	k.wg.Wait()
+	k.pool.Close()
+}
+
+// View gives the newest view.
+func (k *Keeper) View() *View { return k.board.view.Load() }
+
+// Offer takes rules from a peer if they are newer than those known.
+func (k *Keeper) Offer(r Rules) {
+	if k.board.offerRules(r) {
+		k.spread.kick()
+	}
+}
+
+// Next waits for a view after a version; when ctx ends it gives the view as it is.
+func (k *Keeper) Next(ctx context.Context, after uint64) *View { return k.board.next(ctx, after) }
+
+// Changed gives a channel that closes at the next change of the view.
+func (k *Keeper) Changed() <-chan struct{} { return k.board.wait() }
+
+// InForce gives, process by process, the newest rules that it is known to have.
+func (k *Keeper) InForce() []Process { return k.spread.inForce() }
+
+// Heard is told that a process has newer rules, so that they are fetched at once.
+func (k *Keeper) Heard(from member.Member, version int64) { k.spread.heard(from, version) }
+
+// Register serves the Keeper's calls.
+func (k *Keeper) Register(s *rpc.Server) {
+	rpc.Handle(s, RulesMethod, k.ServeRules)
+	rpc.Handle(s, NextMethod, k.ServeNext)
+}
+
+// ServeRules serves rpc "view.rules".
+func (k *Keeper) ServeRules(_ context.Context, c *RulesCall) (*RulesReply, error) {
+	return k.spread.serve(c), nil
+}
+
+// ServeNext serves rpc "view.next".
+func (k *Keeper) ServeNext(ctx context.Context, c *NextCall) (*NextReply, error) {
+	after := c.After
+	if c.Keeper != k.name {
+		after = 0 // The caller's count is another Keeper's.
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Wait)
+	defer cancel()
+	v := *k.board.next(ctx, after)
+	if !c.Workers {
+		v.Workers = nil
+	}
+	return &NextReply{Keeper: k.name, View: v}, nil
+}
+
+// watch reads the cell's keys once and then follows their changes without a gap.
+func (k *Keeper) watch(ctx context.Context) {
+	var from int64
+	var b backoff
+	for ctx.Err() == nil {
+		err := k.follow(ctx, &from, &b)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, store.ErrCompacted) {
+			from = 0
+		}
+		k.log.Warn("view: watch ended", zap.Error(err))
+		sleep(ctx, b.next())
+	}
+}
+
+func (k *Keeper) follow(ctx context.Context, from *int64, b *backoff) error {
+	if *from == 0 {
+		revision, err := k.read(ctx)
+		if err != nil {
+			return err
+		}
+		*from = revision + 1
+	}
+	return k.store.Watch(ctx, member.CellPrefix, *from, func(batch store.Batch) {
+		for _, e := range batch.Events {
+			k.take(e)
+		}
+		*from = batch.Revision + 1
+		*b = backoff{}
+	})
+}
+
+func (k *Keeper) read(ctx context.Context) (revision int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	got, err := k.store.Range(ctx, store.Range{Key: member.CellPrefix, End: store.PrefixEnd(member.CellPrefix)})
+	if err != nil {
+		return 0, err
+	}
+	for _, p := range got.Pairs {
+		k.take(store.Event{Pair: p})
+	}
+	return got.Revision, nil
+}
+
+// take takes in one key; what is not newer than what is known changes nothing.
+func (k *Keeper) take(e store.Event) {
+	key := e.Pair.Key
+	switch {
+	case key == RulesKey && !e.Deleted:
+		doc, err := decode(e.Pair.Value)
+		if err != nil {
+			k.log.Error("view: rule document not understood", zap.Error(err))
+			return
+		}
+		k.Offer(doc.rules())
+	case strings.HasPrefix(key, member.TablePrefix) && !e.Deleted:
+		t, err := member.DecodeTable(e.Pair)
+		if err != nil {
+			k.log.Error("view: member table not understood", zap.String("key", key), zap.Error(err))
+			return
+		}
+		k.board.offerTables(t)
+	case strings.HasPrefix(key, member.PresentPrefix) && e.Deleted:
+		if parts := strings.SplitN(strings.TrimPrefix(key, member.PresentPrefix), "/", 3); len(parts) == 3 {
+			k.board.absent(parts[0], parts[1], parts[2])
+		}
+	}
+}
+
+func (k *Keeper) pollList(ctx context.Context) {
+	for wait := time.Duration(0); sleep(ctx, wait); wait = jitter(k.opts.ListEvery) {
+		l, err := k.list(ctx)
+		if err != nil {
+			k.log.Warn("view: VM list not read", zap.Error(err))
+			continue
+		}
+		k.board.offerList(l)
+	}
+}
+
+func (k *Keeper) list(ctx context.Context) (Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	return k.opts.List(ctx)
+}
+
+// backoff grows the pause between tries, with jitter, so that a store that returns is not stormed.
+type backoff struct{ pause time.Duration }
+
+func (b *backoff) next() time.Duration {
+	b.pause = min(max(2*b.pause, firstBackoff), lastBackoff)
+	return jitter(b.pause)
+}
+
+// jitter spreads d over half of itself up to all of it, so that processes do not act in step.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+
+// sleep waits and says whether ctx still goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
