--- a/member/plan.go
+++ b/member/plan.go
@@ -170,8 +170,10 @@
 
 func (s *scene) ready(c *change) {
 	i := c.table.index(s.self.ID)
-	alone := len(c.table.Members) == 1
-	if i < 0 || c.table.Members[i].State != Joining || !(alone || s.joined && s.confirmed) {
+	if i < 0 || c.table.Members[i].State != Joining {
+		return
+	}
+	if alone := len(c.table.Members) == 1; !alone && (!s.joined || !s.confirmed) {
 		return
 	}
 	c.table.Members[i].State = Ready
--- a/view/spread.go
+++ b/view/spread.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// RulesMethod and NextMethod are the rpc names under which a Keeper serves.
+	// RulesMethod is the rpc name under which rules are exchanged.
 	RulesMethod = "view.rules"
-	NextMethod  = "view.next"
+	// NextMethod is the rpc name under which a Keeper gives its next view.
+	NextMethod = "view.next"
 	// maxAtOnce bounds the calls that pass rules on at the same time.
 	maxAtOnce = 8
 )
--- a/view/view.go
+++ b/view/view.go
@@ -179,12 +179,26 @@
 	if err != nil {
 		return 0, err
 	}
+	present := make(map[string]bool)
 	for _, p := range got.Pairs {
+		present[p.Key] = true
 		k.take(store.Event{Pair: p})
 	}
+	k.missing(present)
 	return got.Revision, nil
 }
 
+// missing tells of the members without a key: the watch may have missed that it vanished.
+func (k *Keeper) missing(present map[string]bool) {
+	for _, t := range k.View().Tables {
+		for _, m := range t.Members {
+			if !present[member.PresentPrefix+t.Zone+"/"+t.Role+"/"+m.ID] {
+				k.board.absent(t.Zone, t.Role, m.ID)
+			}
+		}
+	}
+}
+
 // take takes in one key; what is not newer than what is known changes nothing.
 func (k *Keeper) take(e store.Event) {
 	key := e.Pair.Key
