Answer checks and jobs through a first gate

Cause: callers need a front door before the other parts can be joined.

Change: gate.New serves checks, jobs pass-through and the HTTP API over iris; balancer picks targets, budget bounds retries, session signs tokens. All neighbours are function fields.

--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,412 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"turmericgap/target"
+)
+
+// Defaults.
+const (
+	// DefaultSlowStart is how long a new or returned target takes to reach its full weight.
+	DefaultSlowStart = 5 * time.Second
+	// DefaultFailures is how many failures in a row eject a target.
+	DefaultFailures = 5
+	// DefaultEjection is how long a first ejection lasts; each further one in a row doubles it.
+	DefaultEjection = 2 * time.Second
+	// DefaultMaxEjection bounds an ejection.
+	DefaultMaxEjection = 60 * time.Second
+	// DefaultSlowFactor is how many times the median of its peers' latency ejects a target.
+	DefaultSlowFactor = 4
+	// DefaultSlowFloor is the latency below which no target counts as slow.
+	DefaultSlowFloor = 20 * time.Millisecond
+	// DefaultBusyPause is how long a target that said it was busy is passed over.
+	DefaultBusyPause = 20 * time.Millisecond
+
+	minSamples     = 8
+	leastWeight    = 0.1
+	smoothing      = 0.2
+	judgeEvery     = 200 * time.Millisecond
+	pairs          = 3
+	patienceFactor = 4
+)
+
+// Verdict is how a request ended, as far as its target's health goes.
+type Verdict int
+
+// The verdicts.
+const (
+	// Good is a whole answer.
+	Good Verdict = iota
+	// Failed is an error, a cut or wrong answer, or a timeout.
+	Failed
+	// Busy is a refusal for want of a slot; it says nothing about health.
+	Busy
+	// Abandoned is a request that its caller gave up; it says nothing about health.
+	Abandoned
+)
+
+// Choice is a picked target.
+type Choice struct {
+	Info  target.Info
+	Probe bool
+}
+
+// Ask is what a pick has to respect.
+type Ask struct {
+	// Avoid is a target to pass over while another one is usable.
+	Avoid string
+	// Probe says that the request may be run again, so that it may test an ejected target.
+	Probe bool
+	// Free tells how many more requests a target may be given; nil means that only Slots counts.
+	Free func(info *target.Info) int
+}
+
+type entry struct {
+	info        target.Info
+	left        bool
+	outstanding int
+	since       time.Time
+	latency     float64
+	samples     int
+	failures    int
+	ejected     bool
+	until       time.Time
+	ejections   int
+	probing     bool
+	busyUntil   time.Time
+}
+
+// Balancer holds the health of the targets of one service in one zone. It is not safe for
+// concurrent use.
+type Balancer struct {
+	opts   Options
+	rng    *rand.Rand
+	list   []*entry
+	byID   map[string]*entry
+	judged time.Time
+	median float64
+}
+
+// New returns a Balancer without targets.
+func New(opts ...Option) *Balancer {
+	o := Options{
+		SlowStart: DefaultSlowStart, Failures: DefaultFailures, Ejection: DefaultEjection,
+		MaxEjection: DefaultMaxEjection, SlowFactor: DefaultSlowFactor, SlowFloor: DefaultSlowFloor,
+		BusyPause: DefaultBusyPause,
+	}
+	for _, f := range opts {
+		f(&o)
+	}
+	return &Balancer{opts: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), byID: make(map[string]*entry)}
+}
+
+// Update replaces the list of targets and keeps the health of those that stay.
+func (b *Balancer) Update(infos []target.Info, now time.Time) {
+	first := len(b.byID) == 0
+	byID := make(map[string]*entry, len(infos))
+	list := make([]*entry, 0, len(infos))
+	for _, info := range infos {
+		e, ok := b.byID[info.ID]
+		if !ok || e.info.Address != info.Address {
+			e = &entry{since: now}
+			if first {
+				// With the first list all targets are equally new, and holding all back helps none.
+				e.since = now.Add(-b.opts.SlowStart)
+			}
+		}
+		e.info = info
+		// The list lags: it may still show a target as staying that has said it leaves.
+		e.info.Leaving = info.Leaving || e.left
+		byID[info.ID] = e
+		list = append(list, e)
+	}
+	b.list, b.byID = list, byID
+}
+
+// Leaving marks a target that said so itself, ahead of the list.
+func (b *Balancer) Leaving(id string) {
+	if e, ok := b.byID[id]; ok {
+		e.left, e.info.Leaving = true, true
+	}
+}
+
+// Info gives a target of the list, also one that is leaving or ejected.
+func (b *Balancer) Info(id string) (target.Info, bool) {
+	e, ok := b.byID[id]
+	if !ok {
+		return target.Info{}, false
+	}
+	return e.info, true
+}
+
+// Usable counts the targets that may get new requests.
+func (b *Balancer) Usable() int {
+	n := 0
+	for _, e := range b.list {
+		if !e.info.Leaving && !e.ejected {
+			n++
+		}
+	}
+	return n
+}
+
+// Ejected counts the targets that are ejected now.
+func (b *Balancer) Ejected() int {
+	n := 0
+	for _, e := range b.list {
+		if e.ejected {
+			n++
+		}
+	}
+	return n
+}
+
+// Pick chooses a target for a new request and counts it as outstanding there.
+func (b *Balancer) Pick(ask *Ask, now time.Time) (Choice, bool) {
+	if e := b.dueProbe(ask, now); e != nil {
+		e.probing = true
+		return b.take(e, true), true
+	}
+	if e := b.best(ask, now); e != nil {
+		return b.take(e, false), true
+	}
+	return Choice{}, false
+}
+
+// Take counts a request that is bound to one target as outstanding there.
+func (b *Balancer) Take(id string, ask *Ask, now time.Time) (Choice, bool) {
+	e, ok := b.byID[id]
+	if !ok || now.Before(e.busyUntil) || b.free(e, ask) <= 0 {
+		return Choice{}, false
+	}
+	return b.take(e, false), true
+}
+
+func (b *Balancer) take(e *entry, probe bool) Choice {
+	e.outstanding++
+	return Choice{Info: e.info, Probe: probe}
+}
+
+// dueProbe gives an ejected target whose time is up. A request that may not be repeated is risked
+// only after a multiple of that time, when nothing else has come to test the target.
+func (b *Balancer) dueProbe(ask *Ask, now time.Time) *entry {
+	for _, e := range b.list {
+		if !e.ejected || e.probing || e.info.Leaving || e.info.ID == ask.Avoid || now.Before(e.until) {
+			continue
+		}
+		if !ask.Probe && now.Before(e.until.Add((patienceFactor-1)*b.ejection(e))) {
+			continue
+		}
+		if b.free(e, ask) > 0 {
+			return e
+		}
+	}
+	return nil
+}
+
+func (b *Balancer) best(ask *Ask, now time.Time) *entry {
+	n := len(b.list)
+	if n == 0 {
+		return nil
+	}
+	for range pairs {
+		x, y := b.list[b.rng.IntN(n)], b.list[b.rng.IntN(n)]
+		x, y = b.open(x, ask, now), b.open(y, ask, now)
+		if e := b.better(x, y, now); e != nil {
+			return e
+		}
+	}
+	start := b.rng.IntN(n)
+	for i := range n {
+		if e := b.open(b.list[(start+i)%n], ask, now); e != nil {
+			return e
+		}
+	}
+	return b.avoided(ask, now)
+}
+
+// avoided gives the target to avoid itself when no other one is usable at all.
+func (b *Balancer) avoided(ask *Ask, now time.Time) *entry {
+	if ask.Avoid == "" || b.Usable() > 1 {
+		return nil
+	}
+	again := *ask
+	again.Avoid = ""
+	if e, ok := b.byID[ask.Avoid]; ok {
+		return b.open(e, &again, now)
+	}
+	return nil
+}
+
+// open gives e if it may get a new request now, and nil otherwise.
+func (b *Balancer) open(e *entry, ask *Ask, now time.Time) *entry {
+	if e.info.Leaving || e.ejected || e.info.ID == ask.Avoid || now.Before(e.busyUntil) {
+		return nil
+	}
+	// A cold target that gets its full load at once answers slowly and is then ejected; it gets
+	// its slots one after the other instead.
+	if float64(e.outstanding) >= float64(e.info.Slots)*b.weight(e, now) {
+		return nil
+	}
+	if b.free(e, ask) <= 0 {
+		return nil
+	}
+	return e
+}
+
+func (b *Balancer) free(e *entry, ask *Ask) int {
+	if ask.Free == nil {
+		return e.info.Slots - e.outstanding
+	}
+	return ask.Free(&e.info)
+}
+
+func (b *Balancer) better(x, y *entry, now time.Time) *entry {
+	switch {
+	case x == nil:
+		return y
+	case y == nil:
+		return x
+	}
+	lx, ly := b.load(x, now), b.load(y, now)
+	if ly < lx || (ly == lx && y.latency < x.latency) {
+		return y
+	}
+	return x
+}
+
+func (b *Balancer) load(e *entry, now time.Time) float64 {
+	return float64(e.outstanding+1) / (float64(max(1, e.info.Slots)) * b.weight(e, now))
+}
+
+func (b *Balancer) weight(e *entry, now time.Time) float64 {
+	age := now.Sub(e.since)
+	if age >= b.opts.SlowStart {
+		return 1
+	}
+	return max(leastWeight, float64(age)/float64(b.opts.SlowStart))
+}
+
+// Release counts a request as no longer outstanding.
+func (b *Balancer) Release(id string) {
+	if e, ok := b.byID[id]; ok {
+		e.outstanding = max(0, e.outstanding-1)
+	}
+}
+
+// Ended learns from a request that worked on its target for the given time.
+func (b *Balancer) Ended(id string, v Verdict, took time.Duration, now time.Time) {
+	e, ok := b.byID[id]
+	if !ok {
+		return
+	}
+	probe := e.probing
+	e.probing = false
+	switch v {
+	case Abandoned:
+		return
+	case Busy:
+		e.busyUntil = now.Add(b.opts.BusyPause)
+		return
+	case Failed:
+		e.failures++
+		b.learn(e, took)
+		if probe || e.failures >= b.opts.Failures {
+			b.eject(e, now)
+		}
+	case Good:
+		b.good(e, probe, took, now)
+	}
+	b.judge(now)
+}
+
+func (b *Balancer) good(e *entry, probe bool, took time.Duration, now time.Time) {
+	e.failures = 0
+	if probe && e.ejected {
+		if b.slow(took.Seconds()) {
+			b.eject(e, now)
+			return
+		}
+		e.ejected, e.since, e.latency, e.samples = false, now, 0, 0
+	}
+	b.learn(e, took)
+	if e.samples >= minSamples && !e.ejected {
+		e.ejections = 0
+	}
+}
+
+func (b *Balancer) learn(e *entry, took time.Duration) {
+	s := took.Seconds()
+	if e.samples == 0 {
+		e.latency = s
+	} else {
+		e.latency += smoothing * (s - e.latency)
+	}
+	e.samples++
+}
+
+// judge ejects targets that are far slower than their peers. Only the time that a target worked
+// counts, never a wait in this gate nor a refusal for want of a slot: a queue is no illness.
+func (b *Balancer) judge(now time.Time) {
+	if now.Sub(b.judged) < judgeEvery {
+		return
+	}
+	b.judged = now
+	known := make([]float64, 0, len(b.list))
+	for _, e := range b.list {
+		if !e.ejected && e.samples >= minSamples {
+			known = append(known, e.latency)
+		}
+	}
+	b.median = 0
+	if len(known) < 3 {
+		return
+	}
+	slices.Sort(known)
+	b.median = known[(len(known)-1)/2]
+	for _, e := range b.list {
+		if !e.ejected && e.samples >= minSamples && b.slow(e.latency) {
+			b.eject(e, now)
+		}
+	}
+}
+
+func (b *Balancer) slow(latency float64) bool {
+	return b.median > 0 && latency > b.opts.SlowFloor.Seconds() && latency > b.opts.SlowFactor*b.median
+}
+
+// eject takes a target out, but never more than half of them: when everything fails, the fault is
+// elsewhere, and the rest would be overrun.
+func (b *Balancer) eject(e *entry, now time.Time) {
+	if !e.ejected {
+		if 2*(b.Ejected()+1) > b.staying() {
+			return
+		}
+		e.ejected = true
+	}
+	e.until = now.Add(b.ejection(e))
+	e.ejections++
+}
+
+func (b *Balancer) staying() int {
+	n := 0
+	for _, e := range b.list {
+		if !e.info.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *Balancer) ejection(e *entry) time.Duration {
+	d := b.opts.Ejection
+	for range e.ejections {
+		if d *= 2; d >= b.opts.MaxEjection {
+			return b.opts.MaxEjection
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/gate/api.go
@@ -0,0 +1,212 @@
+package gate
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/net/netutil"
+
+	"turmericgap/finding"
+	"turmericgap/job"
+)
+
+// The headers of the API.
+const (
+	HeaderKey        = "Idempotency-Key"
+	HeaderDeadline   = "Turmericgap-Deadline-Millis"
+	HeaderRepeatable = "Turmericgap-Repeatable"
+	HeaderZone       = "Turmericgap-Zone"
+	HeaderSession    = "Turmericgap-Session"
+
+	maxJobBytes = 64 << 10
+)
+
+// Body is the answer to every request that has an outcome.
+type Body struct {
+	Outcome job.Outcome `json:"outcome"`
+	Reason  string      `json:"reason,omitempty"`
+	Answer  *job.Answer `json:"answer,omitempty"`
+	// RetryAfterMillis is when to try again; it is left out when no time is known.
+	RetryAfterMillis int64        `json:"retryAfterMillis,omitempty"`
+	Attempts         int          `json:"attempts,omitempty"`
+	Target           string       `json:"target,omitempty"`
+	Findings         finding.List `json:"findings,omitempty"`
+	// Token goes on with the session, at this gate or any other.
+	Token string `json:"token,omitempty"`
+	// Move asks the caller to go on with Token on a new connection.
+	Move bool `json:"move,omitempty"`
+}
+
+func (g *Gate) newHandler() http.Handler {
+	app := iris.New().Configure(iris.WithoutStartupLog, iris.WithoutPathCorrection,
+		iris.WithoutAutoFireStatusCode, iris.WithoutInterruptHandler)
+	app.Logger().SetLevel("disable")
+	v1 := app.Party("/v1", g.traced)
+	v1.Post("/jobs", g.postJob)
+	v1.Get("/jobs/{id}", g.getJob)
+	v1.Get("/jobs/{id}/wait", g.waitJob)
+	v1.Delete("/jobs/{id}", g.deleteJob)
+	v1.Post("/checks/{service}/{method}", g.postCheck)
+	v1.Post("/sessions/{service}", g.postSession)
+	v1.Post("/sessions/{service}/requests", g.postRequest)
+	v1.Post("/sessions/{service}/stream", g.postStream)
+	v1.Delete("/sessions/{service}", g.deleteSession)
+	if err := app.Build(); err != nil {
+		// The routes are fixed, so that only a fault of the program ends here.
+		panic(err)
+	}
+	return app
+}
+
+// Serve answers callers on l until Close or Stop ends the gate.
+func (g *Gate) Serve(l net.Listener) error {
+	limits := &g.opts.Limits
+	server := &http.Server{
+		Handler: g.handler, ReadHeaderTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
+		MaxHeaderBytes: limits.HeaderBytes,
+	}
+	g.duties.Go(func() {
+		<-g.stop
+		_ = server.Close()
+	})
+	err := server.Serve(netutil.LimitListener(l, limits.Connections))
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// traced starts the span of a request under the caller's own.
+func (g *Gate) traced(ctx iris.Context) {
+	r := ctx.Request()
+	parent := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	in, span := otel.Tracer(tracerName).Start(parent, r.Method+" "+ctx.GetCurrentRoute().Path(),
+		trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	ctx.ResetRequest(r.WithContext(in))
+	if g.work.isDraining() {
+		// The balancer in front must open its next connection to another gate.
+		ctx.Header("Connection", "close")
+	}
+	ctx.Next()
+}
+
+// read gives the body of a request, with a finding where it is too long or does not arrive.
+func (g *Gate) read(ctx iris.Context, limit int64, l *finding.List) []byte {
+	w := ctx.ResponseWriter().Naive()
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.opts.Limits.ReadTimeout))
+	raw, err := io.ReadAll(http.MaxBytesReader(w, ctx.Request().Body, limit))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		l.Add("body", "must be at most %d bytes", limit)
+	case err != nil:
+		l.Add("body", "was not received: %s", err)
+	}
+	return raw
+}
+
+func (g *Gate) postCheck(ctx iris.Context) {
+	var l finding.List
+	c := &Check{Service: ctx.Params().Get("service"), Method: ctx.Params().Get("method")}
+	readHeaders(ctx, c, &l)
+	checkNames(c, &l)
+	c.Body = g.read(ctx, g.opts.Limits.BodyBytes, &l)
+	if len(l) > 0 {
+		refuse(ctx, l)
+		return
+	}
+	reply(ctx, g.Do(ctx.Request().Context(), c))
+}
+
+func checkNames(c *Check, l *finding.List) {
+	if len(c.Service) > job.MaxNameBytes {
+		l.Add("service", "must be at most %d bytes", job.MaxNameBytes)
+	}
+	if len(c.Method) > job.MaxNameBytes {
+		l.Add("method", "must be at most %d bytes", job.MaxNameBytes)
+	}
+}
+
+// readHeaders takes the headers that say how a check is to be treated.
+func readHeaders(ctx iris.Context, c *Check, l *finding.List) {
+	c.Key = ctx.GetHeader(HeaderKey)
+	if len(c.Key) > job.MaxKeyBytes {
+		l.Add(HeaderKey, "must be at most %d bytes", job.MaxKeyBytes)
+	}
+	if v := ctx.GetHeader(HeaderDeadline); v != "" {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || n < 1 || n > DefaultMaxTimeout.Milliseconds() {
+			l.Add(HeaderDeadline, "must be a whole number from 1 to %d", DefaultMaxTimeout.Milliseconds())
+		}
+		c.Deadline = time.Duration(n) * time.Millisecond
+	}
+	if v := ctx.GetHeader(HeaderRepeatable); v != "" {
+		var err error
+		if c.Repeatable, err = strconv.ParseBool(v); err != nil {
+			l.Add(HeaderRepeatable, "must be true or false")
+		}
+	}
+	if c.Zone = ctx.GetHeader(HeaderZone); len(c.Zone) > job.MaxNameBytes {
+		l.Add(HeaderZone, "must be at most %d bytes", job.MaxNameBytes)
+	}
+}
+
+func refuse(ctx iris.Context, l finding.List) {
+	write(ctx, http.StatusBadRequest, &Body{Outcome: job.NotRun, Reason: "request is not valid", Findings: l})
+}
+
+func bodyOf(r *Result) *Body {
+	return &Body{
+		Outcome: r.Outcome, Reason: r.Reason, Answer: r.Answer, Attempts: r.Attempts, Target: r.Target,
+		RetryAfterMillis: r.RetryAfter.Milliseconds(),
+	}
+}
+
+func statusOf(r *Result) int {
+	switch {
+	case r.Outcome == job.Done:
+		return http.StatusOK
+	case r.Outcome == job.Unknown:
+		return http.StatusGatewayTimeout
+	case r.Gone:
+		return http.StatusGone
+	case r.Limited:
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+func reply(ctx iris.Context, r *Result) {
+	retryAfter(ctx, r.RetryAfter)
+	write(ctx, statusOf(r), bodyOf(r))
+}
+
+// retryAfter sets the header, in whole seconds as HTTP wants it, rounded up.
+func retryAfter(ctx iris.Context, d time.Duration) {
+	if d > 0 {
+		ctx.Header("Retry-After", strconv.Itoa(int(math.Ceil(d.Seconds()))))
+	}
+}
+
+func write(ctx iris.Context, status int, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		ctx.StatusCode(http.StatusInternalServerError)
+		return
+	}
+	ctx.ContentType("application/json")
+	ctx.StatusCode(status)
+	_, _ = ctx.Write(raw)
+}
--- /dev/null
+++ b/gate/forward.go
@@ -0,0 +1,116 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"turmericgap/job"
+	"turmericgap/rpc"
+)
+
+// peersTried bounds the gates of one zone that a check is offered to.
+const peersTried = 2
+
+// route tries the preferred zone, then this one, then others, and goes on only while nothing of
+// the check was started and the zone has no usable target.
+func (g *Gate) route(ctx context.Context, cl *call) *Result {
+	if cl.check.Forwarded {
+		return g.run(ctx, cl)
+	}
+	r := notRun("no target runs this service", 0)
+	for _, zone := range g.order(cl) {
+		if zone == g.opts.Zone {
+			r = g.run(ctx, cl)
+		} else {
+			r = g.forward(ctx, cl, zone)
+		}
+		if r.Outcome != job.NotRun || r.Limited || r.Attempts > 0 {
+			return r
+		}
+	}
+	return r
+}
+
+// order lists the zones to try. Another zone is preferred only for a reason, as its targets are
+// farther away.
+func (g *Gate) order(cl *call) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	service := cl.check.Service
+	known := g.zones[service]
+	zones := make([]string, 0, len(known))
+	add := func(zone string) {
+		for _, z := range zones {
+			if z == zone {
+				return
+			}
+		}
+		zones = append(zones, zone)
+	}
+	for _, zone := range known {
+		if zone == cl.zone {
+			add(zone)
+		}
+	}
+	for _, zone := range known {
+		if zone == g.opts.Zone {
+			add(zone)
+		}
+	}
+	start := int(g.serial.Add(1))
+	for i := range known {
+		add(known[(start+i)%len(known)])
+	}
+	return zones
+}
+
+// forward hands a check to a gate of another zone.
+func (g *Gate) forward(ctx context.Context, cl *call, zone string) *Result {
+	peers := g.opts.Peers(zone)
+	r := notRun("no gate of zone "+zone+" reached", noTargetRetry)
+	start := int(g.serial.Add(1))
+	for i := range min(peersTried, len(peers)) {
+		var next bool
+		if r, next = g.forwardTo(ctx, cl, peers[(start+i)%len(peers)]); !next {
+			return r
+		}
+	}
+	return r
+}
+
+// forwardTo reports with its result whether another gate may be tried.
+func (g *Gate) forwardTo(ctx context.Context, cl *call, address string) (*Result, bool) {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "forward",
+		trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("peer", address)))
+	defer span.End()
+	c := cl.check
+	c.Forwarded, c.Deadline = true, time.Until(cl.deadline)
+	if c.Deadline < leastRun || ctx.Err() != nil {
+		return cl.finish(notRun("no time left", leastRetryAfter)), false
+	}
+	g.meters.forwarded.Inc(1)
+	r, err := g.opts.Forward(ctx, address, &c)
+	switch fault := rpc.AsFault(err); {
+	case err == nil && r != nil:
+		cl.attempts += r.Attempts
+		return cl.finish(r), r.Outcome == job.NotRun && !r.Limited && r.Attempts == 0
+	case errors.Is(err, rpc.ErrNotSent):
+		return cl.finish(notRun("gate not reached", noTargetRetry)), true
+	case fault != nil && fault.Code == rpc.CodeRefused:
+		return cl.finish(notRun(fault.Reason, fault.RetryAfter)), true
+	}
+	cl.mayRun = true
+	return cl.finish(notRun("no answer from gate "+address, 0)), false
+}
+
+// Forwarded serves a check that another zone's gate sent here.
+func (g *Gate) Forwarded(ctx context.Context, c *Check) (*Result, error) {
+	in := *c
+	in.Forwarded = true
+	return g.Do(ctx, &in), nil
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,228 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"turmericgap/budget"
+	"turmericgap/job"
+	"turmericgap/metric"
+	"turmericgap/target"
+)
+
+// Defaults.
+const (
+	DefaultZone        = "local"
+	DefaultTimeout     = 5 * time.Second
+	DefaultMaxTimeout  = 60 * time.Second
+	DefaultQueue       = 1000
+	DefaultRetries     = 2
+	DefaultGrace       = 250 * time.Millisecond
+	DefaultChecks      = 20000
+	DefaultConnections = 8192
+	DefaultBodyBytes   = 256 << 10
+	DefaultHeaderBytes = 16 << 10
+	DefaultReadTimeout = 10 * time.Second
+	DefaultIdleTimeout = 90 * time.Second
+
+	tracerName      = "turmericgap/gate"
+	refreshInterval = 100 * time.Millisecond
+	turnInterval    = 10 * time.Millisecond
+)
+
+// Gate faces the callers of one entry VM.
+type Gate struct {
+	opts    Options
+	log     *zap.Logger
+	meters  meters
+	budget  *budget.Budget
+	handler http.Handler
+	serial  atomic.Uint64
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	zones map[string][]string
+
+	work    work
+	kick    chan struct{}
+	stop    chan struct{}
+	stopped sync.Once
+	duties  sync.WaitGroup
+}
+
+// New returns a Gate that serves at once; Close ends it.
+func New(opts ...Option) *Gate {
+	o := defaults()
+	for _, f := range opts {
+		f(&o)
+	}
+	g := &Gate{
+		opts: o, log: o.Logger, meters: newMeters(o.Metrics), budget: budget.New(),
+		pools: make(map[string]*pool), zones: make(map[string][]string),
+		kick: make(chan struct{}, 1), stop: make(chan struct{}),
+	}
+	g.work.moving = make(chan struct{})
+	g.handler = g.newHandler()
+	g.refresh()
+	g.duties.Go(g.keepList)
+	g.duties.Go(g.keepTurn)
+	return g
+}
+
+func defaults() Options {
+	return Options{
+		ID: "gate", Zone: DefaultZone, Logger: zap.NewNop(), Metrics: metric.New(),
+		Targets: func() []target.Info { return nil },
+		Dial:    noTarget,
+		Peers:   func(string) []string { return nil },
+		Rules:   func(*Check) Decision { return Decision{} },
+		Limits: Limits{
+			Timeout: DefaultTimeout, MaxTimeout: DefaultMaxTimeout, Queue: DefaultQueue,
+			Retries: DefaultRetries, Grace: DefaultGrace, Checks: DefaultChecks,
+			Connections: DefaultConnections, BodyBytes: DefaultBodyBytes, HeaderBytes: DefaultHeaderBytes,
+			ReadTimeout: DefaultReadTimeout, IdleTimeout: DefaultIdleTimeout,
+		},
+	}
+}
+
+func noTarget(target.Info, int) *target.Client {
+	return &target.Client{Do: func(context.Context, *target.Request) (*target.Response, error) {
+		return nil, target.ErrNotSent
+	}}
+}
+
+// Handler gives the HTTP API.
+func (g *Gate) Handler() http.Handler { return g.handler }
+
+// Do runs a check and gives its final state.
+func (g *Gate) Do(ctx context.Context, c *Check) *Result {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "check", trace.WithAttributes(
+		attribute.String("service", c.Service), attribute.String("method", c.Method)))
+	defer span.End()
+	start := time.Now()
+	r := g.do(ctx, c)
+	span.SetAttributes(attribute.String("outcome", string(r.Outcome)), attribute.Int("attempts", r.Attempts))
+	g.meters.ended(r, time.Since(start))
+	return r
+}
+
+func (g *Gate) do(ctx context.Context, c *Check) *Result {
+	if r := g.work.enter(g.opts.Limits.Checks); r != nil {
+		return r
+	}
+	defer g.work.leave()
+	call, r := g.decide(c)
+	if r != nil {
+		return r
+	}
+	ctx, cancel := context.WithDeadline(ctx, call.deadline)
+	defer cancel()
+	if c.Target != "" {
+		return g.doSession(ctx, call)
+	}
+	return g.route(ctx, call)
+}
+
+// call is one check on its way through this gate.
+type call struct {
+	check    Check
+	deadline time.Time
+	zone     string
+	retries  int
+	queue    int
+	attempts int
+	// mayRun says that an attempt may have run; the check is then never called notRun.
+	mayRun bool
+	avoid  string
+}
+
+// decide asks the rules and applies the limits.
+func (g *Gate) decide(c *Check) (*call, *Result) {
+	d := g.opts.Rules(c)
+	if d.Refuse != "" {
+		return nil, notRun("refused by rule: "+d.Refuse, 0)
+	}
+	l := &g.opts.Limits
+	cl := &call{check: *c, zone: c.Zone, retries: l.Retries, queue: l.Queue}
+	if d.Service != "" && c.Target == "" {
+		cl.check.Service = d.Service
+	}
+	if d.Zone != "" {
+		cl.zone = d.Zone
+	}
+	if d.Retries != 0 {
+		cl.retries = max(0, d.Retries)
+	}
+	if d.Queue != 0 {
+		cl.queue = max(0, d.Queue)
+	}
+	left := c.Deadline
+	if left <= 0 {
+		left = l.Timeout
+	}
+	left = min(left, l.MaxTimeout)
+	if d.Timeout > 0 {
+		left = min(left, d.Timeout)
+	}
+	cl.deadline = time.Now().Add(left)
+	if cl.check.Key == "" {
+		// All attempts of a check bear one key, so that a target that sees a retry gives its first answer.
+		cl.check.Key = g.nextID("key")
+	}
+	return cl, nil
+}
+
+func (g *Gate) nextID(kind string) string {
+	return g.opts.ID + "/" + kind + "/" + strconv.FormatUint(g.serial.Add(1), 36)
+}
+
+func notRun(reason string, retryAfter time.Duration) *Result {
+	return &Result{Outcome: job.NotRun, Reason: reason, RetryAfter: retryAfter}
+}
+
+// keepList follows the list of targets.
+func (g *Gate) keepList() {
+	t := time.NewTicker(refreshInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-t.C:
+			g.refresh()
+		}
+	}
+}
+
+// keepTurn serves waiters whose turn comes with time alone: by a probe, a pause or a loan.
+func (g *Gate) keepTurn() {
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-g.kick:
+		}
+		for g.turn() {
+			select {
+			case <-g.stop:
+				return
+			case <-time.After(turnInterval):
+			}
+		}
+	}
+}
+
+// Close ends the gate's duties; requests in progress are not waited for.
+func (g *Gate) Close() {
+	g.stopped.Do(func() { close(g.stop) })
+	g.duties.Wait()
+}
--- /dev/null
+++ b/gate/options.go
@@ -0,0 +1,92 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/metric"
+	"turmericgap/target"
+)
+
+// Forward sends a check to another gate. An error that is neither a *rpc.Fault nor rpc.ErrNotSent
+// leaves open whether the check ran.
+type Forward func(ctx context.Context, address string, c *Check) (*Result, error)
+
+// Options are what a Gate is made of.
+type Options struct {
+	ID      string
+	Zone    string
+	Targets func() []target.Info
+	Dial    target.Dial
+	Peers   func(zone string) []string
+	Forward Forward
+	Jobs    Jobs
+	Rules   func(*Check) Decision
+	Logger  *zap.Logger
+	Metrics *metric.Registry
+	Limits  Limits
+	Seed    uint64
+}
+
+// Limits bound what a Gate holds and how long it waits.
+type Limits struct {
+	// Timeout is the deadline of a check that states none; MaxTimeout bounds any.
+	Timeout    time.Duration
+	MaxTimeout time.Duration
+	// Queue bounds how many checks of one service wait.
+	Queue int
+	// Retries bounds the attempts of one check after the first.
+	Retries int
+	// Grace is how long after its deadline a request may still occupy its target.
+	Grace time.Duration
+	// Checks bounds the checks and streams in progress.
+	Checks int
+	// Connections bounds the callers' connections.
+	Connections int
+	// BodyBytes bounds the body of a check, HeaderBytes all headers of a request.
+	BodyBytes   int64
+	HeaderBytes int
+	// ReadTimeout bounds the reading of a request, IdleTimeout a connection without one.
+	ReadTimeout time.Duration
+	IdleTimeout time.Duration
+}
+
+// Option sets up a Gate.
+type Option func(*Options)
+
+// ID sets the gate's id, which is unique for each life of the process.
+func ID(id string) Option { return func(o *Options) { o.ID = id } }
+
+// Zone sets the gate's availability zone.
+func Zone(zone string) Option { return func(o *Options) { o.Zone = zone } }
+
+// Targets sets the function that gives the current targets of all zones.
+func Targets(f func() []target.Info) Option { return func(o *Options) { o.Targets = f } }
+
+// Dial sets how the client of a target is made.
+func Dial(d target.Dial) Option { return func(o *Options) { o.Dial = d } }
+
+// Peers sets how gates of other zones are found and called.
+func Peers(peers func(zone string) []string, forward Forward) Option {
+	return func(o *Options) { o.Peers, o.Forward = peers, forward }
+}
+
+// JobOwner sets the functions that reach the owner of a job.
+func JobOwner(j Jobs) Option { return func(o *Options) { o.Jobs = j } }
+
+// Rules sets the function that decides about each check.
+func Rules(f func(*Check) Decision) Option { return func(o *Options) { o.Rules = f } }
+
+// Logger sets the logger.
+func Logger(l *zap.Logger) Option { return func(o *Options) { o.Logger = l } }
+
+// Metrics sets the registry of the gate's metrics.
+func Metrics(r *metric.Registry) Option { return func(o *Options) { o.Metrics = r } }
+
+// Limit changes the limits.
+func Limit(f func(*Limits)) Option { return func(o *Options) { f(&o.Limits) } }
+
+// Seed sets the seed of the random choices.
+func Seed(n uint64) Option { return func(o *Options) { o.Seed = n } }
--- /dev/null
+++ b/gate/pool.go
@@ -0,0 +1,291 @@
+package gate
+
+import (
+	"container/list"
+	"context"
+	"time"
+
+	"turmericgap/balancer"
+	"turmericgap/target"
+)
+
+const (
+	leastRetryAfter = 100 * time.Millisecond
+	mostRetryAfter  = 30 * time.Second
+	firstRunTime    = 0.02
+	runSmoothing    = 0.05
+	noTargetRetry   = time.Second
+	// scanWaiters bounds how many waiters are looked at when the first can't take the free slot.
+	scanWaiters = 8
+	// leastRun is the time that must be left for a check to be sent at all.
+	leastRun = 2 * time.Millisecond
+)
+
+// pool holds the targets of one service in this zone and the checks that wait for them.
+// The gate's mutex guards it.
+type pool struct {
+	balancer *balancer.Balancer
+	clients  map[string]*client
+	waiting  *list.List
+	bound    map[string]*list.List
+	// runTime is the smoothed time in seconds that a check occupies a slot.
+	runTime float64
+	slots   int
+}
+
+type client struct {
+	address string
+	call    *target.Client
+}
+
+// ticket is the right to send one request to a target.
+type ticket struct {
+	info   target.Info
+	probe  bool
+	client *target.Client
+	// granted is when the slot was given.
+	granted time.Time
+}
+
+type waiter struct {
+	ask   balancer.Ask
+	bound string
+	ready chan *ticket
+	item  *list.Element
+}
+
+func newPool(seed uint64) *pool {
+	return &pool{
+		balancer: balancer.New(balancer.Seed(seed)), clients: make(map[string]*client),
+		waiting: list.New(), bound: make(map[string]*list.List), runTime: firstRunTime,
+	}
+}
+
+// queue gives the list in which a waiter stands: one for the service, and one for each target that
+// sessions wait for, so that a session does not hold up the checks of others.
+func (p *pool) queue(w *waiter) *list.List {
+	if w.bound == "" {
+		return p.waiting
+	}
+	q, ok := p.bound[w.bound]
+	if !ok {
+		q = list.New()
+		p.bound[w.bound] = q
+	}
+	return q
+}
+
+func (p *pool) remove(w *waiter) {
+	if w.item == nil {
+		return
+	}
+	q := p.queue(w)
+	q.Remove(w.item)
+	w.item = nil
+	if w.bound != "" && q.Len() == 0 {
+		delete(p.bound, w.bound)
+	}
+}
+
+func (p *pool) len() int {
+	n := p.waiting.Len()
+	for _, q := range p.bound {
+		n += q.Len()
+	}
+	return n
+}
+
+// expected gives how long a check waits behind n others: the slots, each freed once a run time,
+// are the rate at which the queue drains.
+func (p *pool) expected(n int) time.Duration {
+	return time.Duration(float64(n+1) * p.runTime / float64(max(1, p.slots)) * float64(time.Second))
+}
+
+func (p *pool) retryAfter() time.Duration {
+	return min(max(p.expected(p.waiting.Len()), leastRetryAfter), mostRetryAfter)
+}
+
+// grant gives a waiter a target if one may take it now.
+func (p *pool) grant(w *waiter, now time.Time) *ticket {
+	var c balancer.Choice
+	var ok bool
+	if w.bound == "" {
+		c, ok = p.balancer.Pick(&w.ask, now)
+	} else {
+		c, ok = p.balancer.Take(w.bound, &w.ask, now)
+	}
+	if !ok {
+		return nil
+	}
+	return &ticket{info: c.Info, probe: c.Probe, client: p.clients[c.Info.ID].call, granted: now}
+}
+
+// dispatch hands free slots to the waiters, first come, first served.
+func (p *pool) dispatch(now time.Time) {
+	for _, q := range p.bound {
+		p.serve(q, now)
+	}
+	p.serve(p.waiting, now)
+}
+
+func (p *pool) serve(q *list.List, now time.Time) {
+	missed := 0
+	for e := q.Front(); e != nil && missed < scanWaiters; {
+		next := e.Next()
+		w := e.Value.(*waiter)
+		if t := p.grant(w, now); t != nil {
+			p.remove(w)
+			w.ready <- t
+		} else {
+			missed++
+		}
+		e = next
+	}
+}
+
+func (p *pool) learn(took time.Duration) { p.runTime += runSmoothing * (took.Seconds() - p.runTime) }
+
+// refresh takes over the current list of targets.
+func (g *Gate) refresh() {
+	local := make(map[string][]target.Info)
+	zones := make(map[string][]string)
+	seen := make(map[string]bool)
+	for _, info := range g.opts.Targets() {
+		if info.Zone == g.opts.Zone {
+			local[info.Service] = append(local[info.Service], info)
+		}
+		if key := info.Service + "\x00" + info.Zone; !info.Leaving && !seen[key] {
+			seen[key] = true
+			zones[info.Service] = append(zones[info.Service], info.Zone)
+		}
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.zones = zones
+	for service := range local {
+		if g.pools[service] == nil {
+			g.pools[service] = newPool(g.opts.Seed)
+		}
+	}
+	ejected := 0
+	for service, p := range g.pools {
+		p.update(local[service], g.opts.Dial, now)
+		if len(local[service]) == 0 && p.len() == 0 {
+			delete(g.pools, service)
+		}
+		ejected += p.balancer.Ejected()
+	}
+	g.meters.ejected.Update(int64(ejected))
+}
+
+func (p *pool) update(infos []target.Info, dial target.Dial, now time.Time) {
+	p.balancer.Update(infos, now)
+	clients := make(map[string]*client, len(infos))
+	p.slots = 0
+	for _, info := range infos {
+		c := p.clients[info.ID]
+		if c == nil || c.address != info.Address {
+			c = &client{address: info.Address, call: dial(info, info.Connections)}
+		}
+		clients[info.ID] = c
+		if !info.Leaving {
+			p.slots += info.Slots
+		}
+	}
+	p.clients = clients
+	p.dispatch(now)
+}
+
+// turn serves waiters and reports whether any are left.
+func (g *Gate) turn() bool {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, p := range g.pools {
+		p.dispatch(now)
+		n += p.len()
+	}
+	g.meters.waiting.Update(int64(n))
+	return n > 0
+}
+
+// acquire gets a ticket, by waiting if need be; it gives a result where there is none to be had.
+func (g *Gate) acquire(ctx context.Context, cl *call) (*ticket, *Result) {
+	start := time.Now()
+	w := &waiter{
+		ask:   balancer.Ask{Avoid: cl.avoid, Probe: cl.check.Repeatable},
+		bound: cl.check.Target,
+	}
+	t, r := g.enqueue(cl, w, start)
+	if t != nil || r != nil {
+		return t, r
+	}
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+	select {
+	case t = <-w.ready:
+		g.meters.waitMicros.Update(time.Since(start).Microseconds())
+		return t, nil
+	case <-ctx.Done():
+		return nil, g.giveUp(cl, w)
+	}
+}
+
+// enqueue gives a ticket at once, or a result where waiting is no use, or puts w into its queue.
+func (g *Gate) enqueue(cl *call, w *waiter, now time.Time) (*ticket, *Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.pools[cl.check.Service]
+	if p == nil || (w.bound == "" && p.balancer.Usable() == 0) {
+		return nil, notRun("no usable target", noTargetRetry)
+	}
+	q := p.queue(w)
+	if q.Len() == 0 {
+		if t := p.grant(w, now); t != nil {
+			return t, nil
+		}
+	}
+	if q.Len() >= cl.queue {
+		return nil, limited("queue is full", p.retryAfter())
+	}
+	if wait := p.expected(q.Len()); now.Add(wait).After(cl.deadline) {
+		return nil, limited("expected wait exceeds the time left", p.retryAfter())
+	}
+	w.ready = make(chan *ticket, 1)
+	w.item = q.PushBack(w)
+	return nil, nil
+}
+
+func limited(reason string, retryAfter time.Duration) *Result {
+	r := notRun(reason, retryAfter)
+	r.Limited = true
+	return r
+}
+
+// giveUp takes a waiter whose caller is gone or whose time is up out of its queue.
+func (g *Gate) giveUp(cl *call, w *waiter) *Result {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.pools[cl.check.Service]
+	if p == nil {
+		return notRun("no usable target", noTargetRetry)
+	}
+	p.remove(w)
+	select {
+	case t := <-w.ready:
+		g.free(p, t, now)
+	default:
+	}
+	return limited("time ran out in the queue", p.retryAfter())
+}
+
+// free gives a slot back and hands it on.
+func (g *Gate) free(p *pool, t *ticket, now time.Time) {
+	p.balancer.Release(t.info.ID)
+	p.dispatch(now)
+}
--- /dev/null
+++ b/gate/settle.go
@@ -0,0 +1,32 @@
+package gate
+
+import "time"
+
+// settle learns from an attempt and gives its slot back. A request that was given up may work on
+// in its target; its slot stays taken until the deadline that the target was told has passed.
+func (g *Gate) settle(cl *call, t *ticket, a *attempt) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.pools[cl.check.Service]
+	if p == nil {
+		return
+	}
+	took := now.Sub(t.granted)
+	p.balancer.Ended(t.info.ID, a.verdict, took, now)
+	if a.leaving {
+		p.balancer.Leaving(t.info.ID)
+	}
+	if a.ending != notStarted {
+		p.learn(took)
+	}
+	if a.ending == mayHaveRun && now.Before(a.until) {
+		time.AfterFunc(a.until.Sub(now), func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.free(p, t, time.Now())
+		})
+		return
+	}
+	g.free(p, t, now)
+}
--- /dev/null
+++ b/gate/work.go
@@ -0,0 +1,71 @@
+package gate
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	drainRetryAfter = time.Second
+	fullRetryAfter  = time.Second
+	drainPoll       = 10 * time.Millisecond
+)
+
+// work counts what is in progress, so that a planned stop can finish it.
+type work struct {
+	mu       sync.Mutex
+	checks   int
+	streams  int
+	draining bool
+	// moving is closed when streams are asked to go on at another gate.
+	moving chan struct{}
+}
+
+// enter admits one check, or gives the reason against it.
+func (w *work) enter(limit int) *Result {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.draining {
+		return notRun("gate is stopping", drainRetryAfter)
+	}
+	if w.checks+w.streams >= limit {
+		r := notRun("gate is full", fullRetryAfter)
+		r.Limited = true
+		return r
+	}
+	w.checks++
+	return nil
+}
+
+func (w *work) leave() {
+	w.mu.Lock()
+	w.checks--
+	w.mu.Unlock()
+}
+
+func (w *work) left() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.checks + w.streams
+}
+
+func (w *work) isDraining() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.draining
+}
+
+// Drain refuses new requests at once, and returns when those in progress have ended and streams
+// have ended or moved, at the deadline at the latest. It gives the number of requests left.
+func (g *Gate) Drain(deadline time.Time) int {
+	g.work.mu.Lock()
+	if !g.work.draining {
+		g.work.draining = true
+		close(g.work.moving)
+	}
+	g.work.mu.Unlock()
+	for g.work.left() > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPoll)
+	}
+	return g.work.left()
+}
