Add workers, targets and the VM list over HTTP, with stand-ins that fail on demand

Nothing spoke to workers yet.

webcall binds each call to the connection that carries it, and asks the call before each write. That was weighed against a check at the caller only: a wait for a connection, or a pause, may lie between that check and the write. A call that was given up cannot begin a write any more, so that "not sent" stays true.

--- /dev/null
+++ b/cmd/standinworker/main.go
@@ -0,0 +1,73 @@
+// Command standinworker hosts stand-ins of the platform's workers, each below a path of its own.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"turmericgap/job"
+	"turmericgap/standin/endpoint"
+	"turmericgap/standin/list"
+	standin "turmericgap/standin/worker"
+	"turmericgap/vmlist"
+	"turmericgap/worker"
+)
+
+type options struct {
+	Listen       string        `long:"listen" description:"IP number and port" default:"127.0.0.1:7200"`
+	Count        int           `long:"count" description:"number of workers" default:"8"`
+	Zone         string        `long:"zone" description:"availability zone" default:"kochi-hall"`
+	Racks        int           `long:"racks" description:"number of racks" default:"1"`
+	Cores        int64         `long:"cores" description:"processors of each worker" default:"16"`
+	MemoryMB     int64         `long:"memoryMB" description:"memory of each worker" default:"64000"`
+	Accelerators int64         `long:"accelerators" description:"accelerators of each worker" default:"0"`
+	Run          time.Duration `long:"run" description:"how long a task runs that does not say" default:"50ms"`
+	Guards       bool          `long:"guards" description:"refuse old epochs and what does not fit"`
+	Register     string        `long:"register" description:"address of the VM list; empty registers nothing"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	mux := http.NewServeMux()
+	var vms vmlist.List
+	for i := range o.Count {
+		w := standin.New(o.info(i), o.workerOptions()...)
+		path := fmt.Sprintf("/w/%d", i)
+		mux.Handle(path+"/", http.StripPrefix(path, w.Handler()))
+		vms.Workers = append(vms.Workers, w.Info())
+	}
+	go list.KeepRegistered(context.Background(), o.Register, list.DefaultRegisterEvery, func() vmlist.List { return vms })
+	if err := endpoint.Serve(o.Listen, mux); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func (o *options) info(i int) worker.Info {
+	return worker.Info{
+		ID:      fmt.Sprintf("%s-worker-%d", o.Zone, i),
+		Address: fmt.Sprintf("%s/w/%d", o.Listen, i),
+		Zone:    o.Zone,
+		Rack:    fmt.Sprintf("%s-rack-%d", o.Zone, i%max(1, o.Racks)),
+		Has:     job.Resources{Millicores: o.Cores * 1000, MemoryMB: o.MemoryMB, Accelerators: o.Accelerators},
+	}
+}
+
+func (o *options) workerOptions() []standin.Option {
+	opts := []standin.Option{standin.Run(o.Run)}
+	if o.Guards {
+		opts = append(opts, standin.Guards())
+	}
+	return opts
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,263 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// State is the health of a member as this process sees it.
+type State string
+
+// The states of a member.
+const (
+	// Unknown means that the member is listed and nothing is known of it directly.
+	Unknown State = "unknown"
+	// Healthy means that nothing speaks against it.
+	Healthy State = "open"
+	// Suspect means that its heartbeats fail, or that it fails while no more may be ejected.
+	Suspect State = "suspect"
+	Ejected State = "ejected"
+	// Probing means that it is let back one task at a time.
+	Probing State = "probing"
+	// Draining means that it leaves: it keeps what it has.
+	Draining State = "draining"
+	// Gone means that it is no longer listed; what it runs is given up only when its lease has
+	// surely lapsed, which is for its owner to count.
+	Gone State = "gone"
+)
+
+// Verdict says whether a member may get new work.
+type Verdict int
+
+// The verdicts.
+const (
+	// Closed gives it nothing new.
+	Closed Verdict = iota
+	// Probe gives it one task at a time.
+	Probe
+	// Open gives it whatever fits.
+	Open
+)
+
+// Admission is a verdict with its reason; the reason is empty for Open.
+type Admission struct {
+	Verdict Verdict
+	Reason  string
+}
+
+// Entry is what the VM list says of a member.
+type Entry struct {
+	ID      string
+	Zone    string
+	Leaving bool
+}
+
+// Ejection tells operators of one member that does not get all the work it could.
+type Ejection struct {
+	ID    string    `json:"id"`
+	Zone  string    `json:"zone,omitempty"`
+	State State     `json:"state"`
+	Since time.Time `json:"since"`
+	// Until is when an ejected member is probed; zero otherwise.
+	Until  time.Time `json:"until,omitzero"`
+	Reason string    `json:"reason"`
+}
+
+// Fleet is the health of all members; it may be used by several goroutines.
+type Fleet struct {
+	opts Options
+	mu   sync.Mutex
+	// now is the newest time that a caller told.
+	now     time.Time
+	members map[string]*member
+	jobs    map[string]*work
+	classes map[string]*work
+}
+
+// New returns a fleet without members.
+func New(opts ...Option) *Fleet {
+	o := Options{
+		Failures: DefaultFailures, FailureWindow: DefaultFailureWindow, Missed: DefaultMissed,
+		Probes: DefaultProbes, BackOff: DefaultBackOff, MaxBackOff: DefaultMaxBackOff,
+		Share: DefaultShare, Witnesses: DefaultWitnesses, Keep: DefaultKeep,
+	}
+	for _, f := range opts {
+		f(&o)
+	}
+	return &Fleet{
+		opts: o, members: make(map[string]*member), jobs: make(map[string]*work), classes: make(map[string]*work),
+	}
+}
+
+// Seen tells that the member answered a heartbeat.
+func (f *Fleet) Seen(now time.Time, id string) {
+	f.lock(now)
+	defer f.mu.Unlock()
+	m := f.member(now, id)
+	m.seen, m.missed = now, 0
+}
+
+// Missed tells that a heartbeat of the member failed.
+func (f *Fleet) Missed(now time.Time, id string) {
+	f.lock(now)
+	defer f.mu.Unlock()
+	m := f.member(now, id)
+	m.missed++
+	if m.missed == f.opts.Missed {
+		m.missedSince = now
+	}
+}
+
+// Outcome tells how a task or request ended that the member ran. What the caller cancelled, what was
+// stopped, and what was never sent are no outcomes.
+func (f *Fleet) Outcome(now time.Time, id, job, class string, ok bool) {
+	f.lock(now)
+	defer f.mu.Unlock()
+	m := f.member(now, id)
+	m.seen = now
+	j, c := f.work(f.jobs, job), f.work(f.classes, class)
+	if ok {
+		j.succeeded(id)
+		c.succeeded(id)
+		f.succeeded(now, m)
+		return
+	}
+	j.failed(id)
+	c.failed(id)
+	f.failed(now, m, failure{job: job, class: class, at: now})
+	f.exonerate(now, job, class)
+}
+
+// List takes in a reading of the VM list.
+func (f *Fleet) List(now time.Time, l []Entry) {
+	f.lock(now)
+	defer f.mu.Unlock()
+	listed := make(map[string]bool, len(l))
+	for _, e := range l {
+		listed[e.ID] = true
+		m := f.member(now, e.ID)
+		m.zone, m.listed, m.vanished = e.Zone, true, false
+		m.setLeaving(now, e.Leaving)
+	}
+	f.unlisted(now, listed)
+}
+
+// unlisted marks the members that a reading no longer has, and forgets those without any sign.
+//
+// Failure: the VM list restarts and shows a fraction of the cell. Symptom: no worker gets work.
+// A list that drops more than half of the members at once is believed only where no direct sign
+// came since; planned stops of that size are announced as leaving first.
+func (f *Fleet) unlisted(now time.Time, listed map[string]bool) {
+	var missing []*member
+	for _, m := range f.members {
+		if m.listed && !listed[m.id] {
+			missing = append(missing, m)
+		}
+	}
+	mass := 2*len(missing) > len(missing)+len(listed)
+	for _, m := range missing {
+		if !m.vanished {
+			m.vanished, m.vanishedAt = true, now
+		}
+		m.massVanished = mass
+	}
+	maps.DeleteFunc(f.members, func(id string, m *member) bool {
+		return !listed[id] && now.Sub(m.lastSign()) > f.opts.Keep
+	})
+}
+
+// Open tells whether the member may get new work now.
+func (f *Fleet) Open(now time.Time, id string) Admission {
+	f.lock(now)
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	if !ok {
+		return Admission{Closed, "not listed"}
+	}
+	switch state, reason := f.state(now, m); state {
+	case Healthy:
+		return Admission{Verdict: Open}
+	case Unknown, Probing:
+		return Admission{Probe, reason}
+	case Suspect:
+		if m.missed >= f.opts.Missed {
+			return Admission{Closed, reason}
+		}
+		return Admission{Probe, reason}
+	default:
+		return Admission{Closed, reason}
+	}
+}
+
+// State gives the member's state.
+func (f *Fleet) State(now time.Time, id string) State {
+	f.lock(now)
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	if !ok {
+		return Gone
+	}
+	state, _ := f.state(now, m)
+	return state
+}
+
+// Reasons lists, by id, the members that are neither open nor unknown, as of the newest call.
+func (f *Fleet) Reasons() []Ejection {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now
+	var out []Ejection
+	for _, m := range f.members {
+		state, reason := f.state(now, m)
+		if state == Healthy || state == Unknown {
+			continue
+		}
+		e := Ejection{ID: m.id, Zone: m.zone, State: state, Since: m.since(state), Reason: reason}
+		if state == Ejected {
+			e.Until = m.until
+		}
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b Ejection) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// JobFailing tells whether the job fails for its own sake: on several members that are sound.
+func (f *Fleet) JobFailing(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing(f.jobs[job], func(x failure) bool { return x.job == job })
+}
+
+// ClassFailing tells whether all jobs of the class fail, on several members that are sound.
+func (f *Fleet) ClassFailing(class string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing(f.classes[class], func(x failure) bool { return x.class == class })
+}
+
+// Forget drops what is known of a job that is final.
+func (f *Fleet) Forget(job string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.jobs, job)
+}
+
+func (f *Fleet) member(now time.Time, id string) *member {
+	m, ok := f.members[id]
+	if !ok {
+		m = &member{id: id, firstSign: now}
+		f.members[id] = m
+	}
+	return m
+}
+
+func (f *Fleet) lock(now time.Time) {
+	f.mu.Lock()
+	if now.After(f.now) {
+		f.now = now
+	}
+}
--- /dev/null
+++ b/standin/list/list.go
@@ -0,0 +1,196 @@
+package list
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"turmericgap/target"
+	"turmericgap/vmlist"
+	"turmericgap/worker"
+)
+
+// maxStates bounds how many past states are kept within the lag.
+const maxStates = 256
+
+var errDown = errors.New("VM list is down")
+
+// List is the VM list of one cell.
+type List struct {
+	opts Options
+
+	mu      sync.Mutex
+	version int64
+	vms     map[string]vm
+	// leaving names the VMs that were announced as leaving here, whatever they register.
+	leaving map[string]bool
+	states  []state
+	down    bool
+}
+
+// vm is one VM under its kind and id.
+type vm struct {
+	worker *worker.Info
+	target *target.Info
+	entry  *vmlist.Entry
+	seen   time.Time
+}
+
+// state is the list from a moment on.
+type state struct {
+	since time.Time
+	list  vmlist.List
+}
+
+// New returns an empty list without lag.
+func New(opts ...Option) *List {
+	l := &List{vms: make(map[string]vm), leaving: make(map[string]bool)}
+	for _, f := range opts {
+		f(&l.opts)
+	}
+	l.states = []state{{}}
+	return l
+}
+
+// Source gives a source that reads the list within the process.
+func (l *List) Source() *vmlist.Source { return &vmlist.Source{Read: l.read} }
+
+func (l *List) read(ctx context.Context) (vmlist.List, error) {
+	if err := ctx.Err(); err != nil {
+		return vmlist.List{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return vmlist.List{}, errDown
+	}
+	now := time.Now()
+	l.expire(now)
+	l.trim(now)
+	return l.states[0].list, nil
+}
+
+// Register adds VMs, or says again that they live.
+func (l *List) Register(vms vmlist.List) {
+	l.change(func(now time.Time) {
+		for _, w := range vms.Workers {
+			l.vms["worker/"+w.ID] = vm{worker: &w, seen: now}
+		}
+		for _, t := range vms.Targets {
+			l.vms["target/"+t.ID] = vm{target: &t, seen: now}
+		}
+		for _, e := range vms.Entries {
+			l.vms["entry/"+e.ID] = vm{entry: &e, seen: now}
+		}
+	})
+}
+
+// Deregister removes the VMs with these ids.
+func (l *List) Deregister(ids ...string) {
+	l.change(func(time.Time) {
+		maps.DeleteFunc(l.vms, func(_ string, v vm) bool { return slices.Contains(ids, v.id()) })
+		maps.DeleteFunc(l.leaving, func(id string, _ bool) bool { return slices.Contains(ids, id) })
+	})
+}
+
+// SetLeaving marks the VMs with these ids as leaving or not.
+func (l *List) SetLeaving(leaving bool, ids ...string) {
+	l.change(func(time.Time) {
+		for _, id := range ids {
+			if leaving {
+				l.leaving[id] = true
+			} else {
+				delete(l.leaving, id)
+			}
+		}
+	})
+}
+
+// SetDown makes the list unreadable, or readable again.
+func (l *List) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (l *List) change(f func(now time.Time)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	f(now)
+	l.expire(now)
+	l.trim(now)
+	l.push(now)
+}
+
+// expire removes the VMs that have not registered for too long.
+func (l *List) expire(now time.Time) {
+	if l.opts.Expiry <= 0 {
+		return
+	}
+	before := len(l.vms)
+	maps.DeleteFunc(l.vms, func(_ string, v vm) bool { return now.Sub(v.seen) > l.opts.Expiry })
+	if len(l.vms) != before {
+		l.push(now)
+	}
+}
+
+// push keeps the present state if it differs from the newest that is kept.
+func (l *List) push(now time.Time) {
+	list := l.build()
+	newest := l.states[len(l.states)-1].list
+	if slices.Equal(list.Workers, newest.Workers) && slices.Equal(list.Targets, newest.Targets) &&
+		slices.Equal(list.Entries, newest.Entries) {
+		return
+	}
+	l.version++
+	list.Version = l.version
+	if len(l.states) == maxStates {
+		l.states[maxStates-1].list = list
+		return
+	}
+	l.states = append(l.states, state{since: now, list: list})
+	l.trim(now)
+}
+
+// trim drops the states that are no longer shown.
+func (l *List) trim(now time.Time) {
+	for len(l.states) > 1 && !now.Before(l.states[1].since.Add(l.opts.Lag)) {
+		l.states = slices.Delete(l.states, 0, 1)
+	}
+}
+
+func (l *List) build() vmlist.List {
+	var out vmlist.List
+	for _, key := range slices.Sorted(maps.Keys(l.vms)) {
+		switch v := l.vms[key]; {
+		case v.worker != nil:
+			w := *v.worker
+			w.Leaving = w.Leaving || l.leaving[w.ID]
+			out.Workers = append(out.Workers, w)
+		case v.target != nil:
+			t := *v.target
+			t.Leaving = t.Leaving || l.leaving[t.ID]
+			out.Targets = append(out.Targets, t)
+		default:
+			e := *v.entry
+			e.Leaving = e.Leaving || l.leaving[e.ID]
+			out.Entries = append(out.Entries, e)
+		}
+	}
+	return out
+}
+
+func (v vm) id() string {
+	switch {
+	case v.worker != nil:
+		return v.worker.ID
+	case v.target != nil:
+		return v.target.ID
+	default:
+		return v.entry.ID
+	}
+}
--- /dev/null
+++ b/standin/worker/call.go
@@ -0,0 +1,132 @@
+package worker
+
+import (
+	"context"
+	"time"
+
+	"turmericgap/worker"
+)
+
+// Client gives a client that calls the worker within the process.
+func (w *Worker) Client() *worker.Client {
+	return &worker.Client{Start: w.Start, Heartbeat: w.Heartbeat, Act: w.Act}
+}
+
+// Start runs an attempt.
+func (w *Worker) Start(ctx context.Context, s *worker.Start) (*worker.Report, error) {
+	return reported(call(ctx, w, func() (*worker.Report, error) { return w.doStart(s, time.Now()) }))
+}
+
+// Act does something to an attempt.
+func (w *Worker) Act(ctx context.Context, a *worker.Act) (*worker.Report, error) {
+	return reported(call(ctx, w, func() (*worker.Report, error) { return w.doAct(a, time.Now()) }))
+}
+
+func reported(r *worker.Report, err error) (*worker.Report, error) {
+	if err != nil {
+		return nil, err
+	}
+	if err := r.Check(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// Heartbeat renews the leases of all attempts and waits for a change after the cursor.
+func (w *Worker) Heartbeat(ctx context.Context, h *worker.Heartbeat) (*worker.HeartbeatReply, error) {
+	reply, err := w.heartbeat(ctx, h)
+	if err != nil {
+		return nil, err
+	}
+	if err := reply.Check(); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+func (w *Worker) heartbeat(ctx context.Context, h *worker.Heartbeat) (*worker.HeartbeatReply, error) {
+	_, err := call(ctx, w, func() (struct{}, error) { w.renew(h, time.Now()); return struct{}{}, nil })
+	if err != nil {
+		return nil, err
+	}
+	wait := min(time.Duration(h.WaitMillis)*time.Millisecond, maxWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for waited := wait <= 0; ; {
+		reply, changed, thawed := w.changes(h.Cursor)
+		if reply != nil && (waited || reply.Whole || len(reply.Reports) > 0) {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-thawed:
+		case <-timer.C:
+			waited = true
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// call runs effect under the present fault. As in a network, a delayed or frozen call takes effect
+// later even when its caller no longer waits.
+func call[T any](ctx context.Context, w *Worker, effect func() (T, error)) (T, error) {
+	type outcome struct {
+		value T
+		err   error
+	}
+	var none T
+	fault, ok := w.enter()
+	if !ok {
+		return none, errDown
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		defer w.leave()
+		time.Sleep(time.Duration(fault.DelayMillis) * time.Millisecond)
+		w.awaitThaw()
+		w.mu.Lock()
+		value, err := effect()
+		lost := w.fault.LoseAnswers > 0
+		if lost {
+			w.fault.LoseAnswers--
+			err = errLost
+		}
+		w.mu.Unlock()
+		done <- outcome{value, err}
+	}()
+	select {
+	case o := <-done:
+		if o.err != nil {
+			return none, o.err
+		}
+		return o.value, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+func (w *Worker) enter() (Fault, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fault.Down || w.closed || w.waiting >= maxFrozenCalls {
+		return Fault{}, false
+	}
+	w.waiting++
+	w.calls.Add(1)
+	return w.fault, true
+}
+
+func (w *Worker) leave() {
+	w.mu.Lock()
+	w.waiting--
+	w.mu.Unlock()
+	w.calls.Done()
+}
+
+func (w *Worker) awaitThaw() {
+	w.mu.Lock()
+	thawed := w.thawed
+	w.mu.Unlock()
+	<-thawed
+}
--- /dev/null
+++ b/target/check.go
@@ -0,0 +1,25 @@
+package target
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Errors of an answer that must not be shown; the request may have run.
+var (
+	// ErrTruncated means that the answer is not whole.
+	ErrTruncated = errors.New("target answer truncated")
+	// ErrMismatch means that the answer belongs to another request.
+	ErrMismatch = errors.New("target answer of another request")
+)
+
+// Check gives an error unless the response is the whole answer to the request with that ID.
+func (r *Response) Check(id string) error {
+	switch {
+	case r.ID != id:
+		return fmt.Errorf("request %s, answer %s: %w", id, r.ID, ErrMismatch)
+	case !r.Busy && !r.Answer.Whole():
+		return fmt.Errorf("request %s: %w", id, ErrTruncated)
+	}
+	return nil
+}
--- /dev/null
+++ b/target/web/doc.go
@@ -0,0 +1,2 @@
+// Package web calls targets by JSON over HTTP.
+package web
--- /dev/null
+++ b/vmlist/web/doc.go
@@ -0,0 +1,2 @@
+// Package web reads the VM list by JSON over HTTP.
+package web
--- /dev/null
+++ b/webcall/webcall.go
@@ -0,0 +1,163 @@
+package webcall
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+)
+
+// Defaults.
+const (
+	// DefaultTimeout bounds a call whose context has no deadline.
+	DefaultTimeout = 5 * time.Second
+	// DefaultMaxReplyBytes bounds one reply.
+	DefaultMaxReplyBytes = 4 << 20
+	// DefaultIdlePerHost bounds the idle connections to one address.
+	DefaultIdlePerHost = 16
+	// DefaultIdle bounds the idle connections to all addresses.
+	DefaultIdle = 512
+
+	dialTimeout     = time.Second
+	idleTimeout     = time.Minute
+	readBufferBytes = 2 << 10
+	maxReasonBytes  = 512
+	traceHeader     = "Traceparent"
+)
+
+// ErrNotSent means that no byte of the call left this process.
+var ErrNotSent = errors.New("not sent")
+
+// Status is a reply other than 200: a definite answer of the callee.
+type Status struct {
+	Code   int
+	Reason string
+}
+
+// Error gives the code and the reason.
+func (s *Status) Error() string { return fmt.Sprintf("status %d: %s", s.Code, s.Reason) }
+
+// StatusCode gives the code of the Status within err, or zero.
+func StatusCode(err error) int {
+	var s *Status
+	if errors.As(err, &s) {
+		return s.Code
+	}
+	return 0
+}
+
+// Pool holds the connections to all callees.
+type Pool struct {
+	opts      Options
+	transport *http.Transport
+}
+
+// New returns a pool that dials TCP.
+func New(opts ...Option) *Pool {
+	o := Options{
+		Dial: dialTCP, Timeout: DefaultTimeout, MaxReplyBytes: DefaultMaxReplyBytes,
+		IdlePerHost: DefaultIdlePerHost, Idle: DefaultIdle,
+	}
+	for _, f := range opts {
+		f(&o)
+	}
+	p := &Pool{opts: o}
+	p.transport = &http.Transport{
+		DialContext:         p.dial,
+		DisableCompression:  true,
+		MaxIdleConns:        o.Idle,
+		MaxIdleConnsPerHost: o.IdlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		ReadBufferSize:      readBufferBytes,
+		Protocols:           new(http.Protocols),
+	}
+	p.transport.Protocols.SetHTTP1(true)
+	return p
+}
+
+// Close ends all idle connections.
+func (p *Pool) Close() { p.transport.CloseIdleConnections() }
+
+// Call is one request.
+type Call struct {
+	// Address is an IP number and port, with a path below it if the callee has one.
+	Address string
+	Path    string
+	// In is sent as JSON by POST; nil makes the call a GET.
+	In any
+	// Out receives the reply's JSON.
+	Out any
+	// Valid, if set, is asked before every write to the connection; once it says no, nothing more
+	// of the call leaves.
+	Valid func() bool
+	// Parent is the trace context that travels with the call.
+	Parent string
+}
+
+// Do sends a call and waits for its reply. ErrNotSent and a Status are definite; any other error
+// leaves open whether the call took effect.
+func (p *Pool) Do(ctx context.Context, c *Call) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, p.opts.Timeout)
+		defer cancel()
+	}
+	s := &sending{valid: c.Valid}
+	req, err := request(httptrace.WithClientTrace(ctx, s.trace()), c)
+	if err != nil {
+		return errors.Join(ErrNotSent, err)
+	}
+	resp, err := p.transport.RoundTrip(req)
+	if err != nil {
+		if s.giveUp() {
+			return errors.Join(ErrNotSent, err)
+		}
+		return err
+	}
+	defer resp.Body.Close()
+	return p.read(resp, c.Out)
+}
+
+func request(ctx context.Context, c *Call) (*http.Request, error) {
+	method := http.MethodGet
+	var body io.Reader
+	if c.In != nil {
+		raw, err := json.Marshal(c.In)
+		if err != nil {
+			return nil, err
+		}
+		method, body = http.MethodPost, bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+c.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	if c.Parent != "" {
+		req.Header.Set(traceHeader, c.Parent)
+	}
+	return req, nil
+}
+
+func (p *Pool) read(resp *http.Response, out any) error {
+	if resp.StatusCode != http.StatusOK {
+		reason, _ := io.ReadAll(io.LimitReader(resp.Body, maxReasonBytes))
+		return &Status{Code: resp.StatusCode, Reason: strings.TrimSpace(string(reason))}
+	}
+	if out == nil {
+		return nil
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, p.opts.MaxReplyBytes+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(raw)) > p.opts.MaxReplyBytes {
+		return fmt.Errorf("reply is longer than %d bytes", p.opts.MaxReplyBytes)
+	}
+	return json.Unmarshal(raw, out)
+}
--- /dev/null
+++ b/worker/web/doc.go
@@ -0,0 +1,2 @@
+// Package web calls workers by JSON over HTTP.
+package web
