Tell a failing worker from a failing job, and eject within a share

A worker that fails everything draws all work, since it is always empty; a job that fails everywhere makes sound workers look bad. A counter of failures in a row cannot tell the two apart.

A failure now counts against a worker when its job is another one than before, or when the same job runs well on others. A job or class that failed on three workers which are sound otherwise is charged itself, and what it had ejected is let back by probes at once. At most a third of the fleet is ejected and every zone keeps a worker; the rest gets one task at a time. A list that loses most VMs at once, unannounced, is not believed of workers that still answer.

Weighed: share of failures in a window (needs more tasks than a starting cell has), and asking for different classes (a cell with one class would never eject).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,7 +36,7 @@
 const (
 	// Closed gives it nothing new.
 	Closed Verdict = iota
-	// Probe gives it one task at a time.
+	// Probe gives it one task at a time, or up to Limit.
 	Probe
 	// Open gives it whatever fits.
 	Open
@@ -45,7 +45,9 @@
 // Admission is a verdict with its reason; the reason is empty for Open.
 type Admission struct {
 	Verdict Verdict
-	Reason  string
+	// Limit is how many tasks it may have at once under Probe: it doubles with each that succeeds.
+	Limit  int
+	Reason string
 }
 
 // Entry is what the VM list says of a member.
@@ -82,7 +84,7 @@
 	o := Options{
 		Failures: DefaultFailures, FailureWindow: DefaultFailureWindow, Missed: DefaultMissed,
 		Probes: DefaultProbes, BackOff: DefaultBackOff, MaxBackOff: DefaultMaxBackOff,
-		Share: DefaultShare, Witnesses: DefaultWitnesses, Keep: DefaultKeep,
+		Share: DefaultShare, Witnesses: DefaultWitnesses, Keep: DefaultKeep, ListLag: DefaultListLag,
 	}
 	for _, f := range opts {
 		f(&o)
@@ -97,7 +99,7 @@
 	f.lock(now)
 	defer f.mu.Unlock()
 	m := f.member(now, id)
-	m.seen, m.missed = now, 0
+	m.alive(now)
 }
 
 // Missed tells that a heartbeat of the member failed.
@@ -111,15 +113,16 @@
 	}
 }
 
-// Outcome tells how a task or request ended that the member ran. What the caller cancelled, what was
+// Outcome tells how a task or request ended that the member ran; an empty job stands for a job of
+// a single task or request, of which nothing is remembered. What the caller cancelled, what was
 // stopped, and what was never sent are no outcomes.
 func (f *Fleet) Outcome(now time.Time, id, job, class string, ok bool) {
 	f.lock(now)
 	defer f.mu.Unlock()
 	m := f.member(now, id)
-	m.seen = now
-	j, c := f.work(f.jobs, job), f.work(f.classes, class)
+	j, c := f.work(f.jobs, job, now), f.work(f.classes, class, now)
 	if ok {
+		m.alive(now)
 		j.succeeded(id)
 		c.succeeded(id)
 		f.succeeded(now, m)
@@ -148,25 +151,30 @@
 // unlisted marks the members that a reading no longer has, and forgets those without any sign.
 //
 // Failure: the VM list restarts and shows a fraction of the cell. Symptom: no worker gets work.
-// A list that drops more than half of the members at once is believed only where no direct sign
-// came since; planned stops of that size are announced as leaving first.
+// A reading that drops more than half of the members at once, unannounced, is not believed of a
+// member that gives a direct sign after it; one that is truly gone gives none.
 func (f *Fleet) unlisted(now time.Time, listed map[string]bool) {
 	var missing []*member
+	announced := 0
 	for _, m := range f.members {
-		if m.listed && !listed[m.id] {
-			missing = append(missing, m)
+		known := m.listed || now.Sub(m.firstSign) > f.opts.ListLag
+		if listed[m.id] || m.vanished || !known {
+			continue
+		}
+		missing = append(missing, m)
+		if m.leaving {
+			announced++
 		}
 	}
-	mass := 2*len(missing) > len(missing)+len(listed)
+	sudden := len(missing) - announced
+	mass := sudden >= minMass && sudden > len(listed)
 	for _, m := range missing {
-		if !m.vanished {
-			m.vanished, m.vanishedAt = true, now
-		}
-		m.massVanished = mass
+		m.vanished, m.vanishedAt, m.massVanished = true, now, mass && !m.leaving
 	}
 	maps.DeleteFunc(f.members, func(id string, m *member) bool {
 		return !listed[id] && now.Sub(m.lastSign()) > f.opts.Keep
 	})
+	f.trimWork(now)
 }
 
 // Open tells whether the member may get new work now.
@@ -175,20 +183,18 @@
 	defer f.mu.Unlock()
 	m, ok := f.members[id]
 	if !ok {
-		return Admission{Closed, "not listed"}
+		return Admission{Verdict: Closed, Reason: "not listed"}
 	}
-	switch state, reason := f.state(now, m); state {
-	case Healthy:
+	state, reason := f.state(now, m)
+	switch {
+	case state == Healthy:
 		return Admission{Verdict: Open}
-	case Unknown, Probing:
-		return Admission{Probe, reason}
-	case Suspect:
-		if m.missed >= f.opts.Missed {
-			return Admission{Closed, reason}
-		}
-		return Admission{Probe, reason}
+	case state == Probing:
+		return Admission{Verdict: Probe, Limit: 1 << m.probes, Reason: reason}
+	case state == Unknown, state == Suspect && m.missed < f.opts.Missed:
+		return Admission{Verdict: Probe, Limit: 1, Reason: reason}
 	default:
-		return Admission{Closed, reason}
+		return Admission{Verdict: Closed, Reason: reason}
 	}
 }
 
@@ -229,14 +235,14 @@
 func (f *Fleet) JobFailing(job string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.failing(f.jobs[job], func(x failure) bool { return x.job == job })
+	return f.jobFailing(job)
 }
 
 // ClassFailing tells whether all jobs of the class fail, on several members that are sound.
 func (f *Fleet) ClassFailing(class string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.failing(f.classes[class], func(x failure) bool { return x.class == class })
+	return f.classFailing(class)
 }
 
 // Forget drops what is known of a job that is final.
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -6,7 +6,10 @@
 	"time"
 )
 
-// failure is one task that ended badly on a member.
+// maxLevel keeps the shift of the back-off from overflowing.
+const maxLevel = 16
+
+// failure is one task that ended badly on a member; job is empty where a job has a single task.
 type failure struct {
 	job, class string
 	at         time.Time
@@ -34,10 +37,13 @@
 
 	ejected   bool
 	ejectedAt time.Time
-	until     time.Time
-	level     int
-	probes    int
-	openedAt  time.Time
+	// until is when probes begin, openedAt when the last ones ended well.
+	until    time.Time
+	openedAt time.Time
+	level    int
+	probes   int
+	// cause is the failures that ejected the member.
+	cause []failure
 }
 
 func (m *member) lastSign() time.Time {
@@ -47,6 +53,11 @@
 	return m.firstSign
 }
 
+// alive takes in a direct sign of life.
+func (m *member) alive(now time.Time) {
+	m.seen, m.missed, m.missedSince = now, 0, time.Time{}
+}
+
 func (m *member) setLeaving(now time.Time, leaving bool) {
 	if leaving && !m.leaving {
 		m.leavingSince = now
@@ -54,21 +65,23 @@
 	m.leaving = leaving
 }
 
+// backsOff tells whether the member is ejected and not probed yet.
+func (m *member) backsOff(now time.Time) bool { return m.ejected && now.Before(m.until) }
+
 // since tells when the member came into the state.
 func (m *member) since(s State) time.Time {
-	switch s {
-	case Gone:
+	switch {
+	case s == Gone:
 		return m.vanishedAt
-	case Draining:
+	case s == Draining:
 		return m.leavingSince
-	case Ejected:
+	case s == Ejected:
 		return m.ejectedAt
-	case Probing:
+	case s == Probing:
 		return m.until
-	case Suspect:
-		if !m.missedSince.IsZero() {
-			return m.missedSince
-		}
+	case s == Suspect && !m.missedSince.IsZero():
+		return m.missedSince
+	case s == Suspect:
 		return m.failures[len(m.failures)-1].at
 	default:
 		return m.firstSign
@@ -78,18 +91,18 @@
 // state gives the member's state and its reason.
 func (f *Fleet) state(now time.Time, m *member) (State, string) {
 	switch {
-	case m.leaving:
-		return Draining, "leaving"
 	case m.vanished && (!m.massVanished || !m.seen.After(m.vanishedAt)):
 		return Gone, "no longer listed"
-	case m.ejected && now.Before(m.until):
-		return Ejected, m.failureReason()
+	case m.leaving:
+		return Draining, "leaving"
+	case m.backsOff(now):
+		return Ejected, reason(m.cause)
 	case m.missed >= f.opts.Missed:
 		return Suspect, fmt.Sprintf("%d heartbeats in a row failed", m.missed)
 	case m.ejected:
 		return Probing, fmt.Sprintf("%d of %d probes succeeded", m.probes, f.opts.Probes)
 	case len(m.failures) >= f.opts.Failures:
-		return Suspect, m.failureReason() + ", but no more may be ejected"
+		return Suspect, reason(m.failures) + ", but no more may be ejected"
 	case m.seen.IsZero():
 		return Unknown, "not seen yet"
 	default:
@@ -97,58 +110,54 @@
 	}
 }
 
-func (m *member) failureReason() string {
-	if len(m.failures) == 0 {
-		return "a probe failed"
+func reason(failures []failure) string {
+	if len(failures) == 0 {
+		return "a failing job has been cleared away"
 	}
-	last := m.failures[len(m.failures)-1]
-	return fmt.Sprintf("%d failures in a row, last of job %s, class %s", len(m.failures), last.job, last.class)
+	last := failures[len(failures)-1]
+	return fmt.Sprintf("%d failures without a success between, the last of job %q, class %q", len(failures), last.job, last.class)
 }
 
 func (f *Fleet) succeeded(now time.Time, m *member) {
+	if m.backsOff(now) {
+		return // A task from before the ejection; it says nothing of new ones.
+	}
 	m.lastOK = now
+	m.failures = nil
 	if !m.ejected {
-		m.failures = m.failures[:0]
 		return
 	}
-	if now.Before(m.until) {
-		return // A task from before the ejection; it says nothing of new ones.
-	}
 	m.probes++
 	if m.probes >= f.opts.Probes {
-		m.ejected, m.openedAt = false, now
-		m.failures = m.failures[:0]
+		m.ejected, m.openedAt, m.cause = false, now, nil
 	}
 }
 
-// failed counts a failure against the member, if it is not the job's or class's own.
+// failed counts a failure against the member, unless it is the job's or the class's own.
 func (f *Fleet) failed(now time.Time, m *member, x failure) {
 	m.failures = slices.DeleteFunc(m.failures, func(o failure) bool { return now.Sub(o.at) > f.opts.FailureWindow })
-	if !f.counts(m, x) {
+	if m.backsOff(now) || !f.counts(m, x) {
 		return
 	}
 	if len(m.failures) < f.opts.Failures {
 		m.failures = append(m.failures, x)
 	}
 	switch {
-	case m.ejected && now.Before(m.until):
-	case m.ejected && f.alone(f.jobs[x.job], m):
-		f.eject(now, m) // A probe failed, and the same job fails nowhere else.
+	case m.ejected && f.jobs[x.job].alone(m.id):
+		f.eject(now, m) // A probe failed whose job fails nowhere else.
 	case len(m.failures) >= f.opts.Failures && (m.ejected || f.mayEject(m)):
 		f.eject(now, m)
 	}
 }
 
-// counts tells whether a failure speaks against the member. A second failure of a job does only when
-// the job succeeds on others: a failing job would else eject every worker that it meets.
+// counts tells whether a failure speaks against the member. A second failure of one job does so only
+// when the job succeeds on others: a failing job would else eject every worker that it meets.
 func (f *Fleet) counts(m *member, x failure) bool {
-	same := slices.ContainsFunc(m.failures, func(o failure) bool { return o.job == x.job })
+	same := x.job != "" && slices.ContainsFunc(m.failures, func(o failure) bool { return o.job == x.job })
 	if same && !f.succeedsElsewhere(f.jobs[x.job], m) {
 		return false
 	}
-	ofJob := func(o failure) bool { return o.job == x.job }
-	ofClass := func(o failure) bool { return o.class == x.class }
-	return !f.failing(f.jobs[x.job], ofJob) && !f.failing(f.classes[x.class], ofClass)
+	return !f.jobFailing(x.job) && !f.classFailing(x.class)
 }
 
 // eject closes the member until its back-off has passed.
@@ -156,22 +165,17 @@
 	if !m.ejected && now.Sub(m.openedAt) > f.opts.MaxBackOff {
 		m.level = 0
 	}
-	backOff := f.opts.BackOff << min(m.level, maxLevel)
-	if backOff >= f.opts.MaxBackOff {
-		backOff = f.opts.MaxBackOff
-	}
-	m.level++
+	backOff := min(f.opts.BackOff<<m.level, f.opts.MaxBackOff)
+	m.level = min(m.level+1, maxLevel)
 	m.ejected, m.ejectedAt, m.until, m.probes = true, now, now.Add(backOff), 0
+	m.cause, m.failures = m.failures, nil
 }
 
-// maxLevel keeps the shift of the back-off from overflowing.
-const maxLevel = 16
-
-// mayEject keeps the ejected part within its share and one member of each zone in use.
+// mayEject keeps the ejected part within its share, and one member of each zone in use.
 //
 // Failure: what all tasks need is down, so that all of them fail everywhere. Symptom: every worker
-// is ejected and nothing runs for the whole back-off when it heals.
-// The rest stays in use, one task at a time, and is open again with the first success.
+// is ejected, and nothing runs for the whole back-off when it heals.
+// The rest stays in use, one task at a time, and is open again with its first success.
 func (f *Fleet) mayEject(m *member) bool {
 	all, out, zone, zoneOut := 0, 0, 0, 0
 	for _, o := range f.members {
@@ -179,34 +183,35 @@
 			continue
 		}
 		all++
-		sameZone := o.zone == m.zone
-		if sameZone {
+		if o.zone == m.zone {
 			zone++
 		}
-		if o.ejected {
-			out++
-			if sameZone {
-				zoneOut++
-			}
+		if !o.ejected {
+			continue
+		}
+		out++
+		if o.zone == m.zone {
+			zoneOut++
 		}
 	}
 	return out < max(1, all/f.opts.Share) && out+1 < all && zoneOut+1 < zone
 }
 
-// exonerate takes back the failures of a job or class that has turned out to fail everywhere.
+// exonerate takes back the failures of a job or class that has turned out to fail everywhere, and
+// lets back by probes, at once, the members that they had ejected.
 func (f *Fleet) exonerate(now time.Time, job, class string) {
-	jobFails := f.failing(f.jobs[job], func(o failure) bool { return o.job == job })
-	classFails := f.failing(f.classes[class], func(o failure) bool { return o.class == class })
+	jobFails, classFails := f.jobFailing(job), f.classFailing(class)
 	if !jobFails && !classFails {
 		return
 	}
+	own := func(o failure) bool { return (jobFails && o.job == job) || (classFails && o.class == class) }
 	for _, m := range f.members {
-		before := len(m.failures)
-		m.failures = slices.DeleteFunc(m.failures, func(o failure) bool {
-			return (jobFails && o.job == job) || (classFails && o.class == class)
-		})
-		if m.ejected && len(m.failures) < before && now.Before(m.until) {
-			m.until = now // Let it back by probes at once.
+		m.failures = slices.DeleteFunc(m.failures, own)
+		before := len(m.cause)
+		m.cause = slices.DeleteFunc(m.cause, own)
+		if m.backsOff(now) && len(m.cause) < before {
+			m.until = now
+			m.level = max(0, m.level-1)
 		}
 	}
 }
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -24,7 +24,14 @@
 	// MaxWork bounds how many jobs are remembered, and how many classes.
 	MaxWork = 1 << 16
 
+	// DefaultListLag is how long a member that gives signs may be missing in the VM list at first.
+	DefaultListLag = 30 * time.Second
+
 	maxPlaces = 8
+	// workKeep is how long work is remembered that nobody forgets.
+	workKeep = time.Hour
+	// minMass is the least number of members whose vanishing at once may be the list's own fault.
+	minMass = 3
 )
 
 // Options are what a Fleet is made of.
@@ -38,6 +45,7 @@
 	Share         int
 	Witnesses     int
 	Keep          time.Duration
+	ListLag       time.Duration
 }
 
 // Option sets up a Fleet.
@@ -68,3 +76,6 @@
 
 // Keep sets how long a member that is no longer listed is remembered after its last sign.
 func Keep(d time.Duration) Option { return func(o *Options) { o.Keep = d } }
+
+// ListLag sets how long a member that gives signs may be missing in the VM list at first.
+func ListLag(d time.Duration) Option { return func(o *Options) { o.ListLag = d } }
