Divide target slots over gates, keep sessions, and tell outcomes truly

Cause: two or three gates of a zone call the same targets, whose slots no gate may count alone; and a caller must be able to trust each of the three outcomes.

Weighed: moving to a new share once the others have confirmed at least its table version. Ruled out: a gate that skipped a table confirms a later one without ever having been bound by the skipped one, and with one slot both then use it. Only the very version counts. Weighed: dividing the connections like the slots. They are divided by a fixed eight gates instead, so that no share of them has to move. Weighed: freeing a slot when its request is given up. The target may work on until the deadline that it was told, so the slot stays taken that long.

Change: package share with tables, confirmations and loans; the gate takes each slot from it, borrows while checks wait, keeps sessions in order at their target, and serves them as requests and streams.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"turmericgap/share"
 	"turmericgap/target"
 )
 
@@ -60,6 +61,8 @@
 	Avoid string
 	// Probe says that the request may be run again, so that it may test an ejected target.
 	Probe bool
+	// Bind says that a session is placed, which needs no slot yet.
+	Bind bool
 	// Free tells how many more requests a target may be given; nil means that only Slots counts.
 	Free func(info *target.Info) int
 }
@@ -166,7 +169,7 @@
 
 // Pick chooses a target for a new request and counts it as outstanding there.
 func (b *Balancer) Pick(ask *Ask, now time.Time) (Choice, bool) {
-	if e := b.dueProbe(ask, now); e != nil {
+	if e := b.dueProbe(ask, now); e != nil && !ask.Bind {
 		e.probing = true
 		return b.take(e, true), true
 	}
@@ -243,7 +246,13 @@
 
 // open gives e if it may get a new request now, and nil otherwise.
 func (b *Balancer) open(e *entry, ask *Ask, now time.Time) *entry {
-	if e.info.Leaving || e.ejected || e.info.ID == ask.Avoid || now.Before(e.busyUntil) {
+	if e.info.Leaving || e.ejected || e.info.ID == ask.Avoid {
+		return nil
+	}
+	if ask.Bind {
+		return e
+	}
+	if now.Before(e.busyUntil) {
 		return nil
 	}
 	// A cold target that gets its full load at once answers slowly and is then ejected; it gets
@@ -290,6 +299,14 @@
 	return max(leastWeight, float64(age)/float64(b.opts.SlowStart))
 }
 
+// Undo takes a choice back that came to nothing.
+func (b *Balancer) Undo(c Choice) {
+	b.Release(c.Info.ID)
+	if e, ok := b.byID[c.Info.ID]; ok && c.Probe {
+		e.probing = false
+	}
+}
+
 // Release counts a request as no longer outstanding.
 func (b *Balancer) Release(id string) {
 	if e, ok := b.byID[id]; ok {
@@ -303,7 +320,7 @@
 	if !ok {
 		return
 	}
-	probe := e.probing
+	probe := e.probing && e.ejected
 	e.probing = false
 	switch v {
 	case Abandoned:
@@ -325,7 +342,7 @@
 
 func (b *Balancer) good(e *entry, probe bool, took time.Duration, now time.Time) {
 	e.failures = 0
-	if probe && e.ejected {
+	if probe {
 		if b.slow(took.Seconds()) {
 			b.eject(e, now)
 			return
@@ -410,3 +427,14 @@
 	}
 	return d
 }
+
+// Targets lists those that may get new requests, with their slots.
+func (b *Balancer) Targets() []share.Target {
+	out := make([]share.Target, 0, len(b.list))
+	for _, e := range b.list {
+		if !e.info.Leaving && !e.ejected {
+			out = append(out, share.Target{ID: e.info.ID, Slots: e.info.Slots})
+		}
+	}
+	return out
+}
--- a/gate/api.go
+++ b/gate/api.go
@@ -28,7 +28,8 @@
 	HeaderZone       = "Turmericgap-Zone"
 	HeaderSession    = "Turmericgap-Session"
 
-	maxJobBytes = 64 << 10
+	maxJobBytes   = 64 << 10
+	reasonInvalid = "request is not valid"
 )
 
 // Body is the answer to every request that has an outcome.
@@ -120,7 +121,7 @@
 func (g *Gate) postCheck(ctx iris.Context) {
 	var l finding.List
 	c := &Check{Service: ctx.Params().Get("service"), Method: ctx.Params().Get("method")}
-	readHeaders(ctx, c, &l)
+	g.readHeaders(ctx, c, &l)
 	checkNames(c, &l)
 	c.Body = g.read(ctx, g.opts.Limits.BodyBytes, &l)
 	if len(l) > 0 {
@@ -140,15 +141,15 @@
 }
 
 // readHeaders takes the headers that say how a check is to be treated.
-func readHeaders(ctx iris.Context, c *Check, l *finding.List) {
+func (g *Gate) readHeaders(ctx iris.Context, c *Check, l *finding.List) {
 	c.Key = ctx.GetHeader(HeaderKey)
 	if len(c.Key) > job.MaxKeyBytes {
 		l.Add(HeaderKey, "must be at most %d bytes", job.MaxKeyBytes)
 	}
 	if v := ctx.GetHeader(HeaderDeadline); v != "" {
 		n, err := strconv.ParseInt(v, 10, 64)
-		if err != nil || n < 1 || n > DefaultMaxTimeout.Milliseconds() {
-			l.Add(HeaderDeadline, "must be a whole number from 1 to %d", DefaultMaxTimeout.Milliseconds())
+		if most := g.opts.Limits.MaxTimeout.Milliseconds(); err != nil || n < 1 || n > most {
+			l.Add(HeaderDeadline, "must be a whole number from 1 to %d", most)
 		}
 		c.Deadline = time.Duration(n) * time.Millisecond
 	}
@@ -164,7 +165,7 @@
 }
 
 func refuse(ctx iris.Context, l finding.List) {
-	write(ctx, http.StatusBadRequest, &Body{Outcome: job.NotRun, Reason: "request is not valid", Findings: l})
+	write(ctx, http.StatusBadRequest, &Body{Outcome: job.NotRun, Reason: reasonInvalid, Findings: l})
 }
 
 func bodyOf(r *Result) *Body {
@@ -206,6 +207,8 @@
 		ctx.StatusCode(http.StatusInternalServerError)
 		return
 	}
+	// A caller that does not read must not hold the connection and its memory for ever.
+	_ = http.NewResponseController(ctx.ResponseWriter().Naive()).SetWriteDeadline(time.Now().Add(DefaultReadTimeout))
 	ctx.ContentType("application/json")
 	ctx.StatusCode(status)
 	_, _ = ctx.Write(raw)
--- a/gate/forward.go
+++ b/gate/forward.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -62,7 +65,7 @@
 			add(zone)
 		}
 	}
-	start := int(g.serial.Add(1))
+	start := int(g.serial.Add(1) % math.MaxInt32)
 	for i := range known {
 		add(known[(start+i)%len(known)])
 	}
@@ -71,9 +74,14 @@
 
 // forward hands a check to a gate of another zone.
 func (g *Gate) forward(ctx context.Context, cl *call, zone string) *Result {
-	peers := g.opts.Peers(zone)
+	peers := slices.Clone(g.opts.Peers(zone))
 	r := notRun("no gate of zone "+zone+" reached", noTargetRetry)
-	start := int(g.serial.Add(1))
+	start := int(g.serial.Add(1) % math.MaxInt32)
+	if cl.check.Session != "" {
+		// All requests of a session pass the same gate while it lives, which keeps their order.
+		slices.Sort(peers)
+		start = int(xxhash.Sum64String(cl.check.Session) % math.MaxInt32)
+	}
 	for i := range min(peersTried, len(peers)) {
 		var next bool
 		if r, next = g.forwardTo(ctx, cl, peers[(start+i)%len(peers)]); !next {
@@ -98,7 +106,7 @@
 	switch fault := rpc.AsFault(err); {
 	case err == nil && r != nil:
 		cl.attempts += r.Attempts
-		return cl.finish(r), r.Outcome == job.NotRun && !r.Limited && r.Attempts == 0
+		return cl.finish(r), r.Outcome == job.NotRun && !r.Limited && !r.Gone && r.Attempts == 0
 	case errors.Is(err, rpc.ErrNotSent):
 		return cl.finish(notRun("gate not reached", noTargetRetry)), true
 	case fault != nil && fault.Code == rpc.CodeRefused:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,6 +17,8 @@
 	"turmericgap/budget"
 	"turmericgap/job"
 	"turmericgap/metric"
+	"turmericgap/session"
+	"turmericgap/share"
 	"turmericgap/target"
 )
 
@@ -23,11 +26,12 @@
 const (
 	DefaultZone        = "local"
 	DefaultTimeout     = 5 * time.Second
-	DefaultMaxTimeout  = 60 * time.Second
+	DefaultMaxTimeout  = 15 * time.Second
 	DefaultQueue       = 1000
 	DefaultRetries     = 2
 	DefaultGrace       = 250 * time.Millisecond
 	DefaultChecks      = 20000
+	DefaultPipelined   = 16
 	DefaultConnections = 8192
 	DefaultBodyBytes   = 256 << 10
 	DefaultHeaderBytes = 16 << 10
@@ -37,6 +41,7 @@
 	tracerName      = "turmericgap/gate"
 	refreshInterval = 100 * time.Millisecond
 	turnInterval    = 10 * time.Millisecond
+	sessionKeyBytes = 32
 )
 
 // Gate faces the callers of one entry VM.
@@ -48,12 +53,19 @@
 	handler http.Handler
 	serial  atomic.Uint64
 
+	shares *share.Holder
+	tokens *session.Signer
+
 	mu    sync.Mutex
 	pools map[string]*pool
 	zones map[string][]string
+	// where gives the zone of each listed target.
+	where map[string]string
+	lanes map[string]*lane
 
 	work    work
 	kick    chan struct{}
+	need    chan struct{}
 	stop    chan struct{}
 	stopped sync.Once
 	duties  sync.WaitGroup
@@ -68,16 +80,41 @@
 	g := &Gate{
 		opts: o, log: o.Logger, meters: newMeters(o.Metrics), budget: budget.New(),
 		pools: make(map[string]*pool), zones: make(map[string][]string),
-		kick: make(chan struct{}, 1), stop: make(chan struct{}),
+		lanes: make(map[string]*lane), tokens: newSigner(o.Keys), shares: newHolder(&o),
+		kick: make(chan struct{}, 1), need: make(chan struct{}, 1), stop: make(chan struct{}),
 	}
 	g.work.moving = make(chan struct{})
 	g.handler = g.newHandler()
 	g.refresh()
 	g.duties.Go(g.keepList)
 	g.duties.Go(g.keepTurn)
+	g.duties.Go(g.keepLoans)
 	return g
 }
 
+// newHolder makes the holder of this gate's shares. A removed gate's last requests have ended when
+// the longest deadline and the longest loan are over.
+func newHolder(o *Options) *share.Holder {
+	settle := max(o.Limits.MaxTimeout+o.Limits.Grace, share.DefaultLife+share.DefaultDrift)
+	opts := []share.Option{share.Settle(settle)}
+	if o.Valid != nil {
+		return share.New(o.ID, append(opts, share.Valid(o.Valid))...)
+	}
+	h := share.New(o.ID, opts...)
+	h.SetTable(share.Table{Version: 1, Gates: []string{o.ID}}, time.Now())
+	return h
+}
+
+// newSigner makes a key of its own where the settings give none; no other gate then knows it.
+func newSigner(keys [][]byte) *session.Signer {
+	if len(keys) == 0 {
+		key := make([]byte, sessionKeyBytes)
+		_, _ = rand.Read(key) // crypto/rand never fails.
+		keys = [][]byte{key}
+	}
+	return session.New(keys...)
+}
+
 func defaults() Options {
 	return Options{
 		ID: "gate", Zone: DefaultZone, Logger: zap.NewNop(), Metrics: metric.New(),
@@ -88,6 +125,7 @@
 		Limits: Limits{
 			Timeout: DefaultTimeout, MaxTimeout: DefaultMaxTimeout, Queue: DefaultQueue,
 			Retries: DefaultRetries, Grace: DefaultGrace, Checks: DefaultChecks,
+			Pipelined: DefaultPipelined, SessionLife: session.DefaultLife,
 			Connections: DefaultConnections, BodyBytes: DefaultBodyBytes, HeaderBytes: DefaultHeaderBytes,
 			ReadTimeout: DefaultReadTimeout, IdleTimeout: DefaultIdleTimeout,
 		},
@@ -105,21 +143,30 @@
 
 // Do runs a check and gives its final state.
 func (g *Gate) Do(ctx context.Context, c *Check) *Result {
+	return g.traceCheck(ctx, c, g.admitted)
+}
+
+func (g *Gate) traceCheck(ctx context.Context, c *Check, do func(context.Context, *Check) *Result) *Result {
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "check", trace.WithAttributes(
 		attribute.String("service", c.Service), attribute.String("method", c.Method)))
 	defer span.End()
 	start := time.Now()
-	r := g.do(ctx, c)
+	r := do(ctx, c)
 	span.SetAttributes(attribute.String("outcome", string(r.Outcome)), attribute.Int("attempts", r.Attempts))
 	g.meters.ended(r, time.Since(start))
 	return r
 }
 
-func (g *Gate) do(ctx context.Context, c *Check) *Result {
+// admitted performs a check unless the gate is full or stopping.
+func (g *Gate) admitted(ctx context.Context, c *Check) *Result {
 	if r := g.work.enter(g.opts.Limits.Checks); r != nil {
 		return r
 	}
 	defer g.work.leave()
+	return g.perform(ctx, c)
+}
+
+func (g *Gate) perform(ctx context.Context, c *Check) *Result {
 	call, r := g.decide(c)
 	if r != nil {
 		return r
--- a/gate/options.go
+++ b/gate/options.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/metric"
+	"turmericgap/share"
 	"turmericgap/target"
 )
 
@@ -14,6 +15,12 @@
 // leaves open whether the check ran.
 type Forward func(ctx context.Context, address string, c *Check) (*Result, error)
 
+// Borrow asks a sibling, a gate of the same zone, to lend idle slots.
+type Borrow func(ctx context.Context, gate string, ask *share.Ask) (*share.Loans, error)
+
+// Return gives a sibling its loans back.
+type Return func(ctx context.Context, gate string, r *share.Return) error
+
 // Options are what a Gate is made of.
 type Options struct {
 	ID      string
@@ -22,6 +29,11 @@
 	Dial    target.Dial
 	Peers   func(zone string) []string
 	Forward Forward
+	// Valid tells whether the gate holds its membership; nil makes the gate the only one of its zone.
+	Valid   func() bool
+	Borrow  Borrow
+	Return  Return
+	Keys    [][]byte
 	Jobs    Jobs
 	Rules   func(*Check) Decision
 	Logger  *zap.Logger
@@ -43,6 +55,10 @@
 	Grace time.Duration
 	// Checks bounds the checks and streams in progress.
 	Checks int
+	// Pipelined bounds the requests of one session that wait for each other.
+	Pipelined int
+	// SessionLife is how long a session token holds.
+	SessionLife time.Duration
 	// Connections bounds the callers' connections.
 	Connections int
 	// BodyBytes bounds the body of a check, HeaderBytes all headers of a request.
@@ -73,6 +89,16 @@
 	return func(o *Options) { o.Peers, o.Forward = peers, forward }
 }
 
+// Member makes the gate one of several in its zone: it uses nothing while valid is false or before
+// SetTable has listed it.
+func Member(valid func() bool) Option { return func(o *Options) { o.Valid = valid } }
+
+// Siblings sets how slots are borrowed from the zone's other gates.
+func Siblings(b Borrow, r Return) Option { return func(o *Options) { o.Borrow, o.Return = b, r } }
+
+// SessionKeys sets the keys of session tokens: the first signs, all are accepted.
+func SessionKeys(keys ...[]byte) Option { return func(o *Options) { o.Keys = keys } }
+
 // JobOwner sets the functions that reach the owner of a job.
 func JobOwner(j Jobs) Option { return func(o *Options) { o.Jobs = j } }
 
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericgap/balancer"
+	"turmericgap/share"
 	"turmericgap/target"
 )
 
@@ -17,6 +18,9 @@
 	noTargetRetry   = time.Second
 	// scanWaiters bounds how many waiters are looked at when the first can't take the free slot.
 	scanWaiters = 8
+	// maxGates is for how many gates of a zone a target's connections suffice. They are divided by
+	// this fixed number, so that no share of them has to move when the gate table does.
+	maxGates = 8
 	// leastRun is the time that must be left for a check to be sent at all.
 	leastRun = 2 * time.Millisecond
 )
@@ -25,6 +29,7 @@
 // The gate's mutex guards it.
 type pool struct {
 	balancer *balancer.Balancer
+	shares   *share.Holder
 	clients  map[string]*client
 	waiting  *list.List
 	bound    map[string]*list.List
@@ -41,6 +46,7 @@
 // ticket is the right to send one request to a target.
 type ticket struct {
 	info   target.Info
+	slot   *share.Slot
 	probe  bool
 	client *target.Client
 	// granted is when the slot was given.
@@ -50,12 +56,15 @@
 type waiter struct {
 	ask   balancer.Ask
 	bound string
+	// until gives when a request that is sent now has surely left its target.
+	until func(now time.Time) time.Time
 	ready chan *ticket
 	item  *list.Element
 }
 
-func newPool(seed uint64) *pool {
+func newPool(seed uint64, shares *share.Holder) *pool {
 	return &pool{
+		shares:   shares,
 		balancer: balancer.New(balancer.Seed(seed)), clients: make(map[string]*client),
 		waiting: list.New(), bound: make(map[string]*list.List), runTime: firstRunTime,
 	}
@@ -101,12 +110,17 @@
 	return time.Duration(float64(n+1) * p.runTime / float64(max(1, p.slots)) * float64(time.Second))
 }
 
+// run gives how long a check occupies a slot.
+func (p *pool) run() time.Duration { return time.Duration(p.runTime * float64(time.Second)) }
+
 func (p *pool) retryAfter() time.Duration {
 	return min(max(p.expected(p.waiting.Len()), leastRetryAfter), mostRetryAfter)
 }
 
 // grant gives a waiter a target if one may take it now.
 func (p *pool) grant(w *waiter, now time.Time) *ticket {
+	until := w.until(now)
+	w.ask.Free = func(info *target.Info) int { return p.shares.Free(info.ID, info.Slots, until, now) }
 	var c balancer.Choice
 	var ok bool
 	if w.bound == "" {
@@ -117,7 +131,13 @@
 	if !ok {
 		return nil
 	}
-	return &ticket{info: c.Info, probe: c.Probe, client: p.clients[c.Info.ID].call, granted: now}
+	slot, ok := p.shares.Take(c.Info.ID, c.Info.Slots, until, now)
+	if !ok {
+		// A sibling has borrowed the slot in between.
+		p.balancer.Undo(c)
+		return nil
+	}
+	return &ticket{info: c.Info, slot: slot, probe: c.Probe, client: p.clients[c.Info.ID].call, granted: now}
 }
 
 // dispatch hands free slots to the waiters, first come, first served.
@@ -149,9 +169,13 @@
 func (g *Gate) refresh() {
 	local := make(map[string][]target.Info)
 	zones := make(map[string][]string)
+	where := make(map[string]string)
 	seen := make(map[string]bool)
+	here := make(map[string]bool)
 	for _, info := range g.opts.Targets() {
+		where[info.ID] = info.Zone
 		if info.Zone == g.opts.Zone {
+			here[info.ID] = true
 			local[info.Service] = append(local[info.Service], info)
 		}
 		if key := info.Service + "\x00" + info.Zone; !info.Leaving && !seen[key] {
@@ -162,10 +186,11 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.zones = zones
+	g.zones, g.where = zones, where
+	g.shares.Keep(here)
 	for service := range local {
 		if g.pools[service] == nil {
-			g.pools[service] = newPool(g.opts.Seed)
+			g.pools[service] = newPool(g.opts.Seed, g.shares)
 		}
 	}
 	ejected := 0
@@ -177,6 +202,7 @@
 		ejected += p.balancer.Ejected()
 	}
 	g.meters.ejected.Update(int64(ejected))
+	g.meters.streams.Update(int64(g.work.openStreams()))
 }
 
 func (p *pool) update(infos []target.Info, dial target.Dial, now time.Time) {
@@ -186,11 +212,11 @@
 	for _, info := range infos {
 		c := p.clients[info.ID]
 		if c == nil || c.address != info.Address {
-			c = &client{address: info.Address, call: dial(info, info.Connections)}
+			c = &client{address: info.Address, call: dial(info, max(1, info.Connections/maxGates))}
 		}
 		clients[info.ID] = c
 		if !info.Leaving {
-			p.slots += info.Slots
+			p.slots += p.shares.Limit(info.ID, info.Slots, now)
 		}
 	}
 	p.clients = clients
@@ -217,15 +243,14 @@
 	w := &waiter{
 		ask:   balancer.Ask{Avoid: cl.avoid, Probe: cl.check.Repeatable},
 		bound: cl.check.Target,
+		until: func(now time.Time) time.Time { return g.attemptEnd(cl, now).Add(g.opts.Limits.Grace) },
 	}
 	t, r := g.enqueue(cl, w, start)
 	if t != nil || r != nil {
 		return t, r
 	}
-	select {
-	case g.kick <- struct{}{}:
-	default:
-	}
+	signal(g.kick)
+	signal(g.need)
 	select {
 	case t = <-w.ready:
 		g.meters.waitMicros.Update(time.Since(start).Microseconds())
@@ -235,6 +260,13 @@
 	}
 }
 
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // enqueue gives a ticket at once, or a result where waiting is no use, or puts w into its queue.
 func (g *Gate) enqueue(cl *call, w *waiter, now time.Time) (*ticket, *Result) {
 	g.mu.Lock()
@@ -243,6 +275,9 @@
 	if p == nil || (w.bound == "" && p.balancer.Usable() == 0) {
 		return nil, notRun("no usable target", noTargetRetry)
 	}
+	if !g.shares.Valid() {
+		return nil, notRun("gate is not a member of its zone", noTargetRetry)
+	}
 	q := p.queue(w)
 	if q.Len() == 0 {
 		if t := p.grant(w, now); t != nil {
@@ -252,8 +287,8 @@
 	if q.Len() >= cl.queue {
 		return nil, limited("queue is full", p.retryAfter())
 	}
-	if wait := p.expected(q.Len()); now.Add(wait).After(cl.deadline) {
-		return nil, limited("expected wait exceeds the time left", p.retryAfter())
+	if now.Add(p.expected(q.Len()) + p.run()).After(cl.deadline) {
+		return nil, limited("expected wait and run exceed the time left", p.retryAfter())
 	}
 	w.ready = make(chan *ticket, 1)
 	w.item = q.PushBack(w)
@@ -287,5 +322,6 @@
 // free gives a slot back and hands it on.
 func (g *Gate) free(p *pool, t *ticket, now time.Time) {
 	p.balancer.Release(t.info.ID)
+	g.shares.Release(t.slot, now)
 	p.dispatch(now)
 }
--- a/gate/send.go
+++ b/gate/send.go
@@ -104,6 +104,10 @@
 		ID: g.nextID("try"), Key: cl.check.Key, Session: cl.check.Session, Method: cl.check.Method,
 		Body: cl.check.Body, LeftMillis: end.Sub(now).Milliseconds(), Parent: parentOf(ctx),
 	}
+	if !g.shares.Holds(t.slot, end.Add(g.opts.Limits.Grace)) {
+		// The process was paused since the slot was given; a sibling may have it by now.
+		return &attempt{ending: notStarted, verdict: balancer.Abandoned, reason: "slot was lost before the send"}
+	}
 	cl.attempts++
 	g.meters.attempts.Inc(1)
 	resp, err := t.client.Do(ctx, req)
--- a/gate/work.go
+++ b/gate/work.go
@@ -43,6 +43,30 @@
 	w.mu.Unlock()
 }
 
+// enterStream admits one stream, or gives the reason against it.
+func (w *work) enterStream(limit int) *Result {
+	if r := w.enter(limit); r != nil {
+		return r
+	}
+	w.mu.Lock()
+	w.checks--
+	w.streams++
+	w.mu.Unlock()
+	return nil
+}
+
+func (w *work) leaveStream() {
+	w.mu.Lock()
+	w.streams--
+	w.mu.Unlock()
+}
+
+func (w *work) openStreams() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.streams
+}
+
 func (w *work) left() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- /dev/null
+++ b/share/loan.go
@@ -0,0 +1,170 @@
+package share
+
+import "time"
+
+// Ask asks a gate to lend idle slots.
+type Ask struct {
+	// Gate is the borrower.
+	Gate string `json:"gate" msgpack:"g"`
+	// Want is how many slots it can use, on any of Targets.
+	Want    int      `json:"want" msgpack:"w"`
+	Targets []Target `json:"targets" msgpack:"t"`
+}
+
+// Target names a target and its slots.
+type Target struct {
+	ID    string `json:"id" msgpack:"i"`
+	Slots int    `json:"slots" msgpack:"s"`
+}
+
+// Loan lends slots of one target. The borrower counts Life from before it sent the Ask.
+type Loan struct {
+	ID     uint64        `json:"id" msgpack:"i"`
+	Target string        `json:"target" msgpack:"t"`
+	Slots  int           `json:"slots" msgpack:"s"`
+	Life   time.Duration `json:"life" msgpack:"l"`
+}
+
+// Loans answers an Ask.
+type Loans struct {
+	Loans []Loan `json:"loans" msgpack:"l"`
+}
+
+// Return gives loans back before their time.
+type Return struct {
+	Gate string   `json:"gate" msgpack:"g"`
+	IDs  []uint64 `json:"ids" msgpack:"i"`
+}
+
+// Returned answers a Return.
+type Returned struct{}
+
+// lent is a loan on its lender's side.
+type lent struct {
+	id       uint64
+	borrower string
+	slots    int
+	expires  time.Time
+}
+
+// borrowed is a loan on its borrower's side.
+type borrowed struct {
+	id      uint64
+	lender  string
+	slots   int
+	inUse   int
+	expires time.Time
+	used    time.Time
+}
+
+// Lend lends what this gate can spare, and keeps a reserve so that a burst here is served at once.
+func (h *Holder) Lend(ask *Ask, now time.Time) Loans {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.move(now)
+	var out Loans
+	if !h.opts.Valid() || ask.Gate == h.id || !h.lists(ask.Gate) {
+		return out
+	}
+	spare := h.spare(ask.Targets, now)
+	want := min(ask.Want, spare)
+	for _, t := range ask.Targets {
+		if want <= 0 || len(out.Loans) >= maxLoans {
+			break
+		}
+		u := h.use(t.ID, now)
+		u.slots = t.Slots
+		n := min(want, h.limit(t.ID, t.Slots)-u.own-u.lentOut())
+		if n <= 0 || len(u.lent) >= maxLoansOfTarget {
+			continue
+		}
+		h.serial++
+		// The lender counts longer than the borrower: from later, and with the drift of both clocks.
+		u.lent = append(u.lent, lent{h.serial, ask.Gate, n, now.Add(h.opts.Life + h.opts.Drift)})
+		out.Loans = append(out.Loans, Loan{ID: h.serial, Target: t.ID, Slots: n, Life: h.opts.Life})
+		want -= n
+	}
+	return out
+}
+
+// lists reports whether the newest table lists a gate.
+func (h *Holder) lists(gate string) bool {
+	newest := h.newest()
+	return newest != nil && newest.has(gate)
+}
+
+func (h *Holder) spare(targets []Target, now time.Time) int {
+	total, idle := 0, 0
+	for _, t := range targets {
+		u := h.use(t.ID, now)
+		limit := h.limit(t.ID, t.Slots)
+		total += limit
+		idle += max(0, limit-u.own-u.lentOut())
+	}
+	return idle - (total+reservePart-1)/reservePart
+}
+
+// Borrowed takes over the loans that answer an Ask sent at the given time.
+func (h *Holder) Borrowed(lender string, loans *Loans, asked, now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, l := range loans.Loans {
+		expires := asked.Add(l.Life)
+		u := h.use(l.Target, now)
+		if l.Slots <= 0 || !now.Before(expires) || len(u.borrowed) >= maxLoansOfTarget {
+			continue
+		}
+		u.borrowed = append(u.borrowed, &borrowed{
+			id: l.ID, lender: lender, slots: l.Slots, expires: expires, used: now,
+		})
+		n += l.Slots
+	}
+	return n
+}
+
+// Idle drops the loans that have not been used for a while, and gives what to return, by lender.
+func (h *Holder) Idle(now time.Time) map[string]*Return {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out map[string]*Return
+	for _, u := range h.uses {
+		u.prune(now)
+		kept := u.borrowed[:0]
+		for _, b := range u.borrowed {
+			if b.inUse > 0 || now.Sub(b.used) < h.opts.IdleLoan {
+				kept = append(kept, b)
+				continue
+			}
+			if out == nil {
+				out = make(map[string]*Return)
+			}
+			if out[b.lender] == nil {
+				out[b.lender] = &Return{Gate: h.id}
+			}
+			out[b.lender].IDs = append(out[b.lender].IDs, b.id)
+		}
+		u.borrowed = kept
+	}
+	return out
+}
+
+// TakeBack takes loans back that their borrower has given up.
+func (h *Holder) TakeBack(r *Return, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ids := make(map[uint64]bool, len(r.IDs))
+	for _, id := range r.IDs {
+		ids[id] = true
+	}
+	for _, u := range h.uses {
+		u.prune(now)
+		kept := u.lent[:0]
+		for _, l := range u.lent {
+			if !ids[l.id] || l.borrower != r.Gate {
+				kept = append(kept, l)
+			}
+		}
+		u.lent = kept
+	}
+}
--- /dev/null
+++ b/share/share.go
@@ -0,0 +1,314 @@
+package share
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Defaults.
+const (
+	// DefaultLife is how long a loan holds on its borrower's clock.
+	DefaultLife = 10 * time.Second
+	// DefaultDrift is how much longer its lender keeps it charged.
+	DefaultDrift = 500 * time.Millisecond
+	// DefaultIdleLoan is how long a loan may stay unused before it is returned.
+	DefaultIdleLoan = time.Second
+	// DefaultSettle is how long the last requests and loans of a removed gate may still occupy targets.
+	DefaultSettle = 16 * time.Second
+
+	maxPending       = 64
+	maxLoans         = 1024
+	maxLoansOfTarget = 64
+	// reservePart is the part of its slots, one in so many, that a lender keeps.
+	reservePart = 4
+)
+
+// Holder keeps one gate's shares of all targets; it is safe for concurrent use.
+type Holder struct {
+	id   string
+	opts Options
+
+	mu sync.Mutex
+	// base is the newest table that all others have confirmed; nil until there is one.
+	base *Table
+	// pending are the newer tables, oldest first.
+	pending []Table
+	// settled is when the last requests of gates that were removed have ended.
+	settled   time.Time
+	confirmed map[string]int64
+	confirms  int64
+	uses      map[string]*use
+	serial    uint64
+}
+
+// use is what is taken of one target.
+type use struct {
+	slots    int
+	own      int
+	lent     []lent
+	borrowed []*borrowed
+}
+
+// Slot is the right to occupy one slot of a target.
+type Slot struct {
+	target string
+	loan   *borrowed
+}
+
+// Lent reports whether the slot is a sibling's.
+func (s *Slot) Lent() bool { return s.loan != nil }
+
+// New returns the Holder of a gate. The id is unique for each life of the process: one that comes
+// back under an old id would be taken to have kept its promises.
+func New(id string, opts ...Option) *Holder {
+	o := Options{
+		Valid: func() bool { return true }, Life: DefaultLife, Drift: DefaultDrift,
+		IdleLoan: DefaultIdleLoan, Settle: DefaultSettle,
+	}
+	for _, f := range opts {
+		f(&o)
+	}
+	return &Holder{id: id, opts: o, confirmed: make(map[string]int64), uses: make(map[string]*use)}
+}
+
+// SetTable takes a newer table over; an older or the same one changes nothing.
+func (h *Holder) SetTable(t Table, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.move(now)
+	newest := h.newest()
+	if newest != nil && t.Version <= newest.Version {
+		return
+	}
+	t.Gates = slices.Clone(t.Gates)
+	// A removed gate has lost its claim, and one that lost count of the tables starts anew.
+	anew := !t.has(h.id) || len(h.pending) >= maxPending
+	if anew || h.mustSettle(&t) {
+		h.settled = now.Add(h.opts.Settle)
+	}
+	if anew {
+		h.base, h.pending = nil, nil
+	}
+	h.pending = append(h.pending, t)
+	for gate := range h.confirmed {
+		if !t.has(gate) {
+			delete(h.confirmed, gate)
+		}
+	}
+	h.move(now)
+}
+
+// mustSettle reports whether requests of a gate that t does not list may still occupy targets. The
+// very first table of a zone has no such gates; a gate that knows no earlier one can't tell.
+func (h *Holder) mustSettle(t *Table) bool {
+	if h.newest() == nil {
+		return t.Version > 1
+	}
+	if h.base != nil && t.lacks(h.base) {
+		return true
+	}
+	return slices.ContainsFunc(h.pending, func(old Table) bool { return t.lacks(&old) })
+}
+
+func (h *Holder) newest() *Table {
+	if n := len(h.pending); n > 0 {
+		return &h.pending[n-1]
+	}
+	return h.base
+}
+
+// Confirmed notes the version that another gate of the zone has told in its heartbeat.
+func (h *Holder) Confirmed(gate string, version int64, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t := h.newest(); t != nil && t.has(gate) {
+		h.confirmed[gate] = max(version, h.confirmed[gate])
+	}
+	h.move(now)
+}
+
+// Confirms gives the version that this gate may tell the others: nothing here exceeds its share of
+// that table, and nothing is left of the gates that were removed before it.
+func (h *Holder) Confirms(now time.Time) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.move(now)
+	t := h.newest()
+	if t == nil || now.Before(h.settled) || t.Version == h.confirms {
+		return h.confirms
+	}
+	for id, u := range h.uses {
+		u.prune(now)
+		if u.own+u.lentOut() > h.limit(id, u.slots) {
+			return h.confirms
+		}
+	}
+	h.confirms = t.Version
+	return h.confirms
+}
+
+// move makes the newest table the base once all its other gates have confirmed it.
+func (h *Holder) move(now time.Time) {
+	t := h.newest()
+	if t == nil || t == h.base || now.Before(h.settled) || !t.has(h.id) {
+		return
+	}
+	for _, gate := range t.Gates {
+		// The very version, not a later one: a gate that skipped this table was never bound by it, and
+		// a claim to its share here could overlap with what that gate uses.
+		if gate != h.id && h.confirmed[gate] != t.Version {
+			return
+		}
+	}
+	base := *t
+	h.base, h.pending = &base, nil
+}
+
+// limit is the smallest share of the base and all newer tables.
+func (h *Holder) limit(target string, slots int) int {
+	if h.base == nil {
+		return 0
+	}
+	n := h.base.Of(h.id, target, slots)
+	for i := range h.pending {
+		n = min(n, h.pending[i].Of(h.id, target, slots))
+	}
+	return n
+}
+
+func (h *Holder) use(target string, now time.Time) *use {
+	u, ok := h.uses[target]
+	if !ok {
+		u = &use{}
+		h.uses[target] = u
+	}
+	u.prune(now)
+	return u
+}
+
+// prune forgets the loans whose time is up.
+func (u *use) prune(now time.Time) {
+	if len(u.lent) > 0 {
+		u.lent = slices.DeleteFunc(u.lent, func(l lent) bool { return !now.Before(l.expires) })
+	}
+	if len(u.borrowed) > 0 {
+		u.borrowed = slices.DeleteFunc(u.borrowed, func(b *borrowed) bool { return !now.Before(b.expires) })
+	}
+}
+
+func (u *use) lentOut() int {
+	n := 0
+	for i := range u.lent {
+		n += u.lent[i].slots
+	}
+	return n
+}
+
+// loan gives a loan with a free slot that holds until the given time.
+func (u *use) loan(until time.Time) *borrowed {
+	for _, b := range u.borrowed {
+		if b.inUse < b.slots && !until.After(b.expires) {
+			return b
+		}
+	}
+	return nil
+}
+
+// Limit gives how many slots of a target this gate may occupy at most, by its share and by loans.
+func (h *Holder) Limit(target string, slots int, now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.opts.Valid() {
+		return 0
+	}
+	u := h.use(target, now)
+	n := max(0, h.limit(target, slots)-u.lentOut())
+	for _, b := range u.borrowed {
+		n += b.slots
+	}
+	return n
+}
+
+// Valid reports whether the gate holds its membership.
+func (h *Holder) Valid() bool { return h.opts.Valid() }
+
+// Free gives how many more slots of a target this gate may occupy until the given time.
+func (h *Holder) Free(target string, slots int, until, now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.opts.Valid() {
+		return 0
+	}
+	u := h.use(target, now)
+	n := max(0, h.limit(target, slots)-u.own-u.lentOut())
+	for _, b := range u.borrowed {
+		if !until.After(b.expires) {
+			n += b.slots - b.inUse
+		}
+	}
+	return n
+}
+
+// Take occupies a slot of a target for a request that has surely ended at the given time.
+func (h *Holder) Take(target string, slots int, until, now time.Time) (*Slot, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.opts.Valid() {
+		return nil, false
+	}
+	u := h.use(target, now)
+	u.slots = slots
+	if u.own+u.lentOut() < h.limit(target, slots) {
+		u.own++
+		return &Slot{target: target}, true
+	}
+	if b := u.loan(until); b != nil {
+		b.inUse++
+		b.used = now
+		return &Slot{target: target, loan: b}, true
+	}
+	return nil, false
+}
+
+// Holds reports whether a slot may still be used for a request that ends at the given time; it is
+// asked directly before each send, because the process may have been paused since Take.
+func (h *Holder) Holds(s *Slot, until time.Time) bool {
+	return h.opts.Valid() && (s.loan == nil || !until.After(s.loan.expires))
+}
+
+// Release gives a slot back.
+func (h *Holder) Release(s *Slot, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.loan != nil {
+		s.loan.inUse--
+		s.loan.used = now
+		return
+	}
+	if u := h.uses[s.target]; u != nil {
+		u.own--
+	}
+}
+
+// Keep forgets the targets that are gone and of which nothing is taken.
+func (h *Holder) Keep(targets map[string]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, u := range h.uses {
+		if !targets[id] && u.own == 0 && len(u.lent) == 0 && len(u.borrowed) == 0 {
+			delete(h.uses, id)
+		}
+	}
+}
+
+// Others lists the other gates of the newest table.
+func (h *Holder) Others() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.newest()
+	if t == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(t.Gates), func(gate string) bool { return gate == h.id })
+}
--- /dev/null
+++ b/share/table.go
@@ -0,0 +1,36 @@
+package share
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table is the gate table of a zone.
+type Table struct {
+	Version int64 `json:"version" msgpack:"v"`
+	// Gates are the ids of the gates, in the same order for everyone.
+	Gates []string `json:"gates" msgpack:"g"`
+}
+
+// Of gives how many of a target's slots the table allots to a gate. Each gate gets the whole part;
+// the rest goes round from a start that the target's id decides, so that no gate gets all the rests.
+func (t *Table) Of(gate, target string, slots int) int {
+	n := len(t.Gates)
+	i := slices.Index(t.Gates, gate)
+	if i < 0 || slots <= 0 {
+		return 0
+	}
+	start := int(xxhash.Sum64String(target) % uint64(n))
+	if (i+n-start)%n < slots%n {
+		return slots/n + 1
+	}
+	return slots / n
+}
+
+func (t *Table) has(gate string) bool { return slices.Contains(t.Gates, gate) }
+
+// lacks reports whether a gate of other is missing from t.
+func (t *Table) lacks(other *Table) bool {
+	return slices.ContainsFunc(other.Gates, func(gate string) bool { return !t.has(gate) })
+}
