--- /dev/null
+++ b/cmd/ctl/caller.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"turmericgap/gate"
+	"turmericgap/job"
+)
+
+const (
+	maxReplyBytes = 32 << 20
+	// mostCheckMillis is the longest deadline that a gate takes for a check.
+	mostCheckMillis = 15_000
+)
+
+func callerCommands(c *common) []command {
+	return []command{
+		{"submit", "submit a job from a JSON file", "Reads a submission (docs/API.md) from a file, or from - for standard input.", &submit{cell: c}},
+		{"status", "show a job", "Shows where a job and its tasks stand.", &status{cell: c}},
+		{"wait", "wait for a job's answer", "Waits until the job is final, or until --seconds have passed.", &wait{cell: c}},
+		{"cancel", "cancel a job", "Cancels a job; tasks that were not started are then surely not run.", &cancel{cell: c}},
+		{"check", "send a check to a service", "Sends one check through the gate and prints its whole answer.", &check{cell: c}},
+	}
+}
+
+// reply is what the gate answers to any request.
+type reply struct {
+	gate.Body
+	status int
+	raw    []byte
+}
+
+// call sends one request to the gate.
+func (c *common) call(method, path string, header http.Header, body []byte) (*reply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(c.Seconds)*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Gate+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, &exit{exitUnknown, fmt.Errorf("the gate at %s gave no answer (%w); try another with --gate", c.Gate, err)}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return nil, &exit{exitUnknown, err}
+	}
+	r := &reply{status: resp.StatusCode, raw: raw}
+	if resp.StatusCode >= http.StatusBadRequest {
+		_ = json.Unmarshal(raw, &r.Body)
+		return r, r.fault()
+	}
+	return r, nil
+}
+
+// fault turns an answer that is no success into an error with its exit code.
+func (r *reply) fault() error {
+	switch {
+	case len(r.Findings) > 0:
+		return r.Findings
+	case r.Outcome == job.Unknown:
+		return &exit{exitUnknown, fmt.Errorf("may have run: %s; ask again with the same key", r.Reason)}
+	case r.RetryAfterMillis > 0:
+		return &exit{exitNotRun, fmt.Errorf("not run: %s; try again in %d ms", r.Reason, r.RetryAfterMillis)}
+	default:
+		return &exit{exitNotRun, fmt.Errorf("not run: %s (HTTP status %d)", r.Reason, r.status)}
+	}
+}
+
+type submit struct {
+	cell *common
+	Wait bool `long:"wait" description:"wait for the answer"`
+	Args struct {
+		File string `positional-arg-name:"file" description:"a submission, or -"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute submits the job.
+func (s *submit) Execute([]string) error {
+	raw, err := readFile(s.Args.File)
+	if err != nil {
+		return err
+	}
+	r, err := s.cell.call(http.MethodPost, "/v1/jobs", nil, raw)
+	if err != nil {
+		return err
+	}
+	var st job.Status
+	if err := json.Unmarshal(r.raw, &st); err != nil {
+		return err
+	}
+	if !s.Wait {
+		return s.cell.print(&st, r.raw)
+	}
+	return s.cell.await(st.ID)
+}
+
+// await asks for the job's answer.
+func (c *common) await(id string) error {
+	margin := int64(max(1, c.Seconds)*1000 - 500)
+	r, err := c.call(http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"/wait?timeoutMillis="+strconv.FormatInt(min(margin, 60_000), 10), nil, nil)
+	if err != nil {
+		return err
+	}
+	var st job.Status
+	if err := json.Unmarshal(r.raw, &st); err != nil {
+		return err
+	}
+	return c.print(&st, r.raw)
+}
+
+func readFile(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(io.LimitReader(os.Stdin, maxReplyBytes))
+	}
+	return os.ReadFile(name)
+}
+
+// print shows a job and turns its outcome into the exit code.
+func (c *common) print(s *job.Status, raw []byte) error {
+	if c.JSON {
+		fmt.Println(string(bytes.TrimSpace(raw)))
+	} else {
+		printStatus(os.Stdout, s)
+	}
+	switch s.Outcome {
+	case job.NotRun:
+		return &exit{exitNotRun, errors.New("not run: " + s.Reason)}
+	case job.Unknown:
+		return &exit{exitUnknown, errors.New("may have run: " + s.Reason)}
+	case job.Done:
+	}
+	return nil
+}
+
+func printStatus(w io.Writer, s *job.Status) {
+	fmt.Fprintf(w, "job %s: %s %s", s.ID, s.State, s.Outcome)
+	if s.Reason != "" {
+		fmt.Fprintf(w, " (%s)", s.Reason)
+	}
+	fmt.Fprintln(w)
+	for _, t := range s.Tasks {
+		fmt.Fprintf(w, "  task %d: %s %s", t.Index, t.State, t.Outcome)
+		if t.Worker != "" {
+			fmt.Fprintf(w, " on %s", t.Worker)
+		}
+		if t.Answer != nil {
+			fmt.Fprintf(w, ", exit %d: %s", t.Answer.Exit, t.Answer.Body)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+type jobArgument struct {
+	ID string `positional-arg-name:"job" description:"the job's id"`
+}
+
+type status struct {
+	cell *common
+	Args jobArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute shows the job.
+func (s *status) Execute([]string) error { return s.cell.job(http.MethodGet, s.Args.ID) }
+
+type wait struct {
+	cell *common
+	Args jobArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute waits for the job.
+func (w *wait) Execute([]string) error { return w.cell.await(w.Args.ID) }
+
+type cancel struct {
+	cell *common
+	Args jobArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute cancels the job.
+func (x *cancel) Execute([]string) error { return x.cell.job(http.MethodDelete, x.Args.ID) }
+
+func (c *common) job(method, id string) error {
+	r, err := c.call(method, "/v1/jobs/"+url.PathEscape(id), nil, nil)
+	if err != nil {
+		return err
+	}
+	var st job.Status
+	if err := json.Unmarshal(r.raw, &st); err != nil {
+		return err
+	}
+	return c.print(&st, r.raw)
+}
+
+type check struct {
+	cell       *common
+	Key        string `long:"key" description:"idempotency key"`
+	Repeatable bool   `long:"repeatable" description:"running it twice does no harm"`
+	Body       string `long:"body" description:"the body of the request"`
+	Args       struct {
+		Service string `positional-arg-name:"service"`
+		Method  string `positional-arg-name:"method"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute sends the check.
+func (k *check) Execute([]string) error {
+	h := http.Header{}
+	h.Set(gate.HeaderDeadline, strconv.Itoa(min(k.cell.Seconds*1000, mostCheckMillis)))
+	if k.Key != "" {
+		h.Set(gate.HeaderKey, k.Key)
+	}
+	if k.Repeatable {
+		h.Set(gate.HeaderRepeatable, "true")
+	}
+	r, err := k.cell.call(http.MethodPost, "/v1/checks/"+url.PathEscape(k.Args.Service)+"/"+url.PathEscape(k.Args.Method), h, []byte(k.Body))
+	if err != nil {
+		return err
+	}
+	if k.cell.JSON {
+		fmt.Println(string(bytes.TrimSpace(r.raw)))
+		return nil
+	}
+	var b gate.Body
+	if err := json.Unmarshal(r.raw, &b); err != nil {
+		return err
+	}
+	fmt.Printf("check %s/%s: %s by %s, exit %d: %s\n", k.Args.Service, k.Args.Method, b.Outcome, b.Target, b.Answer.Exit, b.Answer.Body)
+	return nil
+}
--- a/cmd/ctl/main.go
+++ b/cmd/ctl/main.go
@@ -1,20 +1,88 @@
-// Command ctl is the operators' command line.
+// Command ctl is the command line of operators, and of callers who try the cell by hand.
 package main
 
 import (
 	"errors"
+	"fmt"
 	"os"
 
 	"github.com/jessevdk/go-flags"
+
+	"turmericgap/finding"
+)
+
+// Exit codes.
+const (
+	exitFailed  = 1
+	exitUsage   = 2
+	exitNotRun  = 3
+	exitUnknown = 4
 )
 
+// common are the options of every command.
+type common struct {
+	Gate      string `long:"gate" env:"TURMERICGAP_GATE" default:"127.0.0.1:7800" description:"callers' address of a gate, IP number and port"`
+	Scheduler string `long:"scheduler" env:"TURMERICGAP_SCHEDULER" default:"127.0.0.1:7010" description:"rpc address of any scheduler, IP number and port"`
+	Store     string `long:"store" env:"TURMERICGAP_STORE" default:"http://127.0.0.1:7100" description:"endpoint of the platform's key-value service"`
+	JSON      bool   `long:"json" description:"print JSON"`
+	Seconds   int    `long:"seconds" default:"10" description:"time limit of the command"`
+}
+
+// exit is an error with the exit code that it asks for.
+type exit struct {
+	code int
+	err  error
+}
+
+func (e *exit) Error() string { return e.err.Error() }
+
 func main() {
-	parser := flags.NewNamedParser("ctl", flags.Default)
-	if _, err := parser.Parse(); err != nil {
-		var flagsErr *flags.Error
-		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-			return
+	c := &common{}
+	parser := flags.NewNamedParser("ctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "drives a turmericgap cell"
+	parser.LongDescription = "Exit codes: 0 done, 1 failed, 2 wrong usage or findings, 3 surely not run, 4 may have run."
+	if _, err := parser.AddGroup("Common options", "", c); err != nil {
+		panic(err)
+	}
+	for _, g := range [][]command{callerCommands(c)} {
+		for _, cmd := range g {
+			if _, err := parser.AddCommand(cmd.name, cmd.short, cmd.long, cmd.run); err != nil {
+				panic(err)
+			}
 		}
-		os.Exit(2)
+	}
+	_, err := parser.Parse()
+	os.Exit(report(err))
+}
+
+// command is one word of the command line.
+type command struct {
+	name, short, long string
+	run               flags.Commander
+}
+
+// report prints an error with what to do next and gives the exit code.
+func report(err error) int {
+	var flagsErr *flags.Error
+	var e *exit
+	var l finding.List
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
+		fmt.Println(flagsErr.Message)
+		return 0
+	case errors.As(err, &flagsErr):
+		fmt.Fprintf(os.Stderr, "ctl: %s\nTry ctl --help.\n", flagsErr.Message)
+		return exitUsage
+	case errors.As(err, &l):
+		fmt.Fprintf(os.Stderr, "ctl: %d findings, nothing was changed:\n%s\n", len(l), l)
+		return exitUsage
+	case errors.As(err, &e):
+		fmt.Fprintf(os.Stderr, "ctl: %s\n", e.err)
+		return e.code
+	default:
+		fmt.Fprintf(os.Stderr, "ctl: %s\n", err)
+		return exitFailed
 	}
 }
--- /dev/null
+++ b/cmd/gate/main.go
@@ -0,0 +1,172 @@
+// Command gate faces the callers of one entry VM: jobs, checks and sessions.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap"
+	"turmericgap/cmd/internal/process"
+	"turmericgap/finding"
+	"turmericgap/gate"
+	"turmericgap/job"
+	"turmericgap/logger"
+	"turmericgap/member"
+	"turmericgap/route"
+	"turmericgap/rpc"
+	"turmericgap/rule"
+	"turmericgap/setting"
+	"turmericgap/store"
+	"turmericgap/target"
+	"turmericgap/target/web"
+	"turmericgap/view"
+	"turmericgap/webcall"
+)
+
+const (
+	forwardMethod = "gate.check"
+	cancelReason  = "cancelled by its caller"
+)
+
+type settings struct {
+	setting.Process
+	// CallerAddress serves callers over HTTP.
+	CallerAddress string `json:"callerAddress"`
+	// Scheduler is the rpc address of the scheduler on this VM, Seeds those of schedulers elsewhere.
+	Scheduler string   `json:"scheduler"`
+	Seeds     []string `json:"seeds"`
+}
+
+func (s *settings) check(l *finding.List) {
+	s.Check(l)
+	setting.CheckAddress(l, "callerAddress", s.CallerAddress)
+	setting.CheckAddress(l, "scheduler", s.Scheduler)
+	for i, a := range s.Seeds {
+		setting.CheckAddress(l, fmt.Sprintf("seeds[%d]", i), a)
+	}
+}
+
+func main() {
+	s := settings{Process: setting.DefaultProcess()}
+	process.Main("gate", &s.Process, &s, s.check, func(service *turmericgap.Service) error { return wire(service, &s) })
+}
+
+// parts are what the gate's process consists of.
+type parts struct {
+	follower *view.Follower
+	group    *member.Group
+	pool     *rpc.Pool
+	calls    *webcall.Pool
+	server   *rpc.Server
+	gate     *gate.Gate
+}
+
+func wire(service *turmericgap.Service, s *settings) error {
+	peers, err := net.Listen("tcp", s.RPCAddress)
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", s.CallerAddress)
+	if err != nil {
+		return err
+	}
+	kv, err := store.Open(s.Store.Kind, s.Store.Endpoint)
+	if err != nil {
+		return err
+	}
+	log := service.Logger()
+	p := &parts{pool: rpc.NewPool(), calls: webcall.New(), server: rpc.NewServer()}
+	p.group = process.Group(service, kv, &s.Process, member.RoleGate, process.Viewer{
+		View:  func() *view.View { return p.follower.View() },
+		Heard: func(m member.Member, v int64) { p.follower.Heard(m, v) },
+	})
+	p.follower = view.NewFollower(s.Scheduler, view.Self(p.group.Self()), view.Groups(p.group),
+		view.Seeds(s.Seeds...), view.Logger(logger.Part(log, "view")))
+	rules := &process.Rules{View: p.follower.View, Logger: log}
+	p.gate = gate.New(gate.ID(s.ID), gate.Zone(s.Zone), gate.Dial(web.New(p.calls)),
+		gate.Targets(func() []target.Info { return p.follower.View().Targets }),
+		gate.Peers(p.gatesOf, p.forward), gate.JobOwner(p.jobs(s)),
+		gate.Rules(func(c *gate.Check) gate.Decision { return decide(rules.List(), s.Zone, c) }),
+		gate.Logger(logger.Part(log, "gate")), gate.Metrics(service.Metrics()))
+	p.register()
+	service.Init(
+		turmericgap.Ready(func() error { return process.Valid(p.group) }),
+		turmericgap.Start(func() error {
+			go func() { _ = p.server.Serve(peers) }()
+			go func() { _ = p.gate.Serve(callers) }()
+			p.follower.Start(context.Background())
+			return p.group.Start(context.Background())
+		}),
+		turmericgap.Stop(func(deadline time.Time) { p.stop(deadline, log) }))
+	return nil
+}
+
+func (p *parts) register() {
+	p.follower.Register(p.server)
+	rpc.Handle(p.server, member.BeatMethod, p.group.Beat)
+	rpc.Handle(p.server, forwardMethod, p.gate.Forwarded)
+}
+
+// stop lets what is in progress end, then leaves the table so that its shares pass on at once.
+func (p *parts) stop(deadline time.Time, log *zap.Logger) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	p.gate.Drain(deadline)
+	if err := p.group.Leave(ctx, false); err != nil {
+		log.Warn("gate: left without notice", zap.Error(err))
+	}
+	p.gate.Close()
+	p.follower.Close()
+	p.server.Close()
+	p.pool.Close()
+}
+
+// gatesOf gives the addresses of a zone's gates that take new work.
+func (p *parts) gatesOf(zone string) []string {
+	t, _ := p.follower.View().Table(zone, member.RoleGate)
+	out := make([]string, 0, len(t.Members))
+	for _, m := range t.Members {
+		if m.State != member.Leaving {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
+func (p *parts) forward(ctx context.Context, address string, c *gate.Check) (*gate.Result, error) {
+	return rpc.Call[gate.Check, gate.Result](ctx, p.pool.Get(address), forwardMethod, c)
+}
+
+func (p *parts) jobs(s *settings) gate.Jobs {
+	c := &route.Client{Zones: s.Zones, Pool: p.pool, Owner: func(zone string) (string, bool) {
+		t, _ := p.follower.View().Table(zone, member.RoleScheduler)
+		m, ok := t.Find(t.Owner)
+		return m.Address, ok
+	}}
+	return gate.Jobs{
+		Submit: c.Submit, Status: c.Status, Wait: c.Wait,
+		Cancel: func(ctx context.Context, id string) (*job.Status, error) { return c.Cancel(ctx, id, cancelReason) },
+	}
+}
+
+// decide asks the rules about a check.
+func decide(l *rule.List, zone string, c *gate.Check) gate.Decision {
+	var r rule.Request
+	r.ForCheck(time.Now(), c.Service, c.Method, "", zone, c.Session != "")
+	e := l.Decide(&r)
+	if e == nil {
+		return gate.Decision{}
+	}
+	d := gate.Decision{
+		Refuse: e.Refuse, Service: e.Service, Retries: e.Retries, Queue: e.MostPending,
+		Timeout: time.Duration(e.TimeoutSeconds) * time.Second,
+	}
+	if len(e.Zones) > 0 {
+		d.Zone = e.Zones[0]
+	}
+	return d
+}
--- /dev/null
+++ b/cmd/internal/process/process.go
@@ -0,0 +1,148 @@
+// Package process holds what the mains of the cell's programs share: arguments, settings, wiring.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+
+	"turmericgap"
+	"turmericgap/finding"
+	"turmericgap/logger"
+	"turmericgap/member"
+	"turmericgap/rule"
+	"turmericgap/rule/standard"
+	"turmericgap/setting"
+	"turmericgap/store"
+	"turmericgap/view"
+	"turmericgap/vmlist/web"
+	"turmericgap/webcall"
+
+	// The plug-ins that settings may name.
+	_ "turmericgap/store/etcd"
+	_ "turmericgap/trace/otlp"
+	_ "turmericgap/trace/stdout"
+)
+
+// Exit codes of every program.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type arguments struct {
+	Settings string `long:"settings" short:"s" description:"the JSON file of settings" required:"true"`
+	Check    bool   `long:"check" description:"report all findings of the settings and end"`
+}
+
+// Main reads arguments and settings, wires the program and runs it until it is stopped.
+func Main(name string, common *setting.Process, into any, check func(*finding.List), wire func(*turmericgap.Service) error) {
+	var args arguments
+	if _, err := flags.NewParser(&args, flags.Default).Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	if err := setting.Load(args.Settings, into, check); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: settings in %s:\n%s\n", name, args.Settings, err)
+		os.Exit(exitUsage)
+	}
+	if args.Check {
+		fmt.Println("settings: no findings")
+		return
+	}
+	logger.Level.SetLevel(common.Level())
+	service := turmericgap.New(turmericgap.Name(name), turmericgap.OpsAddress(common.OpsAddress),
+		turmericgap.Trace(common.Trace.Exporter, common.Trace.Address),
+		turmericgap.ShutdownWithin(setting.Millis(common.ShutdownMillis)))
+	err := wire(service)
+	if err == nil {
+		err = service.Run()
+	}
+	if err != nil {
+		service.Logger().Error("service: failed", zap.Error(err))
+		os.Exit(exitFailed)
+	}
+}
+
+// Viewer is where a Group learns what the process's view knows.
+type Viewer struct {
+	View  func() *view.View
+	Heard func(from member.Member, version int64)
+}
+
+// Group makes this process's part in the table of its zone and role.
+func Group(s *turmericgap.Service, kv *store.Store, p *setting.Process, role string, v Viewer) *member.Group {
+	self := member.Member{ID: p.ID, Role: role, Zone: p.Zone, Address: p.RPCAddress, VM: p.VM}
+	return member.New(kv, self, member.Logger(logger.Part(s.Logger(), "member")),
+		member.Listed(func() (map[string]bool, bool) { return v.View().Listed() }),
+		member.Rules(func() int64 { return v.View().Rules.Version }, v.Heard))
+}
+
+// Valid is the readiness of a process that acts only as a valid member.
+func Valid(g *member.Group) error {
+	if !g.Valid() {
+		return errors.New("membership does not hold now")
+	}
+	return nil
+}
+
+// Listing reads the platform's VM list.
+func Listing(calls *webcall.Pool, address string) func(context.Context) (view.Listing, error) {
+	source := web.New(calls, address)
+	return func(ctx context.Context) (view.Listing, error) {
+		l, err := source.Read(ctx)
+		if err != nil {
+			return view.Listing{}, err
+		}
+		out := view.Listing{Version: l.Version, Workers: l.Workers, Targets: l.Targets, Entries: make(map[string]bool, len(l.Entries))}
+		for _, e := range l.Entries {
+			out.Entries[e.ID] = true
+		}
+		return out, nil
+	}
+}
+
+// Rules follows the view's rule document; until there is one, the standard list decides.
+type Rules struct {
+	View   func() *view.View
+	Logger *zap.Logger
+
+	mu     sync.Mutex
+	list   *rule.List
+	parsed int64
+}
+
+// List gives the rules in force.
+func (r *Rules) List() *rule.List {
+	l, _ := r.Newer()
+	return l
+}
+
+// Newer gives the rules in force and whether they changed since the last call.
+func (r *Rules) Newer() (l *rule.List, newer bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.list == nil {
+		r.list, newer = standard.List(), true
+	}
+	latest := r.View().Rules
+	if latest.Version <= r.parsed {
+		return r.list, newer
+	}
+	r.parsed = latest.Version
+	parsed, err := rule.Parse(latest.Raw)
+	if err != nil {
+		// Documents are checked when they are accepted; one of a newer program may not be understood.
+		r.Logger.Error("rules: document not understood, the last one stays", zap.Int64("version", latest.Version), zap.Error(err))
+		return r.list, newer
+	}
+	r.list = parsed
+	return r.list, true
+}
--- /dev/null
+++ b/cmd/scheduler/main.go
@@ -0,0 +1,85 @@
+// Command scheduler accepts, queues, places, owns and recovers the jobs of one availability zone.
+package main
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap"
+	"turmericgap/cmd/internal/process"
+	"turmericgap/logger"
+	"turmericgap/member"
+	"turmericgap/planner"
+	"turmericgap/rpc"
+	"turmericgap/scheduler"
+	"turmericgap/setting"
+	"turmericgap/store"
+	"turmericgap/view"
+	"turmericgap/webcall"
+	"turmericgap/worker"
+	"turmericgap/worker/web"
+)
+
+func main() {
+	p := setting.DefaultProcess()
+	process.Main("scheduler", &p, &p, p.Check, func(s *turmericgap.Service) error { return wire(s, &p) })
+}
+
+// wire joins the parts; the address is listened on first, because holding it proves to other
+// members that an earlier process at it has ended.
+func wire(service *turmericgap.Service, p *setting.Process) error {
+	listener, err := net.Listen("tcp", p.RPCAddress)
+	if err != nil {
+		return err
+	}
+	kv, err := store.Open(p.Store.Kind, p.Store.Endpoint)
+	if err != nil {
+		return err
+	}
+	calls := webcall.New()
+	var keeper *view.Keeper
+	group := process.Group(service, kv, p, member.RoleScheduler, process.Viewer{
+		View:  func() *view.View { return keeper.View() },
+		Heard: func(m member.Member, v int64) { keeper.Heard(m, v) },
+	})
+	log := service.Logger()
+	keeper = view.New(kv, view.Self(group.Self()), view.Groups(group), view.Logger(logger.Part(log, "view")),
+		view.List(process.Listing(calls, p.ListAddress)))
+	rules := process.Rules{View: keeper.View, Logger: log}
+	sched := scheduler.New(
+		scheduler.Zone(p.Zone), scheduler.Store(kv), scheduler.Owns(group.Owns), scheduler.Dial(web.New(calls)),
+		scheduler.Workers(func() []worker.Info { return keeper.View().Workers }),
+		scheduler.Logger(logger.Part(log, "scheduler")), scheduler.Metrics(service.Metrics()),
+		scheduler.Planner(func() *planner.Planner { return planner.New(planner.Rules(rules.List())) }),
+		scheduler.Rules(func(pl *planner.Planner) {
+			if l, newer := rules.Newer(); newer {
+				pl.SetRules(l)
+			}
+		}))
+	server := rpc.NewServer()
+	sched.Register(server)
+	keeper.Register(server)
+	rpc.Handle(server, member.BeatMethod, group.Beat)
+	service.Init(
+		turmericgap.Ready(func() error { return process.Valid(group) }),
+		turmericgap.Start(func() error {
+			go func() { _ = server.Serve(listener) }()
+			keeper.Start(context.Background())
+			return group.Start(context.Background())
+		}),
+		turmericgap.Stop(func(deadline time.Time) {
+			ctx, cancel := context.WithDeadline(context.Background(), deadline)
+			defer cancel()
+			sched.Stop(ctx)
+			if err := group.Leave(ctx, true); err != nil {
+				log.Warn("scheduler: left without hand-over", zap.Error(err))
+			}
+			keeper.Close()
+			listener.Close()
+			server.Close()
+		}))
+	return nil
+}
--- /dev/null
+++ b/scheduler/follow.go
@@ -0,0 +1,347 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/job"
+	"turmericgap/journal"
+	"turmericgap/planner"
+	"turmericgap/worker"
+)
+
+const serviceKind = job.Service
+
+// onBeat takes the outcome of a heartbeat.
+func (t *term) onBeat(l *link, b beat) {
+	now := time.Now()
+	if b.err != nil {
+		if !errors.Is(b.err, worker.ErrNotSent) {
+			l.mayHaveRenewed = now
+		}
+		l.misses++
+		if l.misses == missesToClose {
+			t.o.Logger.Warn("scheduler: worker does not answer", zap.String("worker", l.info.ID), zap.Error(b.err))
+			t.openWorker(now, l)
+		}
+		return
+	}
+	l.mayHaveRenewed = now
+	wasOpen := l.answered && l.misses < missesToClose
+	l.answered, l.misses = true, 0
+	if l.boot != b.reply.Boot {
+		l.boot = b.reply.Boot
+	}
+	if !wasOpen {
+		t.openWorker(now, l)
+	}
+	for i := range b.reply.Reports {
+		t.onReport(l, &b.reply.Reports[i], now)
+	}
+	if b.reply.Whole {
+		t.onWhole(l, b.reply, now)
+	}
+}
+
+// onWhole compares a full list of a worker's attempts with what is held to be there.
+func (t *term) onWhole(l *link, reply *worker.HeartbeatReply, now time.Time) {
+	there := make(map[string]bool, len(reply.Reports))
+	for i := range reply.Reports {
+		there[reply.Reports[i].Attempt] = true
+	}
+	for _, r := range t.heldAt(l.info.ID) {
+		e, i := r.e, r.task
+		k := &e.tasks[i]
+		if there[attemptID(e.id, i, k.Attempt)] || k.saving {
+			continue
+		}
+		switch {
+		case k.confirmed || (k.Boot != "" && k.Boot != reply.Boot):
+			// The worker has lost its memory: what ran before its restart has ended with it, and
+			// whether it ran to its end nobody can say.
+			t.lose(e, i, "the worker restarted", now)
+		case k.sentAt.IsZero() || now.Sub(k.sentAt) > t.o.Resend:
+			t.sendStart(e, i, now)
+		}
+	}
+}
+
+// onReport takes what a worker says of one attempt.
+func (t *term) onReport(l *link, r *worker.Report, now time.Time) {
+	e, i, k := t.find(l, r.Attempt)
+	if k == nil {
+		t.onStray(l, r)
+		return
+	}
+	if k.saving {
+		if r.State != worker.Running {
+			k.report = r
+		}
+		return
+	}
+	if r.State == worker.Running {
+		if !k.confirmed {
+			k.confirmed = true
+			k.started = now
+			t.countStart(e, now)
+		}
+		t.planner.Usage(e.id, i, r.Usage)
+		return
+	}
+	k.report = r
+	t.finish(e, i, now)
+}
+
+// find gives the task whose current attempt, at this worker, has that name.
+func (t *term) find(l *link, attempt string) (*entry, int, *task) {
+	id, i, n, err := splitAttemptID(attempt)
+	if err != nil {
+		return nil, 0, nil
+	}
+	e := t.jobs[id]
+	if e == nil || i < 0 || i >= len(e.tasks) {
+		return nil, 0, nil
+	}
+	k := &e.tasks[i]
+	if k.Phase != intended || k.Attempt != n || k.Worker != l.info.ID {
+		return nil, 0, nil
+	}
+	return e, i, k
+}
+
+// onStray deals with an attempt that is not, or no longer, held to be at this worker. One that runs
+// is a late start of an earlier owner; left alone it would use capacity that is promised elsewhere.
+func (t *term) onStray(l *link, r *worker.Report) {
+	if r.State != worker.Running {
+		l.giveForget([]string{r.Attempt})
+		return
+	}
+	t.o.Logger.Warn("scheduler: stop a stray attempt", zap.String("worker", l.info.ID), zap.String("attempt", r.Attempt))
+	a := &worker.Act{Attempt: r.Attempt, Verb: worker.Stop, Epoch: t.epoch}
+	l.send(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, t.o.CallTimeout)
+		defer cancel()
+		_, _ = l.client.Act(ctx, a)
+	})
+}
+
+// finish records how an attempt ended, and releases its worker once that is durable.
+func (t *term) finish(e *entry, i int, now time.Time) {
+	k := &e.tasks[i]
+	report, at := k.report, k.Worker
+	next := t.verdict(e, k, report, now)
+	t.save([]change{{e, i, next}}, func() {
+		k.report = nil
+		if l := t.links[at]; l != nil {
+			l.giveForget([]string{report.Attempt})
+		}
+		t.release(e, i, now)
+	})
+}
+
+// lose records that an attempt has surely ended without an answer.
+func (t *term) lose(e *entry, i int, reason string, now time.Time) {
+	k := &e.tasks[i]
+	if k.saving {
+		return
+	}
+	next := k.taskRecord
+	next.Ran = true
+	next.Failures++
+	t.settle(e, &next, reason, now)
+	t.save([]change{{e, i, next}}, func() { t.release(e, i, now) })
+}
+
+// verdict gives the task's next durable state after the end of its attempt.
+func (t *term) verdict(e *entry, k *task, r *worker.Report, now time.Time) taskRecord {
+	next := k.taskRecord
+	switch {
+	case r.State == worker.Forbidden:
+		if e.cancel != nil {
+			t.endUnstarted(e, &next, now)
+		} else {
+			next.again("")
+		}
+	case r.State == worker.Stopped:
+		next.Ran = true
+		next.Checkpoint = r.Checkpoint
+		t.settle(e, &next, stopReason(k), now)
+	case r.Answer == nil || !r.Answer.Whole() || len(r.Answer.Body) > MaxAnswerBytes:
+		next.Ran = true
+		next.Failures++
+		t.settle(e, &next, "its answer was cut or is too long", now)
+	case r.Answer.Exit != 0 && e.cancel == nil && e.Spec.Repeatable && k.Failures+1 < t.attempts(e):
+		next.Ran = true
+		next.Failures++
+		next.again("it failed and is run again")
+	default:
+		next.Ran = true
+		next.end(job.Done, "", now)
+		next.Answer = r.Answer
+	}
+	return next
+}
+
+// settle decides on an attempt that ended without a whole answer: run again only what may be.
+func (t *term) settle(e *entry, next *taskRecord, reason string, now time.Time) {
+	switch {
+	case e.cancel != nil:
+		next.end(job.Unknown, "cancelled: "+e.cancel.Reason, now)
+	case e.Spec.Repeatable && next.Failures < t.attempts(e):
+		next.again(reason)
+	default:
+		next.end(job.Unknown, reason, now)
+	}
+}
+
+// endUnstarted ends a task of which no attempt is anywhere.
+func (t *term) endUnstarted(e *entry, next *taskRecord, now time.Time) {
+	if next.Ran {
+		next.end(job.Unknown, "cancelled after an earlier attempt: "+e.cancel.Reason, now)
+		return
+	}
+	next.end(job.NotRun, "cancelled: "+e.cancel.Reason, now)
+}
+
+func (r *taskRecord) again(reason string) {
+	r.Phase, r.Worker, r.Boot, r.Reason = pending, "", "", reason
+}
+
+func (r *taskRecord) end(o job.Outcome, reason string, now time.Time) {
+	r.Phase, r.Outcome, r.Reason, r.Ended, r.Checkpoint = final, o, reason, now, nil
+}
+
+func stopReason(k *task) string {
+	if k.stop != "" {
+		return k.stop
+	}
+	return "its worker stopped it"
+}
+
+func (t *term) attempts(e *entry) int {
+	if e.decision.Retries > 0 {
+		return 1 + e.decision.Retries
+	}
+	return DefaultAttempts
+}
+
+// release frees the worker's resources after a durable end, and ends the job with its last task.
+func (t *term) release(e *entry, i int, now time.Time) {
+	k := &e.tasks[i]
+	end := planner.End{Requeue: k.Phase == pending && e.cancel == nil, OK: k.Outcome == job.Done && k.Answer.Exit == 0}
+	if !k.started.IsZero() {
+		end.Ran = now.Sub(k.started)
+	}
+	k.confirmed, k.stop, k.sentAt, k.started = false, "", time.Time{}, time.Time{}
+	t.planner.Release(now, e.id, i, end)
+	t.dirty = true
+	if e.cancel != nil && k.Phase == pending {
+		t.cancelTask(e, i, now)
+		return
+	}
+	t.closeJob(e)
+}
+
+// closeJob tells the waiters of a job whose last task is final.
+func (t *term) closeJob(e *entry) {
+	if !e.final() || !e.ended.IsZero() {
+		return
+	}
+	e.close()
+	t.planner.Drop(e.id)
+	t.countAnswers(e)
+	s := e.status(t.o.Zone)
+	for _, w := range e.waiters {
+		w <- s
+	}
+	e.waiters = nil
+}
+
+// change is the next durable state of one task.
+type change struct {
+	e    *entry
+	task int
+	next taskRecord
+}
+
+// save commits changes and applies them when they are durable. When the journal takes no more, the
+// tasks stay as they are and the tick tries again.
+func (t *term) save(changes []change, then func()) bool {
+	records := make([]journal.Record, len(changes))
+	for i, c := range changes {
+		records[i] = encode(kindTask, taskKey(c.e.id, c.task), c.next)
+	}
+	err := t.journal.Append(records, func(err error) {
+		if err != nil {
+			t.fail(err)
+			return
+		}
+		t.post(func() {
+			for _, c := range changes {
+				c.e.tasks[c.task].saving, c.e.tasks[c.task].next = false, taskRecord{}
+				t.set(c.e, c.task, c.next)
+			}
+			then()
+		})
+	})
+	if err != nil {
+		return false
+	}
+	for _, c := range changes {
+		c.e.tasks[c.task].saving, c.e.tasks[c.task].next = true, c.next
+	}
+	return true
+}
+
+// fail ends the term after a commit that surely will not come: another owner has the zone.
+func (t *term) fail(err error) {
+	t.o.Logger.Warn("scheduler: term ends", zap.Int64("epoch", t.epoch), zap.Error(err))
+	go t.close(closedContext(), false)
+}
+
+// ref names one task.
+type ref struct {
+	e    *entry
+	task int
+}
+
+// set replaces a task's durable record and keeps the index of what is held at each worker.
+func (t *term) set(e *entry, i int, r taskRecord) {
+	k := &e.tasks[i]
+	if k.Phase == intended {
+		delete(t.held[k.Worker], ref{e, i})
+		if len(t.held[k.Worker]) == 0 {
+			delete(t.held, k.Worker)
+		}
+	}
+	k.taskRecord = r
+	if k.Phase == intended {
+		if t.held[k.Worker] == nil {
+			t.held[k.Worker] = make(map[ref]bool)
+		}
+		t.held[k.Worker][ref{e, i}] = true
+	}
+}
+
+// heldAt gives the tasks whose attempt is held to be at a worker, in a fixed order.
+func (t *term) heldAt(workerID string) []ref {
+	refs := make([]ref, 0, len(t.held[workerID]))
+	for r := range t.held[workerID] {
+		refs = append(refs, r)
+	}
+	sortRefs(refs)
+	return refs
+}
+
+func sortRefs(refs []ref) {
+	sort.Slice(refs, func(i, k int) bool {
+		if refs[i].e.id != refs[k].e.id {
+			return refs[i].e.id < refs[k].e.id
+		}
+		return refs[i].task < refs[k].task
+	})
+}
--- /dev/null
+++ b/scheduler/link.go
@@ -0,0 +1,226 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"turmericgap/worker"
+)
+
+// link is this owner's connection to one worker: a goroutine for heartbeats and one for sends.
+type link struct {
+	info   worker.Info
+	client *worker.Client
+	sends  chan func(context.Context)
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu     sync.Mutex
+	forget []string
+
+	// The rest belongs to the term's loop.
+	boot     string
+	answered bool
+	misses   int
+	listed   bool
+	// mayHaveRenewed is when a message that renews leases can last have left this process.
+	mayHaveRenewed time.Time
+}
+
+// beat is the outcome of one heartbeat.
+type beat struct {
+	reply  *worker.HeartbeatReply
+	err    error
+	forgot []string
+	ended  time.Time
+}
+
+func (t *term) openLink(info worker.Info) *link {
+	l := &link{info: info, listed: true, sends: make(chan func(context.Context), sendRing), mayHaveRenewed: t.since}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.client = t.o.Dial(info, t.valid)
+	l.wg.Go(func() { l.sendLoop() })
+	l.wg.Go(func() { t.beatLoop(l) })
+	t.wg.Go(func() {
+		<-t.closing
+		l.close()
+	})
+	return l
+}
+
+// close ends both goroutines and waits until no call of theirs is under way.
+func (l *link) close() {
+	l.cancel()
+	l.wg.Wait()
+}
+
+func (l *link) sendLoop() {
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case f := <-l.sends:
+			f(l.ctx)
+		}
+	}
+}
+
+// send hands a call to the sender; false means that its ring is full and the call was not made.
+func (l *link) send(f func(context.Context)) bool {
+	select {
+	case l.sends <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// beatLoop renews leases and asks for changes, one long poll after another.
+func (t *term) beatLoop(l *link) {
+	var cursor int64
+	wait := time.Duration(0)
+	for l.ctx.Err() == nil {
+		h := &worker.Heartbeat{
+			Epoch: t.epoch, LeaseMillis: worker.LeaseMillis(t.o.WorkerLease),
+			Cursor: cursor, WaitMillis: wait.Milliseconds(), Forget: l.takeForget(),
+		}
+		b := t.beatOnce(l, h, wait)
+		if b.err == nil {
+			cursor, wait = b.reply.Cursor, t.o.BeatWait
+		} else {
+			l.giveForget(b.forgot)
+			wait = 0
+		}
+		if !t.post(func() { t.onBeat(l, b) }) {
+			return
+		}
+		if b.err != nil && !pause(l.ctx, t.o.BeatRetry) {
+			return
+		}
+	}
+}
+
+func (t *term) beatOnce(l *link, h *worker.Heartbeat, wait time.Duration) beat {
+	if !t.valid() {
+		return beat{err: worker.ErrNotSent, forgot: h.Forget}
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, wait+t.o.CallTimeout)
+	defer cancel()
+	reply, err := l.client.Heartbeat(ctx, h)
+	return beat{reply: reply, err: err, forgot: h.Forget, ended: time.Now()}
+}
+
+func (l *link) takeForget() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := min(len(l.forget), forgetMost)
+	out := l.forget[:n:n]
+	l.forget = l.forget[n:]
+	if len(l.forget) == 0 {
+		l.forget = nil
+	}
+	return out
+}
+
+func (l *link) giveForget(attempts ...[]string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range attempts {
+		l.forget = append(l.forget, a...)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// sendStart sends an attempt whose intent is durable; it may be a repeat of one sent before.
+func (t *term) sendStart(e *entry, i int, now time.Time) {
+	k := &e.tasks[i]
+	l := t.links[k.Worker]
+	if l == nil || now.Before(t.quietUntil) {
+		return
+	}
+	s := &worker.Start{
+		Attempt: attemptID(e.id, i, k.Attempt), Each: e.Spec.Each, Epoch: t.epoch,
+		LeaseMillis: worker.LeaseMillis(t.o.WorkerLease), RunSeconds: e.Spec.RunSeconds, Class: e.Spec.Class,
+		Service: e.Spec.Kind == serviceKind, Payload: e.Spec.Payload, Checkpoint: k.Checkpoint,
+	}
+	parent := e.Parent
+	ok := l.send(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, t.o.CallTimeout)
+		defer cancel()
+		ctx, span := startSpan(ctx, parent, "worker.start", s.Attempt)
+		defer span.End()
+		s.Parent = parentOf(ctx)
+		report, err := l.client.Start(ctx, s)
+		t.post(func() { t.onSent(l, s.Attempt, report, err) })
+	})
+	if ok {
+		k.sentAt = now
+	}
+}
+
+// sendAct asks the worker of an attempt to stop or checkpoint it.
+func (t *term) sendAct(e *entry, i int, verb worker.Verb, now time.Time) {
+	k := &e.tasks[i]
+	l := t.links[k.Worker]
+	if l == nil {
+		return
+	}
+	a := &worker.Act{Attempt: attemptID(e.id, i, k.Attempt), Verb: verb, Epoch: t.epoch}
+	ok := l.send(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, t.o.CallTimeout)
+		defer cancel()
+		report, err := l.client.Act(ctx, a)
+		t.post(func() { t.onSent(l, a.Attempt, report, err) })
+	})
+	if ok {
+		k.sentAt = now
+	}
+}
+
+// onSent takes the outcome of a start or an act. An error other than a refusal tells nothing of
+// what the worker did: heartbeats will, and the tick sends the same attempt again.
+func (t *term) onSent(l *link, attempt string, report *worker.Report, err error) {
+	now := time.Now()
+	if !errors.Is(err, worker.ErrNotSent) {
+		l.mayHaveRenewed = now
+	}
+	switch {
+	case err == nil && report != nil:
+		t.onReport(l, report, now)
+	case errors.Is(err, worker.ErrRefused):
+		// A refusal is as definite as an attempt that was forbidden: it did not and will not run.
+		t.onReport(l, &worker.Report{Attempt: attempt, State: worker.Forbidden}, now)
+	}
+}
+
+const tracerName = "turmericgap/scheduler"
+
+func startSpan(ctx context.Context, parent, name, attempt string) (context.Context, trace.Span) {
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{parentKey: parent})
+	return otel.Tracer(tracerName).Start(ctx, name,
+		trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("attempt", attempt)))
+}
+
+const parentKey = "traceparent"
+
+func parentOf(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier[parentKey]
+}
--- /dev/null
+++ b/scheduler/place.go
@@ -0,0 +1,241 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/job"
+	"turmericgap/planner"
+	"turmericgap/worker"
+)
+
+// place asks the planner for starts and commits their intents, one group for all of them.
+func (t *term) place(now time.Time) {
+	t.dirty = false
+	if t.draining || now.Before(t.quietUntil) || !t.valid() {
+		return
+	}
+	plan := t.planner.Next(now, startsMost)
+	t.preempt(plan.Preempts, now)
+	if len(plan.Starts) == 0 {
+		return
+	}
+	changes := make([]change, 0, len(plan.Starts))
+	for _, s := range plan.Starts {
+		e := t.live[s.Job]
+		if e == nil {
+			continue
+		}
+		next := e.tasks[s.Task].taskRecord
+		next.Phase, next.Worker, next.Attempt, next.Reason = intended, s.Worker, next.Attempt+1, ""
+		if l := t.links[s.Worker]; l != nil {
+			next.Boot = l.boot
+		}
+		changes = append(changes, change{e, s.Task, next})
+	}
+	if !t.save(changes, func() { t.sendIntended(changes) }) {
+		for _, c := range changes {
+			t.planner.Release(now, c.e.id, c.task, planner.End{Requeue: true})
+		}
+	}
+	// More may be startable than one plan holds; the next event or tick goes on.
+	t.dirty = len(plan.Starts) == startsMost
+}
+
+// sendIntended sends the starts whose intents have become durable. One that was cancelled meanwhile
+// was never sent by this owner, which alone can send it, so that it has surely not run.
+func (t *term) sendIntended(changes []change) {
+	now := time.Now()
+	for _, c := range changes {
+		if c.e.cancel == nil {
+			t.sendStart(c.e, c.task, now)
+			continue
+		}
+		next := c.e.tasks[c.task].taskRecord
+		t.endUnstarted(c.e, &next, now)
+		t.save([]change{{c.e, c.task, next}}, func() { t.release(c.e, c.task, time.Now()) })
+	}
+}
+
+// preempt checkpoints and stops tasks that make room for more urgent ones.
+func (t *term) preempt(list []planner.Preempt, now time.Time) {
+	for _, p := range list {
+		e := t.live[p.Job]
+		if e == nil || e.tasks[p.Task].Phase != intended || e.tasks[p.Task].stop != "" {
+			continue
+		}
+		e.tasks[p.Task].stop = "preempted for " + p.For
+		t.o.Metrics.Counter("task.preempted").Inc(1)
+		t.sendAct(e, p.Task, worker.Checkpoint, now)
+		t.sendAct(e, p.Task, worker.Stop, now)
+	}
+}
+
+// onTick does what depends on time alone.
+func (t *term) onTick(now time.Time) {
+	t.syncWorkers(now)
+	t.o.Rules(t.planner)
+	t.repeatSends(now)
+	t.lapseWorkers(now)
+	t.forgetOld(now)
+	t.cutSnapshot()
+	t.report(now)
+	t.dirty = true
+}
+
+// repeatSends goes on with whatever a full ring, a lost message or a full journal has held up.
+func (t *term) repeatSends(now time.Time) {
+	for _, e := range t.live {
+		for i := range e.tasks {
+			k := &e.tasks[i]
+			switch {
+			case k.saving || k.Phase == final:
+			case k.report != nil:
+				t.finish(e, i, now)
+			case now.Sub(k.sentAt) < t.o.Resend:
+			case k.Phase == pending && e.cancel != nil:
+				t.cancelTask(e, i, now)
+			case k.Phase == intended && (k.stop != "" || e.cancel != nil):
+				t.sendAct(e, i, worker.Stop, now)
+			case k.Phase == intended && !k.confirmed:
+				t.sendStart(e, i, now)
+			}
+		}
+	}
+}
+
+// syncWorkers follows the VM list: new workers get a link, lost ones keep theirs while they hold tasks.
+func (t *term) syncWorkers(now time.Time) {
+	listed := make(map[string]bool)
+	for _, info := range t.o.Workers() {
+		if info.Zone != t.o.Zone {
+			continue
+		}
+		listed[info.ID] = true
+		l := t.links[info.ID]
+		if l == nil {
+			l = t.openLink(info)
+			t.links[info.ID] = l
+			t.openWorker(now, l)
+			continue
+		}
+		if l.info != info || !l.listed {
+			l.info, l.listed = info, true
+			t.openWorker(now, l)
+		}
+	}
+	for id, l := range t.links {
+		switch {
+		case listed[id]:
+		case len(t.held[id]) > 0:
+			if l.listed {
+				l.listed = false
+				t.openWorker(now, l)
+			}
+		default:
+			l.cancel()
+			delete(t.links, id)
+			t.planner.RemoveWorker(id)
+		}
+	}
+}
+
+// openWorker tells the planner whether a worker may get new work.
+func (t *term) openWorker(now time.Time, l *link) {
+	open := l.answered && l.misses < missesToClose && l.listed && !l.info.Leaving
+	t.planner.SetWorker(now, l.info, open, false)
+	t.dirty = true
+}
+
+// lapseWorkers gives up attempts at workers that nothing can have renewed for their whole lease.
+// A worker stops by itself what is not renewed; a message may be under way for MessageLife after
+// it was sent, and the worker's clock may drift. Only after all three has the attempt surely ended.
+func (t *term) lapseWorkers(now time.Time) {
+	limit := t.o.MessageLife + t.o.WorkerLease + t.o.WorkerDrift
+	ids := make([]string, 0, len(t.held))
+	for id := range t.held {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		last := t.since
+		if l := t.links[id]; l != nil {
+			last = l.mayHaveRenewed
+		}
+		if now.Sub(last) <= limit {
+			continue
+		}
+		t.o.Logger.Warn("scheduler: leases of a silent worker have lapsed", zap.String("worker", id), zap.Int("tasks", len(t.held[id])))
+		for _, r := range t.heldAt(id) {
+			t.lose(r.e, r.task, "its worker was lost", now)
+		}
+	}
+}
+
+// forgetOld drops finished jobs after their time, and bodies of answers beyond the budget.
+func (t *term) forgetOld(now time.Time) {
+	var oldest *entry
+	for id, e := range t.jobs {
+		if e.ended.IsZero() {
+			continue
+		}
+		if now.Sub(e.ended) > t.o.KeepAnswers {
+			t.answers -= answerBytes(e)
+			delete(t.jobs, id)
+			continue
+		}
+		if answerBytes(e) > 0 && (oldest == nil || e.ended.Before(oldest.ended)) {
+			oldest = e
+		}
+	}
+	if oldest != nil && t.answers > t.o.KeepAnswerBytes {
+		t.answers -= answerBytes(oldest)
+		for i := range oldest.tasks {
+			oldest.tasks[i].Answer = nil
+			oldest.tasks[i].Reason = "the answer was dropped: the zone's budget for answers is full"
+		}
+	}
+}
+
+func answerBytes(e *entry) int {
+	n := 0
+	for i := range e.tasks {
+		if a := e.tasks[i].Answer; a != nil {
+			n += len(a.Body)
+		}
+	}
+	return n
+}
+
+// countAnswers moves a finished job from the live ones to the remembered ones.
+func (t *term) countAnswers(e *entry) {
+	delete(t.live, e.id)
+	t.answers += answerBytes(e)
+}
+
+func (t *term) countStart(e *entry, now time.Time) {
+	t.o.Metrics.Counter("task.started").Inc(1)
+	t.o.Metrics.Histogram("waiting.millis." + string(waitingClass(e))).Update(now.Sub(e.Accepted).Milliseconds())
+}
+
+// waitingClass keeps the number of metrics bounded whatever callers put into their classes.
+func waitingClass(e *entry) job.Kind {
+	if e.Spec.Urgent {
+		return "urgent"
+	}
+	return e.Spec.Kind
+}
+
+func (t *term) report(now time.Time) {
+	s := t.journal.Stats()
+	t.o.Metrics.Gauge("job.live").Update(int64(len(t.live)))
+	t.o.Metrics.Gauge("job.remembered").Update(int64(len(t.jobs)))
+	t.o.Metrics.Gauge("journal.commits").Update(s.Commits)
+	t.o.Metrics.Gauge("journal.records").Update(s.Records)
+	p := t.planner.Stats(now)
+	t.o.Metrics.Gauge("packing.permille").Update(int64(p.Packing * permille))
+}
+
+const permille = 1000
--- /dev/null
+++ b/script/cell.sh
@@ -0,0 +1,51 @@
+#!/usr/bin/env bash
+# Starts a cell on stand-ins of the platform: three availability zones, four entry VMs, each with a
+# gate and a scheduler. Settings, logs and process ids go below run/. Stop it with script/stop.sh.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+run=run
+mkdir -p $run
+: >$run/platform.pids
+: >$run/entries.pids
+pids=$run/platform.pids
+trace=${TRACE:-none}
+
+start() { # name, program, arguments...
+  local name=$1
+  shift
+  "$@" >>$run/"$name".log 2>&1 &
+  echo $! >>$pids
+}
+
+start store bin/standinstore --listen 127.0.0.1:7100
+start list bin/standinlist --listen 127.0.0.1:7400
+port=7200
+for zone in kochi-hall alappuzha-hall kollam-hall; do
+  start worker-$zone bin/standinworker --listen 127.0.0.1:$port --zone $zone --count 4 --racks 2 --register 127.0.0.1:7400
+  start target-$zone bin/standintarget --listen 127.0.0.1:$((port + 100)) --zone $zone --service course-desk --count 4 --register 127.0.0.1:7400
+  start engine-$zone bin/standintarget --listen 127.0.0.1:$((port + 110)) --zone $zone --service padan-engine --count 4 --register 127.0.0.1:7400
+  port=$((port + 1))
+done
+
+entry() { # number, zone
+  local n=$1 zone=$2
+  local common="\"vm\": \"entry-$n\", \"zone\": \"$zone\", \"zones\": [\"kochi-hall\", \"alappuzha-hall\", \"kollam-hall\"],
+  \"store\": {\"kind\": \"etcd\", \"endpoint\": \"http://127.0.0.1:7100\"}, \"listAddress\": \"127.0.0.1:7400\",
+  \"trace\": {\"exporter\": \"$trace\", \"address\": \"$([ "$trace" = stdout ] && echo $run/spans-$n.json)\"}"
+  cat >$run/scheduler-$n.json <<JSON
+{"id": "scheduler-$n", "rpcAddress": "127.0.0.1:70${n}0", "opsAddress": "127.0.0.1:70${n}1",
+  $common}
+JSON
+  cat >$run/gate-$n.json <<JSON
+{"id": "gate-$n", "rpcAddress": "127.0.0.1:70${n}2", "opsAddress": "127.0.0.1:70${n}3",
+  "callerAddress": "127.0.0.1:780$n", "scheduler": "127.0.0.1:70${n}0", "seeds": ["127.0.0.1:7010", "127.0.0.1:7020"],
+  $common}
+JSON
+  start scheduler-$n bin/scheduler --settings $run/scheduler-$n.json
+  start gate-$n bin/gate --settings $run/gate-$n.json
+}
+pids=$run/entries.pids
+entry 1 kochi-hall
+entry 2 kochi-hall
+entry 3 alappuzha-hall
+entry 4 kollam-hall
