Follow worker health and judge the scheduler under faults alone and in pairs

Cause: a refusal of any call was taken as proof that an attempt never runs, and workers that fail everything got work for ever.

Change: a refused start is followed by a stop, which forbids the attempt; the fleet decides whether a worker gets work; ending a scheduler first ends the duty that opens terms (a term could open after Kill). The judge of histories sorted ends before starts at one instant, so that an attempt that started and ended within it leaked capacity; events of one instant now keep their order.

--- a/history/history.go
+++ b/history/history.go
@@ -71,7 +71,7 @@
 	c.mu.Lock()
 	events := slices.Clone(c.events)
 	c.mu.Unlock()
-	// At one instant an end comes before a start: the capacity is free again.
+	// What came at one instant stays as it was recorded: an attempt may start and end within it.
 	slices.SortStableFunc(events, func(a, b Event) int {
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(rank(a.Kind), rank(b.Kind)))
 	})
@@ -86,10 +86,8 @@
 	switch k {
 	case WorkerHas, TargetHas, Accepted:
 		return 0
-	case Ended, RequestEnded:
-		return 1
 	default:
-		return 2
+		return 1
 	}
 }
 
--- /dev/null
+++ b/scheduler/cell_test.go
@@ -0,0 +1,239 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"turmericgap/history"
+	"turmericgap/job"
+	"turmericgap/journal"
+	"turmericgap/rpc"
+	standin "turmericgap/standin/worker"
+	"turmericgap/store"
+	"turmericgap/store/memory"
+	"turmericgap/worker"
+)
+
+const testZone = "kochi-hall"
+
+// cell is one zone in memory: a store, workers, and schedulers of which one owns the zone.
+type cell struct {
+	t       *testing.T
+	kv      *memory.Service
+	workers []*standin.Worker
+	judge   *history.Checker
+	mu     sync.Mutex
+	owner  *node
+	nodes  []*node
+	told   map[string]bool
+	listed func() []worker.Info
+}
+
+
+// node is one scheduler with its own faults.
+type node struct {
+	c        *cell
+	store    *memory.Faults
+	sched    *Scheduler
+	epoch    int64
+	revision int64
+	// invalid is set while the node's lease does not hold.
+	invalid bool
+	// hold keeps every start back between the check of ownership and the send, as a pause there does.
+	hold chan struct{}
+	held chan struct{}
+}
+
+func newCell(t *testing.T, workers int, opts ...standin.Option) *cell {
+	c := &cell{t: t, kv: memory.New(), told: make(map[string]bool)}
+	cut := func(s string) string { return s[:strings.LastIndexByte(s, '/')] }
+	c.judge = history.New(history.Names(cut, func(task string) string { return cut(task) }))
+	opts = append([]standin.Option{standin.Record(c.judge.Record), standin.Tasks(cut), standin.Run(2 * time.Second)}, opts...)
+	for i := range workers {
+		info := worker.Info{
+			ID: fmt.Sprintf("worker-%d", i), Address: fmt.Sprint(i), Zone: testZone, Rack: fmt.Sprint("rack-", i%2),
+			Has: job.Resources{Millicores: 4000, MemoryMB: 16000, Accelerators: 1},
+		}
+		c.workers = append(c.workers, standin.New(info, opts...))
+	}
+	c.listed = func() []worker.Info {
+		var out []worker.Info
+		for _, w := range c.workers {
+			out = append(out, w.Info())
+		}
+		return out
+	}
+	return c
+}
+
+// add starts a scheduler that owns nothing yet.
+func (c *cell) add(tune ...Option) *node {
+	n := &node{c: c, store: &memory.Faults{}, held: make(chan struct{}, 1024)}
+	opts := append([]Option{
+		Zone(testZone), Store(c.kv.Client(n.store)), Owns(n.owns), Dial(n.dial),
+		Workers(func() []worker.Info { return c.listed() }),
+		Journal(journal.Rate(100, 10)),
+	}, tune...)
+	n.sched = New(opts...)
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+func (n *node) owns() (int64, int64, bool) {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	return n.epoch, n.revision, n.epoch > 0 && !n.invalid && n.c.owner == n
+}
+
+// take makes n the owner: the epoch key is written, so that the former owner cannot commit.
+func (c *cell) take(n *node) {
+	var epoch int64 = 1
+	if c.owner != nil {
+		epoch = c.owner.epoch + 1
+	}
+	res, err := c.kv.Store().Txn(context.Background(), store.Txn{Then: []store.Op{{Key: epochKey(testZone), Value: fmt.Append(nil, epoch)}}})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.mu.Lock()
+	n.epoch, n.revision, c.owner = epoch, res.Revision, n
+	c.mu.Unlock()
+}
+
+// dial reaches a worker; a start can be held back after the check of ownership.
+func (n *node) dial(info worker.Info, valid func() bool) *worker.Client {
+	var i int
+	_, _ = fmt.Sscan(info.Address, &i)
+	inner := n.c.workers[i].Client()
+	return &worker.Client{
+		Heartbeat: inner.Heartbeat,
+		Act: func(ctx context.Context, a *worker.Act) (*worker.Report, error) {
+			if !valid() {
+				return nil, worker.ErrNotSent
+			}
+			return inner.Act(ctx, a)
+		},
+		Start: func(ctx context.Context, s *worker.Start) (*worker.Report, error) {
+			if !valid() {
+				return nil, worker.ErrNotSent
+			}
+			n.c.mu.Lock()
+			hold := n.hold
+			n.c.mu.Unlock()
+			if hold != nil {
+				n.held <- struct{}{}
+				<-hold
+				ctx = context.Background()
+			}
+			return inner.Start(ctx, s)
+		},
+	}
+}
+
+func (n *node) holdStarts() (release func()) {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	hold := make(chan struct{})
+	n.hold = hold
+	return sync.OnceFunc(func() { close(hold) })
+}
+
+func (n *node) setInvalid(on bool) {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	n.invalid = on
+}
+
+// spec is a batch of tasks of one core each.
+func spec(key string, tasks int, change ...func(*job.Submission)) *job.Submission {
+	s := &job.Submission{
+		Key: key, Team: "team", Class: "roster", Kind: job.Batch, Tasks: tasks, Repeatable: true,
+		Each: job.Resources{Millicores: 1000, MemoryMB: 1000},
+	}
+	for _, f := range change {
+		f(s)
+	}
+	return s
+}
+
+func once(s *job.Submission) { s.Repeatable, s.Class = false, "certificate" }
+
+func gang(s *job.Submission) { s.Gang, s.Class = true, "matching" }
+
+// submit sends a job until some scheduler accepts it, as a caller with a key may, and tells the judge.
+func (c *cell) submit(s *job.Submission) string {
+	for {
+		c.mu.Lock()
+		n := c.owner
+		c.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		st, err := n.sched.Submit(ctx, s, "")
+		cancel()
+		if err == nil {
+			c.judge.Record(history.Event{At: time.Now(), Kind: history.Accepted, Job: st.ID, Repeatable: s.Repeatable})
+			c.told[st.ID] = false
+			return st.ID
+		}
+		if f := rpc.AsFault(err); f != nil && f.RetryAfter == 0 && f.Code == rpc.CodeRefused {
+			c.t.Fatalf("submit %s: %v", s.Key, err)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// await waits up to limit for a job's end and tells the judge its outcome.
+func (c *cell) await(id string, limit time.Duration) *job.Status {
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) {
+		c.mu.Lock()
+		n := c.owner
+		c.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		st, err := n.sched.Wait(ctx, id)
+		cancel()
+		if err == nil && st.State == job.Final {
+			c.tell(st)
+			return st
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	c.t.Errorf("job %s has no end after %v", id, limit)
+	return &job.Status{ID: id}
+}
+
+func (c *cell) tell(st *job.Status) {
+	if c.told[st.ID] {
+		return
+	}
+	c.told[st.ID] = true
+	whole := true
+	for _, k := range st.Tasks {
+		whole = whole && (k.Answer == nil || k.Answer.Whole())
+	}
+	c.judge.Record(history.Event{At: time.Now(), Kind: history.Told, Job: st.ID, Outcome: st.Outcome, Whole: whole})
+}
+
+// stop ends everything and reports what the judge and the workers have found.
+func (c *cell) stop() error {
+	for _, n := range c.nodes {
+		n.sched.Kill()
+	}
+	for id, told := range c.told {
+		if !told {
+			c.judge.Record(history.Event{At: time.Now(), Kind: history.Live, Job: id})
+		}
+	}
+	var all []error
+	for _, w := range c.workers {
+		for _, v := range w.Violations() {
+			all = append(all, errors.New(v))
+		}
+		w.Close()
+	}
+	return errors.Join(append(all, c.judge.Check().Err())...)
+}
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -41,7 +41,9 @@
 	// sentAt is when the last start or stop was handed to the worker's sender.
 	sentAt time.Time
 	// report is how the attempt ended, kept until its record is durable.
-	report  *worker.Report
+	report *worker.Report
+	// judged says that the fleet was told of that end.
+	judged  bool
 	started time.Time
 }
 
--- /dev/null
+++ b/scheduler/failure_test.go
@@ -0,0 +1,219 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"turmericgap/job"
+	"turmericgap/rpc"
+	standin "turmericgap/standin/worker"
+)
+
+// fault is one row: what happens to a zone that runs a mixed load, and what its callers then see.
+type fault struct {
+	name string
+	// strike is called with the load under way, one second after it was submitted.
+	strike func(c *cell, a, b *node)
+	// repeatable and once are the outcomes that the two kinds of jobs may have.
+	repeatable, once []job.Outcome
+}
+
+var (
+	isDone       = []job.Outcome{job.Done}
+	doneOrUnsure = []job.Outcome{job.Done, job.Unknown}
+)
+
+func kill(c *cell, a, b *node) {
+	a.sched.Kill()
+	c.take(b)
+}
+
+var faults = []fault{
+	{"nothing", func(*cell, *node, *node) {}, isDone, isDone},
+	// The owner dies with attempts running; the next one finds them by its journal and the workers.
+	{"owner killed", kill, isDone, isDone},
+	// The owner dies twice over: the successor dies as soon as it has taken over.
+	{"owner killed twice", func(c *cell, a, b *node) {
+		kill(c, a, b)
+		time.Sleep(150 * time.Millisecond)
+		d := c.add()
+		kill(c, b, d)
+	}, isDone, isDone},
+	// The owner is paused between its check of ownership and its sends. Another owner takes over and
+	// runs the work; then the old starts go out. They are repeats of attempts that are known.
+	{"owner frozen before its sends", func(c *cell, a, b *node) {
+		release := a.holdStarts()
+		c.submitMore()
+		time.Sleep(time.Second)
+		c.take(b)
+		time.Sleep(30 * time.Second)
+		release()
+	}, isDone, isDone},
+	// The same, and the late starts arrive while their successor is just recovering.
+	{"owner frozen shortly before its sends", func(c *cell, a, b *node) {
+		release := a.holdStarts()
+		c.submitMore()
+		time.Sleep(time.Second)
+		c.take(b)
+		time.Sleep(500 * time.Millisecond)
+		release()
+	}, isDone, isDone},
+	// The store takes writes and loses the answers, for a while all of them.
+	{"store loses answers", func(_ *cell, a, _ *node) { a.store.LoseNext(5) }, isDone, isDone},
+	{"store loses answers, owner killed", func(c *cell, a, b *node) {
+		a.store.LoseAnswer(true)
+		time.Sleep(time.Second)
+		kill(c, a, b)
+	}, isDone, isDone},
+	{"store down for a minute", func(_ *cell, a, _ *node) {
+		a.store.Down(true)
+		time.Sleep(time.Minute)
+		a.store.Down(false)
+	}, isDone, isDone},
+	{"store slow", func(_ *cell, a, _ *node) { a.store.Delay(time.Second) }, isDone, isDone},
+	// A worker restarts and has lost its memory: whether its tasks had ended nobody can say.
+	{"worker restarts", func(c *cell, _, _ *node) { c.workers[0].Restart() }, isDone, doneOrUnsure},
+	{"worker restarts while the owner changes", func(c *cell, a, b *node) {
+		a.sched.Kill()
+		c.workers[0].Restart()
+		c.take(b)
+	}, isDone, doneOrUnsure},
+	// A worker is silent for longer than its leases: it stops its tasks, and only then they run elsewhere.
+	{"worker cut off for long", func(c *cell, _, _ *node) {
+		c.workers[0].SetFault(standin.Fault{Down: true})
+		time.Sleep(2 * time.Minute)
+		c.workers[0].SetFault(standin.Fault{})
+	}, isDone, doneOrUnsure},
+	{"worker cut off for short", func(c *cell, _, _ *node) {
+		c.workers[0].SetFault(standin.Fault{Down: true})
+		time.Sleep(10 * time.Second)
+		c.workers[0].SetFault(standin.Fault{})
+	}, isDone, isDone},
+	{"worker frozen for long", func(c *cell, _, _ *node) {
+		c.workers[0].SetFault(standin.Fault{Frozen: true})
+		time.Sleep(2 * time.Minute)
+		c.workers[0].SetFault(standin.Fault{})
+	}, isDone, doneOrUnsure},
+	{"worker loses answers", func(c *cell, _, _ *node) {
+		for _, w := range c.workers {
+			w.SetFault(standin.Fault{LoseAnswers: 10})
+		}
+	}, isDone, isDone},
+	{"worker slow, messages arrive after their sender gave up", func(c *cell, _, _ *node) {
+		c.workers[0].SetFault(standin.Fault{DelayMillis: 2500})
+		time.Sleep(20 * time.Second)
+		c.workers[0].SetFault(standin.Fault{})
+	}, isDone, doneOrUnsure},
+	{"answers are cut", func(c *cell, _, _ *node) { c.workers[0].SetFault(standin.Fault{Truncate: 2}) }, isDone, doneOrUnsure},
+	{"worker fails everything", func(c *cell, _, _ *node) { c.workers[0].SetFault(standin.Fault{FailAll: true}) }, isDone, isDone},
+}
+
+// The callers see every accepted job reach its end: repeatable ones are done, those that may run
+// once are done or, where nobody can know, unknown. Meanwhile the judge watches that no worker is
+// overfilled, no task runs in two places, nothing that may run once runs twice, and no answer lies.
+func TestFaults(t *testing.T) {
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runFaults(t, []fault{f}) })
+		})
+	}
+}
+
+// The same with two faults, the second while the first still acts or its damage is being mended.
+func TestFaultPairs(t *testing.T) {
+	for _, f := range faults[1:] {
+		for _, g := range faults[1:] {
+			if ownerChanges(f.name) && ownerChanges(g.name) {
+				continue
+			}
+			t.Run(f.name+", "+g.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { runFaults(t, []fault{f, g}) })
+			})
+		}
+	}
+}
+
+// ownerChanges tells the faults that need the first two schedulers for themselves.
+func ownerChanges(name string) bool {
+	switch name {
+	case "owner killed", "owner killed twice", "owner frozen before its sends", "owner frozen shortly before its sends",
+		"store loses answers, owner killed", "worker restarts while the owner changes":
+		return true
+	}
+	return false
+}
+
+func (c *cell) submitMore() {
+	for _, s := range []*job.Submission{spec("more", 2), spec("more-once", 2, once)} {
+		c.submit(s)
+	}
+}
+
+func runFaults(t *testing.T, list []fault) {
+	c := newCell(t, 3)
+	a, b := c.add(), c.add()
+	c.take(a)
+	ids := map[string]bool{}
+	for _, s := range []*job.Submission{spec("r1", 6), spec("r2", 3), spec("o1", 4, once), spec("g1", 5, gang), spec("o2", 1, once)} {
+		ids[c.submit(s)] = s.Repeatable
+	}
+	time.Sleep(time.Second)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, f := range list[1:] {
+			time.Sleep(300 * time.Millisecond)
+			f.strike(c, a, b)
+		}
+	}()
+	list[0].strike(c, a, b)
+	<-done
+	for id, repeatable := range ids {
+		st := c.await(id, 10*time.Minute)
+		allowed := false
+		for _, f := range list {
+			for _, o := range map[bool][]job.Outcome{true: f.repeatable, false: f.once}[repeatable] {
+				allowed = allowed || st.Outcome == o
+			}
+		}
+		if !allowed {
+			t.Errorf("job %s (repeatable %v) ended %q: %s", id, repeatable, st.Outcome, st.Reason)
+		}
+	}
+	if err := c.stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+// The caller is told at once that its job was not run, and when to come back.
+// The store is down, so the job's record cannot become durable; the zone's owner still holds its lease.
+// A job accepted on memory alone would be lost with the owner.
+func TestRefusedWhileStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1)
+		a := c.add()
+		c.take(a)
+		c.submit(spec("first", 1))
+		a.store.Down(true)
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		defer cancel()
+		_, err := a.sched.Submit(ctx, spec("second", 1), "")
+		is.Equal(rpc.AsFault(err).Code, rpc.CodeUnknown) // its record is under way
+		began := time.Now()
+		_, err = a.sched.Submit(context.Background(), spec("third", 1), "")
+		is.Equal(rpc.AsFault(err).Code, rpc.CodeRefused)
+		is.True(rpc.AsFault(err).RetryAfter > 0)
+		is.Equal(time.Since(began), time.Duration(0))
+		a.store.Down(false)
+		time.Sleep(10 * time.Second)
+		st, err := a.sched.Submit(context.Background(), spec("second", 1), "")
+		is.NoErr(err)
+		is.Equal(st.Outcome, job.Done) // the first attempt to submit was kept
+		is.NoErr(c.stop())
+	})
+}
--- a/scheduler/follow.go
+++ b/scheduler/follow.go
@@ -23,22 +23,13 @@
 		if !errors.Is(b.err, worker.ErrNotSent) {
 			l.mayHaveRenewed = now
 		}
-		l.misses++
-		if l.misses == missesToClose {
-			t.o.Logger.Warn("scheduler: worker does not answer", zap.String("worker", l.info.ID), zap.Error(b.err))
-			t.openWorker(now, l)
-		}
-		return
-	}
-	l.mayHaveRenewed = now
-	wasOpen := l.answered && l.misses < missesToClose
-	l.answered, l.misses = true, 0
-	if l.boot != b.reply.Boot {
-		l.boot = b.reply.Boot
-	}
-	if !wasOpen {
+		t.fleet.Missed(now, l.info.ID)
 		t.openWorker(now, l)
+		return
 	}
+	l.mayHaveRenewed, l.answered, l.boot = now, true, b.reply.Boot
+	t.fleet.Seen(now, l.info.ID)
+	t.openWorker(now, l)
 	for i := range b.reply.Reports {
 		t.onReport(l, &b.reply.Reports[i], now)
 	}
@@ -133,6 +124,7 @@
 func (t *term) finish(e *entry, i int, now time.Time) {
 	k := &e.tasks[i]
 	report, at := k.report, k.Worker
+	t.judgeWorker(e, k, report, now)
 	next := t.verdict(e, k, report, now)
 	t.save([]change{{e, i, next}}, func() {
 		k.report = nil
@@ -143,6 +135,22 @@
 	})
 }
 
+// judgeWorker tells the fleet what an end says of its worker; a stop that was asked for says nothing.
+func (t *term) judgeWorker(e *entry, k *task, r *worker.Report, now time.Time) {
+	if k.judged || r.State != worker.Ended {
+		return
+	}
+	k.judged = true
+	id := e.id
+	if len(e.tasks) == 1 && !e.Spec.Repeatable {
+		id = ""
+	}
+	t.fleet.Outcome(now, k.Worker, id, e.Spec.Class, r.Answer != nil && r.Answer.Whole() && r.Answer.Exit == 0)
+	if l := t.links[k.Worker]; l != nil {
+		t.openWorker(now, l)
+	}
+}
+
 // lose records that an attempt has surely ended without an answer.
 func (t *term) lose(e *entry, i int, reason string, now time.Time) {
 	k := &e.tasks[i]
@@ -174,7 +182,7 @@
 		next.Ran = true
 		next.Failures++
 		t.settle(e, &next, "its answer was cut or is too long", now)
-	case r.Answer.Exit != 0 && e.cancel == nil && e.Spec.Repeatable && k.Failures+1 < t.attempts(e):
+	case r.Answer.Exit != 0 && e.cancel == nil && e.Spec.Repeatable && k.Failures+1 < t.attempts(e) && !t.fleet.JobFailing(e.id):
 		next.Ran = true
 		next.Failures++
 		next.again("it failed and is run again")
@@ -236,7 +244,7 @@
 	if !k.started.IsZero() {
 		end.Ran = now.Sub(k.started)
 	}
-	k.confirmed, k.stop, k.sentAt, k.started = false, "", time.Time{}, time.Time{}
+	k.confirmed, k.judged, k.stop, k.sentAt, k.started = false, false, "", time.Time{}, time.Time{}
 	t.planner.Release(now, e.id, i, end)
 	t.dirty = true
 	if e.cancel != nil && k.Phase == pending {
@@ -253,6 +261,7 @@
 	}
 	e.close()
 	t.planner.Drop(e.id)
+	t.fleet.Forget(e.id)
 	t.countAnswers(e)
 	s := e.status(t.o.Zone)
 	for _, w := range e.waiters {
--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -29,8 +29,10 @@
 	// The rest belongs to the term's loop.
 	boot     string
 	answered bool
-	misses   int
 	listed   bool
+	// told, open and probe are what the planner was last told.
+	told        worker.Info
+	open, probe bool
 	// mayHaveRenewed is when a message that renews leases can last have left this process.
 	mayHaveRenewed time.Time
 }
@@ -167,7 +169,7 @@
 		defer span.End()
 		s.Parent = parentOf(ctx)
 		report, err := l.client.Start(ctx, s)
-		t.post(func() { t.onSent(l, s.Attempt, report, err) })
+		t.post(func() { t.onStarted(l, s.Attempt, report, err) })
 	})
 	if ok {
 		k.sentAt = now
@@ -186,26 +188,36 @@
 		ctx, cancel := context.WithTimeout(ctx, t.o.CallTimeout)
 		defer cancel()
 		report, err := l.client.Act(ctx, a)
-		t.post(func() { t.onSent(l, a.Attempt, report, err) })
+		t.post(func() { t.onCalled(l, report, err) })
 	})
 	if ok {
 		k.sentAt = now
 	}
 }
 
-// onSent takes the outcome of a start or an act. An error other than a refusal tells nothing of
-// what the worker did: heartbeats will, and the tick sends the same attempt again.
-func (t *term) onSent(l *link, attempt string, report *worker.Report, err error) {
+// onStarted takes the outcome of a start. An error other than a refusal tells nothing of what the
+// worker did: heartbeats will, and the tick sends the same attempt again.
+func (t *term) onStarted(l *link, attempt string, report *worker.Report, err error) {
+	t.onCalled(l, report, err)
+	if !errors.Is(err, worker.ErrRefused) {
+		return
+	}
+	// An earlier message with this start may still be under way, so the refusal of one message is no
+	// proof. A stop is: it forbids the attempt, and its report ends it here.
+	if e, i, k := t.find(l, attempt); k != nil && !k.saving {
+		k.stop = "its worker refused it"
+		t.sendAct(e, i, worker.Stop, time.Now())
+	}
+}
+
+// onCalled takes the report that a call brought back, if any.
+func (t *term) onCalled(l *link, report *worker.Report, err error) {
 	now := time.Now()
 	if !errors.Is(err, worker.ErrNotSent) {
 		l.mayHaveRenewed = now
 	}
-	switch {
-	case err == nil && report != nil:
+	if err == nil && report != nil {
 		t.onReport(l, report, now)
-	case errors.Is(err, worker.ErrRefused):
-		// A refusal is as definite as an attempt that was forbidden: it did not and will not run.
-		t.onReport(l, &worker.Report{Attempt: attempt, State: worker.Forbidden}, now)
 	}
 }
 
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -37,12 +37,11 @@
 	// MaxAnswerBytes bounds the body of one task's answer.
 	MaxAnswerBytes = 16 << 10
 
-	eventRing     = 4096
-	sendRing      = 256
-	startsMost    = 512
-	forgetMost    = 256
-	missesToClose = 2
-	closeWithin   = 5 * time.Second
+	eventRing   = 4096
+	sendRing    = 256
+	startsMost  = 512
+	forgetMost  = 256
+	closeWithin = 5 * time.Second
 )
 
 // Options are what a Scheduler is made of.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/fleet"
 	"turmericgap/job"
 	"turmericgap/planner"
 	"turmericgap/worker"
@@ -108,44 +109,52 @@
 
 // syncWorkers follows the VM list: new workers get a link, lost ones keep theirs while they hold tasks.
 func (t *term) syncWorkers(now time.Time) {
+	listed := t.listWorkers(now)
+	for id, l := range t.links {
+		if !listed[id] && len(t.held[id]) == 0 {
+			l.cancel()
+			delete(t.links, id)
+			t.planner.RemoveWorker(id)
+			continue
+		}
+		l.listed = listed[id]
+		t.openWorker(now, l)
+	}
+}
+
+// listWorkers opens links to new workers of the zone and gives the ids of all that are listed.
+func (t *term) listWorkers(now time.Time) map[string]bool {
 	listed := make(map[string]bool)
+	var entries []fleet.Entry
 	for _, info := range t.o.Workers() {
 		if info.Zone != t.o.Zone {
 			continue
 		}
 		listed[info.ID] = true
-		l := t.links[info.ID]
-		if l == nil {
-			l = t.openLink(info)
-			t.links[info.ID] = l
-			t.openWorker(now, l)
-			continue
-		}
-		if l.info != info || !l.listed {
-			l.info, l.listed = info, true
-			t.openWorker(now, l)
-		}
-	}
-	for id, l := range t.links {
-		switch {
-		case listed[id]:
-		case len(t.held[id]) > 0:
-			if l.listed {
-				l.listed = false
-				t.openWorker(now, l)
-			}
-		default:
-			l.cancel()
-			delete(t.links, id)
-			t.planner.RemoveWorker(id)
+		entries = append(entries, fleet.Entry{ID: info.ID, Zone: info.Zone, Leaving: info.Leaving})
+		if l := t.links[info.ID]; l != nil {
+			l.info = info
+		} else {
+			t.links[info.ID] = t.openLink(info)
 		}
 	}
+	t.fleet.List(now, entries)
+	return listed
 }
 
-// openWorker tells the planner whether a worker may get new work.
+// openWorker tells the planner whether a worker may get new work, when that has changed.
 func (t *term) openWorker(now time.Time, l *link) {
-	open := l.answered && l.misses < missesToClose && l.listed && !l.info.Leaving
-	t.planner.SetWorker(now, l.info, open, false)
+	a := t.fleet.Open(now, l.info.ID)
+	open := l.answered && l.listed && !l.info.Leaving && a.Verdict != fleet.Closed
+	probe := a.Verdict == fleet.Probe
+	if l.told == l.info && l.open == open && l.probe == probe {
+		return
+	}
+	if l.open && !open {
+		t.o.Logger.Warn("scheduler: worker gets no new work", zap.String("worker", l.info.ID), zap.String("reason", a.Reason))
+	}
+	l.told, l.open, l.probe = l.info, open, probe
+	t.planner.SetWorker(now, l.info, open, probe)
 	t.dirty = true
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,9 +17,8 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu       sync.Mutex
-	term     *term
-	stopping bool
+	mu   sync.Mutex
+	term *term
 }
 
 // New returns a Scheduler that starts a term as soon as it owns its zone.
@@ -53,7 +52,7 @@
 func (s *Scheduler) sync(ctx context.Context) {
 	epoch, revision, ok := s.o.Owns()
 	s.mu.Lock()
-	t, stopping := s.term, s.stopping
+	t := s.term
 	s.mu.Unlock()
 	if t != nil && (t.ended() || (ok && t.epoch != epoch)) {
 		t.close(ctx, false)
@@ -61,7 +60,7 @@
 		t = nil
 	}
 	// A term whose ownership is in doubt stays: it sends nothing, and may be confirmed again.
-	if t != nil || !ok || stopping {
+	if t != nil || !ok {
 		return
 	}
 	t, err := openTerm(ctx, s.o, epoch, revision)
@@ -103,25 +102,21 @@
 }
 
 // Stop ends the term in order, so that a successor need not wait; hand over ownership after it.
-func (s *Scheduler) Stop(ctx context.Context) {
+func (s *Scheduler) Stop(ctx context.Context) { s.end(ctx, true) }
+
+// Kill ends everything at once, as the death of the process would.
+func (s *Scheduler) Kill() { s.end(closedContext(), false) }
+
+// end first ends the duty that opens terms, so that none comes after the last.
+func (s *Scheduler) end(ctx context.Context, orderly bool) {
+	s.cancel()
+	s.wg.Wait()
 	s.mu.Lock()
-	s.stopping = true
 	t := s.term
 	s.mu.Unlock()
 	if t != nil {
-		t.close(ctx, true)
-	}
-	s.cancel()
-	s.wg.Wait()
-}
-
-// Kill ends everything at once, as the death of the process would.
-func (s *Scheduler) Kill() {
-	if t := s.current(); t != nil {
-		t.close(closedContext(), false)
+		t.close(ctx, orderly)
 	}
-	s.cancel()
-	s.wg.Wait()
 }
 
 func (s *Scheduler) owner() (*term, error) {
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/fleet"
 	"turmericgap/journal"
 	"turmericgap/planner"
 )
@@ -21,6 +22,7 @@
 	epoch   int64
 	journal *journal.Journal
 	planner *planner.Planner
+	fleet   *fleet.Fleet
 	events  chan func()
 	closing chan struct{}
 	once    sync.Once
@@ -46,7 +48,7 @@
 // openTerm recovers the zone's state from the journal and starts the loop.
 func openTerm(ctx context.Context, o *Options, epoch, epochRevision int64) (*term, error) {
 	t := &term{
-		o: o, epoch: epoch, planner: o.Planner(), since: time.Now(),
+		o: o, epoch: epoch, planner: o.Planner(), fleet: fleet.New(), since: time.Now(),
 		events: make(chan func(), eventRing), closing: make(chan struct{}),
 		jobs: make(map[string]*entry), live: make(map[string]*entry),
 		held: make(map[string]map[ref]bool), links: make(map[string]*link),
