--- a/journal/commit.go
+++ b/journal/commit.go
@@ -120,18 +120,29 @@
 	}
 	j.next++
 	j.addSegment(len(value))
+	took := time.Since(started)
 	j.count(func(s *Stats) {
 		s.Commits++
 		s.Records += int64(count)
-		s.LastCommit = time.Since(started)
+		s.LastCommit = took
 	})
+	j.metrics.Counter(metricCommits).Inc(1)
+	j.metrics.Counter(metricRecords).Inc(int64(count))
+	j.metrics.Histogram(metricCommitMillis).Update(took.Milliseconds())
 	return nil
 }
 
 func (j *Journal) setInFlight(t time.Time) {
 	j.mu.Lock()
-	defer j.mu.Unlock()
 	j.inFlight = t
+	j.mu.Unlock()
+	j.measurePending()
+}
+
+func (j *Journal) measurePending() {
+	s := j.Stats()
+	j.metrics.Gauge(metricPendingMillis).Update(s.Pending.Milliseconds())
+	j.metrics.Gauge(metricQueued).Update(int64(s.Queued))
 }
 
 // addSegment counts a segment that recovery would have to read.
@@ -141,7 +152,12 @@
 	defer j.mu.Unlock()
 	j.stats.Segments++
 	j.stats.SegmentBytes += size
+	j.measureSegments()
+}
+
+func (j *Journal) measureSegments() {
 	j.due = j.stats.Segments >= j.maxSegments || j.stats.SegmentBytes >= j.maxSegmentBytes
+	j.metrics.Gauge(metricSegments).Update(int64(j.stats.Segments))
 }
 
 // verdict is what is known about a segment that was sent.
@@ -176,11 +192,12 @@
 			return ErrFenced
 		case err == nil || !store.NotApplied(err):
 			open = true
-			j.count(func(s *Stats) { s.Lost++; s.Unresolved = true })
+			j.noteLost()
 			if known, err := j.settle(key); known {
 				return err
 			}
 		}
+		j.measurePending()
 		j.log.Warn("journal: commit is tried again", zap.Uint64("segment", j.next), zap.Bool("unresolved", open), zap.Error(err))
 		if b.Wait(j.ctx) != nil {
 			if open {
@@ -191,6 +208,11 @@
 	}
 }
 
+func (j *Journal) noteLost() {
+	j.count(func(s *Stats) { s.Lost++; s.Unresolved = true })
+	j.metrics.Counter(metricLost).Inc(1)
+}
+
 func (j *Journal) txn(t store.Txn) (store.TxnResult, error) {
 	j.count(func(s *Stats) { s.Calls++ })
 	ctx, cancel := context.WithTimeout(j.ctx, j.callTimeout)
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"turmericgap/metric"
 	"turmericgap/store"
 )
 
@@ -45,6 +46,19 @@
 	ErrUnknown = errors.New("journal outcome unknown")
 )
 
+// Names of the metrics.
+const (
+	metricCommits      = "journal.commits"
+	metricRecords      = "journal.records"
+	metricLost         = "journal.lost"
+	metricSnapshots    = "journal.snapshots"
+	metricSegments     = "journal.segments"
+	metricQueued       = "journal.queued"
+	metricCommitMillis = "journal.commitMillis"
+	// metricPendingMillis is how long the commit in progress takes already.
+	metricPendingMillis = "journal.pendingMillis"
+)
+
 // Journal is the durable record of one owner of one zone.
 type Journal struct {
 	store         *store.Store
@@ -63,6 +77,7 @@
 	maxSegmentBytes int
 	callTimeout     time.Duration
 
+	metrics *metric.Registry
 	queue   *queue
 	limiter *rate.Limiter
 	ctx     context.Context // ends all calls
@@ -120,6 +135,9 @@
 	for _, o := range opts {
 		o(j)
 	}
+	if j.metrics == nil {
+		j.metrics = metric.New()
+	}
 	if err := j.recover(ctx); err != nil {
 		return nil, err
 	}
@@ -138,24 +156,40 @@
 // on the journal's goroutine: with nil as soon as they are durable, or with ErrFenced, ErrClosed or
 // ErrUnknown.
 func (j *Journal) Append(recs []Record, done func(error)) error {
+	_, err := j.Offer(recs, done)
+	return err
+}
+
+// Ticket names records that were accepted.
+type Ticket struct {
+	queue *queue
+	seq   uint64
+}
+
+// Withdraw takes the records back. True means that they surely never were written nor will be, and
+// that done is not called; false that they are on their way, and done tells.
+func (t Ticket) Withdraw() bool { return t.queue.withdraw(t.seq) }
+
+// Offer is Append with a ticket, for records whose caller may give up before they are durable.
+func (j *Journal) Offer(recs []Record, done func(error)) (Ticket, error) {
 	raw, err := encodeRecords(recs)
 	if err != nil {
-		return err
+		return Ticket{}, err
 	}
 	if len(raw) > j.groupBytes-blockBytes {
-		return fmt.Errorf("%d bytes: %w", len(raw), ErrTooLarge)
+		return Ticket{}, fmt.Errorf("%d bytes: %w", len(raw), ErrTooLarge)
 	}
-	err = j.queue.add(entry{raw: raw, count: len(recs), done: done})
+	seq, err := j.queue.add(entry{raw: raw, count: len(recs), done: done})
 	if errors.Is(err, ErrBusy) {
 		j.count(func(s *Stats) { s.Refused++ })
 	}
-	return err
+	return Ticket{j.queue, seq}, err
 }
 
 // Flush waits until the outcome of all that was appended before is known.
 func (j *Journal) Flush(ctx context.Context) error {
 	settled := make(chan error, 1)
-	if err := j.queue.add(entry{done: func(err error) { settled <- err }}); err != nil {
+	if _, err := j.queue.add(entry{done: func(err error) { settled <- err }}); err != nil {
 		return err
 	}
 	select {
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -19,15 +19,28 @@
 // own makes the caller the journal's owner, as a takeover does.
 func own(t *testing.T, s *memory.Service, client *store.Store, opts ...Option) *Journal {
 	t.Helper()
-	res, err := s.Store().Txn(context.Background(), store.Txn{Then: []store.Op{{Key: epochKey}}})
+	j, err := tryOwn(t, s, client, opts...)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return j
+}
+
+func tryOwn(t *testing.T, s *memory.Service, client *store.Store, opts ...Option) (*Journal, error) {
+	res, err := s.Store().Txn(context.Background(), store.Txn{Then: []store.Op{{Key: epochKey}}})
+	if err != nil {
+		return nil, err
+	}
 	j, err := Open(context.Background(), client, zone, epochKey, res.Revision, opts...)
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
-	return j
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = j.Close(ctx) // a journal that a test left open ends with it
+	})
+	return j, nil
 }
 
 func record(n int) Record {
--- a/journal/options.go
+++ b/journal/options.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"turmericgap/metric"
 )
 
 // Option sets up a Journal.
@@ -12,6 +14,9 @@
 // Logger sets where the journal logs.
 func Logger(l *zap.Logger) Option { return func(j *Journal) { j.log = l } }
 
+// Metrics sets where the journal counts.
+func Metrics(r *metric.Registry) Option { return func(j *Journal) { j.metrics = r } }
+
 // Rate bounds the journal's writes, a second and at once.
 func Rate(perSecond float64, burst int) Option {
 	return func(j *Journal) { j.rate, j.burst = perSecond, burst }
--- a/journal/queue.go
+++ b/journal/queue.go
@@ -1,9 +1,14 @@
 package journal
 
-import "sync"
+import (
+	"cmp"
+	"slices"
+	"sync"
+)
 
 // entry is one Append, or a mark in their order.
 type entry struct {
+	seq   uint64
 	raw   []byte
 	count int
 	done  func(error)
@@ -22,6 +27,8 @@
 	entries []entry
 	bytes   int
 	records int
+	last    uint64 // the newest entry's seq
+	cut     uint64 // the newest cut's seq
 	ended   error
 }
 
@@ -30,14 +37,19 @@
 }
 
 // add takes an entry, or gives the reason why not.
-func (q *queue) add(e entry) error {
+func (q *queue) add(e entry) (uint64, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.ended != nil {
-		return q.ended
+		return 0, q.ended
 	}
 	if e.count > 0 && (q.bytes+len(e.raw) > q.maxBytes || q.records+e.count > q.maxRecords) {
-		return ErrBusy
+		return 0, ErrBusy
+	}
+	q.last++
+	e.seq = q.last
+	if e.cut != nil {
+		q.cut = e.seq
 	}
 	q.entries = append(q.entries, e)
 	q.bytes += len(e.raw)
@@ -46,7 +58,22 @@
 	case q.ready <- struct{}{}:
 	default:
 	}
-	return nil
+	return e.seq, nil
+}
+
+// withdraw takes an entry back that is in no group yet. One before a cut stays: the cut's state
+// already holds its effect.
+func (q *queue) withdraw(seq uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	at, found := slices.BinarySearchFunc(q.entries, seq, func(e entry, n uint64) int { return cmp.Compare(e.seq, n) })
+	if !found || seq < q.cut {
+		return false
+	}
+	q.bytes -= len(q.entries[at].raw)
+	q.records -= q.entries[at].count
+	q.entries = slices.Delete(q.entries, at, at+1)
+	return true
 }
 
 // take gives the entries of the next group: at most maxBytes, or one cut alone.
@@ -65,10 +92,10 @@
 			break
 		}
 	}
-	group := q.entries[:n:n]
-	q.entries = q.entries[n:]
+	group := slices.Clone(q.entries[:n])
+	q.entries = slices.Delete(q.entries, 0, n)
 	if len(q.entries) == 0 {
-		q.entries = nil
+		q.entries = nil // a burst's room is given back
 	}
 	return group
 }
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -51,7 +51,7 @@
 	if busy {
 		return ErrBusy
 	}
-	err := j.queue.add(entry{cut: &cut{records}, done: func(error) {}})
+	_, err := j.queue.add(entry{cut: &cut{records}, done: func(error) {}})
 	if err != nil {
 		j.setCutting(false)
 	}
@@ -209,6 +209,7 @@
 	j.stats.SnapshotBytes = s.bytes
 	j.stats.Segments -= covered
 	j.stats.SegmentBytes -= removed
-	j.due = j.stats.Segments >= j.maxSegments || j.stats.SegmentBytes >= j.maxSegmentBytes
+	j.measureSegments()
 	j.cutting = false
+	j.metrics.Counter(metricSnapshots).Inc(1)
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -79,20 +79,20 @@
 func (h *Holder) Valid() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.id != 0 && !h.closed && before(time.Now(), h.deadline)
+	return h.id != 0 && !h.closed && before(time.Now(), h.deadline, h.deadline.Round(0))
 }
 
 // before asks the monotonic clock and the wall clock, and both must agree. The monotonic clock of a
 // VM that was suspended may not have moved; its holder would trust a lease that lapsed meanwhile.
-func before(now, deadline time.Time) bool {
-	return now.Before(deadline) && now.Round(0).Before(deadline.Round(0))
+func before(now, deadline, wall time.Time) bool {
+	return now.Before(deadline) && now.Round(0).Before(wall)
 }
 
 // Wait waits until the lease is valid and gives its ID.
 func (h *Holder) Wait(ctx context.Context) (int64, error) {
 	for {
 		h.mu.Lock()
-		id, valid, changed := h.id, h.id != 0 && before(time.Now(), h.deadline), h.changed
+		id, valid, changed := h.id, h.id != 0 && before(time.Now(), h.deadline, h.deadline.Round(0)), h.changed
 		h.mu.Unlock()
 		if valid {
 			return id, nil
--- a/store/etcd/etcd_test.go
+++ b/store/etcd/etcd_test.go
@@ -1,8 +1,17 @@
 package etcd_test
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 
 	standin "turmericgap/standin/store"
 	"turmericgap/store"
@@ -22,3 +31,124 @@
 		return s
 	})
 }
+
+func write(ctx context.Context, s *store.Store) error {
+	_, err := s.Txn(ctx, store.Txn{Then: []store.Op{{Key: "a", Value: []byte("value")}}})
+	return err
+}
+
+// A caller may take a write for not done only when it surely was not.
+// The service is the stand-in behind a fault; what the caller concludes is compared with what the
+// stand-in holds.
+func TestOutcome(t *testing.T) {
+	answer := func(status int, body string) func(http.Handler) http.Handler {
+		return func(http.Handler) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(status)
+				fmt.Fprint(w, body)
+			})
+		}
+	}
+	after := func(then func(w http.ResponseWriter)) func(http.Handler) http.Handler {
+		return func(h http.Handler) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				h.ServeHTTP(httptest.NewRecorder(), r)
+				then(w)
+			})
+		}
+	}
+	var giveUp context.CancelFunc
+	cases := []struct {
+		name     string
+		behind   func(http.Handler) http.Handler
+		opts     []etcd.Option
+		definite bool
+	}{
+		{"answer cut", after(func(http.ResponseWriter) { panic(http.ErrAbortHandler) }), nil, false},
+		{"answer broken", after(func(w http.ResponseWriter) { fmt.Fprint(w, `{"header":{"rev`) }), nil, false},
+		{"answer of another type", after(func(w http.ResponseWriter) { fmt.Fprint(w, `{"header":7}`) }), nil, false},
+		{"answer too long", after(func(w http.ResponseWriter) {
+			fmt.Fprintf(w, `{"header":{"revision":"2"},"succeeded":true,"x":%q}`, strings.Repeat("x", 9000))
+		}), []etcd.Option{etcd.MaxResponseBytes(4096)}, false},
+		{"given up before the answer", after(func(http.ResponseWriter) { giveUp() }), nil, false},
+		{"unavailable", answer(503, `{"code":14,"message":"no leader"}`), nil, false},
+		{"an answer of some proxy", answer(502, `<html>`), nil, false},
+		{"invalid", answer(400, `{"code":3,"message":"too large"}`), nil, true},
+		{"lease gone", answer(404, `{"code":5,"message":"lease not found"}`), nil, true},
+		{"dial refused", nil, []etcd.Option{etcd.Dial(func(context.Context, string, string) (net.Conn, error) {
+			return nil, errors.New("refused")
+		})}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var ctx context.Context
+			ctx, giveUp = context.WithCancel(context.Background())
+			defer giveUp()
+			service := memory.New()
+			var handler http.Handler = standin.New(service)
+			if c.behind != nil {
+				handler = c.behind(handler)
+			}
+			server := httptest.NewServer(handler)
+			defer server.Close()
+			err := write(ctx, etcd.New(server.URL, c.opts...))
+			is.True(err != nil)
+			is.Equal(store.NotApplied(err), c.definite)
+			if keys, _ := service.Size(); keys > 0 {
+				is.True(!c.definite) // it was applied after all
+			}
+		})
+	}
+}
+
+// A call that waits for a connection until its time is over was not sent, and its caller may say so.
+// One connection is allowed, and a slow call holds it.
+func TestNoConnectionLeft(t *testing.T) {
+	is := is.New(t)
+	service := memory.New()
+	handler, release := standin.New(service), make(chan struct{})
+	entered := make(chan struct{}, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		<-release
+		handler.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	s := etcd.New(server.URL, etcd.MaxConns(1))
+	first := make(chan error, 1)
+	go func() { first <- write(context.Background(), s) }()
+	<-entered
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	is.True(errors.Is(write(ctx, s), store.ErrNotSent))
+	close(release)
+	is.NoErr(<-first)
+}
+
+// A test sets the stand-in's faults over HTTP; a lost answer leaves a write that took effect.
+func TestFaultPage(t *testing.T) {
+	is := is.New(t)
+	service := memory.New()
+	server := httptest.NewServer(standin.New(service))
+	defer server.Close()
+	s := etcd.New(server.URL)
+	set := func(body string) int {
+		resp, err := http.Post(server.URL+"/fault", "application/json", strings.NewReader(body))
+		is.NoErr(err)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	is.Equal(set(`{"loseAnswers":1}`), http.StatusOK)
+	err := write(context.Background(), s)
+	is.True(err != nil && !store.NotApplied(err))
+	keys, _ := service.Size()
+	is.Equal(keys, 1)
+	is.NoErr(write(context.Background(), s))
+	is.Equal(set(`{"down":true}`), http.StatusOK)
+	is.True(write(context.Background(), s) != nil)
+	is.True(s.Watch(context.Background(), "a", 1, func(store.Batch) {}) != nil)
+	is.Equal(set(`{}`), http.StatusOK)
+	is.NoErr(write(context.Background(), s))
+	is.Equal(set(`[`), http.StatusBadRequest)
+}
--- a/store/memory/faults.go
+++ b/store/memory/faults.go
@@ -20,6 +20,8 @@
 	delay    time.Duration
 	lose     int
 	loseAll  bool
+	late     int
+	lateBy   time.Duration
 	calls    int64
 	watching int
 	changed  chan struct{}
@@ -54,6 +56,10 @@
 // LoseNext makes the next n calls that are not reads take effect and then fail.
 func (f *Faults) LoseNext(n int) { f.set(func() { f.lose = n }) }
 
+// LateNext makes the next n writes fail at once and take effect after d, as messages do that the
+// network held back.
+func (f *Faults) LateNext(n int, d time.Duration) { f.set(func() { f.late, f.lateBy = n, d }) }
+
 // Calls counts the calls so far; a watch counts as one.
 func (f *Faults) Calls() int64 {
 	f.mu.Lock()
@@ -168,11 +174,25 @@
 	}
 }
 
+func (f *Faults) takeLate(write bool) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !write || f.late == 0 {
+		return 0, false
+	}
+	f.late--
+	return f.lateBy, true
+}
+
 func call[T any](ctx context.Context, f *Faults, write bool, do func() (T, error)) (T, error) {
 	var zero T
 	if err := f.before(ctx); err != nil {
 		return zero, err
 	}
+	if d, late := f.takeLate(write); late {
+		time.AfterFunc(d, func() { _, _ = do() }) // nobody waits for its answer any more
+		return zero, errLost
+	}
 	res, err := do()
 	if lost := f.after(ctx, write); lost != nil {
 		return zero, lost
