--- a/journal/commit.go
+++ b/journal/commit.go
@@ -58,20 +58,17 @@
 
 // step takes its write allowance before its group, so that a group holds all that came meanwhile.
 func (j *Journal) step() error {
-	if !j.queue.empty() {
-		if j.limiter.Wait(j.ctx) != nil {
-			return ErrClosed
-		}
-		if err := j.commitGroup(j.queue.take(j.groupBytes - blockBytes)); err != nil {
+	if j.queue.writes() && j.limiter.Wait(j.ctx) != nil {
+		return ErrClosed
+	}
+	if group := j.queue.take(j.groupBytes - blockBytes); len(group) > 0 {
+		if err := j.commitGroup(group); err != nil {
 			return err
 		}
 	}
 	if j.snap == nil || time.Until(j.snap.notBefore) > 0 {
 		return nil
 	}
-	if j.limiter.Wait(j.ctx) != nil {
-		return ErrClosed
-	}
 	return j.snapshotStep()
 }
 
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -17,9 +17,13 @@
 
 // Defaults.
 const (
-	// DefaultRate is the journal's writes a second: six zones then stay at 60 writes a second.
+	// DefaultRate is the commits a second; six zones with their snapshots stay at 72 writes a second.
 	DefaultRate  = 10.0
 	DefaultBurst = 5
+	// DefaultSnapshotRate is the writes a second of a snapshot. They have an allowance of their own:
+	// out of the commits' they made each record that met one wait for two more turns.
+	DefaultSnapshotRate  = 2.0
+	DefaultSnapshotBurst = 2
 	// DefaultGroupBytes stays well below store.MaxValueBytes, also in base64.
 	DefaultGroupBytes   = 512 << 10
 	DefaultQueueRecords = 16 << 10
@@ -48,10 +52,10 @@
 
 // Names of the metrics.
 const (
-	metricCommits      = "journal.commits"
-	metricRecords      = "journal.records"
+	metricCommits      = "journal.commit"
+	metricRecords      = "journal.record"
 	metricLost         = "journal.lost"
-	metricSnapshots    = "journal.snapshots"
+	metricSnapshots    = "journal.snapshot"
 	metricSegments     = "journal.segments"
 	metricQueued       = "journal.queued"
 	metricCommitMillis = "journal.commitMillis"
@@ -77,14 +81,15 @@
 	maxSegmentBytes int
 	callTimeout     time.Duration
 
-	metrics *metric.Registry
-	queue   *queue
-	limiter *rate.Limiter
-	ctx     context.Context // ends all calls
-	cancel  context.CancelFunc
-	closing chan struct{}
-	once    sync.Once
-	ended   chan struct{}
+	metrics     *metric.Registry
+	queue       *queue
+	limiter     *rate.Limiter
+	snapLimiter *rate.Limiter
+	ctx         context.Context // ends all calls
+	cancel      context.CancelFunc
+	closing     chan struct{}
+	once        sync.Once
+	ended       chan struct{}
 
 	// Of the journal's goroutine alone.
 	head         head
@@ -143,6 +148,7 @@
 	}
 	j.queue = newQueue(j.queueBytes, j.queueRecords)
 	j.limiter = rate.NewLimiter(rate.Limit(j.rate), j.burst)
+	j.snapLimiter = rate.NewLimiter(DefaultSnapshotRate, DefaultSnapshotBurst)
 	j.ctx, j.cancel = context.WithCancel(context.Background())
 	go func() {
 		defer close(j.ended)
--- a/journal/options.go
+++ b/journal/options.go
@@ -17,7 +17,7 @@
 // Metrics sets where the journal counts.
 func Metrics(r *metric.Registry) Option { return func(j *Journal) { j.metrics = r } }
 
-// Rate bounds the journal's writes, a second and at once.
+// Rate bounds the commits, a second and at once; a snapshot has its own allowance.
 func Rate(perSecond float64, burst int) Option {
 	return func(j *Journal) { j.rate, j.burst = perSecond, burst }
 }
--- a/journal/queue.go
+++ b/journal/queue.go
@@ -125,6 +125,18 @@
 	return q.records, q.bytes
 }
 
+// writes reports whether the next group needs a write; marks alone need none.
+func (q *queue) writes() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, e := range q.entries {
+		if e.count > 0 || e.cut != nil {
+			return e.cut == nil
+		}
+	}
+	return false
+}
+
 func (q *queue) empty() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/journal/recover.go
+++ b/journal/recover.go
@@ -126,19 +126,12 @@
 
 // read repeats a read until it has an answer or ctx ends.
 func (j *Journal) read(ctx context.Context, r store.Range) (store.RangeResult, error) {
-	b := retry.New()
-	for {
+	return retry.Read(ctx, func(ctx context.Context) (store.RangeResult, error) {
 		j.count(func(s *Stats) { s.Calls++ })
-		callCtx, cancel := context.WithTimeout(ctx, j.callTimeout)
-		res, err := j.store.Range(callCtx, r)
-		cancel()
-		if err == nil {
-			return res, nil
-		}
-		if b.Wait(ctx) != nil {
-			return res, err
-		}
-	}
+		ctx, cancel := context.WithTimeout(ctx, j.callTimeout)
+		defer cancel()
+		return j.store.Range(ctx, r)
+	})
 }
 
 // Replay calls each with the records of the snapshot and then, in order, of the segments that Open
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -75,6 +75,7 @@
 		generation: number(j.head.Number+1) + "-" + j.writer,
 		backoff:    retry.New(),
 	}
+	j.snap.notBefore = time.Now().Add(j.snapLimiter.Reserve().Delay())
 }
 
 // snapshotStep makes one write: a part, or the head when all parts are durable.
@@ -96,11 +97,13 @@
 		j.log.Warn("journal: snapshot failed", zap.String("generation", s.generation), zap.Error(err))
 		return err
 	}
+	pause := time.Duration(0)
 	if done {
 		s.backoff.Reset()
 	} else {
-		s.notBefore = time.Now().Add(s.backoff.Next())
+		pause = s.backoff.Next()
 	}
+	s.notBefore = time.Now().Add(max(pause, j.snapLimiter.Reserve().Delay()))
 	return nil
 }
 
--- a/store/retry/retry.go
+++ b/store/retry/retry.go
@@ -4,8 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"time"
-
-	"turmericgap/store"
 )
 
 // Defaults.
@@ -61,15 +59,12 @@
 	}
 }
 
-// Range reads until it has an answer or ctx ends; a read changes nothing, so it may be repeated.
-func Range(ctx context.Context, s *store.Store, r store.Range, opts ...Option) (store.RangeResult, error) {
+// Read repeats a call that changes nothing until it succeeds or ctx ends; its last error is then given.
+func Read[T any](ctx context.Context, read func(context.Context) (T, error), opts ...Option) (T, error) {
 	b := New(opts...)
 	for {
-		res, err := s.Range(ctx, r)
-		if err == nil || ctx.Err() != nil {
-			return res, err
-		}
-		if b.Wait(ctx) != nil {
+		res, err := read(ctx)
+		if err == nil || b.Wait(ctx) != nil {
 			return res, err
 		}
 	}
