--- a/journal/journal.go
+++ b/journal/journal.go
@@ -11,14 +11,19 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"turmericgap/metric"
 	"turmericgap/store"
 )
 
 // Defaults.
 const (
-	// DefaultRate is the journal's writes a second: six zones then stay at 60 writes a second.
+	// DefaultRate is the commits a second; six zones with their snapshots stay at 72 writes a second.
 	DefaultRate  = 10.0
 	DefaultBurst = 5
+	// DefaultSnapshotRate is the writes a second of a snapshot. They have an allowance of their own:
+	// out of the commits' they made each record that met one wait for two more turns.
+	DefaultSnapshotRate  = 2.0
+	DefaultSnapshotBurst = 2
 	// DefaultGroupBytes stays well below store.MaxValueBytes, also in base64.
 	DefaultGroupBytes   = 512 << 10
 	DefaultQueueRecords = 16 << 10
@@ -45,6 +50,19 @@
 	ErrUnknown = errors.New("journal outcome unknown")
 )
 
+// Names of the metrics.
+const (
+	metricCommits      = "journal.commit"
+	metricRecords      = "journal.record"
+	metricLost         = "journal.lost"
+	metricSnapshots    = "journal.snapshot"
+	metricSegments     = "journal.segments"
+	metricQueued       = "journal.queued"
+	metricCommitMillis = "journal.commitMillis"
+	// metricPendingMillis is how long the commit in progress takes already.
+	metricPendingMillis = "journal.pendingMillis"
+)
+
 // Journal is the durable record of one owner of one zone.
 type Journal struct {
 	store         *store.Store
@@ -63,13 +81,15 @@
 	maxSegmentBytes int
 	callTimeout     time.Duration
 
-	queue   *queue
-	limiter *rate.Limiter
-	ctx     context.Context // ends all calls
-	cancel  context.CancelFunc
-	closing chan struct{}
-	once    sync.Once
-	ended   chan struct{}
+	metrics     *metric.Registry
+	queue       *queue
+	limiter     *rate.Limiter
+	snapLimiter *rate.Limiter
+	ctx         context.Context // ends all calls
+	cancel      context.CancelFunc
+	closing     chan struct{}
+	once        sync.Once
+	ended       chan struct{}
 
 	// Of the journal's goroutine alone.
 	head         head
@@ -120,11 +140,15 @@
 	for _, o := range opts {
 		o(j)
 	}
+	if j.metrics == nil {
+		j.metrics = metric.New()
+	}
 	if err := j.recover(ctx); err != nil {
 		return nil, err
 	}
 	j.queue = newQueue(j.queueBytes, j.queueRecords)
 	j.limiter = rate.NewLimiter(rate.Limit(j.rate), j.burst)
+	j.snapLimiter = rate.NewLimiter(DefaultSnapshotRate, DefaultSnapshotBurst)
 	j.ctx, j.cancel = context.WithCancel(context.Background())
 	go func() {
 		defer close(j.ended)
@@ -136,26 +160,42 @@
 // Append hands over records that become durable together, after all that were appended before. An
 // error means that they were not accepted. Else done is called once, in the order of the Appends,
 // on the journal's goroutine: with nil as soon as they are durable, or with ErrFenced, ErrClosed or
-// ErrUnknown.
+// ErrUnknown. It must be quick, and must not call Flush or Close, which wait for that goroutine.
 func (j *Journal) Append(recs []Record, done func(error)) error {
+	_, err := j.Offer(recs, done)
+	return err
+}
+
+// Ticket names records that were accepted.
+type Ticket struct {
+	queue *queue
+	seq   uint64
+}
+
+// Withdraw takes the records back. True means that they surely never were written nor will be, and
+// that done is not called; false that they are on their way, and done tells.
+func (t Ticket) Withdraw() bool { return t.queue.withdraw(t.seq) }
+
+// Offer is Append with a ticket, for records whose caller may give up before they are durable.
+func (j *Journal) Offer(recs []Record, done func(error)) (Ticket, error) {
 	raw, err := encodeRecords(recs)
 	if err != nil {
-		return err
+		return Ticket{}, err
 	}
 	if len(raw) > j.groupBytes-blockBytes {
-		return fmt.Errorf("%d bytes: %w", len(raw), ErrTooLarge)
+		return Ticket{}, fmt.Errorf("%d bytes: %w", len(raw), ErrTooLarge)
 	}
-	err = j.queue.add(entry{raw: raw, count: len(recs), done: done})
+	seq, err := j.queue.add(entry{raw: raw, count: len(recs), done: done})
 	if errors.Is(err, ErrBusy) {
 		j.count(func(s *Stats) { s.Refused++ })
 	}
-	return err
+	return Ticket{j.queue, seq}, err
 }
 
 // Flush waits until the outcome of all that was appended before is known.
 func (j *Journal) Flush(ctx context.Context) error {
 	settled := make(chan error, 1)
-	if err := j.queue.add(entry{done: func(err error) { settled <- err }}); err != nil {
+	if _, err := j.queue.add(entry{done: func(err error) { settled <- err }}); err != nil {
 		return err
 	}
 	select {
--- a/journal/options.go
+++ b/journal/options.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"turmericgap/metric"
 )
 
 // Option sets up a Journal.
@@ -12,7 +14,10 @@
 // Logger sets where the journal logs.
 func Logger(l *zap.Logger) Option { return func(j *Journal) { j.log = l } }
 
-// Rate bounds the journal's writes, a second and at once.
+// Metrics sets where the journal counts.
+func Metrics(r *metric.Registry) Option { return func(j *Journal) { j.metrics = r } }
+
+// Rate bounds the commits, a second and at once; a snapshot has its own allowance.
 func Rate(perSecond float64, burst int) Option {
 	return func(j *Journal) { j.rate, j.burst = perSecond, burst }
 }
