--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -138,25 +138,40 @@
 	if r.Key == "" {
 		return t.work(ctx, r)
 	}
-	t.mu.Lock()
-	f, repeat := t.answers[r.Key]
-	if !repeat {
-		f = &first{done: make(chan struct{})}
-		t.answers[r.Key] = f
-		t.answerOrder = append(t.answerOrder, r.Key)
-		t.trimAnswers()
-	}
-	t.mu.Unlock()
-	if repeat {
+	for {
+		f, mine := t.claim(r.Key)
+		if mine {
+			return t.first(ctx, r, f)
+		}
 		select {
 		case <-f.done:
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		return copied(f.response, r.ID), f.err
+		if f.runs() {
+			return copied(f.response, r.ID), nil
+		}
 	}
+}
+
+// claim gives what is known of the key; mine says that its work falls to the caller.
+func (t *Target) claim(key string) (f *first, mine bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f, ok := t.answers[key]; ok {
+		return f, false
+	}
+	f = &first{done: make(chan struct{})}
+	t.answers[key] = f
+	t.answerOrder = append(t.answerOrder, key)
+	t.trimAnswers()
+	return f, true
+}
+
+// first works on the first request with a key.
+func (t *Target) first(ctx context.Context, r *target.Request, f *first) (*target.Response, error) {
 	f.response, f.err = t.work(ctx, r)
-	if f.err != nil || f.response.Busy {
+	if !f.runs() {
 		t.mu.Lock()
 		delete(t.answers, r.Key) // It did not run to its end, so there is no first answer.
 		t.mu.Unlock()
@@ -165,6 +180,9 @@
 	return copied(f.response, r.ID), f.err
 }
 
+// runs tells whether the work ran to its end.
+func (f *first) runs() bool { return f.err == nil && !f.response.Busy }
+
 func copied(r *target.Response, id string) *target.Response {
 	if r == nil {
 		return nil
--- a/standin/worker/handler.go
+++ b/standin/worker/handler.go
@@ -26,6 +26,7 @@
 	Starts     int64             `json:"starts"`
 	Running    int               `json:"running"`
 	Kept       int               `json:"kept"`
+	Forgotten  int               `json:"forgotten"`
 	Fault      Fault             `json:"fault"`
 	Violations []string          `json:"violations"`
 	Attempts   map[string]string `json:"attempts"`
@@ -36,7 +37,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := State{
-		Info: w.opts.Info, Boot: w.boot, Used: w.used, Starts: w.starts, Kept: len(w.attempts),
+		Info: w.opts.Info, Boot: w.boot, Used: w.used, Starts: w.starts, Kept: len(w.attempts), Forgotten: len(w.forgotten.state),
 		Fault: w.fault, Violations: append([]string{}, w.violations...), Attempts: make(map[string]string),
 	}
 	for id, a := range w.attempts {
