--- a/rule/standard/standard_test.go
+++ b/rule/standard/standard_test.go
@@ -46,7 +46,7 @@
 	is := is.New(t)
 	_, err := rule.Parse([]byte(`{"version":-1,"rules":[
 		{"id":"a","when":"class == 3","then":[{"kind":"queue","with":{"priority":99}}]},
-		{"id":"a","when":"clas == \"x\"","then":[{"kind":"fly"}]},
+		{"id":"a","when":"size == \"x\"","then":[{"kind":"fly"}]},
 		{"id":"","when":"tasks + 1","then":[]},
 		{"id":"b","when":"now() > 0","then":[{"kind":"refuse"},{"kind":"retry","with":{"retrys":1}}]},
 		{"id":"c","then":[{"kind":"limit","with":{"mostRunning":1}},{"kind":"limit","with":{"mostRunning":2}}]}]}`))
