Let the judge find each broken promise, and nothing in a good run

Planting one of each kind found three blind spots: an answer told as done for a job that never started, one told while the job still runs, and a start whose intent came after it when it was the first of the run.

Events of one instant now keep the order in which they were recorded: ends before starts looked right, but a task that fails as it starts ends in the instant in which it began, and would have run for ever. A run longer than its bound is judged broken instead of being judged in part.

--- a/history/event.go
+++ b/history/event.go
@@ -39,11 +39,13 @@
 	Kind Kind      `json:"kind"`
 	// Job is the job's id, or the id of a check.
 	Job string `json:"job,omitempty"`
+	// Tasks is how many tasks an accepted job has; zero leaves them uncounted.
+	Tasks int `json:"tasks,omitempty"`
 	// Attempt names one run of one task; ids of requests to targets stand here too.
 	Attempt string `json:"attempt,omitempty"`
 	// Key is the idempotency key of a request to a target.
 	Key string `json:"key,omitempty"`
-	// At which worker or target it happened.
+	// Worker is the worker or target at which it happened.
 	Worker    string        `json:"worker,omitempty"`
 	Resources job.Resources `json:"resources,omitzero"`
 	Slots     int           `json:"slots,omitempty"`
--- a/history/history.go
+++ b/history/history.go
@@ -11,14 +11,20 @@
 	"turmericgap/job"
 )
 
-// DefaultLeavingGrace is how long after its leaving was announced a target may still get new work.
-const DefaultLeavingGrace = 5 * time.Second
+// Defaults.
+const (
+	// DefaultLeavingGrace is how long after its leaving was announced a target may still get new work.
+	DefaultLeavingGrace = 5 * time.Second
+	// DefaultMaxEvents bounds one run.
+	DefaultMaxEvents = 1 << 20
+)
 
 // Checker collects the events of one run; it may be used by several goroutines.
 type Checker struct {
 	opts   Options
 	mu     sync.Mutex
 	events []Event
+	lost   int
 }
 
 // Options are what a Checker is made of.
@@ -26,6 +32,8 @@
 	// Task gives the task of an attempt, and Job the job of a task.
 	Task, Job    func(string) string
 	LeavingGrace time.Duration
+	// MaxEvents bounds the run; a run of more events is judged to be broken.
+	MaxEvents int
 }
 
 // Option sets up a Checker.
@@ -40,9 +48,12 @@
 // LeavingGrace sets how long after its leaving was announced a target may still get new work.
 func LeavingGrace(d time.Duration) Option { return func(o *Options) { o.LeavingGrace = d } }
 
+// MaxEvents bounds the run.
+func MaxEvents(n int) Option { return func(o *Options) { o.MaxEvents = n } }
+
 // New returns a checker without events.
 func New(opts ...Option) *Checker {
-	o := Options{Task: cutLast, Job: cutLast, LeavingGrace: DefaultLeavingGrace}
+	o := Options{Task: cutLast, Job: cutLast, LeavingGrace: DefaultLeavingGrace, MaxEvents: DefaultMaxEvents}
 	for _, f := range opts {
 		f(&o)
 	}
@@ -63,34 +74,40 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.events) >= c.opts.MaxEvents {
+		c.lost++
+		return
+	}
 	c.events = append(c.events, e)
 }
 
 // Check judges the run so far.
 func (c *Checker) Check() finding.List {
 	c.mu.Lock()
-	events := slices.Clone(c.events)
+	events, lost := slices.Clone(c.events), c.lost
 	c.mu.Unlock()
-	// At one instant an end comes before a start: the capacity is free again.
+	// Events of one instant keep the order in which they were recorded, facts aside: an attempt may
+	// end as it starts, and its place may be taken in the same instant of a paused clock.
 	slices.SortStableFunc(events, func(a, b Event) int {
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(rank(a.Kind), rank(b.Kind)))
 	})
 	j := newJudge(&c.opts)
+	j.needsIntent = slices.ContainsFunc(events, func(e Event) bool { return e.Kind == Intent })
 	for i := range events {
 		j.take(&events[i])
 	}
+	if lost > 0 {
+		j.list.Add("run", "has %d events too many to be judged", lost)
+	}
 	return j.verdict()
 }
 
+// rank puts the facts of an instant before what happened in it.
 func rank(k Kind) int {
-	switch k {
-	case WorkerHas, TargetHas, Accepted:
+	if k == WorkerHas || k == TargetHas || k == Accepted {
 		return 0
-	case Ended, RequestEnded:
-		return 1
-	default:
-		return 2
 	}
+	return 1
 }
 
 // judge replays the events in order.
@@ -106,7 +123,8 @@
 	ran  map[string]int
 	keys map[string]int
 	// intents holds the attempts whose start was recorded before it was sent.
-	intents map[string]bool
+	intents     map[string]bool
+	needsIntent bool
 }
 
 type run struct{ attempt, worker string }
@@ -116,6 +134,8 @@
 	repeatable     bool
 	told           job.Outcome
 	started        bool
+	// tasks is how many the job has, ran how many of them have started, running how many run now.
+	tasks, ran, running int
 }
 
 type place struct {
@@ -147,7 +167,7 @@
 	switch e.Kind {
 	case Accepted:
 		r := j.job(e.Job)
-		r.accepted, r.repeatable = true, e.Repeatable
+		r.accepted, r.repeatable, r.tasks = true, e.Repeatable, e.Tasks
 	case Intent:
 		j.intents[e.Attempt] = true
 	case Live:
@@ -175,7 +195,7 @@
 	task := j.opts.Task(e.Attempt)
 	r := j.job(j.opts.Job(task))
 	r.started = true
-	if len(j.intents) > 0 && !j.intents[e.Attempt] {
+	if j.needsIntent && !j.intents[e.Attempt] {
 		j.list.Add("task "+task, "started as %s without an intent", e.Attempt)
 	}
 	w := get(j.workers, e.Worker)
@@ -187,7 +207,11 @@
 		j.list.Add("task "+task, "runs in two places: %s at %s and %s at %s", o.attempt, o.worker, e.Attempt, e.Worker)
 	}
 	j.running[task] = append(j.running[task], run{e.Attempt, e.Worker})
+	r.running++
 	j.ran[task]++
+	if j.ran[task] == 1 {
+		r.ran++
+	}
 	if r.accepted && !r.repeatable && j.ran[task] == 2 {
 		j.list.Add("task "+task, "is not repeatable and ran again as %s", e.Attempt)
 	}
@@ -200,6 +224,7 @@
 		return
 	}
 	j.running[task] = slices.Delete(j.running[task], at, at+1)
+	j.job(j.opts.Job(task)).running--
 	w := get(j.workers, e.Worker)
 	w.used = w.used.Minus(e.Resources)
 }
@@ -210,8 +235,18 @@
 		j.list.Add("job "+e.Job, "was told %s and then %s", r.told, e.Outcome)
 	}
 	r.told = e.Outcome
-	if e.Outcome == job.Done && !e.Whole {
+	if e.Outcome != job.Done {
+		return
+	}
+	switch {
+	case !e.Whole:
 		j.list.Add("job "+e.Job, "was told done without its whole answer")
+	case r.accepted && !r.started:
+		j.list.Add("job "+e.Job, "was told done and never started")
+	case r.running > 0:
+		j.list.Add("job "+e.Job, "was told done while it runs")
+	case r.ran < r.tasks:
+		j.list.Add("job "+e.Job, "was told done after %d of %d tasks", r.ran, r.tasks)
 	}
 }
 
@@ -224,6 +259,7 @@
 	if !t.leavingSince.IsZero() && !e.Session && e.At.Sub(t.leavingSince) > j.opts.LeavingGrace {
 		j.list.Add("target "+e.Worker, "got %s %s after its leaving", e.Attempt, e.At.Sub(t.leavingSince))
 	}
+	j.job(j.opts.Task(e.Attempt)).started = true
 	if e.Key == "" {
 		return
 	}
