Let gates confirm shares to each other, and new gates wait for earlier ones

Cause: a heartbeat that says only "I have table 9" proves nothing about slots in use, and the version of a table is a store revision, so that a new gate can't tell whether gates came before it. With all gates replaced at once, the new ones would use slots that requests of the dead still occupy.

Chosen: a gate that knows the earlier tables vouches for them.

Change: share.Confirmation carries the version and that knowledge; gates exchange it over their own call until they agree, then fall silent.

Shown by go test ./share: when a new gate takes any word for knowledge, TestNewGatesWaitForEarlierOnes fails with "4 != 0".

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -66,6 +66,7 @@
 	work    work
 	kick    chan struct{}
 	need    chan struct{}
+	tables  chan struct{}
 	stop    chan struct{}
 	stopped sync.Once
 	duties  sync.WaitGroup
@@ -81,26 +82,30 @@
 		opts: o, log: o.Logger, meters: newMeters(o.Metrics), budget: budget.New(),
 		pools: make(map[string]*pool), zones: make(map[string][]string),
 		lanes: make(map[string]*lane), tokens: newSigner(o.Keys), shares: newHolder(&o),
-		kick: make(chan struct{}, 1), need: make(chan struct{}, 1), stop: make(chan struct{}),
+		kick: make(chan struct{}, 1), need: make(chan struct{}, 1),
+		tables: make(chan struct{}, 1), stop: make(chan struct{}),
 	}
 	g.work.moving = make(chan struct{})
 	g.handler = g.newHandler()
 	g.refresh()
 	g.duties.Go(g.keepList)
 	g.duties.Go(g.keepTurn)
-	g.duties.Go(g.keepLoans)
+	if g.opts.Siblings.Borrow != nil {
+		g.duties.Go(g.keepLoans)
+		g.duties.Go(g.keepConfirming)
+	}
 	return g
 }
 
 // newHolder makes the holder of this gate's shares. A removed gate's last requests have ended when
 // the longest deadline and the longest loan are over.
 func newHolder(o *Options) *share.Holder {
-	settle := max(o.Limits.MaxTimeout+o.Limits.Grace, share.DefaultLife+share.DefaultDrift)
-	opts := []share.Option{share.Settle(settle)}
 	if o.Valid != nil {
-		return share.New(o.ID, append(opts, share.Valid(o.Valid))...)
+		settle := max(o.Limits.MaxTimeout+o.Limits.Grace, share.DefaultLife+share.DefaultDrift)
+		return share.New(o.ID, share.Settle(settle), share.Valid(o.Valid))
 	}
-	h := share.New(o.ID, opts...)
+	// Alone in its zone, with nobody before it, it has nothing to wait for.
+	h := share.New(o.ID, share.Settle(0))
 	h.SetTable(share.Table{Version: 1, Gates: []string{o.ID}}, time.Now())
 	return h
 }
--- a/gate/options.go
+++ b/gate/options.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/metric"
+	"turmericgap/rpc"
 	"turmericgap/share"
 	"turmericgap/target"
 )
@@ -15,11 +16,12 @@
 // leaves open whether the check ran.
 type Forward func(ctx context.Context, address string, c *Check) (*Result, error)
 
-// Borrow asks a sibling, a gate of the same zone, to lend idle slots.
-type Borrow func(ctx context.Context, gate string, ask *share.Ask) (*share.Loans, error)
-
-// Return gives a sibling its loans back.
-type Return func(ctx context.Context, gate string, r *share.Return) error
+// Siblings reach the other gates of this zone, by the ids of the gate table.
+type Siblings struct {
+	Borrow  func(ctx context.Context, gate string, ask *share.Ask) (*share.Loans, error)
+	Return  func(ctx context.Context, gate string, r *share.Return) error
+	Confirm func(ctx context.Context, gate string, c *share.Confirmation) (*share.Confirmation, error)
+}
 
 // Options are what a Gate is made of.
 type Options struct {
@@ -30,16 +32,15 @@
 	Peers   func(zone string) []string
 	Forward Forward
 	// Valid tells whether the gate holds its membership; nil makes the gate the only one of its zone.
-	Valid   func() bool
-	Borrow  Borrow
-	Return  Return
-	Keys    [][]byte
-	Jobs    Jobs
-	Rules   func(*Check) Decision
-	Logger  *zap.Logger
-	Metrics *metric.Registry
-	Limits  Limits
-	Seed    uint64
+	Valid    func() bool
+	Siblings Siblings
+	Keys     [][]byte
+	Jobs     Jobs
+	Rules    func(*Check) Decision
+	Logger   *zap.Logger
+	Metrics  *metric.Registry
+	Limits   Limits
+	Seed     uint64
 }
 
 // Limits bound what a Gate holds and how long it waits.
@@ -93,8 +94,20 @@
 // SetTable has listed it.
 func Member(valid func() bool) Option { return func(o *Options) { o.Valid = valid } }
 
-// Siblings sets how slots are borrowed from the zone's other gates.
-func Siblings(b Borrow, r Return) Option { return func(o *Options) { o.Borrow, o.Return = b, r } }
+// Neighbours sets how the zone's other gates are reached.
+func Neighbours(s Siblings) Option { return func(o *Options) { o.Siblings = s } }
+
+// OverRPC reaches the gates of all zones over rpc; address gives that of a gate of this zone by the
+// id that the gate table has for it, and peers those of another zone's gates.
+func OverRPC(pool *rpc.Pool, address func(gate string) (string, bool), peers func(zone string) []string) Option {
+	return func(o *Options) {
+		o.Siblings = siblingsOverRPC(pool, address)
+		o.Peers = peers
+		o.Forward = func(ctx context.Context, address string, c *Check) (*Result, error) {
+			return rpc.Call[Check, Result](ctx, pool.Get(address), MethodCheck, c)
+		}
+	}
+}
 
 // SessionKeys sets the keys of session tokens: the first signs, all are accepted.
 func SessionKeys(keys ...[]byte) Option { return func(o *Options) { o.Keys = keys } }
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,22 +14,83 @@
 	borrowTimeout  = 500 * time.Millisecond
 	borrowInterval = 50 * time.Millisecond
 	returnInterval = 250 * time.Millisecond
+	// confirmInterval is how often a sibling is asked while it has not confirmed the newest table.
+	confirmInterval = 200 * time.Millisecond
 )
 
-// SetTable takes over a newer gate table of this zone.
+// SetTable takes over a newer gate table of this zone. Its ids are those of Option ID, which differ
+// from one life of a process to the next.
 func (g *Gate) SetTable(t share.Table) {
 	g.shares.SetTable(t, time.Now())
 	signal(g.kick)
+	signal(g.tables)
 }
 
-// Confirmed notes the table version that a sibling has told in its heartbeat.
-func (g *Gate) Confirmed(gate string, version int64) {
-	g.shares.Confirmed(gate, version, time.Now())
+// Hear serves a sibling's confirmation and answers with this gate's own.
+func (g *Gate) Hear(_ context.Context, c *share.Confirmation) (*share.Confirmation, error) {
+	now := time.Now()
+	g.shares.Confirmed(*c, now)
 	signal(g.kick)
+	own := g.shares.Confirms(now)
+	return &own, nil
 }
 
-// Confirms gives the table version to tell the siblings in heartbeats.
-func (g *Gate) Confirms() int64 { return g.shares.Confirms(time.Now()) }
+// keepConfirming exchanges confirmations while the gates of the zone have not agreed on a table.
+func (g *Gate) keepConfirming() {
+	ctx, cancel := g.untilStop()
+	defer cancel()
+	told := make(map[string]share.Confirmation)
+	t := time.NewTicker(confirmInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-t.C:
+		case <-g.tables:
+		}
+		g.confirm(ctx, told)
+	}
+}
+
+// confirm tells the siblings what they have not yet heard, and asks again while they lag.
+func (g *Gate) confirm(ctx context.Context, told map[string]share.Confirmation) {
+	others := g.shares.Others()
+	for gate := range told {
+		if !slices.Contains(others, gate) {
+			delete(told, gate)
+		}
+	}
+	for _, gate := range others {
+		own := g.shares.Confirms(time.Now())
+		if told[gate] == own && g.shares.Agreed() {
+			continue
+		}
+		in, cancel := context.WithTimeout(ctx, borrowTimeout)
+		theirs, err := g.opts.Siblings.Confirm(in, gate, &own)
+		cancel()
+		if err != nil {
+			g.log.Debug("gate: table not confirmed", zap.String("gate", gate), zap.Error(err))
+			continue
+		}
+		told[gate] = own
+		g.shares.Confirmed(*theirs, time.Now())
+	}
+	signal(g.kick)
+}
+
+// untilStop gives a context that ends with the gate.
+func (g *Gate) untilStop() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.duties.Go(func() {
+		select {
+		case <-g.stop:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	return ctx, cancel
+}
 
 // Lend serves a sibling's request for idle slots.
 func (g *Gate) Lend(_ context.Context, ask *share.Ask) (*share.Loans, error) {
@@ -48,14 +110,10 @@
 
 // keepLoans borrows while checks wait and returns what is no longer needed.
 func (g *Gate) keepLoans() {
-	if g.opts.Borrow == nil {
-		return
-	}
 	t := time.NewTicker(returnInterval)
 	defer t.Stop()
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := g.untilStop()
 	defer cancel()
-	g.duties.Go(func() { <-g.stop; cancel() })
 	for {
 		select {
 		case <-g.stop:
@@ -79,7 +137,7 @@
 func (g *Gate) giveBack(ctx context.Context) {
 	for gate, r := range g.shares.Idle(time.Now()) {
 		in, cancel := context.WithTimeout(ctx, borrowTimeout)
-		if err := g.opts.Return(in, gate, r); err != nil {
+		if err := g.opts.Siblings.Return(in, gate, r); err != nil {
 			// The loan ends by itself at its lender.
 			g.log.Debug("gate: loan not returned", zap.String("gate", gate), zap.Error(err))
 		}
@@ -93,7 +151,7 @@
 		for _, gate := range g.shares.Others() {
 			in, cancel := context.WithTimeout(ctx, borrowTimeout)
 			asked := time.Now()
-			loans, err := g.opts.Borrow(in, gate, ask)
+			loans, err := g.opts.Siblings.Borrow(in, gate, ask)
 			cancel()
 			if err != nil {
 				g.log.Debug("gate: nothing borrowed", zap.String("gate", gate), zap.Error(err))
--- /dev/null
+++ b/gate/zone_test.go
@@ -0,0 +1,196 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"turmericgap/job"
+	"turmericgap/rpc"
+	"turmericgap/share"
+	"turmericgap/target"
+)
+
+// zone is several gates before the same targets. Heartbeats and loans go by direct calls.
+type zone struct {
+	*fakes
+	mu    sync.Mutex
+	gates map[string]*Gate
+	// most is the greatest number of requests that one target had at once.
+	now  map[string]int
+	most int
+}
+
+func newZone(targets, slots int, run time.Duration, gates ...string) *zone {
+	z := &zone{gates: make(map[string]*Gate), now: make(map[string]int)}
+	z.fakes = newFakes(targets, func(ctx context.Context, id string, r *target.Request) (*target.Response, error) {
+		z.count(id, 1)
+		defer z.count(id, -1)
+		select {
+		case <-time.After(run):
+			return answer(r, id), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	})
+	for i := range z.infos {
+		z.infos[i].Slots = slots
+	}
+	for _, id := range gates {
+		z.gates[id] = z.gate(ID(id), Member(func() bool { return true }), Neighbours(Siblings{z.borrow, z.giveBack, z.confirm}))
+	}
+	z.table(1, gates...)
+	time.Sleep(20 * time.Second) // A new zone waits for the last requests of gates before it.
+	return z
+}
+
+func (z *zone) count(id string, n int) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.now[id] += n
+	z.most = max(z.most, z.now[id])
+}
+
+func (z *zone) peak() int {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.most
+}
+
+func (z *zone) borrow(ctx context.Context, gate string, ask *share.Ask) (*share.Loans, error) {
+	return z.gates[gate].Lend(ctx, ask)
+}
+
+func (z *zone) giveBack(ctx context.Context, gate string, r *share.Return) error {
+	_, err := z.gates[gate].TakeBack(ctx, r)
+	return err
+}
+
+func (z *zone) confirm(ctx context.Context, gate string, c *share.Confirmation) (*share.Confirmation, error) {
+	return z.gates[gate].Hear(ctx, c)
+}
+
+func (z *zone) table(version int64, gates ...string) {
+	for _, id := range gates {
+		z.gates[id].SetTable(share.Table{Version: version, Gates: gates})
+	}
+}
+
+func (z *zone) close() {
+	for _, g := range z.gates {
+		g.Close()
+	}
+}
+
+// The caller of a busy gate waits although the targets are idle.
+// All callers come to one of three gates, whose share is a third of the slots. It must get the idle
+// slots of its siblings, and together they must never use more than there are.
+func TestIdleShareReachesBusyGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newZone(10, 8, 100*time.Millisecond, "g1", "g2", "g3")
+		defer z.close()
+		for _, g := range []string{"g2", "g3"} {
+			// The siblings have a little to do too.
+			go z.gates[g].Do(context.Background(), &Check{Service: "desk"})
+		}
+		var done atomic.Int64
+		for range 60 {
+			go func() {
+				for range 20 {
+					if z.gates["g1"].Do(context.Background(), &Check{Service: "desk"}).Outcome == job.Done {
+						done.Add(1)
+					}
+				}
+			}()
+		}
+		start := time.Now()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		rate := float64(done.Load()) / time.Since(start).Seconds()
+		t.Logf("%.0f checks a second by one gate of three; its own share alone gives at most %d", rate, 10*8/3*10)
+		is.True(rate > 1.8*10*8/3*10)
+		is.True(z.peak() <= 8)
+		time.Sleep(10 * time.Second)
+		is.Equal(done.Load(), int64(60*20))
+		is.Equal(len(z.gates["g1"].shares.Idle(time.Now())), 0) // What was idle has been returned.
+	})
+}
+
+// The caller's check is not sent by a gate that has lost its membership.
+// The gate was paused; meanwhile its lease lapsed and its siblings took its share.
+func TestNoShareWithoutMembership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakes(1, func(ctx context.Context, _ string, r *target.Request) (*target.Response, error) {
+			return whole1(ctx, r)
+		})
+		member := true
+		g := f.gate(Member(func() bool { return member }))
+		defer g.Close()
+		g.SetTable(share.Table{Version: 1, Gates: []string{"g1"}})
+		time.Sleep(20 * time.Second)
+		is.Equal(g.Do(context.Background(), &Check{Service: "desk"}).Outcome, job.Done)
+		member = false
+		r := g.Do(context.Background(), &Check{Service: "desk"})
+		is.Equal(r.Outcome, job.NotRun)
+		is.True(r.RetryAfter > 0)
+		is.Equal(f.calls.Load(), int64(1))
+	})
+}
+
+// The caller reaches targets of another zone only when its own has none that is usable.
+// A gate of that zone may be dead, stopping, or lose its answer on the way.
+func TestForward(t *testing.T) {
+	refusal := func() (*Result, error) { return nil, rpc.Refused(time.Second, "gate is stopping") }
+	good := func() (*Result, error) {
+		a := job.NewAnswer(0, []byte("seat"))
+		return &Result{Outcome: job.Done, Answer: &a, Attempts: 1}, nil
+	}
+	dead := func() (*Result, error) { return nil, fmt.Errorf("dial: %w", rpc.ErrNotSent) }
+	gone := func() (*Result, error) { return nil, errors.New("cut") }
+	cases := []struct {
+		name    string
+		local   bool
+		peers   []func() (*Result, error)
+		want    job.Outcome
+		reached int
+	}{
+		{"own zone serves", true, []func() (*Result, error){good}, job.Done, 0},
+		{"other zone serves", false, []func() (*Result, error){good}, job.Done, 1},
+		{"first gate dead", false, []func() (*Result, error){dead, good}, job.Done, 2},
+		{"first gate stopping", false, []func() (*Result, error){refusal, good}, job.Done, 2},
+		{"all dead", false, []func() (*Result, error){dead, dead}, job.NotRun, 2},
+		{"answer lost", false, []func() (*Result, error){gone, good}, job.Unknown, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakes(2, func(ctx context.Context, _ string, r *target.Request) (*target.Response, error) {
+					return whole1(ctx, r)
+				})
+				f.infos[0].Zone = "z2"
+				f.infos[1].Leaving = !c.local
+				reached := 0
+				g := f.gate(Peers(func(string) []string { return []string{"10.0.0.2:1", "10.0.0.3:1"} },
+					func(_ context.Context, _ string, in *Check) (*Result, error) {
+						is.True(in.Forwarded)
+						reached++
+						return c.peers[reached-1]()
+					}))
+				defer g.Close()
+				r := g.Do(context.Background(), &Check{Service: "desk"})
+				is.Equal(r.Outcome, c.want)
+				is.Equal(reached, c.reached)
+			})
+		})
+	}
+}
--- a/share/share.go
+++ b/share/share.go
@@ -34,9 +34,11 @@
 	base *Table
 	// pending are the newer tables, oldest first.
 	pending []Table
-	// settled is when the last requests of gates that were removed have ended.
+	// settled is when the last requests of gates that were removed have ended; a gate that knows
+	// of none, because it is new, may take another's word for it.
 	settled   time.Time
-	confirmed map[string]int64
+	anew      bool
+	confirmed map[string]Confirmation
 	confirms  int64
 	uses      map[string]*use
 	serial    uint64
@@ -69,7 +71,7 @@
 	for _, f := range opts {
 		f(&o)
 	}
-	return &Holder{id: id, opts: o, confirmed: make(map[string]int64), uses: make(map[string]*use)}
+	return &Holder{id: id, opts: o, confirmed: make(map[string]Confirmation), uses: make(map[string]*use)}
 }
 
 // SetTable takes a newer table over; an older or the same one changes nothing.
@@ -82,13 +84,13 @@
 		return
 	}
 	t.Gates = slices.Clone(t.Gates)
-	// A removed gate has lost its claim, and one that lost count of the tables starts anew.
-	anew := !t.has(h.id) || len(h.pending) >= maxPending
-	if anew || h.mustSettle(&t) {
+	switch {
+	case newest == nil || !t.has(h.id) || len(h.pending) >= maxPending:
+		// A new gate has no claim yet, a removed one has lost it, and one that lost count starts anew.
+		h.base, h.pending, h.anew = nil, nil, true
+		h.settled = now.Add(h.opts.Settle)
+	case h.mustSettle(&t):
 		h.settled = now.Add(h.opts.Settle)
-	}
-	if anew {
-		h.base, h.pending = nil, nil
 	}
 	h.pending = append(h.pending, t)
 	for gate := range h.confirmed {
@@ -99,12 +101,8 @@
 	h.move(now)
 }
 
-// mustSettle reports whether requests of a gate that t does not list may still occupy targets. The
-// very first table of a zone has no such gates; a gate that knows no earlier one can't tell.
+// mustSettle reports whether requests of a gate that t does not list may still occupy targets.
 func (h *Holder) mustSettle(t *Table) bool {
-	if h.newest() == nil {
-		return t.Version > 1
-	}
 	if h.base != nil && t.lacks(h.base) {
 		return true
 	}
@@ -118,51 +116,70 @@
 	return h.base
 }
 
-// Confirmed notes the version that another gate of the zone has told in its heartbeat.
-func (h *Holder) Confirmed(gate string, version int64, now time.Time) {
+// Confirmed notes what another gate of the zone has told.
+func (h *Holder) Confirmed(c Confirmation, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if t := h.newest(); t != nil && t.has(gate) {
-		h.confirmed[gate] = max(version, h.confirmed[gate])
+	if t := h.newest(); t != nil && t.has(c.Gate) && c.Version >= h.confirmed[c.Gate].Version {
+		h.confirmed[c.Gate] = c
 	}
 	h.move(now)
 }
 
-// Confirms gives the version that this gate may tell the others: nothing here exceeds its share of
-// that table, and nothing is left of the gates that were removed before it.
-func (h *Holder) Confirms(now time.Time) int64 {
+// Confirms gives what this gate may tell the others.
+func (h *Holder) Confirms(now time.Time) Confirmation {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.move(now)
-	t := h.newest()
-	if t == nil || now.Before(h.settled) || t.Version == h.confirms {
-		return h.confirms
+	if h.mayConfirm(now) {
+		h.confirms = h.newest().Version
+	}
+	return Confirmation{Gate: h.id, Version: h.confirms, Knows: !h.anew}
+}
+
+func (h *Holder) mayConfirm(now time.Time) bool {
+	if h.newest() == nil || (!h.anew && now.Before(h.settled)) {
+		return false
 	}
 	for id, u := range h.uses {
 		u.prune(now)
 		if u.own+u.lentOut() > h.limit(id, u.slots) {
-			return h.confirms
+			return false
 		}
 	}
-	h.confirms = t.Version
-	return h.confirms
+	return true
 }
 
 // move makes the newest table the base once all its other gates have confirmed it.
 func (h *Holder) move(now time.Time) {
 	t := h.newest()
-	if t == nil || t == h.base || now.Before(h.settled) || !t.has(h.id) {
+	if t == nil || t == h.base || !t.has(h.id) {
 		return
 	}
+	settled := !now.Before(h.settled)
 	for _, gate := range t.Gates {
+		if gate == h.id {
+			continue
+		}
+		c := h.confirmed[gate]
 		// The very version, not a later one: a gate that skipped this table was never bound by it, and
 		// a claim to its share here could overlap with what that gate uses.
-		if gate != h.id && h.confirmed[gate] != t.Version {
+		if c.Version != t.Version {
 			return
 		}
+		settled = settled || (h.anew && c.Knows)
+	}
+	if settled {
+		base := *t
+		h.base, h.pending, h.anew, h.settled = &base, nil, false, time.Time{}
 	}
-	base := *t
-	h.base, h.pending = &base, nil
+}
+
+// Agreed reports whether nothing is left to be confirmed here.
+func (h *Holder) Agreed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.newest() == h.base
 }
 
 // limit is the smallest share of the base and all newer tables.
@@ -222,6 +239,7 @@
 	if !h.opts.Valid() {
 		return 0
 	}
+	h.move(now)
 	u := h.use(target, now)
 	n := max(0, h.limit(target, slots)-u.lentOut())
 	for _, b := range u.borrowed {
@@ -240,6 +258,7 @@
 	if !h.opts.Valid() {
 		return 0
 	}
+	h.move(now)
 	u := h.use(target, now)
 	n := max(0, h.limit(target, slots)-u.own-u.lentOut())
 	for _, b := range u.borrowed {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	leaseTime  = 3 * time.Second
-	maxRequest = 2 * time.Second
+	leaseTime  = time.Second
+	maxRequest = 3 * time.Second
 	loanLife   = 3 * time.Second
 	loanDrift  = 300 * time.Millisecond
 	settleTime = 4 * time.Second
@@ -114,10 +114,10 @@
 	}
 }
 
-func (w *world) heartbeat(id string, s *sim) {
-	version := s.holder.Confirms(w.now)
+func (w *world) heartbeat(s *sim) {
+	c := s.holder.Confirms(w.now)
 	to := w.gates[w.table().Gates[w.draw(len(w.table().Gates))]]
-	w.mail = append(w.mail, func() { to.holder.Confirmed(id, version, w.now) })
+	w.mail = append(w.mail, func() { to.holder.Confirmed(c, w.now) })
 }
 
 func (w *world) borrow(id string, s *sim) {
@@ -190,14 +190,14 @@
 	case k == 64:
 		if w.draw(5) == 0 {
 			s.dead = w.draw(2) == 0
-			s.frozen = w.now.Add(leaseTime * 2)
+			s.frozen = w.now.Add(3 * leaseTime)
 		}
 	case k < 85:
 		s.valid = w.now.Add(leaseTime)
 	case k < 95:
 		w.learn(s)
 	case k < 120:
-		w.heartbeat(id, s)
+		w.heartbeat(s)
 	case k < 130:
 		w.borrow(id, s)
 	case k < 132:
@@ -276,20 +276,49 @@
 		target = fmt.Sprint("t", i)
 	}
 	a, b := New("a"), New("b")
-	for _, h := range []*Holder{a, b} {
-		h.SetTable(two, now)
-	}
-	a.Confirmed("b", b.Confirms(now), now)
-	b.Confirmed("a", a.Confirms(now), now)
+	a.SetTable(two, now)
+	b.SetTable(two, now)
+	now = now.Add(DefaultSettle)
+	a.Confirmed(b.Confirms(now), now)
+	b.Confirmed(a.Confirms(now), now)
 	a.SetTable(three, now)
-	a.Confirmed("c", 2, now)
+	a.Confirmed(Confirmation{Gate: "c", Version: 2}, now)
 	b.SetTable(Table{3, two.Gates}, now)
-	a.Confirmed("b", b.Confirms(now), now)
-	is.Equal(b.Confirms(now), int64(3))
+	a.Confirmed(b.Confirms(now), now)
+	is.Equal(b.Confirms(now).Version, int64(3))
 	is.Equal(b.Limit(target, 1, now), 1)
 	is.Equal(a.Limit(target, 1, now), 0)
 	a.SetTable(Table{3, two.Gates}, now)
-	later := now.Add(DefaultSettle)
-	is.Equal(a.Confirms(later), int64(3))
+	now = now.Add(DefaultSettle)
+	is.Equal(a.Confirms(now).Version, int64(3))
 	is.Equal(a.Limit(target, 1, now), 0)
 }
+
+// The caller sees targets refuse for want of a slot after the gates of a zone were replaced.
+// All gates died, and two new ones know nothing of the requests that those left at the targets. They
+// must wait these out; beside a gate that knows the earlier tables, its word is enough.
+func TestNewGatesWaitForEarlierOnes(t *testing.T) {
+	for name, c := range map[string]struct {
+		old  bool
+		want int
+	}{"all new": {false, 0}, "one knows": {true, 4}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			a, b := New("a"), New("b")
+			if c.old {
+				a.SetTable(Table{7, []string{"a"}}, now)
+				now = now.Add(DefaultSettle)
+			}
+			for range 3 {
+				a.SetTable(Table{9, []string{"a", "b"}}, now)
+				b.SetTable(Table{9, []string{"a", "b"}}, now)
+				a.Confirmed(b.Confirms(now), now)
+				b.Confirmed(a.Confirms(now), now)
+			}
+			is.Equal(a.Limit("t", 8, now), c.want)
+			is.Equal(b.Limit("t", 8, now), c.want)
+			is.Equal(b.Limit("t", 8, now.Add(DefaultSettle)), 4)
+		})
+	}
+}
--- a/share/table.go
+++ b/share/table.go
@@ -8,6 +8,7 @@
 
 // Table is the gate table of a zone.
 type Table struct {
+	// Version grows with each change; it need not grow by one.
 	Version int64 `json:"version" msgpack:"v"`
 	// Gates are the ids of the gates, in the same order for everyone.
 	Gates []string `json:"gates" msgpack:"g"`
@@ -34,3 +35,13 @@
 func (t *Table) lacks(other *Table) bool {
 	return slices.ContainsFunc(other.Gates, func(gate string) bool { return !t.has(gate) })
 }
+
+// Confirmation is what a gate tells the others of its zone.
+type Confirmation struct {
+	Gate string `json:"gate" msgpack:"g"`
+	// Version is the newest table of whose share the gate uses no more than its own.
+	Version int64 `json:"version" msgpack:"v"`
+	// Knows says that the gate knows the earlier tables, and that nothing is left at the targets of
+	// gates that were removed.
+	Knows bool `json:"knows" msgpack:"k"`
+}
