Void a gate's shares when it was removed and listed again unseen

Cause: a wider property test (gates that act on after their removal, rejoin, and pause between taking a slot and sending) found two requests on one slot. A gate was removed, and joined again under the same id without ever seeing the table that lacked it; it went on with its old share, which a sibling held.

Weighed: a new id for each join, which the member table does not have; and voiding the shares when the lease is seen to lapse, which a pause can hide. Chosen: the membership tells since which table version it holds, and a share or slot from before counts no more.

Change: share.Since, asked after Valid; gate.Member takes both. The budget counts thousandths, because ten times 0.1 was a little less than one.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -8,28 +8,31 @@
 	DefaultRatio = 0.1
 	// DefaultBurst is the most retries that can be saved up, and what a new Budget starts with.
 	DefaultBurst = 10
+
+	one = 1000
 )
 
 // Budget is a bucket of retries; it is safe for concurrent use.
 type Budget struct {
-	ratio float64
-	burst float64
+	// earn, burst and have count thousandths of a retry, so that no success is lost in rounding.
+	earn  int64
+	burst int64
 	mu    sync.Mutex
-	have  float64
+	have  int64
 }
 
 // Option sets up a Budget.
 type Option func(*Budget)
 
 // Ratio sets how much of a retry one success earns.
-func Ratio(r float64) Option { return func(b *Budget) { b.ratio = r } }
+func Ratio(r float64) Option { return func(b *Budget) { b.earn = int64(r * one) } }
 
 // Burst sets the most retries that can be saved up.
-func Burst(n int) Option { return func(b *Budget) { b.burst = float64(n) } }
+func Burst(n int) Option { return func(b *Budget) { b.burst = int64(n) * one } }
 
 // New returns a full Budget.
 func New(opts ...Option) *Budget {
-	b := &Budget{ratio: DefaultRatio, burst: DefaultBurst}
+	b := &Budget{earn: DefaultRatio * one, burst: DefaultBurst * one}
 	for _, f := range opts {
 		f(b)
 	}
@@ -40,7 +43,7 @@
 // Earn notes a success.
 func (b *Budget) Earn() {
 	b.mu.Lock()
-	b.have = min(b.burst, b.have+b.ratio)
+	b.have = min(b.burst, b.have+b.earn)
 	b.mu.Unlock()
 }
 
@@ -48,9 +51,9 @@
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.have < 1 {
+	if b.have < one {
 		return false
 	}
-	b.have--
+	b.have -= one
 	return true
 }
--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,36 @@
+package budget
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestSpend(t *testing.T) {
+	cases := []struct {
+		name      string
+		successes int
+		want      int
+	}{
+		{"only the burst", 0, 0},
+		{"a tenth of the successes", 50, 5},
+		{"never more than the burst", 1000, DefaultBurst},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := New()
+			for range DefaultBurst {
+				is.New(t).True(b.Spend())
+			}
+			is.New(t).True(!b.Spend())
+			for range c.successes {
+				b.Earn()
+			}
+			n := 0
+			for b.Spend() {
+				n++
+			}
+			is.New(t).Equal(n, c.want)
+		})
+	}
+}
--- a/gate/api.go
+++ b/gate/api.go
@@ -62,6 +62,9 @@
 	v1.Post("/sessions/{service}/requests", g.postRequest)
 	v1.Post("/sessions/{service}/stream", g.postStream)
 	v1.Delete("/sessions/{service}", g.deleteSession)
+	app.HandleMany("GET POST PUT PATCH DELETE", "/{path:path}", func(ctx iris.Context) {
+		write(ctx, http.StatusNotFound, &Body{Outcome: job.NotRun, Reason: "no such path"})
+	})
 	if err := app.Build(); err != nil {
 		// The routes are fixed, so that only a fault of the program ends here.
 		panic(err)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -102,7 +102,7 @@
 func newHolder(o *Options) *share.Holder {
 	if o.Valid != nil {
 		settle := max(o.Limits.MaxTimeout+o.Limits.Grace, share.DefaultLife+share.DefaultDrift)
-		return share.New(o.ID, share.Settle(settle), share.Valid(o.Valid))
+		return share.New(o.ID, share.Settle(settle), share.Valid(o.Valid), share.Since(o.Since))
 	}
 	// Alone in its zone, with nobody before it, it has nothing to wait for.
 	h := share.New(o.ID, share.Settle(0))
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -128,6 +128,11 @@
 func findings(err error) finding.List {
 	var l finding.List
 	if errors.As(err, &l) {
+		for i := range l {
+			if l[i].Place == "settings" {
+				l[i].Place = "body"
+			}
+		}
 		return l
 	}
 	l.Add("body", "%s", err)
@@ -136,9 +141,10 @@
 
 func replyJob(ctx iris.Context, s *job.Status, err error) {
 	switch {
-	case err == nil && s != nil && s.State == job.Final:
+	case err == nil && s != nil && (s.State == job.Final || ctx.Method() == http.MethodGet):
 		write(ctx, http.StatusOK, s)
 	case err == nil && s != nil:
+		// Accepted, or asked to stop; the outcome comes later.
 		write(ctx, http.StatusAccepted, s)
 	default:
 		replyFault(ctx, err)
--- a/gate/options.go
+++ b/gate/options.go
@@ -32,7 +32,9 @@
 	Peers   func(zone string) []string
 	Forward Forward
 	// Valid tells whether the gate holds its membership; nil makes the gate the only one of its zone.
-	Valid    func() bool
+	Valid func() bool
+	// Since gives the table version with which the present membership began.
+	Since    func() int64
 	Siblings Siblings
 	Keys     [][]byte
 	Jobs     Jobs
@@ -91,8 +93,10 @@
 }
 
 // Member makes the gate one of several in its zone: it uses nothing while valid is false or before
-// SetTable has listed it.
-func Member(valid func() bool) Option { return func(o *Options) { o.Valid = valid } }
+// SetTable has listed it, nor what it held before the membership that began with version since.
+func Member(valid func() bool, since func() int64) Option {
+	return func(o *Options) { o.Valid, o.Since = valid, since }
+}
 
 // Neighbours sets how the zone's other gates are reached.
 func Neighbours(s Siblings) Option { return func(o *Options) { o.Siblings = s } }
--- a/gate/send.go
+++ b/gate/send.go
@@ -67,6 +67,10 @@
 	r.Attempts = cl.attempts
 	if cl.mayRun && r.Outcome == job.NotRun {
 		r.Outcome = job.Unknown
+		if !cl.check.Repeatable {
+			// To try again could run it twice.
+			r.RetryAfter = 0
+		}
 	}
 	return r
 }
--- a/share/loan.go
+++ b/share/loan.go
@@ -61,9 +61,12 @@
 func (h *Holder) Lend(ask *Ask, now time.Time) Loans {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.move(now)
 	var out Loans
-	if !h.opts.Valid() || ask.Gate == h.id || !h.lists(ask.Gate) {
+	if !h.opts.Valid() || ask.Gate == h.id {
+		return out
+	}
+	h.move(now)
+	if !h.lists(ask.Gate) {
 		return out
 	}
 	spare := h.spare(ask.Targets, now)
--- a/share/share.go
+++ b/share/share.go
@@ -56,6 +56,8 @@
 type Slot struct {
 	target string
 	loan   *borrowed
+	// since is the membership under which the slot was taken.
+	since int64
 }
 
 // Lent reports whether the slot is a sibling's.
@@ -65,7 +67,7 @@
 // back under an old id would be taken to have kept its promises.
 func New(id string, opts ...Option) *Holder {
 	o := Options{
-		Valid: func() bool { return true }, Life: DefaultLife, Drift: DefaultDrift,
+		Valid: func() bool { return true }, Since: func() int64 { return 0 }, Life: DefaultLife, Drift: DefaultDrift,
 		IdleLoan: DefaultIdleLoan, Settle: DefaultSettle,
 	}
 	for _, f := range opts {
@@ -150,8 +152,21 @@
 	return true
 }
 
+// renew forgets the tables before the present membership. A gate that was removed and has joined
+// again may never see the table that lacked it, and its old share is another's by now.
+func (h *Holder) renew(now time.Time) {
+	since := h.opts.Since()
+	stale := func(t Table) bool { return t.Version < since }
+	if (h.base == nil || !stale(*h.base)) && !slices.ContainsFunc(h.pending, stale) {
+		return
+	}
+	h.base, h.pending, h.anew = nil, slices.DeleteFunc(h.pending, stale), true
+	h.settled = now.Add(h.opts.Settle)
+}
+
 // move makes the newest table the base once all its other gates have confirmed it.
 func (h *Holder) move(now time.Time) {
+	h.renew(now)
 	t := h.newest()
 	if t == nil || t == h.base || !t.has(h.id) {
 		return
@@ -276,16 +291,18 @@
 	if !h.opts.Valid() {
 		return nil, false
 	}
+	h.move(now)
+	since := h.opts.Since()
 	u := h.use(target, now)
 	u.slots = slots
 	if u.own+u.lentOut() < h.limit(target, slots) {
 		u.own++
-		return &Slot{target: target}, true
+		return &Slot{target: target, since: since}, true
 	}
 	if b := u.loan(until); b != nil {
 		b.inUse++
 		b.used = now
-		return &Slot{target: target, loan: b}, true
+		return &Slot{target: target, loan: b, since: since}, true
 	}
 	return nil, false
 }
@@ -293,7 +310,7 @@
 // Holds reports whether a slot may still be used for a request that ends at the given time; it is
 // asked directly before each send, because the process may have been paused since Take.
 func (h *Holder) Holds(s *Slot, until time.Time) bool {
-	return h.opts.Valid() && (s.loan == nil || !until.After(s.loan.expires))
+	return h.opts.Valid() && h.opts.Since() == s.since && (s.loan == nil || !until.After(s.loan.expires))
 }
 
 // Release gives a slot back.
