--- a/member/beat.go
+++ b/member/beat.go
@@ -87,6 +87,9 @@
 func (g *Group) hear(p *peer, version, rules int64, now time.Time) {
 	p.heard, p.suspect, p.rules = now, false, max(p.rules, rules)
 	p.confirmed = max(p.confirmed, version)
+	if p.established.IsZero() && g.joined != 0 && p.confirmed >= g.joined {
+		p.established = now
+	}
 	if g.self.State == Joining && g.joined != 0 && g.allConfirmed() {
 		g.nudge()
 	}
@@ -128,7 +131,7 @@
 
 // asks says that the lease was not renewed for long, so that promises are needed soon or now.
 func (g *Group) asks(now time.Time) bool {
-	return g.joined != 0 && g.lease.until.Sub(now) < g.opts.TTL/2
+	return g.joined != 0 && g.leaseLeft(now) < g.opts.TTL/2
 }
 
 func (g *Group) unlisted(vm string) bool {
--- a/member/leave.go
+++ b/member/leave.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"turmericgap/store"
+	"turmericgap/store/retry"
 )
 
 // Leave is the planned stop: the member owns nothing from now on, hands the zone to a peer by one
@@ -17,20 +19,20 @@
 	g.mu.Lock()
 	g.leaving = true
 	g.mu.Unlock()
-	defer g.Stop()
+	defer g.Stop() // It revokes the lease too.
 	if !g.lockTable(ctx) {
 		return ctx.Err()
 	}
 	defer g.unlockTable()
-	var b backoff
+	b := retry.New(retry.Between(firstBackoff, lastBackoff))
 	for {
 		out, err := g.leaveStep(ctx, handOver)
 		if err == nil && out {
-			return g.revoke(ctx)
+			return nil
 		}
 		if err != nil {
 			g.log.Warn("member: not left yet", zap.Error(err))
-			if !sleep(ctx, b.next()) {
+			if b.Wait(ctx) != nil {
 				return eris.Wrap(err, "leave member table")
 			}
 		}
@@ -43,11 +45,12 @@
 	if err != nil {
 		return false, err
 	}
-	g.settle(r)
+	g.settle(r, g.boundLease())
 	if !r.table.holds(g.self) {
+		g.announce(ctx, r.table) // The answer to the last change was lost.
 		return true, nil
 	}
-	s := g.scene(r)
+	s := g.scene(r, g.boundLease())
 	c := change{table: r.table.clone(), write: true}
 	var t store.Txn
 	if to := g.heir(r); handOver && r.table.Owner == g.self.ID && to != "" {
@@ -90,28 +93,16 @@
 	}
 	b := &Beat{From: g.self, Version: t.Version, Table: &t, Rules: g.opts.Rules()}
 	g.mu.Unlock()
-	done := make(chan struct{}, len(peers))
+	var told sync.WaitGroup
 	for _, m := range peers {
-		g.wg.Go(func() {
-			_, _ = g.opts.Call(ctx, m.Address, b) // The watch tells a peer that this misses.
-			done <- struct{}{}
-		})
-	}
-	for range peers {
-		<-done
+		// The watch tells a peer that this misses.
+		told.Go(func() { _, _ = g.opts.Call(ctx, m.Address, b) })
 	}
+	told.Wait()
 }
 
-func (g *Group) revoke(ctx context.Context) error {
-	id := g.leaseID()
-	if id == 0 {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
-	defer cancel()
-	g.forgetLease(id)
-	if err := g.store.Revoke(ctx, id); err != nil {
-		return eris.Wrap(err, "revoke lease")
-	}
-	return nil
+func (g *Group) boundLease() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.keyLease
 }
--- a/member/member.go
+++ b/member/member.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/lease"
 	"turmericgap/rpc"
 	"turmericgap/store"
 )
@@ -22,7 +23,6 @@
 	CallTimeout = 2 * time.Second
 
 	driftShare   = 20
-	renewShare   = 3
 	suspectBeats = 4
 	// stagger keeps members that see the same key vanish from writing at once.
 	stagger = 200 * time.Millisecond
@@ -34,6 +34,7 @@
 type Group struct {
 	opts  Options
 	store *store.Store
+	lease *lease.Holder
 	self  Member
 	log   *zap.Logger
 	pool  *rpc.Pool
@@ -43,7 +44,8 @@
 	// joined is a version of the table at or after the one that first held this incarnation;
 	// zero while it is not in the table.
 	joined int64
-	lease  held
+	// keyLease is the lease that the member's own key is bound to; zero when it may be absent.
+	keyLease int64
 	// asked is when the last round of asking for promises began, plus their length.
 	asked   time.Time
 	peers   map[string]*peer
@@ -60,16 +62,6 @@
 	wg      sync.WaitGroup
 }
 
-// held is the store lease, counted on the monotonic clock from before the request was sent.
-type held struct {
-	id    int64
-	until time.Time
-	// granted is when the lease was asked for.
-	granted time.Time
-	// keyRevision is that of the member's own key; zero when it may be absent.
-	keyRevision int64
-}
-
 // peer is what this process knows of another member of the table.
 type peer struct {
 	member Member
@@ -77,6 +69,8 @@
 	rules  int64
 	// confirmed is the newest table version that the peer is known to have.
 	confirmed int64
+	// established is since when it is known to have a table that holds this process.
+	established time.Time
 	// promised is when the peer's promise to this process ends, on this process's count.
 	promised time.Time
 	// given is when this process's promise to the peer ends.
@@ -123,20 +117,26 @@
 // Start joins the table and keeps the membership until Leave or Stop, or until ctx ends.
 func (g *Group) Start(ctx context.Context) error {
 	ctx, g.cancel = context.WithCancel(ctx)
+	g.lease = lease.New(g.store, lease.TTL(g.opts.TTL), lease.Drift(g.opts.Drift), lease.Logger(g.log),
+		lease.Lost(func(int64) { g.nudge() }))
 	g.wg.Go(func() { g.tend(ctx) })
-	g.wg.Go(func() { g.renew(ctx) })
 	g.wg.Go(func() { g.beat(ctx) })
 	g.wg.Go(func() { g.notify(ctx) })
 	return nil
 }
 
-// Stop ends all duties at once and leaves the table as it is; the lease lapses by itself.
+// Stop ends all duties at once and revokes the lease, but leaves the table as it is.
 func (g *Group) Stop() {
 	g.mu.Lock()
 	g.stopped = true
 	g.mu.Unlock()
 	g.cancel()
 	g.wg.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), CallTimeout)
+	defer cancel()
+	if err := g.lease.Close(ctx); err != nil {
+		g.log.Warn("member: lease not revoked", zap.Error(err))
+	}
 	if g.pool != nil {
 		g.pool.Close()
 	}
@@ -217,7 +217,21 @@
 	if g.stopped || g.joined == 0 {
 		return false
 	}
-	return now.Before(g.lease.until) || g.promised(now)
+	return g.leased() || g.promised(now)
+}
+
+// leased says that the member's key is bound to a lease that surely holds. It asks for the ID last:
+// IDs do not come back, so that the lease found valid is the one of the key.
+func (g *Group) leased() bool {
+	return g.lease.Valid() && g.lease.ID() == g.keyLease
+}
+
+// leaseLeft gives the time until the lease of the member's key must not be trusted any more.
+func (g *Group) leaseLeft(now time.Time) time.Duration {
+	if !g.leased() {
+		return 0
+	}
+	return max(0, g.lease.Deadline().Sub(now))
 }
 
 // promised says whether every other member of the table has promised beyond now. The bound on the
@@ -270,7 +284,7 @@
 	g.log.Warn("member: removed from the table by others", zap.Int64("version", g.table.Version))
 	g.joined, g.asked, g.self.State = 0, time.Time{}, Joining
 	for _, p := range g.peers {
-		p.promised = time.Time{}
+		p.promised, p.established = time.Time{}, time.Time{}
 	}
 }
 
--- a/member/page.go
+++ b/member/page.go
@@ -66,7 +66,7 @@
 	p := Page{
 		Self: g.self, Version: g.table.Version, Epoch: g.table.Epoch, EpochRevision: g.table.EpochRevision,
 		Owner: g.table.Owner, Owns: owns, Valid: g.valid(now), Basis: g.basis(now),
-		LeaseMillis: left(g.lease.until, now), Others: []Row{},
+		LeaseMillis: g.leaseLeft(now).Milliseconds(), Others: []Row{},
 	}
 	for _, o := range g.peers {
 		p.Others = append(p.Others, Row{
@@ -83,7 +83,7 @@
 	switch {
 	case !g.valid(now):
 		return ByNothing
-	case now.Before(g.lease.until):
+	case g.leased():
 		return ByLease
 	default:
 		return ByPromises
--- a/member/plan.go
+++ b/member/plan.go
@@ -28,9 +28,9 @@
 	absent time.Time
 	// given is when this process's promise to it ends.
 	given time.Time
-	// established says that it has confirmed a table that holds this process: from then on it
-	// cannot go on past its lease without this process's promise.
-	established bool
+	// established is since when it is known to have a table that holds this process: from then on
+	// it cannot go on past its lease without this process's promise. Zero for not yet.
+	established time.Time
 	// unlisted says that the VM list does not show its VM.
 	unlisted bool
 }
@@ -44,11 +44,13 @@
 	joined bool
 	since  time.Time
 	// grace is one full lease and the drift allowance.
-	grace  time.Duration
-	elects bool
-	table  Table
-	keys   map[string]present
-	others map[string]standing
+	grace time.Duration
+	// promise is how long a promise holds.
+	promise time.Duration
+	elects  bool
+	table   Table
+	keys    map[string]present
+	others  map[string]standing
 	// confirmed says that all others have confirmed a table that holds this process.
 	confirmed bool
 }
@@ -144,8 +146,9 @@
 	if s.now.Before(o.given) {
 		return o.given.Sub(s.now)
 	}
-	if o.established {
-		return o.absent.Add(s.rank() * stagger).Sub(s.now)
+	if !o.established.IsZero() {
+		// One that has just learnt of this process gets the time to ask for its first promise.
+		return later(o.absent.Add(s.rank()*stagger), o.established.Add(s.promise)).Sub(s.now)
 	}
 	if !o.unlisted {
 		return soon
--- a/member/tend.go
+++ b/member/tend.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"turmericgap/store"
+	"turmericgap/store/retry"
 )
 
 // reading is the table and the present keys as the store had them.
@@ -17,25 +17,27 @@
 	keys  map[string]present
 }
 
+const (
+	firstBackoff = 200 * time.Millisecond
+	lastBackoff  = 4 * time.Second
+)
+
 // tend joins the table and keeps it true: it wakes on changes, on suspicion and at long intervals.
 func (g *Group) tend(ctx context.Context) {
-	var failures, looks backoff
+	failures := retry.New(retry.Between(firstBackoff, lastBackoff))
+	looks := retry.New(retry.Between(firstBackoff, g.opts.Look))
 	for wait := time.Duration(0); g.pause(ctx, wait); {
-		if g.unattended() {
-			wait = g.opts.Look
-			continue
-		}
 		again, err := g.step(ctx)
 		if err != nil {
 			g.log.Warn("member: table not tended", zap.Error(err))
-			if !sleep(ctx, failures.next()) {
+			if failures.Wait(ctx) != nil {
 				return
 			}
-			wait = 0
+			wait = time.Millisecond
 			continue
 		}
-		failures = backoff{}
-		wait = g.nextLook(&looks, again)
+		failures.Reset()
+		wait = g.nextLook(looks, again)
 	}
 }
 
@@ -52,42 +54,33 @@
 	return ctx.Err() == nil
 }
 
-// unattended says that there is nothing to do here: the member leaves, or the store is out of
-// reach and renew, the one duty that goes on asking it, will tell when it is back.
-func (g *Group) unattended() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.leaving || g.joined != 0 && g.lease.id != 0 && !time.Now().Before(g.lease.until)
-}
-
 // nextLook gives the time until the next step: soon if a decision is open, later and later while
 // a peer stays suspect, else long.
-func (g *Group) nextLook(looks *backoff, again time.Duration) time.Duration {
+func (g *Group) nextLook(looks *retry.Backoff, again time.Duration) time.Duration {
 	if again > 0 {
 		return again
 	}
 	if g.suspects() {
-		return looks.next()
+		return looks.Next()
 	}
-	*looks = backoff{}
+	looks.Reset()
 	return jitter(g.opts.Look)
 }
 
 // step reads the store, plans and applies one change.
 func (g *Group) step(ctx context.Context) (again time.Duration, err error) {
-	if !g.lockTable(ctx) {
-		return 0, ctx.Err()
-	}
-	defer g.unlockTable()
-	if err := g.ensureLease(ctx); err != nil {
+	// While the store is out of reach the lease's holder is the one that goes on asking it.
+	id, err := g.lease.Wait(ctx)
+	if err != nil || !g.lockTable(ctx) {
 		return 0, err
 	}
+	defer g.unlockTable()
 	r, err := g.read(ctx)
 	if err != nil {
 		return 0, err
 	}
-	g.settle(r)
-	s := g.scene(r)
+	g.settle(r, id)
+	s := g.scene(r, id)
 	c, err := plan(s)
 	if err != nil || c.empty() {
 		return c.again, err
@@ -98,9 +91,6 @@
 	res, err := g.txn(ctx, s.txn(&c))
 	g.resolve(c.gone, res, err)
 	if err != nil {
-		if errors.Is(err, store.ErrLeaseGone) {
-			g.forgetLease(s.lease)
-		}
 		return 0, err
 	}
 	if !res.Succeeded {
@@ -127,23 +117,6 @@
 	return g.store.Txn(ctx, t)
 }
 
-func (g *Group) ensureLease(ctx context.Context) error {
-	if g.leaseID() != 0 {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
-	defer cancel()
-	sent := time.Now()
-	id, err := g.store.Grant(ctx, g.opts.TTL)
-	if err != nil {
-		return eris.Wrap(err, "grant lease")
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.lease = held{id: id, granted: sent}
-	return nil
-}
-
 func (g *Group) read(ctx context.Context) (reading, error) {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
@@ -174,7 +147,7 @@
 
 // settle takes in what was read: the table, which keys are absent, and whether this process is
 // in. The last finds a join whose answer was lost.
-func (g *Group) settle(r reading) {
+func (g *Group) settle(r reading, lease int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.adopt(r.table)
@@ -187,14 +160,13 @@
 			p.absent = time.Now()
 		}
 	}
-	own := r.keys[g.self.ID]
-	if own.lease != 0 && own.lease == g.lease.id && r.table.holds(g.self) {
-		g.entered(r.table, own.revision)
+	if own := r.keys[g.self.ID]; own.lease == lease && r.table.holds(g.self) {
+		g.entered(r.table, lease)
 	}
 }
 
-// entered notes that the table holds this process and its key is bound to its lease.
-func (g *Group) entered(t Table, keyRevision int64) {
+// entered notes that the table holds this process and that its key is bound to a lease.
+func (g *Group) entered(t Table, lease int64) {
 	if !g.table.holds(g.self) {
 		return // A newer table is known already, without this process.
 	}
@@ -203,36 +175,30 @@
 		g.log.Info("member: joined", zap.Int64("version", t.Version))
 	}
 	own, _ := t.Find(g.self.ID)
-	g.self.State = own.State
-	if g.lease.keyRevision == 0 {
-		g.lease.keyRevision = keyRevision
-		g.extend(g.lease.id, g.lease.granted, g.opts.TTL)
-	}
+	g.self.State, g.keyLease = own.State, lease
 }
 
-func (g *Group) scene(r reading) *scene {
+func (g *Group) scene(r reading, lease int64) *scene {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := &scene{
-		now: time.Now(), self: g.self, lease: g.lease.id, joined: g.joined != 0, since: g.since,
-		grace: g.opts.TTL + g.opts.Drift, elects: g.opts.Elects, table: r.table, keys: r.keys,
+		now: time.Now(), self: g.self, lease: lease, joined: g.joined != 0, since: g.since,
+		grace: g.opts.TTL + g.opts.Drift, elects: g.opts.Elects, promise: g.opts.Promise, table: r.table, keys: r.keys,
 		others: make(map[string]standing, len(g.peers)), confirmed: g.allConfirmed(),
 	}
 	vms, known := g.opts.Listed()
 	for id, p := range g.peers {
 		s.others[id] = standing{
 			absent: p.absent, given: p.given, unlisted: known && !vms[p.member.VM],
-			established: g.established(p),
+			established: p.established,
 		}
 	}
 	return s
 }
 
-func (g *Group) established(p *peer) bool { return g.joined != 0 && p.confirmed >= g.joined }
-
 func (g *Group) allConfirmed() bool {
 	for _, p := range g.peers {
-		if !g.established(p) {
+		if p.established.IsZero() {
 			return false
 		}
 	}
@@ -261,8 +227,7 @@
 // resolve takes the marks back if the removal surely did not happen. If its answer was lost the
 // transaction may still apply, until the table's version has moved past what it compares.
 func (g *Group) resolve(gone []string, res store.TxnResult, err error) {
-	definite := err == nil && !res.Succeeded || errors.Is(err, store.ErrNotSent) || errors.Is(err, store.ErrBudget)
-	if !definite {
+	if surely := store.NotApplied(err) || err == nil && !res.Succeeded; !surely {
 		return
 	}
 	g.mu.Lock()
@@ -278,12 +243,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := c.done(revision)
-	keyRevision := s.keys[s.self.ID].revision
-	if c.key {
-		keyRevision = revision
-	}
 	g.adopt(t)
-	g.entered(t, keyRevision)
+	g.entered(t, s.lease)
 	if c.epoch {
 		g.log.Info("member: owns the zone", zap.Int64("epoch", t.Epoch))
 	}
--- a/view/edit.go
+++ b/view/edit.go
@@ -71,7 +71,7 @@
 		return 0, err
 	}
 	identity := newName()
-	var b backoff
+	b := newBackoff()
 	for {
 		version, err := e.try(ctx, s, identity)
 		if err == nil || isDefinite(err) {
@@ -79,7 +79,7 @@
 		}
 		// A lost answer is not a failed write: the next try reads first and finds this edit, if
 		// it was applied, by its identity.
-		if !sleep(ctx, b.next()) {
+		if b.Wait(ctx) != nil {
 			return 0, eris.Wrap(err, "edit of unknown outcome")
 		}
 	}
--- a/view/follower.go
+++ b/view/follower.go
@@ -92,7 +92,7 @@
 
 // follow asks the Keeper beside this process; after a failure one of the others, in turn.
 func (f *Follower) follow(ctx context.Context) {
-	var b backoff
+	b := newBackoff()
 	last := NextReply{}
 	for failures := 0; ctx.Err() == nil; {
 		address := f.keeper(failures)
@@ -100,7 +100,7 @@
 		if err == nil {
 			f.take(&r.View)
 			last = NextReply{Keeper: r.Keeper, View: View{Version: r.View.Version}}
-			b = backoff{}
+			b.Reset()
 			if address != f.beside {
 				// Without this pause and return, a gate would stay with a far Keeper for ever.
 				failures = 0
@@ -111,7 +111,7 @@
 		f.log.Warn("view: keeper not reached", zap.String("address", address), zap.Error(err))
 		failures++
 		if failures%2 == 0 {
-			sleep(ctx, b.next())
+			_ = b.Wait(ctx)
 		}
 	}
 }
--- a/view/view.go
+++ b/view/view.go
@@ -13,6 +13,7 @@
 	"turmericgap/member"
 	"turmericgap/rpc"
 	"turmericgap/store"
+	"turmericgap/store/retry"
 )
 
 // Defaults.
@@ -141,9 +142,9 @@
 // watch reads the cell's keys once and then follows their changes without a gap.
 func (k *Keeper) watch(ctx context.Context) {
 	var from int64
-	var b backoff
+	b := newBackoff()
 	for ctx.Err() == nil {
-		err := k.follow(ctx, &from, &b)
+		err := k.follow(ctx, &from, b)
 		if ctx.Err() != nil {
 			return
 		}
@@ -151,11 +152,11 @@
 			from = 0
 		}
 		k.log.Warn("view: watch ended", zap.Error(err))
-		sleep(ctx, b.next())
+		_ = b.Wait(ctx)
 	}
 }
 
-func (k *Keeper) follow(ctx context.Context, from *int64, b *backoff) error {
+func (k *Keeper) follow(ctx context.Context, from *int64, b *retry.Backoff) error {
 	if *from == 0 {
 		revision, err := k.read(ctx)
 		if err != nil {
@@ -168,7 +169,7 @@
 			k.take(e)
 		}
 		*from = batch.Revision + 1
-		*b = backoff{}
+		b.Reset()
 	})
 }
 
@@ -241,13 +242,7 @@
 	return k.opts.List(ctx)
 }
 
-// backoff grows the pause between tries, with jitter, so that a store that returns is not stormed.
-type backoff struct{ pause time.Duration }
-
-func (b *backoff) next() time.Duration {
-	b.pause = min(max(2*b.pause, firstBackoff), lastBackoff)
-	return jitter(b.pause)
-}
+func newBackoff() *retry.Backoff { return retry.New(retry.Between(firstBackoff, lastBackoff)) }
 
 // jitter spreads d over half of itself up to all of it, so that processes do not act in step.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
