--- a/member/member.go
+++ b/member/member.go
@@ -19,8 +19,8 @@
 	DefaultBeat    = 500 * time.Millisecond
 	DefaultPromise = 3 * time.Second
 	DefaultLook    = 30 * time.Second
-	// CallTimeout bounds one call of the store.
-	CallTimeout = 2 * time.Second
+	// CallTimeout bounds one call of the store, which may be slow.
+	CallTimeout = 5 * time.Second
 
 	driftShare   = 20
 	suspectBeats = 4
@@ -117,8 +117,10 @@
 // Start joins the table and keeps the membership until Leave or Stop, or until ctx ends.
 func (g *Group) Start(ctx context.Context) error {
 	ctx, g.cancel = context.WithCancel(ctx)
+	g.mu.Lock()
 	g.lease = lease.New(g.store, lease.TTL(g.opts.TTL), lease.Drift(g.opts.Drift), lease.Logger(g.log),
 		lease.Lost(func(int64) { g.nudge() }))
+	g.mu.Unlock()
 	g.wg.Go(func() { g.tend(ctx) })
 	g.wg.Go(func() { g.beat(ctx) })
 	g.wg.Go(func() { g.notify(ctx) })
@@ -200,15 +202,20 @@
 	}
 }
 
-// Absent is told by a watch that the lease-bound key of a member of this table has vanished.
-func (g *Group) Absent(id string) {
+// Presence is told by a watch whether the lease-bound key of a member of this table is there.
+func (g *Group) Presence(id string, there bool) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	p := g.peers[id]
-	if p != nil && p.absent.IsZero() {
+	switch {
+	case p == nil:
+		if id == g.self.ID && !there {
+			g.nudge()
+		}
+	case there:
+		p.absent = time.Time{}
+	case p.absent.IsZero():
 		p.absent = time.Now()
-	}
-	g.mu.Unlock()
-	if p != nil || id == g.self.ID {
 		g.nudge()
 	}
 }
@@ -223,7 +230,7 @@
 // leased says that the member's key is bound to a lease that surely holds. It asks for the ID last:
 // IDs do not come back, so that the lease found valid is the one of the key.
 func (g *Group) leased() bool {
-	return g.lease.Valid() && g.lease.ID() == g.keyLease
+	return g.lease != nil && g.lease.Valid() && g.lease.ID() == g.keyLease
 }
 
 // leaseLeft gives the time until the lease of the member's key must not be trusted any more.
--- a/member/options.go
+++ b/member/options.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 )
 
-// Options set up a Group.
+// Options set up a Group; its functions must not call the Group, but for OnChange.
 type Options struct {
 	// TTL is the lease's length.
 	TTL time.Duration
--- a/member/table.go
+++ b/member/table.go
@@ -122,6 +122,9 @@
 // EpochKey gives the store's key of a zone's epoch, which the journal's commits compare.
 func EpochKey(zone string) string { return journalPrefix + zone + "/epoch" }
 
+// PresentKey gives the store's key that is bound to a member's lease.
+func PresentKey(zone, role, id string) string { return presentPrefix(zone, role) + id }
+
 func presentPrefix(zone, role string) string { return PresentPrefix + zone + "/" + role + "/" }
 
 // DecodeTable reads a table from the store's pair.
--- a/view/board.go
+++ b/view/board.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	Workers     []worker.Info
 	Targets     []target.Info
 	Entries     map[string]bool
+	// Present holds the lease-bound keys of members that are there, nil before the first reading.
+	Present map[string]bool
 }
 
 // Table gives the table of a zone and role.
@@ -159,11 +162,36 @@
 	})
 }
 
-// absent tells the groups of this process that a member's key has vanished.
-func (b *board) absent(zone, role, id string) {
+// offerPresent takes the whole set of present members' keys.
+func (b *board) offerPresent(present map[string]bool) {
+	changed := b.update(func(v *View) bool {
+		if present == nil || v.Present != nil && maps.Equal(v.Present, present) {
+			return false
+		}
+		v.Present = present
+		return true
+	})
+	if !changed {
+		return
+	}
 	for _, g := range b.groups {
-		if self := g.Self(); self.Zone == zone && self.Role == role {
-			g.Absent(id)
+		self := g.Self()
+		for _, m := range g.Table().Members {
+			g.Presence(m.ID, present[member.PresentKey(self.Zone, self.Role, m.ID)])
 		}
 	}
 }
+
+// offerPresence takes the change of one member's key.
+func (b *board) offerPresence(key string, there bool) {
+	present := maps.Clone(b.view.Load().Present)
+	if present == nil {
+		return
+	}
+	if there {
+		present[key] = true
+	} else {
+		delete(present, key)
+	}
+	b.offerPresent(present)
+}
--- a/view/edit.go
+++ b/view/edit.go
@@ -104,7 +104,7 @@
 var errRaced = eris.New("rule document changed")
 
 func (e *Edit) try(ctx context.Context, s *store.Store, identity string) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*CallTimeout)
 	defer cancel()
 	got, err := s.Range(ctx, store.Range{Key: RulesKey})
 	if err != nil {
--- a/view/follower.go
+++ b/view/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,8 +12,12 @@
 	"turmericgap/rpc"
 )
 
-// followWait is how long a Keeper may hold a call that waits for its next view.
-const followWait = 5 * time.Second
+const (
+	// followWait is how long a Keeper may hold a call that waits for its next view.
+	followWait = 2 * time.Second
+	// probeEvery is how often a Follower of a far Keeper tries the one beside it.
+	probeEvery = 5 * time.Second
+)
 
 // NextCall asks a Keeper for the view after the one that the caller last had from it.
 type NextCall struct {
@@ -90,44 +95,44 @@
 	return f.spread.serve(c), nil
 }
 
-// follow asks the Keeper beside this process; after a failure one of the others, in turn.
+// follow asks the Keeper beside this process and, while that is dead, the others in turn.
 func (f *Follower) follow(ctx context.Context) {
 	b := newBackoff()
-	last := NextReply{}
-	for failures := 0; ctx.Err() == nil; {
-		address := f.keeper(failures)
-		r, err := f.ask(ctx, address, &last)
-		if err == nil {
-			f.take(&r.View)
-			last = NextReply{Keeper: r.Keeper, View: View{Version: r.View.Version}}
-			b.Reset()
-			if address != f.beside {
-				// Without this pause and return, a gate would stay with a far Keeper for ever.
-				failures = 0
-				sleep(ctx, jitter(firstBackoff))
+	var last NextReply
+	at, probed := 0, time.Now()
+	for ctx.Err() == nil {
+		keepers := f.keepers()
+		if at >= len(keepers) {
+			at = 0
+			_ = b.Wait(ctx)
+		}
+		if at > 0 && time.Since(probed) >= probeEvery {
+			probed = time.Now()
+			if _, err := f.ask(ctx, f.beside, &NextReply{}, 0); err == nil {
+				at = 0
 			}
-			continue
 		}
-		f.log.Warn("view: keeper not reached", zap.String("address", address), zap.Error(err))
-		failures++
-		if failures%2 == 0 {
-			_ = b.Wait(ctx)
+		r, err := f.ask(ctx, keepers[at], &last, followWait)
+		if err != nil {
+			f.log.Warn("view: keeper not reached", zap.String("address", keepers[at]), zap.Error(err))
+			at++
+			continue
 		}
+		b.Reset()
+		f.take(&r.View)
+		last = NextReply{Keeper: r.Keeper, View: View{Version: r.View.Version}}
 	}
 }
 
-func (f *Follower) ask(ctx context.Context, address string, last *NextReply) (*NextReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, followWait+CallTimeout)
+func (f *Follower) ask(ctx context.Context, address string, last *NextReply, wait time.Duration) (*NextReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+PeerTimeout)
 	defer cancel()
-	return f.opts.Ask(ctx, address, &NextCall{Keeper: last.Keeper, After: last.View.Version, Wait: followWait})
+	return f.opts.Ask(ctx, address, &NextCall{Keeper: last.Keeper, After: last.View.Version, Wait: wait})
 }
 
-// keeper gives the Keeper beside this process on every other try, and the schedulers in turn.
-func (f *Follower) keeper(failures int) string {
-	if failures%2 == 0 {
-		return f.beside
-	}
-	var near, far []string
+// keepers gives the addresses of the Keepers, the one beside first, then those of the own zone.
+func (f *Follower) keepers() []string {
+	near, far := []string{f.beside}, []string(nil)
 	for _, t := range f.board.view.Load().Tables {
 		if t.Role != member.RoleScheduler {
 			continue
@@ -142,15 +147,17 @@
 			}
 		}
 	}
-	all := append(near, far...)
-	if len(all) == 0 {
-		return f.beside
+	for _, a := range f.opts.Seeds {
+		if all := append(near, far...); !slices.Contains(all, a) {
+			far = append(far, a)
+		}
 	}
-	return all[failures/2%len(all)]
+	return append(near, far...)
 }
 
 func (f *Follower) take(v *View) {
 	f.spread.take(&v.Rules)
 	f.board.offerTables(v.Tables...)
+	f.board.offerPresent(v.Present)
 	f.board.offerList(Listing{Version: v.ListVersion, Workers: v.Workers, Targets: v.Targets, Entries: v.Entries})
 }
--- a/view/options.go
+++ b/view/options.go
@@ -17,6 +17,8 @@
 	List func(ctx context.Context) (Listing, error)
 	// ListEvery is the interval at which the VM list is read.
 	ListEvery time.Duration
+	// Refresh is the interval at which everything in the store is read again.
+	Refresh time.Duration
 	// Groups are told the tables and the vanished keys.
 	Groups []*member.Group
 	// Seeds are addresses of processes to ask before any table is known.
@@ -46,6 +48,9 @@
 // ListEvery sets the interval at which the VM list is read.
 func ListEvery(d time.Duration) Option { return func(o *Options) { o.ListEvery = d } }
 
+// Refresh sets the interval at which everything in the store is read again.
+func Refresh(d time.Duration) Option { return func(o *Options) { o.Refresh = d } }
+
 // Groups adds groups of this process that are told of tables and vanished keys.
 func Groups(g ...*member.Group) Option {
 	return func(o *Options) { o.Groups = append(o.Groups, g...) }
--- a/view/spread.go
+++ b/view/spread.go
@@ -22,6 +22,9 @@
 	NextMethod = "view.next"
 	// maxAtOnce bounds the calls that pass rules on at the same time.
 	maxAtOnce = 8
+	// maxFailed bounds how often the pause doubles for a process that does not answer: to one
+	// second with the defaults, so that it has the rules in time after it is back.
+	maxFailed = 2
 )
 
 // RulesCall tells a process which rules the caller has and asks for newer ones.
@@ -50,9 +53,11 @@
 
 // known is what a process was last heard to have.
 type known struct {
-	rules   int64
-	heard   time.Time
-	tried   time.Time
+	rules int64
+	heard time.Time
+	tried time.Time
+	// failed counts the calls since the last that was answered.
+	failed  int
 	calling bool
 }
 
@@ -136,6 +141,10 @@
 			delete(s.peers, a)
 		}
 	}
+	quiet := s.opts.Quiet
+	if !s.inTable() {
+		quiet = 2 * s.opts.Spread // The others do not know this process, so that it has to ask.
+	}
 	var out []string
 	for a := range addresses {
 		p := s.peers[a]
@@ -143,8 +152,9 @@
 			p = &known{rules: -1}
 			s.peers[a] = p
 		}
-		behind := p.rules != newest && now.Sub(p.tried) >= s.opts.Spread/2
-		if !p.calling && (behind || now.Sub(p.tried) >= s.opts.Quiet && now.Sub(p.heard) >= s.opts.Quiet) {
+		tried := now.Sub(p.tried)
+		behind := p.rules != newest && tried >= s.opts.Spread<<min(p.failed, maxFailed)/2
+		if !p.calling && (behind || tried >= quiet && now.Sub(p.heard) >= quiet) {
 			p.calling, p.tried = true, now
 			out = append(out, a)
 		}
@@ -152,9 +162,21 @@
 	return out
 }
 
+// inTable says whether a table holds this process.
+func (s *spread) inTable() bool {
+	for _, t := range s.board.view.Load().Tables {
+		for _, m := range t.Members {
+			if m.Address == s.opts.Self.Address {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // tell exchanges rules with one process.
 func (s *spread) tell(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, CallTimeout/2)
+	ctx, cancel := context.WithTimeout(ctx, PeerTimeout)
 	defer cancel()
 	mine := s.board.view.Load().Rules
 	c := &RulesCall{From: s.opts.Self, Version: mine.Version}
@@ -166,8 +188,9 @@
 	r, err := s.opts.Call(ctx, address, c)
 	s.note(address, func(p *known) {
 		p.calling = false
+		p.failed++
 		if err == nil {
-			p.rules, p.heard = r.Version, time.Now()
+			p.rules, p.heard, p.failed = r.Version, time.Now(), 0
 		}
 	})
 	if err != nil {
--- a/view/view.go
+++ b/view/view.go
@@ -21,8 +21,12 @@
 	DefaultListEvery = 2 * time.Second
 	DefaultSpread    = 500 * time.Millisecond
 	DefaultQuiet     = 10 * time.Second
-	// CallTimeout bounds one call of the store or of a process.
-	CallTimeout = 2 * time.Second
+	// CallTimeout bounds one call of the store, which may be slow, or of the VM list.
+	CallTimeout = 5 * time.Second
+	// PeerTimeout bounds one call of another process, but for one that waits for a change.
+	PeerTimeout = time.Second
+	// DefaultRefresh is the interval at which everything is read again.
+	DefaultRefresh = 30 * time.Second
 	// RulesKey is the store's key of the rule document.
 	RulesKey = member.CellPrefix + "rules"
 
@@ -55,7 +59,8 @@
 
 func build(opts []Option) (Options, *rpc.Pool) {
 	o := Options{
-		ListEvery: DefaultListEvery, Spread: DefaultSpread, Quiet: DefaultQuiet, Logger: zap.NewNop(),
+		ListEvery: DefaultListEvery, Spread: DefaultSpread, Quiet: DefaultQuiet, Refresh: DefaultRefresh,
+		Logger: zap.NewNop(),
 	}
 	for _, f := range opts {
 		f(&o)
@@ -139,6 +144,9 @@
 	return &NextReply{Keeper: k.name, View: v}, nil
 }
 
+// errRefresh ends a watch so that everything is read again.
+var errRefresh = errors.New("time to read again")
+
 // watch reads the cell's keys once and then follows their changes without a gap.
 func (k *Keeper) watch(ctx context.Context) {
 	var from int64
@@ -148,9 +156,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, store.ErrCompacted) {
+		if errors.Is(err, store.ErrCompacted) || errors.Is(err, errRefresh) {
 			from = 0
 		}
+		if errors.Is(err, errRefresh) {
+			continue
+		}
 		k.log.Warn("view: watch ended", zap.Error(err))
 		_ = b.Wait(ctx)
 	}
@@ -164,13 +175,20 @@
 		}
 		*from = revision + 1
 	}
-	return k.store.Watch(ctx, member.CellPrefix, *from, func(batch store.Batch) {
+	// Without the refresh, a watch that is open but brings nothing would freeze the tables here.
+	ctx, cancel := context.WithTimeoutCause(ctx, jitter(k.opts.Refresh), errRefresh)
+	defer cancel()
+	err := k.store.Watch(ctx, member.CellPrefix, *from, func(batch store.Batch) {
 		for _, e := range batch.Events {
 			k.take(e)
 		}
 		*from = batch.Revision + 1
 		b.Reset()
 	})
+	if errors.Is(context.Cause(ctx), errRefresh) {
+		return errRefresh
+	}
+	return err
 }
 
 func (k *Keeper) read(ctx context.Context) (revision int64, err error) {
@@ -182,24 +200,16 @@
 	}
 	present := make(map[string]bool)
 	for _, p := range got.Pairs {
-		present[p.Key] = true
+		if strings.HasPrefix(p.Key, member.PresentPrefix) {
+			present[p.Key] = true
+			continue
+		}
 		k.take(store.Event{Pair: p})
 	}
-	k.missing(present)
+	k.board.offerPresent(present)
 	return got.Revision, nil
 }
 
-// missing tells of the members without a key: the watch may have missed that it vanished.
-func (k *Keeper) missing(present map[string]bool) {
-	for _, t := range k.View().Tables {
-		for _, m := range t.Members {
-			if !present[member.PresentPrefix+t.Zone+"/"+t.Role+"/"+m.ID] {
-				k.board.absent(t.Zone, t.Role, m.ID)
-			}
-		}
-	}
-}
-
 // take takes in one key; what is not newer than what is known changes nothing.
 func (k *Keeper) take(e store.Event) {
 	key := e.Pair.Key
@@ -218,10 +228,8 @@
 			return
 		}
 		k.board.offerTables(t)
-	case strings.HasPrefix(key, member.PresentPrefix) && e.Deleted:
-		if parts := strings.SplitN(strings.TrimPrefix(key, member.PresentPrefix), "/", 3); len(parts) == 3 {
-			k.board.absent(parts[0], parts[1], parts[2])
-		}
+	case strings.HasPrefix(key, member.PresentPrefix):
+		k.board.offerPresence(key, !e.Deleted)
 	}
 }
 
