--- /dev/null
+++ b/gate/shares.go
@@ -0,0 +1,181 @@
+package gate
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/share"
+)
+
+const (
+	borrowTimeout  = 500 * time.Millisecond
+	borrowInterval = 50 * time.Millisecond
+	returnInterval = 250 * time.Millisecond
+	// confirmInterval is how often a sibling is asked while it has not confirmed the newest table.
+	confirmInterval = 200 * time.Millisecond
+)
+
+// SetTable takes over a newer gate table of this zone. Its ids are those of Option ID, which differ
+// from one life of a process to the next.
+func (g *Gate) SetTable(t share.Table) {
+	g.shares.SetTable(t, time.Now())
+	signal(g.kick)
+	signal(g.tables)
+}
+
+// Hear serves a sibling's confirmation and answers with this gate's own.
+func (g *Gate) Hear(_ context.Context, c *share.Confirmation) (*share.Confirmation, error) {
+	now := time.Now()
+	g.shares.Confirmed(*c, now)
+	signal(g.kick)
+	own := g.shares.Confirms(now)
+	return &own, nil
+}
+
+// keepConfirming exchanges confirmations while the gates of the zone have not agreed on a table.
+func (g *Gate) keepConfirming() {
+	ctx, cancel := g.untilStop()
+	defer cancel()
+	told := make(map[string]share.Confirmation)
+	t := time.NewTicker(confirmInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-t.C:
+		case <-g.tables:
+		}
+		g.confirm(ctx, told)
+	}
+}
+
+// confirm tells the siblings what they have not yet heard, and asks again while they lag.
+func (g *Gate) confirm(ctx context.Context, told map[string]share.Confirmation) {
+	others := g.shares.Others()
+	for gate := range told {
+		if !slices.Contains(others, gate) {
+			delete(told, gate)
+		}
+	}
+	for _, gate := range others {
+		own := g.shares.Confirms(time.Now())
+		if told[gate] == own && g.shares.Agreed() {
+			continue
+		}
+		in, cancel := context.WithTimeout(ctx, borrowTimeout)
+		theirs, err := g.opts.Siblings.Confirm(in, gate, &own)
+		cancel()
+		if err != nil {
+			g.log.Debug("gate: table not confirmed", zap.String("gate", gate), zap.Error(err))
+			continue
+		}
+		told[gate] = own
+		g.shares.Confirmed(*theirs, time.Now())
+	}
+	signal(g.kick)
+}
+
+// untilStop gives a context that ends with the gate.
+func (g *Gate) untilStop() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.duties.Go(func() {
+		select {
+		case <-g.stop:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	return ctx, cancel
+}
+
+// Lend serves a sibling's request for idle slots.
+func (g *Gate) Lend(_ context.Context, ask *share.Ask) (*share.Loans, error) {
+	loans := g.shares.Lend(ask, time.Now())
+	for _, l := range loans.Loans {
+		g.meters.lent.Inc(int64(l.Slots))
+	}
+	return &loans, nil
+}
+
+// TakeBack serves a sibling's return of loans.
+func (g *Gate) TakeBack(_ context.Context, r *share.Return) (*share.Returned, error) {
+	g.shares.TakeBack(r, time.Now())
+	signal(g.kick)
+	return &share.Returned{}, nil
+}
+
+// keepLoans borrows while checks wait and returns what is no longer needed.
+func (g *Gate) keepLoans() {
+	t := time.NewTicker(returnInterval)
+	defer t.Stop()
+	ctx, cancel := g.untilStop()
+	defer cancel()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-t.C:
+			g.giveBack(ctx)
+		case <-g.need:
+			g.borrow(ctx)
+			select {
+			case <-g.stop:
+				return
+			case <-time.After(borrowInterval):
+			}
+			if g.turn() {
+				signal(g.need)
+			}
+		}
+	}
+}
+
+func (g *Gate) giveBack(ctx context.Context) {
+	for gate, r := range g.shares.Idle(time.Now()) {
+		in, cancel := context.WithTimeout(ctx, borrowTimeout)
+		if err := g.opts.Siblings.Return(in, gate, r); err != nil {
+			// The loan ends by itself at its lender.
+			g.log.Debug("gate: loan not returned", zap.String("gate", gate), zap.Error(err))
+		}
+		cancel()
+	}
+}
+
+// borrow asks each sibling in turn for what the waiting checks need.
+func (g *Gate) borrow(ctx context.Context) {
+	for _, ask := range g.wants() {
+		for _, gate := range g.shares.Others() {
+			in, cancel := context.WithTimeout(ctx, borrowTimeout)
+			asked := time.Now()
+			loans, err := g.opts.Siblings.Borrow(in, gate, ask)
+			cancel()
+			if err != nil {
+				g.log.Debug("gate: nothing borrowed", zap.String("gate", gate), zap.Error(err))
+				continue
+			}
+			n := g.shares.Borrowed(gate, loans, asked, time.Now())
+			g.meters.borrowed.Inc(int64(n))
+			if ask.Want -= n; ask.Want <= 0 {
+				break
+			}
+		}
+		signal(g.kick)
+	}
+}
+
+// wants lists one request for each service whose checks wait.
+func (g *Gate) wants() []*share.Ask {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var asks []*share.Ask
+	for _, p := range g.pools {
+		if n := p.len(); n > 0 {
+			asks = append(asks, &share.Ask{Gate: g.opts.ID, Want: n, Targets: p.balancer.Targets()})
+		}
+	}
+	return asks
+}
--- /dev/null
+++ b/share/share.go
@@ -0,0 +1,350 @@
+package share
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Defaults.
+const (
+	// DefaultLife is how long a loan holds on its borrower's clock.
+	DefaultLife = 10 * time.Second
+	// DefaultDrift is how much longer its lender keeps it charged.
+	DefaultDrift = 500 * time.Millisecond
+	// DefaultIdleLoan is how long a loan may stay unused before it is returned.
+	DefaultIdleLoan = time.Second
+	// DefaultSettle is how long the last requests and loans of a removed gate may still occupy targets.
+	DefaultSettle = 16 * time.Second
+
+	maxPending       = 64
+	maxLoans         = 1024
+	maxLoansOfTarget = 64
+	// reservePart is the part of its slots, one in so many, that a lender keeps.
+	reservePart = 4
+)
+
+// Holder keeps one gate's shares of all targets; it is safe for concurrent use.
+type Holder struct {
+	id   string
+	opts Options
+
+	mu sync.Mutex
+	// base is the newest table that all others have confirmed; nil until there is one.
+	base *Table
+	// pending are the newer tables, oldest first.
+	pending []Table
+	// settled is when the last requests of gates that were removed have ended; a gate that knows
+	// of none, because it is new, may take another's word for it.
+	settled   time.Time
+	anew      bool
+	confirmed map[string]Confirmation
+	confirms  int64
+	uses      map[string]*use
+	serial    uint64
+}
+
+// use is what is taken of one target.
+type use struct {
+	slots    int
+	own      int
+	lent     []lent
+	borrowed []*borrowed
+}
+
+// Slot is the right to occupy one slot of a target.
+type Slot struct {
+	target string
+	loan   *borrowed
+	// since is the membership under which the slot was taken.
+	since int64
+}
+
+// Lent reports whether the slot is a sibling's.
+func (s *Slot) Lent() bool { return s.loan != nil }
+
+// New returns the Holder of a gate. The id is unique for each life of the process: one that comes
+// back under an old id would be taken to have kept its promises.
+func New(id string, opts ...Option) *Holder {
+	o := Options{
+		Valid: func() bool { return true }, Since: func() int64 { return 0 }, Life: DefaultLife, Drift: DefaultDrift,
+		IdleLoan: DefaultIdleLoan, Settle: DefaultSettle,
+	}
+	for _, f := range opts {
+		f(&o)
+	}
+	return &Holder{id: id, opts: o, confirmed: make(map[string]Confirmation), uses: make(map[string]*use)}
+}
+
+// SetTable takes a newer table over; an older or the same one changes nothing.
+func (h *Holder) SetTable(t Table, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.move(now)
+	newest := h.newest()
+	if newest != nil && t.Version <= newest.Version {
+		return
+	}
+	t.Gates = slices.Clone(t.Gates)
+	switch {
+	case newest == nil || !t.has(h.id) || len(h.pending) >= maxPending:
+		// A new gate has no claim yet, a removed one has lost it, and one that lost count starts anew.
+		h.base, h.pending, h.anew = nil, nil, true
+		h.settled = now.Add(h.opts.Settle)
+	case h.mustSettle(&t):
+		h.settled = now.Add(h.opts.Settle)
+	}
+	h.pending = append(h.pending, t)
+	for gate := range h.confirmed {
+		if !t.has(gate) {
+			delete(h.confirmed, gate)
+		}
+	}
+	h.move(now)
+}
+
+// mustSettle reports whether requests of a gate that t does not list may still occupy targets.
+func (h *Holder) mustSettle(t *Table) bool {
+	if h.base != nil && t.lacks(h.base) {
+		return true
+	}
+	return slices.ContainsFunc(h.pending, func(old Table) bool { return t.lacks(&old) })
+}
+
+func (h *Holder) newest() *Table {
+	if n := len(h.pending); n > 0 {
+		return &h.pending[n-1]
+	}
+	return h.base
+}
+
+// Confirmed notes what another gate of the zone has told.
+func (h *Holder) Confirmed(c Confirmation, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t := h.newest(); t != nil && t.has(c.Gate) && c.Version >= h.confirmed[c.Gate].Version {
+		h.confirmed[c.Gate] = c
+	}
+	h.move(now)
+}
+
+// Confirms gives what this gate may tell the others.
+func (h *Holder) Confirms(now time.Time) Confirmation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.move(now)
+	if h.mayConfirm(now) {
+		h.confirms = h.newest().Version
+	}
+	return Confirmation{Gate: h.id, Version: h.confirms, Knows: !h.anew}
+}
+
+func (h *Holder) mayConfirm(now time.Time) bool {
+	if h.newest() == nil || (!h.anew && now.Before(h.settled)) {
+		return false
+	}
+	for id, u := range h.uses {
+		u.prune(now)
+		if u.own+u.lentOut() > h.limit(id, u.slots) {
+			return false
+		}
+	}
+	return true
+}
+
+// renew forgets the tables before the present membership. A gate that was removed and has joined
+// again may never see the table that lacked it, and its old share is another's by now.
+func (h *Holder) renew(now time.Time) {
+	since := h.opts.Since()
+	stale := func(t Table) bool { return t.Version < since }
+	if (h.base == nil || !stale(*h.base)) && !slices.ContainsFunc(h.pending, stale) {
+		return
+	}
+	h.base, h.pending, h.anew = nil, slices.DeleteFunc(h.pending, stale), true
+	h.settled = now.Add(h.opts.Settle)
+}
+
+// move makes the newest table the base once all its other gates have confirmed it.
+func (h *Holder) move(now time.Time) {
+	h.renew(now)
+	t := h.newest()
+	if t == nil || t == h.base || !t.has(h.id) {
+		return
+	}
+	settled := !now.Before(h.settled)
+	for _, gate := range t.Gates {
+		if gate == h.id {
+			continue
+		}
+		c := h.confirmed[gate]
+		// The very version, not a later one: a gate that skipped this table was never bound by it, and
+		// a claim to its share here could overlap with what that gate uses.
+		if c.Version != t.Version {
+			return
+		}
+		settled = settled || (h.anew && c.Knows)
+	}
+	if settled {
+		base := *t
+		h.base, h.pending, h.anew, h.settled = &base, nil, false, time.Time{}
+	}
+}
+
+// Agreed reports whether nothing is left to be confirmed here.
+func (h *Holder) Agreed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.newest() == h.base
+}
+
+// limit is the smallest share of the base and all newer tables.
+func (h *Holder) limit(target string, slots int) int {
+	if h.base == nil {
+		return 0
+	}
+	n := h.base.Of(h.id, target, slots)
+	for i := range h.pending {
+		n = min(n, h.pending[i].Of(h.id, target, slots))
+	}
+	return n
+}
+
+func (h *Holder) use(target string, now time.Time) *use {
+	u, ok := h.uses[target]
+	if !ok {
+		u = &use{}
+		h.uses[target] = u
+	}
+	u.prune(now)
+	return u
+}
+
+// prune forgets the loans whose time is up.
+func (u *use) prune(now time.Time) {
+	if len(u.lent) > 0 {
+		u.lent = slices.DeleteFunc(u.lent, func(l lent) bool { return !now.Before(l.expires) })
+	}
+	if len(u.borrowed) > 0 {
+		u.borrowed = slices.DeleteFunc(u.borrowed, func(b *borrowed) bool { return !now.Before(b.expires) })
+	}
+}
+
+func (u *use) lentOut() int {
+	n := 0
+	for i := range u.lent {
+		n += u.lent[i].slots
+	}
+	return n
+}
+
+// loan gives a loan with a free slot that holds until the given time.
+func (u *use) loan(until time.Time) *borrowed {
+	for _, b := range u.borrowed {
+		if b.inUse < b.slots && !until.After(b.expires) {
+			return b
+		}
+	}
+	return nil
+}
+
+// Limit gives how many slots of a target this gate may occupy at most, by its share and by loans.
+func (h *Holder) Limit(target string, slots int, now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.opts.Valid() {
+		return 0
+	}
+	h.move(now)
+	u := h.use(target, now)
+	n := max(0, h.limit(target, slots)-u.lentOut())
+	for _, b := range u.borrowed {
+		n += b.slots
+	}
+	return n
+}
+
+// Valid reports whether the gate holds its membership.
+func (h *Holder) Valid() bool { return h.opts.Valid() }
+
+// Free gives how many more slots of a target this gate may occupy until the given time.
+func (h *Holder) Free(target string, slots int, until, now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.opts.Valid() {
+		return 0
+	}
+	h.move(now)
+	u := h.use(target, now)
+	n := max(0, h.limit(target, slots)-u.own-u.lentOut())
+	for _, b := range u.borrowed {
+		if !until.After(b.expires) {
+			n += b.slots - b.inUse
+		}
+	}
+	return n
+}
+
+// Take occupies a slot of a target for a request that has surely ended at the given time.
+func (h *Holder) Take(target string, slots int, until, now time.Time) (*Slot, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.opts.Valid() {
+		return nil, false
+	}
+	h.move(now)
+	since := h.opts.Since()
+	u := h.use(target, now)
+	u.slots = slots
+	if u.own+u.lentOut() < h.limit(target, slots) {
+		u.own++
+		return &Slot{target: target, since: since}, true
+	}
+	if b := u.loan(until); b != nil {
+		b.inUse++
+		b.used = now
+		return &Slot{target: target, loan: b, since: since}, true
+	}
+	return nil, false
+}
+
+// Holds reports whether a slot may still be used for a request that ends at the given time; it is
+// asked directly before each send, because the process may have been paused since Take.
+func (h *Holder) Holds(s *Slot, until time.Time) bool {
+	return h.opts.Valid() && h.opts.Since() == s.since && (s.loan == nil || !until.After(s.loan.expires))
+}
+
+// Release gives a slot back.
+func (h *Holder) Release(s *Slot, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.loan != nil {
+		s.loan.inUse--
+		s.loan.used = now
+		return
+	}
+	if u := h.uses[s.target]; u != nil {
+		u.own--
+	}
+}
+
+// Keep forgets the targets that are gone and of which nothing is taken.
+func (h *Holder) Keep(targets map[string]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, u := range h.uses {
+		if !targets[id] && u.own == 0 && len(u.lent) == 0 && len(u.borrowed) == 0 {
+			delete(h.uses, id)
+		}
+	}
+}
+
+// Others lists the other gates of the newest table.
+func (h *Holder) Others() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.newest()
+	if t == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(t.Gates), func(gate string) bool { return gate == h.id })
+}
