--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -27,14 +27,13 @@
 	kv      *memory.Service
 	workers []*standin.Worker
 	judge   *history.Checker
-	mu     sync.Mutex
-	owner  *node
-	nodes  []*node
-	told   map[string]bool
-	listed func() []worker.Info
+	mu      sync.Mutex
+	owner   *node
+	nodes   []*node
+	told    map[string]bool
+	listed  func() []worker.Info
 }
 
-
 // node is one scheduler with its own faults.
 type node struct {
 	c        *cell
