Let the jobs that need room most be remembered as blocked

Cause: the bounded list of blocked jobs kept the first of a band, so that small tasks kept gangs out of it, and these waited without a reservation.

--- a/planner/next.go
+++ b/planner/next.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// want notes a blocked job; of too many, those of the lowest bands are left out.
+// want notes a blocked job; of too many, those that need a reservation least are left out.
 func (p *Planner) want(now time.Time, e *entry) {
 	if slices.Contains(p.wanting, e) {
 		return
@@ -74,11 +74,11 @@
 	}
 	lowest := 0
 	for i := range p.wanting {
-		if p.wanting[i].band() < p.wanting[lowest].band() {
+		if p.wanting[lowest].needsMore(p.wanting[i]) {
 			lowest = i
 		}
 	}
-	if p.wanting[lowest].band() < e.band() {
+	if e.needsMore(p.wanting[lowest]) {
 		p.wanting[lowest] = e
 	}
 }
