--- a/planner/next.go
+++ b/planner/next.go
@@ -28,7 +28,9 @@
 		p.queue.Unblock()
 		p.wanting, p.oldest, p.freed = p.wanting[:0], nil, false
 	}
-	// The first pass is for what is new; each further one for lanes that what was freed may serve.
+	// What was freed is for those who waited, so that lanes with a chance are opened before what is
+	// new is tried. Each pass opens some; the first is made in any case.
+	p.queue.Open(p.chance)
 	for more := true; more && len(plan.Starts) < most; more = p.queue.Open(p.chance) {
 		p.pass(now, most, &plan)
 	}
