Reserve for large work alone, for two gangs at a time

Cause: reservations for small tasks drain workers and gain nothing.

The baselines now start a gang in one zone, as the planner must; before, they could spread it over all zones and looked better than they could be.

Kept: large work alone, two gangs.

--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -29,7 +29,7 @@
 		p.oldest = nil
 	}
 	for _, e := range p.wanting {
-		if !p.claims(now, e, plan) && p.mayReserve(e) && e.stuck(now) && (first == nil || e.needsMore(first)) {
+		if !p.claims(now, e, plan) && p.large(e) && p.mayReserve(e) && e.stuck(now) && (first == nil || e.needsMore(first)) {
 			first = e
 		}
 	}
@@ -44,18 +44,26 @@
 // served reports whether a job no longer waits for capacity.
 func (e *entry) served() bool { return !e.item.Queued() || e.waits != waitsCapacity }
 
-// mayReserve allows one reservation for each job, and of all gangs only one: two that drain workers
-// at a time cost more packing than they save waiting.
+// large reports whether a job can be starved by smaller work. To keep room for others as well drains
+// workers and gains nothing: more deadlines were missed.
+func (p *Planner) large(e *entry) bool {
+	most := p.index.Largest()
+	return e.spec.Gang || e.charge.Accelerators > 0 ||
+		2*e.charge.Millicores >= most.Millicores || 2*e.charge.MemoryMB >= most.MemoryMB
+}
+
+// mayReserve allows one reservation for each job, and two gangs that drain workers at a time.
 func (p *Planner) mayReserve(e *entry) bool {
 	if e.reservation != nil || len(p.reservations) >= mostReservations {
 		return false
 	}
+	gangs := 0
 	for _, r := range p.reservations {
-		if e.spec.Gang && r.entry.spec.Gang && !r.claimed {
-			return false
+		if r.entry.spec.Gang && !r.claimed {
+			gangs++
 		}
 	}
-	return true
+	return !e.spec.Gang || gangs < mostGangs
 }
 
 // stuck reports whether a job has waited for capacity so long that others must have overtaken it.
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -10,6 +10,7 @@
 
 const (
 	mostReservations = 16
+	mostGangs        = 2
 	// reserveEvery bounds how often the running tasks are gone through for a reservation.
 	reserveEvery = 250 * time.Millisecond
 	// reserveAfter is how long a job waits for capacity before room is reserved for it.
--- a/policy/baseline.go
+++ b/policy/baseline.go
@@ -9,11 +9,14 @@
 	"turmericgap/worker"
 )
 
-// baseline starts jobs in the order of their arrival and passes over those that do not fit.
+// baseline starts jobs in the order of their arrival and passes over those that do not fit. A gang
+// starts in one zone, as it must, since each zone has its own owner.
 type baseline struct {
 	jobs    map[string]*waiting
 	order   []*waiting
 	nodes   []*node
+	zones   map[string][]*node
+	names   []string
 	byID    map[string]*node
 	pick    func(nodes []*node, each job.Resources) *node
 	running int
@@ -61,7 +64,7 @@
 }
 
 func newBaseline(name string, pick func([]*node, job.Resources) *node) Policy {
-	b := &baseline{jobs: map[string]*waiting{}, byID: map[string]*node{}, pick: pick}
+	b := &baseline{jobs: map[string]*waiting{}, byID: map[string]*node{}, zones: map[string][]*node{}, pick: pick}
 	return Policy{
 		Name: name, SetWorker: b.setWorker, Add: b.add, Next: b.next, Release: b.release, Stats: b.stats,
 		Admit: func(time.Time, *planner.Job) planner.Decision { return planner.Decision{} },
@@ -72,6 +75,10 @@
 	n := &node{info: info, free: info.Has}
 	b.byID[info.ID] = n
 	b.nodes = append(b.nodes, n)
+	if b.zones[info.Zone] == nil {
+		b.names = append(b.names, info.Zone)
+	}
+	b.zones[info.Zone] = append(b.zones[info.Zone], n)
 }
 
 func (b *baseline) add(_ time.Time, j *planner.Job) planner.Decision {
@@ -100,7 +107,7 @@
 			k.tasks = len(w.pending)
 		}
 		for len(w.pending) > 0 && len(plan.Starts) < most && !failed[k] {
-			failed[k] = !b.start(now, w, k.tasks, &plan)
+			failed[k] = !b.startSomewhere(now, w, k.tasks, &plan)
 		}
 		if len(w.pending) > 0 {
 			kept = append(kept, w)
@@ -110,11 +117,23 @@
 	return plan
 }
 
-// start starts count tasks of a job or none.
-func (b *baseline) start(now time.Time, w *waiting, count int, plan *planner.Plan) bool {
+func (b *baseline) startSomewhere(now time.Time, w *waiting, count int, plan *planner.Plan) bool {
+	if !w.Spec.Gang {
+		return b.start(now, w, b.nodes, count, plan)
+	}
+	for _, name := range b.names {
+		if b.start(now, w, b.zones[name], count, plan) {
+			return true
+		}
+	}
+	return false
+}
+
+// start starts count tasks of a job on some of the nodes, or none.
+func (b *baseline) start(now time.Time, w *waiting, nodes []*node, count int, plan *planner.Plan) bool {
 	var taken []*node
 	for range count {
-		n := b.pick(b.nodes, w.Spec.Each)
+		n := b.pick(nodes, w.Spec.Each)
 		if n == nil {
 			break
 		}
