--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -164,6 +164,9 @@
 
 func gang(s *job.Submission) { s.Gang, s.Class = true, "matching" }
 
+// long runs for longer than any fault needs to be noticed.
+func long(s *job.Submission) { s.RunSeconds = 25 }
+
 // submit sends a job until some scheduler accepts it, as a caller with a key may, and tells the judge.
 func (c *cell) submit(s *job.Submission) string {
 	for {
