--- a/standin/list/handler.go
+++ b/standin/list/handler.go
@@ -19,6 +19,7 @@
 const (
 	RegisterPath   = "/register"
 	DeregisterPath = "/deregister"
+	ReadmitPath    = "/readmit"
 	LeavingPath    = "/leaving"
 	LagPath        = "/lag"
 	DownPath       = "/down"
@@ -55,6 +56,7 @@
 	mux := http.NewServeMux()
 	post(mux, RegisterPath, func(in *vmlist.List) { l.Register(*in) })
 	post(mux, DeregisterPath, func(in *IDs) { l.Deregister(in.IDs...) })
+	post(mux, ReadmitPath, func(in *IDs) { l.Readmit(in.IDs...) })
 	post(mux, LeavingPath, func(in *Leaving) { l.SetLeaving(in.Leaving, in.IDs...) })
 	post(mux, LagPath, func(in *Lagging) { l.SetLag(time.Duration(in.LagMillis) * time.Millisecond) })
 	post(mux, DownPath, func(in *Down) { l.SetDown(in.Down) })
--- a/standin/list/list.go
+++ b/standin/list/list.go
@@ -13,8 +13,12 @@
 	"turmericgap/worker"
 )
 
-// maxStates bounds how many past states are kept within the lag.
-const maxStates = 256
+const (
+	// maxStates bounds how many past states are kept within the lag.
+	maxStates = 256
+	// maxRemoved bounds how many deregistered VMs are remembered.
+	maxRemoved = 4096
+)
 
 var errDown = errors.New("VM list is down")
 
@@ -27,6 +31,8 @@
 	vms     map[string]vm
 	// leaving names the VMs that were announced as leaving here, whatever they register.
 	leaving map[string]bool
+	// removed names the VMs that stay out, although their programs register them again.
+	removed map[string]bool
 	states  []state
 	down    bool
 }
@@ -47,7 +53,7 @@
 
 // New returns an empty list without lag.
 func New(opts ...Option) *List {
-	l := &List{vms: make(map[string]vm), leaving: make(map[string]bool)}
+	l := &List{vms: make(map[string]vm), leaving: make(map[string]bool), removed: make(map[string]bool)}
 	for _, f := range opts {
 		f(&l.opts)
 	}
@@ -73,26 +79,46 @@
 	return l.states[0].list, nil
 }
 
-// Register adds VMs, or says again that they live.
+// Register adds VMs, or says again that they live; those that were deregistered stay out.
 func (l *List) Register(vms vmlist.List) {
 	l.change(func(now time.Time) {
 		for _, w := range vms.Workers {
-			l.vms["worker/"+w.ID] = vm{worker: &w, seen: now}
+			l.add("worker/", vm{worker: &w, seen: now})
 		}
 		for _, t := range vms.Targets {
-			l.vms["target/"+t.ID] = vm{target: &t, seen: now}
+			l.add("target/", vm{target: &t, seen: now})
 		}
 		for _, e := range vms.Entries {
-			l.vms["entry/"+e.ID] = vm{entry: &e, seen: now}
+			l.add("entry/", vm{entry: &e, seen: now})
 		}
 	})
 }
 
-// Deregister removes the VMs with these ids.
+func (l *List) add(kind string, v vm) {
+	if !l.removed[v.id()] {
+		l.vms[kind+v.id()] = v
+	}
+}
+
+// Deregister removes the VMs with these ids until they are readmitted.
 func (l *List) Deregister(ids ...string) {
 	l.change(func(time.Time) {
 		maps.DeleteFunc(l.vms, func(_ string, v vm) bool { return slices.Contains(ids, v.id()) })
-		maps.DeleteFunc(l.leaving, func(id string, _ bool) bool { return slices.Contains(ids, id) })
+		for _, id := range ids {
+			delete(l.leaving, id)
+			if len(l.removed) < maxRemoved {
+				l.removed[id] = true
+			}
+		}
+	})
+}
+
+// Readmit lets deregistered VMs register again.
+func (l *List) Readmit(ids ...string) {
+	l.change(func(time.Time) {
+		for _, id := range ids {
+			delete(l.removed, id)
+		}
 	})
 }
 
--- a/vmlist/contract_test.go
+++ b/vmlist/contract_test.go
@@ -52,8 +52,12 @@
 			l.SetLeaving(false, "w")
 			is.True(!read().Workers[0].Leaving)
 			l.Deregister("w")
+			l.Register(both) // Its program does not know of it.
 			is.Equal(len(read().Workers), 0)
 			is.Equal(len(read().Targets), 1)
+			l.Readmit("w")
+			l.Register(both)
+			is.Equal(read().Workers, both.Workers)
 		}},
 		{"an unchanged list keeps its version", nil, func(is *is.I, l *list.List, read func() vmlist.List) {
 			l.Register(both)
