Measure what calls to workers cost, and let stand-ins hand their events to a judge

The owner's calls were assumed to be cheap.

The programs of workers and targets keep events for a judge on demand, so that a run of real processes can be judged as one within a process is. A frozen worker told no usage at all if it thawed after its usage was due; it now tells it late. A renewal that is read before a late lease timer must not revive an attempt: without the check in the renewal TestRenewalBeforeLateTimer fails ("running != stopped").

--- a/cmd/standintarget/main.go
+++ b/cmd/standintarget/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"turmericgap/history"
 	"turmericgap/standin/endpoint"
 	"turmericgap/standin/list"
 	standin "turmericgap/standin/target"
@@ -25,6 +26,7 @@
 	Slots       int           `long:"slots" description:"requests worked on at once" default:"8"`
 	Connections int           `long:"connections" description:"connections held open" default:"64"`
 	Work        time.Duration `long:"work" description:"how long a request takes" default:"5ms"`
+	Events      int           `long:"events" description:"events kept for a judge at /events; 0 keeps none" default:"0"`
 	Register    string        `long:"register" description:"address of the VM list; empty registers nothing"`
 }
 
@@ -37,9 +39,11 @@
 		os.Exit(2)
 	}
 	mux := http.NewServeMux()
+	judge := history.New(history.MaxEvents(o.Events))
+	endpoint.Get(mux, "/events", func() any { return judge.Events() })
 	targets := make([]*standin.Target, o.Count)
 	for i := range targets {
-		targets[i] = standin.New(o.info(i), standin.Work(o.Work))
+		targets[i] = standin.New(o.info(i), standin.Work(o.Work), standin.Record(judge.Record))
 		path := fmt.Sprintf("/t/%d", i)
 		mux.Handle(path+"/", http.StripPrefix(path, targets[i].Handler()))
 	}
--- a/cmd/standinworker/main.go
+++ b/cmd/standinworker/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"turmericgap/history"
 	"turmericgap/job"
 	"turmericgap/standin/endpoint"
 	"turmericgap/standin/list"
@@ -28,6 +29,7 @@
 	Accelerators int64         `long:"accelerators" description:"accelerators of each worker" default:"0"`
 	Run          time.Duration `long:"run" description:"how long a task runs that does not say" default:"50ms"`
 	Use          int64         `long:"use" description:"percent of the declared size that tasks truly use" default:"100"`
+	Events       int           `long:"events" description:"events kept for a judge at /events; 0 keeps none" default:"0"`
 	Guards       bool          `long:"guards" description:"refuse old epochs and what does not fit"`
 	Register     string        `long:"register" description:"address of the VM list; empty registers nothing"`
 }
@@ -41,9 +43,11 @@
 		os.Exit(2)
 	}
 	mux := http.NewServeMux()
+	judge := history.New(history.MaxEvents(o.Events))
+	endpoint.Get(mux, "/events", func() any { return judge.Events() })
 	var vms vmlist.List
 	for i := range o.Count {
-		w := standin.New(o.info(i), o.workerOptions()...)
+		w := standin.New(o.info(i), o.workerOptions(judge)...)
 		path := fmt.Sprintf("/w/%d", i)
 		mux.Handle(path+"/", http.StripPrefix(path, w.Handler()))
 		vms.Workers = append(vms.Workers, w.Info())
@@ -65,14 +69,14 @@
 	}
 }
 
-func (o *options) workerOptions() []standin.Option {
+func (o *options) workerOptions(judge *history.Checker) []standin.Option {
 	use := func(s *worker.Start) job.Resources {
 		return job.Resources{
 			Millicores: s.Each.Millicores * o.Use / 100, MemoryMB: s.Each.MemoryMB * o.Use / 100,
 			Accelerators: s.Each.Accelerators,
 		}
 	}
-	opts := []standin.Option{standin.Run(o.Run), standin.Use(use)}
+	opts := []standin.Option{standin.Run(o.Run), standin.Use(use), standin.Record(judge.Record)}
 	if o.Guards {
 		opts = append(opts, standin.Guards())
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -342,3 +342,14 @@
 		is.True(own.soundClosed < count.soundClosed)
 	}
 }
+
+// BenchmarkOutcome tells one failure and one success of a cell of 130 workers, and asks for one.
+func BenchmarkOutcome(b *testing.B) {
+	f, ids := cell(130)
+	b.ReportAllocs()
+	for i := range b.N {
+		id := ids[i%len(ids)]
+		f.Outcome(start, id, "job", "roster", i%16 != 0)
+		f.Open(start, id)
+	}
+}
--- a/history/history.go
+++ b/history/history.go
@@ -81,6 +81,13 @@
 	c.events = append(c.events, e)
 }
 
+// Events gives what was recorded so far, so that the judge of several processes can record it too.
+func (c *Checker) Events() []Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.events)
+}
+
 // Check judges the run so far.
 func (c *Checker) Check() finding.List {
 	c.mu.Lock()
--- a/standin/worker/attempt.go
+++ b/standin/worker/attempt.go
@@ -45,14 +45,15 @@
 		a.ends = now.Add(left)
 		a.end = time.AfterFunc(left, func() { w.locked(func(now time.Time) { w.endIfDue(s.Attempt, a, now) }) })
 	}
-	time.AfterFunc(w.opts.UsageLag, func() {
-		w.locked(func(time.Time) {
-			if a.state == worker.Running && w.attempts[s.Attempt] == a {
-				a.usage = w.usage(a)
-				w.touch(a)
-			}
-		})
-	})
+	a.usageDue = now.Add(w.opts.UsageLag)
+	time.AfterFunc(w.opts.UsageLag, func() { w.locked(func(now time.Time) { w.tellUsageIfDue(s.Attempt, a, now) }) })
+}
+
+func (w *Worker) tellUsageIfDue(id string, a *attempt, now time.Time) {
+	if a.state == worker.Running && w.attempts[id] == a && !a.usageDue.IsZero() && !now.Before(a.usageDue) {
+		a.usage, a.usageDue = w.usage(a), time.Time{}
+		w.touch(a)
+	}
 }
 
 func (w *Worker) locked(f func(now time.Time)) {
--- a/standin/worker/fault.go
+++ b/standin/worker/fault.go
@@ -56,6 +56,7 @@
 	}
 	for id, a := range w.attempts {
 		w.endIfDue(id, a, now)
+		w.tellUsageIfDue(id, a, now)
 	}
 	close(w.thawed)
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -61,6 +61,7 @@
 	state      worker.State
 	answer     *job.Answer
 	usage      job.Resources
+	usageDue   time.Time
 	checkpoint []byte
 	millicores int64
 	began      time.Time
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -94,3 +94,23 @@
 		is.Equal(judge.Check()[0].Place, "worker w")
 	})
 }
+
+// The worker's process is paused until after the lease, and wakes with a renewal in its queue that
+// is read before the lease's timer runs. The owner has given the attempt up by then.
+// The renewal must end the attempt instead of reviving it.
+func TestRenewalBeforeLateTimer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := New(info)
+		defer w.Close()
+		_, err := w.Start(t.Context(), &worker.Start{Attempt: "j/0/1", Service: true, LeaseMillis: 1000})
+		is.NoErr(err)
+		w.mu.Lock()
+		w.attempts["j/0/1"].lapse.Stop()
+		w.mu.Unlock()
+		time.Sleep(time.Second)
+		h, err := w.Heartbeat(t.Context(), &worker.Heartbeat{LeaseMillis: 1000})
+		is.NoErr(err)
+		is.Equal(h.Reports[0].State, worker.Stopped)
+	})
+}
--- a/worker/contract_test.go
+++ b/worker/contract_test.go
@@ -294,6 +294,13 @@
 			h := b.beat(0)
 			b.Equal(h.Reports[0].State, worker.Stopped)
 		}},
+		{"a frozen worker tells usage late", nil, func(b *bench) {
+			b.start(worker.Start{Attempt: "j/0/1", Each: small, RunSeconds: 5})
+			b.at.SetFault(standin.Fault{Frozen: true})
+			time.Sleep(time.Second)
+			b.at.SetFault(standin.Fault{})
+			b.Equal(b.beat(0).Reports[0].Usage, small)
+		}},
 		// The VM freezes and its task's time is over before its lease; the thaw tells the end late.
 		{"a frozen worker tells an end late", nil, func(b *bench) {
 			b.start(worker.Start{Attempt: "j/0/1"})
