Tell large answers in parts, so that a new owner can read a full worker

While the store is out, ends cannot be made durable and their answers pile up at the workers. A new owner asks for all of them at once; the reply was beyond its bound of 4 MB ("reply is longer than 4194304 bytes"), again and again, while each heartbeat renewed all leases: such tasks never became final.

A reply now holds about 1 MB of answers. Later ends are left to later replies by a cursor that stands before them; a whole reply still names all attempts, those as running. Weighed: a larger bound, which 130 workers at a takeover turn into more memory than an entry VM has, and a new field for pages, which every reader would have to know. This way a reader needs to know nothing.

Without the parts the case fails as above; without the cursor's place the ends left out never come ("not true: beats < 10").

--- a/standin/worker/attempt.go
+++ b/standin/worker/attempt.go
@@ -1,7 +1,9 @@
 package worker
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -144,10 +146,7 @@
 	a.state = state
 	w.used = w.used.Minus(a.start.Each)
 	if state == worker.Ended {
-		answer := job.NewAnswer(exit, []byte(a.start.Class+" done attempt "+id))
-		if exit != 0 {
-			answer = job.NewAnswer(exit, []byte(a.start.Class+" failed attempt "+id))
-		}
+		answer := job.NewAnswer(exit, w.opts.Answer(&a.start, exit))
 		a.answer = &answer
 	}
 	w.record(history.Ended, id, a, at)
@@ -236,14 +235,46 @@
 		return nil, nil, w.thawed
 	}
 	reply = &worker.HeartbeatReply{Boot: w.boot, Cursor: w.seq, Whole: cursor < w.firstSeq || cursor > w.seq}
-	for id, a := range w.attempts {
-		if reply.Whole || a.seq > cursor {
-			reply.Reports = append(reply.Reports, *w.report(id, a))
+	told := 0
+	for _, id := range w.changedAfter(cursor, reply.Whole) {
+		a := w.attempts[id]
+		if a.answer != nil && told >= MaxReplyBytes {
+			w.putOff(reply, id, a)
+			continue
+		}
+		r := w.report(id, a)
+		if r.Answer != nil {
+			told += len(r.Answer.Body)
 		}
+		reply.Reports = append(reply.Reports, *r)
 	}
 	return reply, w.changed, nil
 }
 
+// putOff leaves an end to a later reply, by a cursor that stands before it. A whole reply still names
+// the attempt, as running: it is here, and its answer has not been told.
+//
+// Failure: answers pile up at a worker while the store is out, and a new owner asks for all of them.
+// Symptom: a reply beyond the owner's bound, for ever, while each heartbeat renews all leases.
+func (w *Worker) putOff(reply *worker.HeartbeatReply, id string, a *attempt) {
+	reply.Cursor = min(reply.Cursor, a.seq-1)
+	if reply.Whole {
+		reply.Reports = append(reply.Reports, worker.Report{Attempt: id, State: worker.Running, Usage: a.usage})
+	}
+}
+
+// changedAfter lists the attempts that changed after the cursor, or all, the oldest change first.
+func (w *Worker) changedAfter(cursor int64, all bool) []string {
+	var ids []string
+	for id, a := range w.attempts {
+		if all || a.seq > cursor {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(w.attempts[a].seq, w.attempts[b].seq) })
+	return ids
+}
+
 func (w *Worker) report(id string, a *attempt) *worker.Report {
 	r := &worker.Report{Attempt: id, State: a.state, Usage: a.usage, Checkpoint: a.checkpoint}
 	if a.answer == nil {
--- a/standin/worker/options.go
+++ b/standin/worker/options.go
@@ -17,6 +17,8 @@
 	Classes map[string]time.Duration
 	// Use tells what a task truly uses.
 	Use func(*worker.Start) job.Resources
+	// Answer makes the body of a task's answer.
+	Answer func(s *worker.Start, exit int) []byte
 	// UsageLag is how late usage is reported.
 	UsageLag time.Duration
 	// Guards refuses starts of older epochs and starts that do not fit.
@@ -46,6 +48,11 @@
 // Use sets what a task truly uses.
 func Use(f func(*worker.Start) job.Resources) Option { return func(o *Options) { o.Use = f } }
 
+// Answer sets the body of a task's answer.
+func Answer(f func(s *worker.Start, exit int) []byte) Option {
+	return func(o *Options) { o.Answer = f }
+}
+
 // UsageLag sets how late usage is reported.
 func UsageLag(d time.Duration) Option { return func(o *Options) { o.UsageLag = d } }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -19,6 +19,8 @@
 	// MaxForgotten and ForgottenFor bound the memory of forgotten attempts.
 	MaxForgotten = 4096
 	ForgottenFor = 10 * time.Minute
+	// MaxReplyBytes is about how many bytes of answers one heartbeat's reply holds.
+	MaxReplyBytes = 1 << 20
 
 	maxEverStarted = 1 << 16
 	maxViolations  = 256
@@ -74,7 +76,10 @@
 
 // New returns a worker that has what info says and guards nothing.
 func New(info worker.Info, opts ...Option) *Worker {
-	o := Options{Info: info, Run: DefaultRun, UsageLag: DefaultUsageLag, Use: useAll, Record: func(history.Event) {}}
+	o := Options{
+		Info: info, Run: DefaultRun, UsageLag: DefaultUsageLag, Use: useAll, Answer: say,
+		Record: func(history.Event) {},
+	}
 	for _, f := range opts {
 		f(&o)
 	}
@@ -88,6 +93,14 @@
 
 func useAll(s *worker.Start) job.Resources { return s.Each }
 
+// say is the default answer.
+func say(s *worker.Start, exit int) []byte {
+	if exit != 0 {
+		return []byte(s.Class + " failed attempt " + s.Attempt)
+	}
+	return []byte(s.Class + " done attempt " + s.Attempt)
+}
+
 // begin starts a boot without any memory of attempts.
 func (w *Worker) begin() {
 	w.boot = rand.Text()
--- a/worker/contract_test.go
+++ b/worker/contract_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
@@ -282,6 +284,27 @@
 			b.Equal(r.Answer.Exit, 1)
 			b.Equal(b.at.State().Used, job.Resources{})
 		}},
+		// Ten large answers wait at a worker while the store is out; then a new owner asks for all.
+		// One reply would be beyond its bound. It names all attempts, and the ends come in parts.
+		{"answers beyond one reply come in parts", []standin.Option{standin.Answer(large)}, func(b *bench) {
+			for i := range 10 {
+				b.start(worker.Start{Attempt: fmt.Sprint("j/0/", i)})
+			}
+			time.Sleep(time.Second)
+			h := b.beat(0)
+			b.True(h.Whole)
+			b.Equal(len(h.Reports), 10)
+			ended := map[string]bool{}
+			for beats := 0; len(ended) < 10; beats++ {
+				b.True(beats < 10)
+				for _, r := range h.Reports {
+					ended[r.Attempt] = ended[r.Attempt] || r.State == worker.Ended && r.Answer.Whole()
+				}
+				maps.DeleteFunc(ended, func(_ string, whole bool) bool { return !whole })
+				h = b.beat(0)
+				b.True(!h.Whole)
+			}
+		}},
 		// The worker's VM freezes, the lease lapses, a heartbeat waits in its queue, the VM thaws.
 		// The owner has given the attempt up by then: the heartbeat must find it stopped.
 		{"a renewal that waits does not revive a lapsed lease", nil, func(b *bench) {
@@ -344,4 +367,6 @@
 	})
 }
 
+func large(*worker.Start, int) []byte { return make([]byte, standin.MaxReplyBytes/2) }
+
 func cut(attempt string) string { return attempt[:strings.LastIndexByte(attempt, '/')] }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -82,7 +82,9 @@
 	Checkpoint []byte        `json:"checkpoint,omitempty"`
 }
 
-// HeartbeatReply holds the attempts that changed after the request's cursor.
+// HeartbeatReply holds the attempts that changed after the request's cursor. Ends whose answers do not
+// fit may be left to later replies: Cursor then stands before them, and a whole reply names them as
+// running.
 type HeartbeatReply struct {
 	// Boot changes whenever the worker has lost its memory of attempts.
 	Boot    string   `json:"boot"`
