Never open more connections to a target than its gate was given

A request that is given up while its connection is being opened leaves the dial behind, and the next request dials again. With a target that is slow to accept, 20 callers that each wait one second had 11 connections in the air where two were allowed.

Each target now has a connection pool of its own whose limit net/http counts, dials left behind included. Ruled out: counting in the dial function, since net/http may take a connection that became idle and leave the dial waiting for its turn, one goroutine for each. Pools of targets that are gone are forgotten after ten minutes without a call.

Without the limit TestConnectionsWithSlowDials fails with "11 != 2".

--- a/target/contract_test.go
+++ b/target/contract_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -221,3 +223,29 @@
 		is.Equal(at.State().Ran, int64(1))
 	})
 }
+
+// A target is slow to accept connections, and the callers of a gate give up one after another.
+// Each leaves a dial behind; the next caller's dial comes on top of it.
+// The target must never see more connections than the gate was given.
+func TestConnectionsWithSlowDials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var now, most atomic.Int32
+		pool := webcall.New(webcall.Dial(func(context.Context, string) (net.Conn, error) {
+			most.Store(max(most.Load(), now.Add(1)))
+			time.Sleep(10 * time.Second)
+			now.Add(-1)
+			return nil, errors.New("refused")
+		}))
+		c := web.New(pool)(info, 2)
+		for range 20 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, err := c.Do(ctx, &target.Request{ID: "r"})
+			is.True(errors.Is(err, target.ErrNotSent))
+			cancel()
+		}
+		time.Sleep(time.Minute)
+		is.Equal(most.Load(), int32(2))
+		is.Equal(now.Load(), int32(0))
+	})
+}
--- a/target/web/web.go
+++ b/target/web/web.go
@@ -13,10 +13,13 @@
 // DoPath is the path below a target's address.
 const DoPath = "/do"
 
-// New returns the dialler of targets; all its clients share one pool of connections.
+// New returns the dialler of targets.
 func New(pool *webcall.Pool) target.Dial {
 	return func(info target.Info, connections int) *target.Client {
-		c := &client{pool: pool, info: info, connections: make(chan struct{}, max(1, connections))}
+		connections = max(1, connections)
+		c := &client{
+			pool: pool.Limited(info.Address, connections), info: info, connections: make(chan struct{}, connections),
+		}
 		return &target.Client{Do: c.do}
 	}
 }
@@ -24,7 +27,8 @@
 type client struct {
 	pool *webcall.Pool
 	info target.Info
-	// connections holds one token for each request in progress; each has a connection of its own.
+	// connections holds one token for each request in progress; a request that waits for one has
+	// surely not been sent.
 	connections chan struct{}
 }
 
--- a/webcall/options.go
+++ b/webcall/options.go
@@ -13,6 +13,8 @@
 	MaxReplyBytes int64
 	IdlePerHost   int
 	Idle          int
+
+	connections int
 }
 
 // Option sets up a Pool.
--- a/webcall/webcall.go
+++ b/webcall/webcall.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,7 +30,9 @@
 	idleTimeout     = time.Minute
 	readBufferBytes = 2 << 10
 	maxReasonBytes  = 512
-	traceHeader     = "Traceparent"
+	// limitedKeep is how long an unused pool of a single callee is remembered.
+	limitedKeep = 10 * time.Minute
+	traceHeader = "Traceparent"
 )
 
 // ErrNotSent means that no byte of the call left this process.
@@ -56,6 +60,17 @@
 type Pool struct {
 	opts      Options
 	transport *http.Transport
+	// used is when the pool last sent a call, in nanoseconds.
+	used atomic.Int64
+
+	mu      sync.Mutex
+	limited map[limit]*Pool
+}
+
+// limit names a pool of a single callee.
+type limit struct {
+	address     string
+	connections int
 }
 
 // New returns a pool that dials TCP.
@@ -67,12 +82,17 @@
 	for _, f := range opts {
 		f(&o)
 	}
-	p := &Pool{opts: o}
+	return build(o)
+}
+
+func build(o Options) *Pool {
+	p := &Pool{opts: o, limited: make(map[limit]*Pool)}
 	p.transport = &http.Transport{
 		DialContext:         p.dial,
 		DisableCompression:  true,
 		MaxIdleConns:        o.Idle,
 		MaxIdleConnsPerHost: o.IdlePerHost,
+		MaxConnsPerHost:     o.connections,
 		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      readBufferBytes,
 		Protocols:           new(http.Protocols),
@@ -81,8 +101,43 @@
 	return p
 }
 
+// Limited gives the pool of one callee, to which at most that many connections are open or opened at
+// once.
+//
+// Failure: a callee is slow to accept, and each call that is given up leaves its dial behind.
+// Symptom: more connections than the callee can hold. net/http counts the dials left behind too.
+func (p *Pool) Limited(address string, connections int) *Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for key, l := range p.limited {
+		if now.Sub(time.Unix(0, l.used.Load())) > limitedKeep {
+			l.Close()
+			delete(p.limited, key)
+		}
+	}
+	key := limit{address, max(1, connections)}
+	l, ok := p.limited[key]
+	if !ok {
+		o := p.opts
+		o.connections = key.connections
+		o.IdlePerHost = min(o.IdlePerHost, key.connections)
+		l = build(o)
+		l.used.Store(now.UnixNano())
+		p.limited[key] = l
+	}
+	return l
+}
+
 // Close ends all idle connections.
-func (p *Pool) Close() { p.transport.CloseIdleConnections() }
+func (p *Pool) Close() {
+	p.transport.CloseIdleConnections()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.limited {
+		l.Close()
+	}
+}
 
 // Call is one request.
 type Call struct {
@@ -103,6 +158,7 @@
 // Do sends a call and waits for its reply. ErrNotSent and a Status are definite; any other error
 // leaves open whether the call took effect.
 func (p *Pool) Do(ctx context.Context, c *Call) error {
+	p.used.Store(time.Now().UnixNano())
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, p.opts.Timeout)
--- a/webcall/webcall_test.go
+++ b/webcall/webcall_test.go
@@ -166,3 +166,20 @@
 	err := pool.Do(t.Context(), &Call{Address: "10.0.0.1:1", Path: "/", In: body{}})
 	is.True(errors.Is(err, ErrNotSent))
 }
+
+func TestPoolsOfGoneCalleesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		pool := New()
+		for i := range 100 {
+			pool.Limited(string(rune('a'+i)), 1)
+		}
+		kept := pool.Limited("a", 1)
+		is.Equal(len(pool.limited), 100)
+		time.Sleep(limitedKeep / 2)
+		_ = kept.Do(t.Context(), &Call{Address: "not valid", Path: "/"})
+		time.Sleep(limitedKeep/2 + time.Second)
+		is.True(pool.Limited("a", 1) == kept)
+		is.Equal(len(pool.limited), 1)
+	})
+}
