Renew slot loans in use, and compare the gate's policy with baselines

Chosen: the borrower renews loans in use when a quarter of their life is over; a lender that is short lets every other one run out.

The stream closes its connection, so that what follows the last answer is not read as a request.

--- a/gate/pool.go
+++ b/gate/pool.go
@@ -29,10 +29,12 @@
 // The gate's mutex guards it.
 type pool struct {
 	balancer *balancer.Balancer
-	shares   *share.Holder
-	clients  map[string]*client
-	waiting  *list.List
-	bound    map[string]*list.List
+	// pick chooses a target; tests put other policies here to compare them.
+	pick    func(ask *balancer.Ask, now time.Time) (balancer.Choice, bool)
+	shares  *share.Holder
+	clients map[string]*client
+	waiting *list.List
+	bound   map[string]*list.List
 	// runTime is the smoothed time in seconds that a check occupies a slot.
 	runTime float64
 	slots   int
@@ -63,9 +65,10 @@
 }
 
 func newPool(seed uint64, shares *share.Holder) *pool {
+	b := balancer.New(balancer.Seed(seed))
 	return &pool{
 		shares:   shares,
-		balancer: balancer.New(balancer.Seed(seed)), clients: make(map[string]*client),
+		balancer: b, pick: b.Pick, clients: make(map[string]*client),
 		waiting: list.New(), bound: make(map[string]*list.List), runTime: firstRunTime,
 	}
 }
@@ -124,7 +127,7 @@
 	var c balancer.Choice
 	var ok bool
 	if w.bound == "" {
-		c, ok = p.balancer.Pick(&w.ask, now)
+		c, ok = p.pick(&w.ask, now)
 	} else {
 		c, ok = p.balancer.Take(w.bound, &w.ask, now)
 	}
--- a/gate/sessions.go
+++ b/gate/sessions.go
@@ -199,13 +199,15 @@
 		return
 	}
 	defer g.work.leaveStream()
-	w := ctx.ResponseWriter().Naive()
-	control := http.NewResponseController(w)
+	out := ctx.ResponseWriter()
+	control := http.NewResponseController(out.Naive())
 	// Answers go out while requests come in.
 	_ = control.EnableFullDuplex()
-	w.Header().Set("Content-Type", "application/x-ndjson")
-	w.WriteHeader(http.StatusOK)
-	_ = control.Flush()
-	st := &stream{gate: g, session: s, template: *first, encoder: json.NewEncoder(w), control: control}
+	ctx.ContentType("application/x-ndjson")
+	// What the caller has sent after the last answer must not be taken for another request.
+	ctx.Header("Connection", "close")
+	ctx.StatusCode(http.StatusOK)
+	out.Flush()
+	st := &stream{gate: g, session: s, template: *first, out: out, encoder: json.NewEncoder(out), control: control}
 	st.serve(ctx.Request())
 }
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -120,6 +120,7 @@
 			return
 		case <-t.C:
 			g.giveBack(ctx)
+			g.renewLoans(ctx)
 		case <-g.need:
 			g.borrow(ctx)
 			select {
@@ -145,21 +146,34 @@
 	}
 }
 
+// renewLoans lengthens the loans in use before they end, so that the checks they serve need not
+// queue for new ones.
+func (g *Gate) renewLoans(ctx context.Context) {
+	for gate, ask := range g.shares.Renewals(time.Now()) {
+		g.ask(ctx, gate, ask)
+	}
+}
+
+// ask asks one sibling and gives how many slots it lent.
+func (g *Gate) ask(ctx context.Context, gate string, ask *share.Ask) int {
+	in, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	asked := time.Now()
+	loans, err := g.opts.Siblings.Borrow(in, gate, ask)
+	if err != nil {
+		g.log.Debug("gate: nothing borrowed", zap.String("gate", gate), zap.Error(err))
+		return 0
+	}
+	n := g.shares.Borrowed(gate, loans, asked, time.Now())
+	g.meters.borrowed.Inc(int64(n))
+	return n
+}
+
 // borrow asks each sibling in turn for what the waiting checks need.
 func (g *Gate) borrow(ctx context.Context) {
 	for _, ask := range g.wants() {
 		for _, gate := range g.shares.Others() {
-			in, cancel := context.WithTimeout(ctx, borrowTimeout)
-			asked := time.Now()
-			loans, err := g.opts.Siblings.Borrow(in, gate, ask)
-			cancel()
-			if err != nil {
-				g.log.Debug("gate: nothing borrowed", zap.String("gate", gate), zap.Error(err))
-				continue
-			}
-			n := g.shares.Borrowed(gate, loans, asked, time.Now())
-			g.meters.borrowed.Inc(int64(n))
-			if ask.Want -= n; ask.Want <= 0 {
+			if ask.Want -= g.ask(ctx, gate, ask); ask.Want <= 0 {
 				break
 			}
 		}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -19,6 +19,7 @@
 	gate     *Gate
 	session  *session.Session
 	template Check
+	out      http.Flusher
 	encoder  *json.Encoder
 	control  *http.ResponseController
 	// readErr is why the reading ended; it is set before the lines are closed.
@@ -135,5 +136,9 @@
 
 func (st *stream) send(b *Body) bool {
 	_ = st.control.SetWriteDeadline(time.Now().Add(st.gate.opts.Limits.ReadTimeout))
-	return st.encoder.Encode(b) == nil && st.control.Flush() == nil
+	if st.encoder.Encode(b) != nil {
+		return false
+	}
+	st.out.Flush()
+	return true
 }
--- a/share/loan.go
+++ b/share/loan.go
@@ -1,6 +1,9 @@
 package share
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Ask asks a gate to lend idle slots.
 type Ask struct {
@@ -9,6 +12,8 @@
 	// Want is how many slots it can use, on any of Targets.
 	Want    int      `json:"want" msgpack:"w"`
 	Targets []Target `json:"targets" msgpack:"t"`
+	// Renew lists loans of this lender that are in use and soon over.
+	Renew []uint64 `json:"renew,omitempty" msgpack:"r,omitempty"`
 }
 
 // Target names a target and its slots.
@@ -70,6 +75,7 @@
 		return out
 	}
 	spare := h.spare(ask.Targets, now)
+	out.Loans = h.renewed(ask, spare < 0, now)
 	want := min(ask.Want, spare)
 	for _, t := range ask.Targets {
 		if want <= 0 || len(out.Loans) >= maxLoans {
@@ -90,6 +96,59 @@
 	return out
 }
 
+// renewed lengthens loans. A lender that is short itself lets every other one run out, so that its
+// slots come back little by little instead of all at once.
+func (h *Holder) renewed(ask *Ask, short bool, now time.Time) []Loan {
+	if len(ask.Renew) == 0 {
+		return nil
+	}
+	asked := make(map[uint64]bool, len(ask.Renew))
+	for i, id := range ask.Renew {
+		asked[id] = !short || i%2 == 0
+	}
+	var out []Loan
+	for target, u := range h.uses {
+		u.prune(now)
+		for i := range u.lent {
+			l := &u.lent[i]
+			if asked[l.id] && l.borrower == ask.Gate && len(out) < maxLoans {
+				l.expires = now.Add(h.opts.Life + h.opts.Drift)
+				out = append(out, Loan{ID: l.id, Target: target, Slots: l.slots, Life: h.opts.Life})
+			}
+		}
+	}
+	return out
+}
+
+// Renewals gives the loans that are in use and have lived a quarter of their time, by lender.
+func (h *Holder) Renewals(now time.Time) map[string]*Ask {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out map[string]*Ask
+	for target, u := range h.uses {
+		u.prune(now)
+		for _, b := range u.borrowed {
+			if b.expires.Sub(now) > h.opts.Life*3/4 || (b.inUse == 0 && now.Sub(b.used) >= h.opts.IdleLoan) {
+				continue
+			}
+			if out == nil {
+				out = make(map[string]*Ask)
+			}
+			ask := out[b.lender]
+			if ask == nil {
+				ask = &Ask{Gate: h.id}
+				out[b.lender] = ask
+			}
+			ask.Renew = append(ask.Renew, b.id)
+			ask.Targets = append(ask.Targets, Target{target, u.slots})
+		}
+	}
+	for _, ask := range out {
+		slices.Sort(ask.Renew)
+	}
+	return out
+}
+
 // lists reports whether the newest table lists a gate.
 func (h *Holder) lists(gate string) bool {
 	newest := h.newest()
@@ -115,6 +174,12 @@
 	for _, l := range loans.Loans {
 		expires := asked.Add(l.Life)
 		u := h.use(l.Target, now)
+		if old := u.find(lender, l.ID); old != nil {
+			if expires.After(old.expires) {
+				old.expires = expires
+			}
+			continue
+		}
 		if l.Slots <= 0 || !now.Before(expires) || len(u.borrowed) >= maxLoansOfTarget {
 			continue
 		}
@@ -126,6 +191,15 @@
 	return n
 }
 
+func (u *use) find(lender string, id uint64) *borrowed {
+	for _, b := range u.borrowed {
+		if b.lender == lender && b.id == id {
+			return b
+		}
+	}
+	return nil
+}
+
 // Idle drops the loans that have not been used for a while, and gives what to return, by lender.
 func (h *Holder) Idle(now time.Time) map[string]*Return {
 	h.mu.Lock()
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -139,6 +139,17 @@
 	})
 }
 
+func (w *world) extend(s *sim) {
+	asks := s.holder.Renewals(w.now)
+	for _, lender := range slices.Sorted(maps.Keys(asks)) {
+		ask, asked, from := asks[lender], w.now, w.gates[lender]
+		w.mail = append(w.mail, func() {
+			loans := from.holder.Lend(ask, w.now)
+			w.mail = append(w.mail, func() { s.holder.Borrowed(lender, &loans, asked, w.now) })
+		})
+	}
+}
+
 func (w *world) start(s *sim) {
 	t := worldTargets[w.draw(len(worldTargets))]
 	end := w.now.Add(time.Duration(1+w.draw(int(maxRequest/time.Millisecond))) * time.Millisecond)
@@ -226,8 +237,10 @@
 		w.learn(s)
 	case k < 130:
 		w.heartbeat(s)
-	case k < 138:
+	case k < 136:
 		w.borrow(id, s)
+	case k < 138:
+		w.extend(s)
 	case k < 140:
 		idle := s.holder.Idle(w.now)
 		for _, lender := range slices.Sorted(maps.Keys(idle)) {
@@ -388,6 +401,11 @@
 		{"answer to an ask is late", func(h *Holder, _ *bool, _ *int64) {
 			h.Borrowed("b", &Loans{[]Loan{{ID: 1, Target: "t", Slots: 2, Life: time.Second}}}, now.Add(-time.Second), now)
 		}, true, true, 8, 0},
+		{"answer to a renewal is late", func(h *Holder, _ *bool, _ *int64) {
+			loans := &Loans{[]Loan{{ID: 1, Target: "t", Slots: 2, Life: time.Second}}}
+			h.Borrowed("b", loans, now.Add(-time.Second/2), now)
+			h.Borrowed("b", loans, now.Add(-time.Second*9/10), now)
+		}, true, true, 10, 2},
 		{"answer to an ask is in time", func(h *Holder, _ *bool, _ *int64) {
 			h.Borrowed("b", &Loans{[]Loan{{ID: 1, Target: "t", Slots: 2, Life: time.Second}}}, now.Add(-time.Second/2), now)
 		}, true, true, 10, 2},
@@ -431,3 +449,29 @@
 	valid = true
 	is.Equal(h.Lend(ask, now).Loans[0].Slots, 3) // Four are its share, one it keeps.
 }
+
+// A renewed loan stays charged to its lender for as long as the borrower may use it; one that is not
+// renewed comes back; and a lender that is short itself renews only some.
+func TestRenewal(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return now.Add(d) }
+	h := New("a", Settle(0), Life(10*time.Second, time.Second))
+	h.SetTable(Table{7, []string{"a", "b"}}, now)
+	h.Confirmed(Confirmation{Gate: "b", Version: 7}, now)
+	targets := []Target{{"t", 16}}
+	first := h.Lend(&Ask{Gate: "b", Want: 1, Targets: targets}, now).Loans[0]
+	second := h.Lend(&Ask{Gate: "b", Want: 1, Targets: targets}, now).Loans[0]
+	h.Lend(&Ask{Gate: "b", Renew: []uint64{first.ID}}, at(6*time.Second))
+	is.Equal(h.Limit("t", 16, at(10*time.Second)), 6)
+	is.Equal(h.Limit("t", 16, at(12*time.Second)), 7)
+	is.Equal(h.Limit("t", 16, at(18*time.Second)), 8)
+	third := h.Lend(&Ask{Gate: "b", Want: 1, Targets: targets}, at(18*time.Second)).Loans[0]
+	fourth := h.Lend(&Ask{Gate: "b", Want: 1, Targets: targets}, at(18*time.Second)).Loans[0]
+	for range 6 {
+		h.Take("t", 16, at(20*time.Second), at(19*time.Second))
+	}
+	short := h.Lend(&Ask{Gate: "b", Targets: targets, Renew: []uint64{third.ID, fourth.ID}}, at(20*time.Second))
+	is.Equal(len(short.Loans), 1)
+	is.True(second.ID != first.ID)
+}
