End a check that has no time left instead of trying again

Cause: a run of the gate's tests hung once at full speed. In service each such check used up the saved retries of others.

Change: every try counts, sent or not, and none follows when too little time is left.

Shown: without it TestNoTimeLeftIsNoRetry fails with "not true: g.budget.Spend()".

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -191,7 +191,9 @@
 	zone     string
 	retries  int
 	queue    int
+	// attempts counts the requests that were sent, tries also those that came to nothing before.
 	attempts int
+	tries    int
 	// mayRun says that an attempt may have run; the check is then never called notRun.
 	mayRun bool
 	avoid  string
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -185,6 +185,25 @@
 	}
 }
 
+// The caller's check that has no time left must end, and must not use up the retries of others.
+// It gets its slot a moment before its deadline, when it is too late to send.
+func TestNoTimeLeftIsNoRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakes(1, func(ctx context.Context, _ string, r *target.Request) (*target.Response, error) {
+			return whole1(ctx, r)
+		})
+		g := f.gate()
+		defer g.Close()
+		r := g.Do(context.Background(), &Check{Service: "desk", Repeatable: true, Deadline: leastRun / 2})
+		is.Equal(r.Outcome, job.NotRun)
+		is.Equal(f.calls.Load(), int64(0))
+		for range budget.DefaultBurst {
+			is.True(g.budget.Spend())
+		}
+	})
+}
+
 // The caller hangs up.
 // Its check is at a target, which must hear of it; another check waits in the queue, and must leave
 // it without ever being sent. The slot of the first stays taken until the target has surely stopped.
--- a/gate/send.go
+++ b/gate/send.go
@@ -81,7 +81,7 @@
 		// A second attempt could run the request twice.
 		return false
 	}
-	if cl.attempts > cl.retries || ctx.Err() != nil || (a.ending == mayHaveRun && cl.check.Target != "") {
+	if cl.tries > cl.retries || ctx.Err() != nil || time.Until(cl.deadline) < leastRun || (a.ending == mayHaveRun && cl.check.Target != "") {
 		return false
 	}
 	if !g.budget.Spend() {
@@ -96,6 +96,7 @@
 func (g *Gate) send(ctx context.Context, cl *call, t *ticket) *attempt {
 	now := time.Now()
 	end := g.attemptEnd(cl, now)
+	cl.tries++
 	if end.Sub(now) < leastRun || ctx.Err() != nil {
 		return &attempt{ending: notStarted, verdict: balancer.Abandoned, reason: "no time left"}
 	}
