Let a gang yield whole, and not start again in part

Cause: a preempted task of a gang left the others on their workers with nothing to do, and once it was back in the queue it could start alone while the rest was still stopping. Without the wait, TestGangYieldsWhole starts two tasks where one is expected.

Weighed: gangs that never yield; then borrowed accelerators could not be taken back.

New rules now also decide anew for jobs that only run, so that a shield from preemption holds at once. Tasks on a worker are counted for each job, so that spreading a large service does not go through all of its tasks.

--- a/planner/admit.go
+++ b/planner/admit.go
@@ -90,7 +90,7 @@
 	}
 	e := &entry{
 		id: j.ID, spec: j.Spec, accepted: j.Accepted, kind: learn.Key{Team: j.Spec.Team, Class: j.Spec.Class},
-		running: map[int]*task{}, pending: make([]int, j.Spec.Tasks), waitsSince: now,
+		running: map[int]*task{}, on: map[string]int{}, pending: make([]int, j.Spec.Tasks), waitsSince: now,
 	}
 	for i := range e.pending {
 		e.pending[i] = i
--- a/planner/entry.go
+++ b/planner/entry.go
@@ -38,8 +38,12 @@
 	// pending holds the indexes of waiting tasks, running those that hold resources.
 	pending []int
 	running map[int]*task
-	item    queue.Item[*entry]
-	final   bool
+	// leaving counts the running tasks that were asked to give way.
+	leaving int
+	// on counts the running tasks on each worker.
+	on    map[string]int
+	item  queue.Item[*entry]
+	final bool
 
 	reservation *reservation
 	waits       wait
@@ -75,6 +79,7 @@
 	waitsCapacity
 	waitsLimit
 	waitsQuota
+	waitsStop
 )
 
 var noEffect = &rule.Effect{}
@@ -94,15 +99,7 @@
 func (e *entry) spread() bool { return e.strategy == placement.Spread }
 
 // near counts the job's tasks on a node, for spreading.
-func (e *entry) near(n *placement.Node) int {
-	count := 0
-	for _, t := range e.running {
-		if t.worker == n.Info.ID {
-			count++
-		}
-	}
-	return count
-}
+func (e *entry) near(n *placement.Node) int { return e.on[n.Info.ID] }
 
 func (e *entry) key() queue.Key {
 	k := queue.Key{
--- a/planner/explain.go
+++ b/planner/explain.go
@@ -50,6 +50,8 @@
 		return fmt.Sprintf("the limit of %d running tasks under rule %s", e.effect.MostRunning, e.decision.Rule)
 	case waitsQuota:
 		return "the quota of pool " + e.pool
+	case waitsStop:
+		return "the rest of its gang to stop"
 	case waitsTurn:
 	}
 	return "its turn"
--- a/planner/next.go
+++ b/planner/next.go
@@ -89,6 +89,10 @@
 func (p *Planner) try(now time.Time, e *entry, plan *Plan) bool {
 	count := e.tasksNext()
 	switch {
+	case e.leaving > 0 && e.spec.Gang:
+		// A part of a preempted gang would start beside those that have not stopped yet, and run
+		// alone once they have.
+		return e.wait(now, waitsStop)
 	case e.effect.MostRunning > 0 && p.tally(e.decision.Rule).running+count > e.effect.MostRunning:
 		return e.wait(now, waitsLimit)
 	case !p.ledger.Within(e.pool, e.charge.Times(count)) && !p.ledger.MayBorrow(e.pool):
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"turmericgap/job"
@@ -84,13 +86,14 @@
 	}
 }
 
-// SetRules replaces the rules. Jobs that wait are decided anew, as they stood when they were
-// accepted; one that was accepted is never refused afterwards.
+// SetRules replaces the rules. All jobs are decided anew, as they stood when they were accepted; one
+// that was accepted is never refused afterwards, and what runs keeps its worker.
 func (p *Planner) SetRules(l *rule.List) {
 	p.options.Rules = l
 	p.ledger.Unlimit()
 	p.setQuotas()
-	for _, e := range p.waiting() {
+	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
+		e := p.jobs[id]
 		p.queue.Remove(&e.item)
 		p.countPending(e, -len(e.pending))
 		p.ledger.Leave(e.pool)
@@ -101,11 +104,13 @@
 	p.freed = true
 }
 
-// waiting gives the jobs with pending tasks in the queue's own order.
-func (p *Planner) waiting() []*entry {
-	entries := make([]*entry, 0, p.queue.Len())
-	p.queue.Each(func(e *entry) { entries = append(entries, e) })
-	return entries
+// Decision gives what the rules say now of a job that the planner holds.
+func (p *Planner) Decision(jobID string) (d Decision, known bool) {
+	e, ok := p.jobs[jobID]
+	if !ok {
+		return Decision{}, false
+	}
+	return e.decision, true
 }
 
 // SetWorker adds or changes a worker. One that is not open gets nothing new; one on probe gets one
@@ -147,6 +152,7 @@
 	p.running = append(p.running, t)
 	p.held[workerID] = append(p.held[workerID], t)
 	e.running[index] = t
+	e.on[workerID]++
 	p.ledger.Take(t.pool, t.charge)
 	p.tally(t.rule).running++
 	if n := p.index.Node(workerID); n != nil {
@@ -166,6 +172,12 @@
 	p.running = p.running[:last]
 	p.unhold(t)
 	delete(t.entry.running, t.index)
+	if t.leaving {
+		t.entry.leaving--
+	}
+	if t.entry.on[t.worker]--; t.entry.on[t.worker] == 0 {
+		delete(t.entry.on, t.worker)
+	}
 	p.ledger.Give(t.pool, t.charge)
 	p.tally(t.rule).running--
 	p.untally(t.rule)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -40,13 +40,15 @@
 	specs   map[string]*job.Submission
 	running map[string]Start
 	left    map[string]int
+	victims []Preempt
+	slow    int
 }
 
 func newCell(workers int, millicores int64, opts ...Option) *cell {
 	c := &cell{
 		Planner: New(append([]Option{Rules(standard.List())}, opts...)...), now: start,
 		has: map[string]job.Resources{}, used: map[string]job.Resources{}, closed: map[string]bool{},
-		specs: map[string]*job.Submission{}, running: map[string]Start{}, left: map[string]int{},
+		specs: map[string]*job.Submission{}, running: map[string]Start{}, left: map[string]int{}, slow: 1,
 	}
 	for i := range workers {
 		c.has[vm(i, 0).ID] = vm(i, millicores).Has
@@ -103,11 +105,17 @@
 	c.Release(c.now, s.Job, s.Task, End{OK: !requeue, Requeue: requeue, Ran: time.Minute, Peak: c.specs[s.Job].Each.Times(2)})
 }
 
+// step judges a plan and stops some of the victims; the others stop with the next plans.
 func (c *cell) step(p Plan) string {
 	fault := c.judge(p)
-	for _, v := range p.Preempts {
-		c.end(fmt.Sprint(v.Job, "/", v.Task), true)
+	c.victims = append(c.victims, p.Preempts...)
+	stops := (len(c.victims) + c.slow - 1) / c.slow
+	for _, v := range c.victims[:stops] {
+		if k := fmt.Sprint(v.Job, "/", v.Task); c.running[k].Worker != "" {
+			c.end(k, true)
+		}
 	}
+	c.victims = c.victims[stops:]
 	return fault
 }
 
@@ -125,6 +133,7 @@
 func TestPromisesHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCell(6, 8000, Quotas(map[string]job.Resources{"team1": {Millicores: 8000, MemoryMB: 64000}}))
+		c.slow = 2
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			c.now = c.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
 			id := vm(rapid.IntRange(0, 5).Draw(t, "worker"), 8000)
@@ -279,6 +288,29 @@
 	t.Fatal("the large task never started")
 }
 
+// A gang of which one task yields could do nothing with the rest, and would hold their workers.
+func TestGangYieldsWhole(t *testing.T) {
+	is := is.New(t)
+	c := newCell(4, 8000)
+	gang := spec("other", 2, 8000)
+	gang.Gang = true
+	c.add("gang0", gang)
+	c.add("gang1", gang)
+	is.Equal(c.step(c.Next(c.now, 8)), "")
+	urgent := spec("alarm", 1, 4000)
+	urgent.Urgent = true
+	c.add("urgent", urgent)
+	plan := c.Next(c.now, 8)
+	is.Equal(len(plan.Preempts), 2)
+	is.Equal(plan.Preempts[0].Job, plan.Preempts[1].Job)
+	// One has stopped and the other not yet: the first must not start again alone.
+	c.end(fmt.Sprint(plan.Preempts[0].Job, "/", plan.Preempts[0].Task), true)
+	c.SetWorker(c.now, vm(4, 8000), true, false)
+	next := c.Next(c.now, 8)
+	is.Equal(len(next.Starts), 1)
+	is.Equal(next.Starts[0].Job, "urgent")
+}
+
 func TestAdmit(t *testing.T) {
 	gang := spec("roster", 9, 4000)
 	gang.Gang = true
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -112,9 +113,13 @@
 	return func(t *task) bool { return t.borrowed && t.pool != e.pool && p.ledger.Over(t.pool) }
 }
 
-// lost is the work that is lost at worst, in core seconds.
+// lost is the work that is lost at worst, in core seconds. A gang is lost whole.
 func (t *task) lost(now time.Time) int64 {
-	return 1 + int64(now.Sub(t.started)/time.Second)*(1+t.charge.Millicores)/1000
+	one := 1 + int64(now.Sub(t.started)/time.Second)*(1+t.charge.Millicores)/1000
+	if t.entry.spec.Gang {
+		return one * int64(len(t.entry.running))
+	}
+	return one
 }
 
 // option is one more slot on a node, for the price of some victims.
@@ -226,9 +231,8 @@
 		}
 		counts[id]++
 		for _, t := range o.victims {
-			t.leaving = true
 			room[id] = room[id].Plus(t.charge)
-			plan.Preempts = append(plan.Preempts, Preempt{Job: t.entry.id, Task: t.index, Worker: id, For: e.id, Reason: reason})
+			t.leave(e, plan, reason)
 		}
 	}
 	for i := range r.kept {
@@ -236,3 +240,23 @@
 	}
 	p.hold(r, func(n *placement.Node, count int) job.Resources { return room[n.Info.ID].Minus(e.charge.Times(count)) })
 }
+
+// leave asks a task to give way. Of a gang all tasks are asked: what is left of it could do nothing,
+// and would hold its workers for it.
+func (t *task) leave(e *entry, plan *Plan, reason string) {
+	tasks := []*task{t}
+	if t.entry.spec.Gang {
+		tasks = tasks[:0]
+		for _, index := range slices.Sorted(maps.Keys(t.entry.running)) {
+			tasks = append(tasks, t.entry.running[index])
+		}
+	}
+	for _, v := range tasks {
+		if v.leaving {
+			continue
+		}
+		v.leaving = true
+		v.entry.leaving++
+		plan.Preempts = append(plan.Preempts, Preempt{Job: v.entry.id, Task: v.index, Worker: v.worker, For: e.id, Reason: reason})
+	}
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -98,14 +98,6 @@
 // Len is the number of items.
 func (q *Queue[T]) Len() int { return q.late.Len() }
 
-// Each calls visit for all items, the first to be late first.
-func (q *Queue[T]) Each(visit func(v T)) {
-	q.late.Ascend(func(it *Item[T]) bool {
-		visit(it.Value)
-		return true
-	})
-}
-
 // Push adds an item that does not wait yet.
 func (q *Queue[T]) Push(it *Item[T], k Key) {
 	k.Band = min(max(k.Band, Lowest), Highest)
