--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -40,6 +40,33 @@
 	}
 }
 
+// Single nights differ by chance; these sums over twelve of each user compare policies.
+func BenchmarkNights(b *testing.B) {
+	classes := map[string][3]string{"kayal": {"fleet", "roster", "booking"}, "padan": {"closing", "matching", "balance"}}
+	for _, load := range []func(uint64) *Load{Kayal, Padan} {
+		for _, policy := range []func(*Load) Policy{func(*Load) Policy { return FirstFit() }, func(*Load) Policy { return RandomOfTwo(1) }, ours} {
+			l := load(1)
+			b.Run(l.Name+"/"+policy(l).Name, func(b *testing.B) {
+				const nights = 12
+				var large, small int
+				var packing, wait float64
+				for seed := range uint64(nights * b.N) {
+					l := load(1 + seed)
+					r := Replay(l, policy(l))
+					c := classes[l.Name]
+					large, small = large+r.byClass[c[0]].Missed, small+r.byClass[c[1]].Missed
+					packing, wait = packing+r.Packing()/nights, wait+r.Wait(c[2], 0.99).Seconds()/nights
+				}
+				b.ReportMetric(float64(large)/float64(b.N), "missed-large")
+				b.ReportMetric(float64(small)/float64(b.N), "missed-small")
+				b.ReportMetric(packing/float64(b.N), "packing")
+				b.ReportMetric(wait/float64(b.N), "interactive-p99-s")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
+
 // full makes a planner with 770 workers that are full, and pending tasks of 22 teams with so many
 // sizes of each kind.
 func full(pending, sizes int) (*planner.Planner, time.Time) {
