--- a/member/beat.go
+++ b/member/beat.go
@@ -112,8 +112,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	if g.asks(now) && !g.unlisted(g.self.VM) {
-		g.asked = now.Add(g.opts.Promise)
+	if g.asks(now) {
+		// One that the list drops may be replaced from then on, also when the list shows it again.
+		if g.dropped = g.dropped || g.unlisted(g.self.VM); !g.dropped {
+			g.asked = now.Add(g.opts.Promise)
+		}
 	}
 	var out []Member
 	for _, p := range g.peers {
--- a/member/member.go
+++ b/member/member.go
@@ -47,7 +47,9 @@
 	// keyLease is the lease that the member's own key is bound to; zero when it may be absent.
 	keyLease int64
 	// asked is when the last round of asking for promises began, plus their length.
-	asked   time.Time
+	asked time.Time
+	// dropped says that the VM list lacked this VM since the lease was last held.
+	dropped bool
 	peers   map[string]*peer
 	leaving bool
 	stopped bool
@@ -96,6 +98,8 @@
 	for _, f := range opts {
 		f(&o)
 	}
+	// A promise that outlives a lease could bind a peer to a member that was removed and is back.
+	o.Promise = min(o.Promise, o.TTL/2)
 	if self.Incarnation == 0 {
 		self.Incarnation = rand.Int64()
 	}
--- a/member/options.go
+++ b/member/options.go
@@ -47,7 +47,7 @@
 // Interval sets the time between heartbeats.
 func Interval(d time.Duration) Option { return func(o *Options) { o.Beat = d } }
 
-// Promise sets how long a promise holds; it must be shorter than the lease.
+// Promise sets how long a promise holds, at most half of the lease.
 func Promise(d time.Duration) Option { return func(o *Options) { o.Promise = d } }
 
 // Look sets the longest time between two looks at the store.
--- a/member/tend.go
+++ b/member/tend.go
@@ -11,6 +11,10 @@
 	"turmericgap/store/retry"
 )
 
+// errStale means that the store answered from before a change that is known here: a copy that lags,
+// or a store that was restored. Deciding by it could bring back an owner that was replaced.
+var errStale = eris.New("store is older than the known member table")
+
 // reading is the table and the present keys as the store had them.
 type reading struct {
 	table Table
@@ -130,6 +134,9 @@
 			return r, err
 		}
 	}
+	if got.Revision < g.Table().Version {
+		return r, errStale
+	}
 	prefix := presentPrefix(g.self.Zone, g.self.Role)
 	got, err = g.store.Range(ctx, store.Range{Key: prefix, End: store.PrefixEnd(prefix)})
 	if err != nil {
@@ -175,7 +182,7 @@
 		g.log.Info("member: joined", zap.Int64("version", t.Version))
 	}
 	own, _ := t.Find(g.self.ID)
-	g.self.State, g.keyLease = own.State, lease
+	g.self.State, g.keyLease, g.dropped = own.State, lease, false
 }
 
 func (g *Group) scene(r reading, lease int64) *scene {
