Count a VM as ended only a lag after the VM list was seen without it

A joiner that had been in the table for long took a VM as ended at the moment when its own list lost it; a list that is later elsewhere would have left the old owner with its promises for a while. A list that is late could also not yet show a VM that had just come. The wait now runs from when the list was first seen without the VM, and is longer by the list's lag (10 s by default).

Weighed: trusting only a VM that was seen and then dropped; a process that starts after the drop would then wait for ever.

--- a/member/member.go
+++ b/member/member.go
@@ -19,6 +19,7 @@
 	DefaultBeat    = 500 * time.Millisecond
 	DefaultPromise = 3 * time.Second
 	DefaultLook    = 30 * time.Second
+	DefaultListLag = 10 * time.Second
 	// CallTimeout bounds one call of the store, which may be slow.
 	CallTimeout = 5 * time.Second
 
@@ -81,6 +82,8 @@
 	removing int64
 	// absent is when the peer's key was first seen to be absent.
 	absent time.Time
+	// unlisted is since when the VM list was seen not to show its VM.
+	unlisted time.Time
 	// suspect says that it was not heard for several heartbeats.
 	suspect bool
 	calling bool
@@ -91,7 +94,7 @@
 func New(s *store.Store, self Member, opts ...Option) *Group {
 	o := Options{
 		TTL: DefaultTTL, Drift: DefaultTTL / driftShare, Beat: DefaultBeat, Promise: DefaultPromise,
-		Look: DefaultLook, Elects: self.Role == RoleScheduler, Logger: zap.NewNop(),
+		Look: DefaultLook, ListLag: DefaultListLag, Elects: self.Role == RoleScheduler, Logger: zap.NewNop(),
 		Rules: func() int64 { return 0 }, Newer: func(Member, int64) {}, OnChange: func(Table) {},
 		Listed: func() (map[string]bool, bool) { return nil, false },
 	}
--- a/member/options.go
+++ b/member/options.go
@@ -25,6 +25,8 @@
 	Call func(ctx context.Context, address string, b *Beat) (*BeatReply, error)
 	// Listed gives the VMs of the VM list by their Member.VM; known is false before the first list.
 	Listed func() (vms map[string]bool, known bool)
+	// ListLag is how late the VM list may be.
+	ListLag time.Duration
 	// Rules gives the version of the rules that this process has in force.
 	Rules func() int64
 	// Newer is told of a peer that has newer rules.
@@ -66,6 +68,9 @@
 	return func(o *Options) { o.Listed = f }
 }
 
+// ListLag sets how late the VM list may be: a VM that it does not show counts as ended only after it.
+func ListLag(d time.Duration) Option { return func(o *Options) { o.ListLag = d } }
+
 // Rules sets how rule versions are told to and learnt from peers.
 func Rules(version func() int64, newer func(from Member, version int64)) Option {
 	return func(o *Options) { o.Rules, o.Newer = version, newer }
--- a/member/owners_test.go
+++ b/member/owners_test.go
@@ -40,6 +40,8 @@
 	func(c *cell, a, _ string) { c.kill(a) },
 	func(c *cell, a, _ string) { c.kill(a); c.start(a) },
 	func(c *cell, a, _ string) { c.kill(a); c.list(false, a) },
+	func(c *cell, a, _ string) { c.list(false, a) },
+	func(c *cell, a, _ string) { c.list(true, a) },
 	func(c *cell, a, _ string) {
 		n := c.nodes[a]
 		c.wg.Go(func() {
--- a/member/plan.go
+++ b/member/plan.go
@@ -31,8 +31,8 @@
 	// established is since when it is known to have a table that holds this process: from then on
 	// it cannot go on past its lease without this process's promise. Zero for not yet.
 	established time.Time
-	// unlisted says that the VM list does not show its VM.
-	unlisted bool
+	// unlisted is since when the VM list does not show its VM; zero while it does.
+	unlisted time.Time
 }
 
 // scene is all that plan looks at.
@@ -43,7 +43,7 @@
 	// joined says that this process holds its place in the table, since that time.
 	joined bool
 	since  time.Time
-	// grace is one full lease and the drift allowance.
+	// grace is one full lease, the drift allowance and the lag of the VM list.
 	grace time.Duration
 	// promise is how long a promise holds.
 	promise time.Duration
@@ -137,7 +137,8 @@
 // An absent key does not prove that m has stopped: cut off from the store it goes on while all
 // others of its table promise. If m knows that this process is a member, m needs its promise, so
 // that none given means that m has stopped. Otherwise only m's end will do: this process holds its
-// address, or the VM list has dropped its VM, whose lag a full lease covers.
+// address, or the VM list does not show its VM. Waiting the grace from then on covers a list that
+// is late, here in showing a new VM, or there in telling m that it was dropped and has to stop.
 func (s *scene) removable(m Member) time.Duration {
 	if m.Address == s.self.Address {
 		return 0
@@ -150,14 +151,10 @@
 		// One that has just learnt of this process gets the time to ask for its first promise.
 		return later(o.absent.Add(s.rank()*stagger), o.established.Add(s.promise)).Sub(s.now)
 	}
-	if !o.unlisted {
+	if o.unlisted.IsZero() {
 		return soon
 	}
-	from := s.since
-	if o.absent.After(from) {
-		from = o.absent
-	}
-	return from.Add(s.grace).Sub(s.now)
+	return later(s.since, later(o.absent, o.unlisted)).Add(s.grace).Sub(s.now)
 }
 
 // rank counts the present members before this one, so that one writes at once and others later.
--- a/member/tend.go
+++ b/member/tend.go
@@ -190,15 +190,17 @@
 	defer g.mu.Unlock()
 	s := &scene{
 		now: time.Now(), self: g.self, lease: lease, joined: g.joined != 0, since: g.since,
-		grace: g.opts.TTL + g.opts.Drift, elects: g.opts.Elects, promise: g.opts.Promise, table: r.table, keys: r.keys,
+		grace: g.opts.TTL + g.opts.Drift + g.opts.ListLag, elects: g.opts.Elects, promise: g.opts.Promise, table: r.table, keys: r.keys,
 		others: make(map[string]standing, len(g.peers)), confirmed: g.allConfirmed(),
 	}
-	vms, known := g.opts.Listed()
 	for id, p := range g.peers {
-		s.others[id] = standing{
-			absent: p.absent, given: p.given, unlisted: known && !vms[p.member.VM],
-			established: p.established,
+		switch listed := !g.unlisted(p.member.VM); {
+		case listed:
+			p.unlisted = time.Time{}
+		case p.unlisted.IsZero():
+			p.unlisted = s.now
 		}
+		s.others[id] = standing{absent: p.absent, given: p.given, unlisted: p.unlisted, established: p.established}
 	}
 	return s
 }
