--- a/member/beat.go
+++ b/member/beat.go
@@ -155,7 +155,13 @@
 		return
 	}
 	p.calling = false
-	if err != nil || !r.From.same(m) {
+	if err != nil {
+		return
+	}
+	if !r.From.same(m) {
+		// Another process at its very address: m has ended, and will never remove this one. Without
+		// this, a restart in a store outage would end the whole zone, as it cannot join and promise.
+		p.ended = p.ended || r.From.ID == m.ID && r.From.Address == m.Address
 		return
 	}
 	if r.Promised {
--- a/member/member.go
+++ b/member/member.go
@@ -84,6 +84,8 @@
 	absent time.Time
 	// unlisted is since when the VM list was seen not to show its VM.
 	unlisted time.Time
+	// ended says that another process has answered at its address.
+	ended bool
 	// suspect says that it was not heard for several heartbeats.
 	suspect bool
 	calling bool
@@ -248,14 +250,14 @@
 	return max(0, g.lease.Deadline().Sub(now))
 }
 
-// promised says whether every other member of the table has promised beyond now. The bound on the
+// promised says whether every other member of the table has promised beyond now, or has ended. The bound on the
 // last round makes a process that was frozen stop even when it is alone in its table.
 func (g *Group) promised(now time.Time) bool {
 	if !now.Before(g.asked) {
 		return false
 	}
 	for _, p := range g.peers {
-		if !now.Before(p.promised) {
+		if !p.ended && !now.Before(p.promised) {
 			return false
 		}
 	}
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -149,6 +149,24 @@
 	})
 }
 
+// A restart in a store outage would end the work of the whole zone.
+// All go on by promises; one is killed and starts again at its address. It cannot join, nor
+// promise as a member, but its answer proves that the one that had to promise has ended.
+func TestRestartInOutage(t *testing.T) {
+	run(t, func(c *cell) {
+		c.settle("1", "2", "3")
+		c.cutFromStore("1", "2", "3")
+		c.kill("2")
+		c.start("2").faults.Cut(true)
+		c.always(20*time.Second, func() bool { return c.owners() == 1 && c.nodes["1"].owns() })
+		c.True(!c.nodes["2"].Valid())
+		c.nodes["2"].faults.Cut(false)
+		c.always(20*time.Second, func() bool { return c.owners() <= 1 })
+		c.True(c.nodes["1"].owns())
+		c.Equal(len(c.nodes["1"].Table().Members), 3)
+	})
+}
+
 // An owner that hears no answer must stop, though its peer holds a promise.
 // The answers to the owner's questions are lost, the questions arrive: the promiser waits for
 // nothing, which costs time and never gives two owners.
