Count promises on both clocks, and give the membership its metrics

A VM that was suspended may find its monotonic clock where it was, and trusted promises that had ended; the lease already asked the wall clock too. Not shown by a test: the clocks of a test do not part.

--- a/member/beat.go
+++ b/member/beat.go
@@ -61,7 +61,11 @@
 		r.Refused = g.refusal(p, b)
 		r.Promised = r.Refused == ""
 	}
-	if r.Promised {
+	switch {
+	case r.Refused != "":
+		g.meters.refused.Inc(1)
+	case r.Promised:
+		g.meters.promised.Inc(1)
 		// The drift allowance covers a clock here that runs faster than the asker's.
 		p.given = later(p.given, now.Add(min(b.Ask, g.opts.Promise)+g.opts.Drift))
 	}
@@ -101,6 +105,7 @@
 // beat sends heartbeats to all others of the table.
 func (g *Group) beat(ctx context.Context) {
 	for sleep(ctx, jitter(g.opts.Beat)) {
+		g.measure()
 		for _, m := range g.due() {
 			g.wg.Go(func() { g.beatOne(ctx, m) })
 		}
--- a/member/member.go
+++ b/member/member.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/lease"
+	"turmericgap/metric"
 	"turmericgap/rpc"
 	"turmericgap/store"
 )
@@ -33,12 +34,13 @@
 
 // Group is this process's part in the table of its zone and role.
 type Group struct {
-	opts  Options
-	store *store.Store
-	lease *lease.Holder
-	self  Member
-	log   *zap.Logger
-	pool  *rpc.Pool
+	opts   Options
+	store  *store.Store
+	lease  *lease.Holder
+	self   Member
+	log    *zap.Logger
+	pool   *rpc.Pool
+	meters meters
 
 	mu    sync.Mutex
 	table Table
@@ -97,7 +99,8 @@
 	o := Options{
 		TTL: DefaultTTL, Drift: DefaultTTL / driftShare, Beat: DefaultBeat, Promise: DefaultPromise,
 		Look: DefaultLook, ListLag: DefaultListLag, Elects: self.Role == RoleScheduler, Logger: zap.NewNop(),
-		Rules: func() int64 { return 0 }, Newer: func(Member, int64) {}, OnChange: func(Table) {},
+		Metrics: metric.New(),
+		Rules:   func() int64 { return 0 }, Newer: func(Member, int64) {}, OnChange: func(Table) {},
 		Listed: func() (map[string]bool, bool) { return nil, false },
 	}
 	for _, f := range opts {
@@ -112,7 +115,7 @@
 	g := &Group{
 		opts: o, store: s, self: self, log: o.Logger, peers: make(map[string]*peer),
 		wake: make(chan struct{}, 1), tell: make(chan struct{}, 1), writing: make(chan struct{}, 1),
-		cancel: func() {},
+		cancel: func() {}, meters: newMeters(o.Metrics),
 	}
 	if g.opts.Call == nil {
 		g.pool = rpc.NewPool()
@@ -253,17 +256,23 @@
 // promised says whether every other member of the table has promised beyond now, or has ended. The bound on the
 // last round makes a process that was frozen stop even when it is alone in its table.
 func (g *Group) promised(now time.Time) bool {
-	if !now.Before(g.asked) {
+	if !before(now, g.asked) {
 		return false
 	}
 	for _, p := range g.peers {
-		if !p.ended && !now.Before(p.promised) {
+		if !p.ended && !before(now, p.promised) {
 			return false
 		}
 	}
 	return true
 }
 
+// before asks both clocks: the monotonic one of a VM that was suspended may not have moved, and its
+// process would trust promises that ended meanwhile.
+func before(now, deadline time.Time) bool {
+	return now.Before(deadline) && now.Round(0).Before(deadline.Round(0))
+}
+
 // adopt makes t the known table if it is newer, and keeps one peer record for each other member.
 func (g *Group) adopt(t Table) {
 	if t.Version <= g.table.Version {
--- a/member/options.go
+++ b/member/options.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"turmericgap/metric"
 )
 
 // Options set up a Group; its functions must not call the Group, but for OnChange.
@@ -33,6 +35,7 @@
 	Newer    func(from Member, version int64)
 	OnChange func(Table)
 	Logger   *zap.Logger
+	Metrics  *metric.Registry
 }
 
 // Option changes Options.
@@ -81,3 +84,6 @@
 
 // Logger sets the log.
 func Logger(l *zap.Logger) Option { return func(o *Options) { o.Logger = l } }
+
+// Metrics sets where the membership's metrics go.
+func Metrics(r *metric.Registry) Option { return func(o *Options) { o.Metrics = r } }
--- a/member/tend.go
+++ b/member/tend.go
@@ -254,6 +254,7 @@
 	t := c.done(revision)
 	g.adopt(t)
 	g.entered(t, s.lease)
+	g.meters.removed.Inc(int64(len(c.gone)))
 	if c.epoch {
 		g.log.Info("member: owns the zone", zap.Int64("epoch", t.Epoch))
 	}
--- a/view/board.go
+++ b/view/board.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"turmericgap/member"
+	"turmericgap/metric"
 	"turmericgap/target"
 	"turmericgap/worker"
 )
@@ -61,12 +62,13 @@
 type board struct {
 	view    atomic.Pointer[View]
 	groups  []*member.Group
+	metrics *metric.Registry
 	mu      sync.Mutex
 	changed chan struct{}
 }
 
-func newBoard(groups []*member.Group) *board {
-	b := &board{groups: groups, changed: make(chan struct{})}
+func newBoard(o *Options) *board {
+	b := &board{groups: o.Groups, metrics: o.Metrics, changed: make(chan struct{})}
 	b.view.Store(&View{})
 	return b
 }
@@ -81,6 +83,8 @@
 	}
 	v.Version++
 	b.view.Store(&v)
+	b.metrics.Gauge("view_rulesVersion").Update(v.Rules.Version)
+	b.metrics.Gauge("view_listVersion").Update(v.ListVersion)
 	close(b.changed)
 	b.changed = make(chan struct{})
 	return true
--- a/view/follower.go
+++ b/view/follower.go
@@ -50,7 +50,7 @@
 // NewFollower returns a Follower of the Keeper at the address beside, not yet started.
 func NewFollower(beside string, opts ...Option) *Follower {
 	o, pool := build(opts)
-	b := newBoard(o.Groups)
+	b := newBoard(&o)
 	o.Seeds = append([]string{beside}, o.Seeds...)
 	return &Follower{
 		opts: o, beside: beside, log: o.Logger, board: b, spread: newSpread(o, b), pool: pool,
@@ -114,6 +114,7 @@
 		}
 		r, err := f.ask(ctx, keepers[at], &last, followWait)
 		if err != nil {
+			f.opts.Metrics.Counter("view_keeperFailed_total").Inc(1)
 			f.log.Warn("view: keeper not reached", zap.String("address", keepers[at]), zap.Error(err))
 			at++
 			continue
--- a/view/options.go
+++ b/view/options.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/member"
+	"turmericgap/metric"
 )
 
 // Options set up a Keeper or a Follower.
@@ -32,6 +33,8 @@
 	// Ask asks a Keeper for its next view; the default is rpc "view.next".
 	Ask    func(ctx context.Context, address string, c *NextCall) (*NextReply, error)
 	Logger *zap.Logger
+	// Metrics gets the versions that are known and what fails.
+	Metrics *metric.Registry
 }
 
 // Option changes Options.
@@ -77,3 +80,6 @@
 
 // Logger sets the log.
 func Logger(l *zap.Logger) Option { return func(o *Options) { o.Logger = l } }
+
+// Metrics sets where the view's metrics go.
+func Metrics(r *metric.Registry) Option { return func(o *Options) { o.Metrics = r } }
--- a/view/spread.go
+++ b/view/spread.go
@@ -194,6 +194,7 @@
 		}
 	})
 	if err != nil {
+		s.opts.Metrics.Counter("view_spreadFailed_total").Inc(1)
 		s.opts.Logger.Debug("view: rules not passed on", zap.String("to", address), zap.Error(err))
 		return
 	}
--- a/view/view.go
+++ b/view/view.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/member"
+	"turmericgap/metric"
 	"turmericgap/rpc"
 	"turmericgap/store"
 	"turmericgap/store/retry"
@@ -50,7 +51,7 @@
 // New returns a Keeper that is not yet started.
 func New(s *store.Store, opts ...Option) *Keeper {
 	o, pool := build(opts)
-	b := newBoard(o.Groups)
+	b := newBoard(&o)
 	return &Keeper{
 		opts: o, store: s, log: o.Logger, board: b, spread: newSpread(o, b), pool: pool,
 		name: newName(), cancel: func() {},
@@ -60,7 +61,7 @@
 func build(opts []Option) (Options, *rpc.Pool) {
 	o := Options{
 		ListEvery: DefaultListEvery, Spread: DefaultSpread, Quiet: DefaultQuiet, Refresh: DefaultRefresh,
-		Logger: zap.NewNop(),
+		Logger: zap.NewNop(), Metrics: metric.New(),
 	}
 	for _, f := range opts {
 		f(&o)
@@ -162,6 +163,7 @@
 		if errors.Is(err, errRefresh) {
 			continue
 		}
+		k.opts.Metrics.Counter("view_watchEnded_total").Inc(1)
 		k.log.Warn("view: watch ended", zap.Error(err))
 		_ = b.Wait(ctx)
 	}
@@ -237,6 +239,7 @@
 	for wait := time.Duration(0); sleep(ctx, wait); wait = jitter(k.opts.ListEvery) {
 		l, err := k.list(ctx)
 		if err != nil {
+			k.opts.Metrics.Counter("view_listFailed_total").Inc(1)
 			k.log.Warn("view: VM list not read", zap.Error(err))
 			continue
 		}
