--- a/member/tend.go
+++ b/member/tend.go
@@ -11,6 +11,10 @@
 	"turmericgap/store/retry"
 )
 
+// errStale means that the store answered from before a change that is known here: a copy that lags,
+// or a store that was restored. Deciding by it could bring back an owner that was replaced.
+var errStale = eris.New("store is older than the known member table")
+
 // reading is the table and the present keys as the store had them.
 type reading struct {
 	table Table
@@ -130,6 +134,9 @@
 			return r, err
 		}
 	}
+	if got.Revision < g.Table().Version {
+		return r, errStale
+	}
 	prefix := presentPrefix(g.self.Zone, g.self.Role)
 	got, err = g.store.Range(ctx, store.Range{Key: prefix, End: store.PrefixEnd(prefix)})
 	if err != nil {
@@ -175,7 +182,7 @@
 		g.log.Info("member: joined", zap.Int64("version", t.Version))
 	}
 	own, _ := t.Find(g.self.ID)
-	g.self.State, g.keyLease = own.State, lease
+	g.self.State, g.keyLease, g.dropped = own.State, lease, false
 }
 
 func (g *Group) scene(r reading, lease int64) *scene {
@@ -183,15 +190,17 @@
 	defer g.mu.Unlock()
 	s := &scene{
 		now: time.Now(), self: g.self, lease: lease, joined: g.joined != 0, since: g.since,
-		grace: g.opts.TTL + g.opts.Drift, elects: g.opts.Elects, promise: g.opts.Promise, table: r.table, keys: r.keys,
+		grace: g.opts.TTL + g.opts.Drift + g.opts.ListLag, elects: g.opts.Elects, promise: g.opts.Promise, table: r.table, keys: r.keys,
 		others: make(map[string]standing, len(g.peers)), confirmed: g.allConfirmed(),
 	}
-	vms, known := g.opts.Listed()
 	for id, p := range g.peers {
-		s.others[id] = standing{
-			absent: p.absent, given: p.given, unlisted: known && !vms[p.member.VM],
-			established: p.established,
+		switch listed := !g.unlisted(p.member.VM); {
+		case listed:
+			p.unlisted = time.Time{}
+		case p.unlisted.IsZero():
+			p.unlisted = s.now
 		}
+		s.others[id] = standing{absent: p.absent, given: p.given, unlisted: p.unlisted, established: p.established}
 	}
 	return s
 }
@@ -245,6 +254,7 @@
 	t := c.done(revision)
 	g.adopt(t)
 	g.entered(t, s.lease)
+	g.meters.removed.Inc(int64(len(c.gone)))
 	if c.epoch {
 		g.log.Info("member: owns the zone", zap.Int64("epoch", t.Epoch))
 	}
