Never take a worker's silence or its restart for proof that nothing ran

Cause: three ways to run a task twice were found by pairs of faults.

Change: starts are sent again only to a worker that has answered since without knowing them; an unreported start is given up only when its worker answers or the VM list drops it; after a restart the attempt is forbidden first, and Forbidden counts as 'never ran' only in the boot of its intent, which only a heartbeat tells. Ending a term no longer blocks on a mutex.

Ruled out: waiting MessageLife after a take-over.

Before: the new cases fail.

--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -38,6 +38,10 @@
 	confirmed bool
 	// stop is why the attempt was asked to stop; empty while it was not.
 	stop string
+	// starts counts the messages with the attempt's start that may have left this zone's owners.
+	starts int
+	// doubt is why the attempt may have run and be gone, set until its worker forbids it.
+	doubt string
 	// sentAt is when the last start or stop was handed to the worker's sender.
 	sentAt time.Time
 	// report is how the attempt ended, kept until its record is durable.
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -82,6 +82,14 @@
 		c.workers[0].Restart()
 		c.take(b)
 	}, isDone, doneOrUnsure},
+	// The owner forbids what a restarted worker has forgotten, and dies before that is durable. Its
+	// successor meets forbidden attempts; they are no proof that nothing ran before the restart.
+	{"worker restarts, owner dies after forbidding", func(c *cell, a, b *node) {
+		a.store.Down(true)
+		c.workers[0].Restart()
+		time.Sleep(3 * time.Second)
+		kill(c, a, b)
+	}, isDone, doneOrUnsure},
 	// A worker is silent for longer than its leases: it stops its tasks, and only then they run elsewhere.
 	{"worker cut off for long", func(c *cell, _, _ *node) {
 		c.workers[0].SetFault(standin.Fault{Down: true})
@@ -108,6 +116,24 @@
 		time.Sleep(20 * time.Second)
 		c.workers[0].SetFault(standin.Fault{})
 	}, isDone, doneOrUnsure},
+	// Starts lie in the sockets of a frozen VM for longer than any lease, and take effect when it
+	// wakes. They must not run elsewhere meanwhile, whatever the leases say.
+	{"worker frozen with starts in its sockets", func(c *cell, _, _ *node) {
+		c.workers[0].SetFault(standin.Fault{Frozen: true})
+		c.submit(spec("late-60", 12, func(s *job.Submission) { s.RunSeconds = 60 }))
+		time.Sleep(80 * time.Second)
+		c.workers[0].SetFault(standin.Fault{})
+	}, isDone, doneOrUnsure},
+	// A start is under way while its worker restarts, and arrives in the new boot.
+	{"worker restarts with starts under way", func(c *cell, _, _ *node) {
+		c.workers[0].SetFault(standin.Fault{DelayMillis: 2900})
+		c.submit(spec("late-10", 12, func(s *job.Submission) { s.RunSeconds = 10 }))
+		time.Sleep(500 * time.Millisecond)
+		c.workers[0].Restart()
+		time.Sleep(5 * time.Second)
+		c.workers[0].SetFault(standin.Fault{})
+	}, isDone, doneOrUnsure},
+	{"answers stay cut", func(c *cell, _, _ *node) { c.workers[0].SetFault(standin.Fault{Truncate: 40}) }, isDone, doneOrUnsure},
 	{"answers are cut", func(c *cell, _, _ *node) { c.workers[0].SetFault(standin.Fault{Truncate: 2}) }, isDone, doneOrUnsure},
 	// The owner's lease is in doubt for a while: it sends nothing, and then goes on where it was.
 	{"ownership in doubt for a while", func(_ *cell, a, _ *node) {
@@ -147,7 +173,7 @@
 func ownerChanges(name string) bool {
 	switch name {
 	case "owner killed", "owner killed twice", "owner frozen before its sends", "owner frozen shortly before its sends",
-		"store loses answers, owner killed", "worker restarts while the owner changes":
+		"store loses answers, owner killed", "worker restarts while the owner changes", "worker restarts, owner dies after forbidding":
 		return true
 	}
 	return false
--- a/scheduler/follow.go
+++ b/scheduler/follow.go
@@ -27,11 +27,11 @@
 		t.openWorker(now, l)
 		return
 	}
-	l.mayHaveRenewed, l.answered, l.boot = now, true, b.reply.Boot
+	l.mayHaveRenewed, l.answered, l.answeredAt, l.boot = now, true, b.began, b.reply.Boot
 	t.fleet.Seen(now, l.info.ID)
 	t.openWorker(now, l)
 	for i := range b.reply.Reports {
-		t.onReport(l, &b.reply.Reports[i], now)
+		t.onListed(l, &b.reply.Reports[i], now)
 	}
 	if b.reply.Whole {
 		t.onWhole(l, b.reply, now)
@@ -51,16 +51,28 @@
 			continue
 		}
 		switch {
+		case k.doubt != "":
 		case k.confirmed || (k.Boot != "" && k.Boot != reply.Boot):
-			// The worker has lost its memory: what ran before its restart has ended with it, and
-			// whether it ran to its end nobody can say.
-			t.lose(e, i, "the worker restarted", now)
-		case k.sentAt.IsZero() || now.Sub(k.sentAt) > t.o.Resend:
+			// The worker has lost its memory: what ran before its restart has ended with it. A copy of
+			// the start may still arrive and would run again, so the attempt is forbidden first.
+			k.doubt, k.stop = "its worker restarted", "its worker restarted"
+			t.sendAct(e, i, worker.Stop, now)
+		case k.starts == 0:
 			t.sendStart(e, i, now)
 		}
 	}
 }
 
+// onListed takes a report out of a heartbeat, which alone tells the worker's boot. Forbidden means
+// that the attempt has not run in this boot; what was sent to an earlier one may have run there.
+func (t *term) onListed(l *link, r *worker.Report, now time.Time) {
+	_, _, k := t.find(l, r.Attempt)
+	if k != nil && r.State == worker.Forbidden && k.Boot != l.boot && k.doubt == "" {
+		k.doubt = "its worker restarted"
+	}
+	t.onReport(l, r, now)
+}
+
 // onReport takes what a worker says of one attempt.
 func (t *term) onReport(l *link, r *worker.Report, now time.Time) {
 	e, i, k := t.find(l, r.Attempt)
@@ -151,16 +163,23 @@
 	}
 }
 
-// lose records that an attempt has surely ended without an answer.
-func (t *term) lose(e *entry, i int, reason string, now time.Time) {
+// lose records that an attempt has surely ended without an answer, or has surely not begun.
+func (t *term) lose(e *entry, i int, began bool, reason string, now time.Time) {
 	k := &e.tasks[i]
 	if k.saving {
 		return
 	}
 	next := k.taskRecord
-	next.Ran = true
-	next.Failures++
-	t.settle(e, &next, reason, now)
+	switch {
+	case began:
+		next.Ran = true
+		next.Failures++
+		t.settle(e, &next, reason, now)
+	case e.cancel != nil:
+		t.endUnstarted(e, &next, now)
+	default:
+		next.again(reason)
+	}
 	t.save([]change{{e, i, next}}, func() { t.release(e, i, now) })
 }
 
@@ -168,6 +187,10 @@
 func (t *term) verdict(e *entry, k *task, r *worker.Report, now time.Time) taskRecord {
 	next := k.taskRecord
 	switch {
+	case r.State == worker.Forbidden && k.doubt != "":
+		next.Ran = true
+		next.Failures++
+		t.settle(e, &next, k.doubt, now)
 	case r.State == worker.Forbidden:
 		if e.cancel != nil {
 			t.endUnstarted(e, &next, now)
@@ -244,7 +267,7 @@
 	if !k.started.IsZero() {
 		end.Ran = now.Sub(k.started)
 	}
-	k.confirmed, k.judged, k.stop, k.sentAt, k.started = false, false, "", time.Time{}, time.Time{}
+	*k = task{taskRecord: k.taskRecord}
 	t.planner.Release(now, e.id, i, end)
 	t.dirty = true
 	if e.cancel != nil && k.Phase == pending {
--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -29,7 +29,9 @@
 	// The rest belongs to the term's loop.
 	boot     string
 	answered bool
-	listed   bool
+	// answeredAt is when the last heartbeat that was answered had left.
+	answeredAt time.Time
+	listed     bool
 	// told, open and probe are what the planner was last told.
 	told        worker.Info
 	open, probe bool
@@ -42,7 +44,7 @@
 	reply  *worker.HeartbeatReply
 	err    error
 	forgot []string
-	ended  time.Time
+	began  time.Time
 }
 
 func (t *term) openLink(info worker.Info) *link {
@@ -116,8 +118,9 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, wait+t.o.CallTimeout)
 	defer cancel()
+	began := time.Now()
 	reply, err := l.client.Heartbeat(ctx, h)
-	return beat{reply: reply, err: err, forgot: h.Forget, ended: time.Now()}
+	return beat{reply: reply, err: err, forgot: h.Forget, began: began}
 }
 
 func (l *link) takeForget() []string {
@@ -153,7 +156,7 @@
 func (t *term) sendStart(e *entry, i int, now time.Time) {
 	k := &e.tasks[i]
 	l := t.links[k.Worker]
-	if l == nil || now.Before(t.quietUntil) {
+	if l == nil {
 		return
 	}
 	s := &worker.Start{
@@ -173,6 +176,7 @@
 	})
 	if ok {
 		k.sentAt = now
+		k.starts++
 	}
 }
 
@@ -199,6 +203,11 @@
 // worker did: heartbeats will, and the tick sends the same attempt again.
 func (t *term) onStarted(l *link, attempt string, report *worker.Report, err error) {
 	t.onCalled(l, report, err)
+	if errors.Is(err, worker.ErrNotSent) {
+		if _, _, k := t.find(l, attempt); k != nil {
+			k.starts--
+		}
+	}
 	if !errors.Is(err, worker.ErrRefused) {
 		return
 	}
@@ -216,7 +225,8 @@
 	if !errors.Is(err, worker.ErrNotSent) {
 		l.mayHaveRenewed = now
 	}
-	if err == nil && report != nil {
+	// Only a heartbeat, which tells the worker's boot, can prove by Forbidden that nothing ran.
+	if err == nil && report != nil && report.State != worker.Forbidden {
 		t.onReport(l, report, now)
 	}
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -15,7 +15,7 @@
 // place asks the planner for starts and commits their intents, one group for all of them.
 func (t *term) place(now time.Time) {
 	t.dirty = false
-	if t.draining || now.Before(t.quietUntil) || !t.valid() {
+	if t.draining || !t.valid() {
 		return
 	}
 	plan := t.planner.Next(now, startsMost)
@@ -100,7 +100,7 @@
 				t.cancelTask(e, i, now)
 			case k.Phase == intended && (k.stop != "" || e.cancel != nil):
 				t.sendAct(e, i, worker.Stop, now)
-			case k.Phase == intended && !k.confirmed:
+			case k.Phase == intended && !k.confirmed && t.lacks(k):
 				t.sendStart(e, i, now)
 			}
 		}
@@ -158,9 +158,20 @@
 	t.dirty = true
 }
 
-// lapseWorkers gives up attempts at workers that nothing can have renewed for their whole lease.
-// A worker stops by itself what is not renewed; a message may be under way for MessageLife after
-// it was sent, and the worker's clock may drift. Only after all three has the attempt surely ended.
+// lacks reports whether a task's start is to be sent again: none has left, or the worker has since
+// answered without knowing it. Copies sent to a silent worker would lie in its sockets and start the
+// attempt whenever it wakes.
+func (t *term) lacks(k *task) bool {
+	l := t.links[k.Worker]
+	return l != nil && (k.starts == 0 || l.answeredAt.After(k.sentAt))
+}
+
+// lapseWorkers gives up attempts at workers that are silent, when they have surely ended.
+//
+// A worker stops by itself what is not renewed; a message may be under way for MessageLife after it
+// was sent, and the worker's clock may drift. After all three, what is known to have run has ended.
+// That says nothing of a start that was sent and never reported: it may lie in a socket of a frozen
+// VM. Such an attempt stays until its worker answers, or the VM list no longer shows the VM.
 func (t *term) lapseWorkers(now time.Time) {
 	limit := t.o.MessageLife + t.o.WorkerLease + t.o.WorkerDrift
 	ids := make([]string, 0, len(t.held))
@@ -169,16 +180,19 @@
 	}
 	sort.Strings(ids)
 	for _, id := range ids {
-		last := t.since
+		last, listed, open := t.since, false, false
 		if l := t.links[id]; l != nil {
-			last = l.mayHaveRenewed
-		}
-		if now.Sub(last) <= limit {
-			continue
+			last, listed, open = l.mayHaveRenewed, l.listed, l.open
 		}
-		t.o.Logger.Warn("scheduler: leases of a silent worker have lapsed", zap.String("worker", id), zap.Int("tasks", len(t.held[id])))
+		lapsed := now.Sub(last) > limit
 		for _, r := range t.heldAt(id) {
-			t.lose(r.e, r.task, "its worker was lost", now)
+			k := &r.e.tasks[r.task]
+			switch {
+			case k.starts == 0 && !open:
+				t.lose(r.e, r.task, false, "its worker could not be reached", now)
+			case lapsed && (k.confirmed || !listed):
+				t.lose(r.e, r.task, true, "its worker was lost", now)
+			}
 		}
 	}
 }
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -18,8 +18,6 @@
 	kindJob    = "job"
 	kindTask   = "task"
 	kindCancel = "cancel"
-	// kindClosed is the last record of an owner that stopped in order: none of its sends is under way.
-	kindClosed = "closed"
 )
 
 // phase is the durable part of where a task stands.
@@ -127,9 +125,7 @@
 		if e := t.jobs[r.Key]; e != nil {
 			e.cancel = &body
 		}
-	case kindClosed:
 	}
-	t.cleanly = r.Kind == kindClosed
 	return nil
 }
 
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -24,9 +24,10 @@
 	planner *planner.Planner
 	fleet   *fleet.Fleet
 	events  chan func()
-	closing chan struct{}
-	once    sync.Once
-	wg      sync.WaitGroup
+	// closing is closed when the term ends, closed when all its goroutines have.
+	closing, closed chan struct{}
+	once            sync.Once
+	wg              sync.WaitGroup
 
 	// The rest belongs to the loop.
 	jobs map[string]*entry
@@ -35,21 +36,17 @@
 	held  map[string]map[ref]bool
 	links map[string]*link
 	// since is when the term began; sends of an earlier owner ended before.
-	since time.Time
-	// cleanly says that the last record read was an orderly close.
-	cleanly bool
-	// quietUntil is until when a message of an earlier owner may still arrive at a worker.
-	quietUntil time.Time
-	draining   bool
-	dirty      bool
-	answers    int
+	since    time.Time
+	draining bool
+	dirty    bool
+	answers  int
 }
 
 // openTerm recovers the zone's state from the journal and starts the loop.
 func openTerm(ctx context.Context, o *Options, epoch, epochRevision int64) (*term, error) {
 	t := &term{
 		o: o, epoch: epoch, planner: o.Planner(), fleet: fleet.New(), since: time.Now(),
-		events: make(chan func(), eventRing), closing: make(chan struct{}),
+		events: make(chan func(), eventRing), closing: make(chan struct{}), closed: make(chan struct{}),
 		jobs: make(map[string]*entry), live: make(map[string]*entry),
 		held: make(map[string]map[ref]bool), links: make(map[string]*link),
 	}
@@ -70,10 +67,6 @@
 
 // recover fills the planner from the durable state.
 func (t *term) recover(now time.Time) {
-	t.quietUntil = now
-	if !t.cleanly {
-		t.quietUntil = now.Add(t.o.MessageLife)
-	}
 	t.syncWorkers(now)
 	ordered := make([]*entry, 0, len(t.jobs))
 	for _, e := range t.jobs {
@@ -96,6 +89,7 @@
 		for i := range e.tasks {
 			if e.tasks[i].Phase != pending {
 				t.planner.Occupy(e.id, i, e.tasks[i].Worker)
+				e.tasks[i].starts = 1
 			}
 			if e.tasks[i].Phase == final {
 				t.planner.Release(now, e.id, i, planner.End{OK: true})
@@ -104,7 +98,7 @@
 	}
 	t.dirty = true
 	t.o.Logger.Info("scheduler: recovered the zone",
-		zap.Int64("epoch", t.epoch), zap.Int("jobs", len(t.jobs)), zap.Int("live", len(t.live)), zap.Bool("cleanly", t.cleanly))
+		zap.Int64("epoch", t.epoch), zap.Int("jobs", len(t.jobs)), zap.Int("live", len(t.live)))
 }
 
 // loop is the one goroutine that owns the term's state.
@@ -178,19 +172,24 @@
 
 // close ends the term; with orderly set it first commits what is under way and says that it closed.
 func (t *term) close(ctx context.Context, orderly bool) {
-	t.once.Do(func() {
-		if orderly {
-			t.closeOrderly(ctx)
-		}
-		close(t.closing)
-		cutoff, cancel := context.WithTimeout(ctx, closeWithin)
-		defer cancel()
-		_ = t.journal.Close(cutoff)
-		t.wg.Wait()
-	})
+	first := false
+	t.once.Do(func() { first = true })
+	if !first {
+		<-t.closed
+		return
+	}
+	if orderly {
+		t.closeOrderly(ctx)
+	}
+	close(t.closing)
+	cutoff, cancel := context.WithTimeout(ctx, closeWithin)
+	defer cancel()
+	_ = t.journal.Close(cutoff)
+	t.wg.Wait()
+	close(t.closed)
 }
 
-// closeOrderly stops placing, waits for sends under way, and commits the closing record last.
+// closeOrderly stops placing, waits for sends under way, and commits what was appended.
 func (t *term) closeOrderly(ctx context.Context) {
 	links, err := ask(ctx, t, func() []*link {
 		t.draining = true
@@ -208,15 +207,5 @@
 	}
 	if err := t.journal.Flush(ctx); err != nil {
 		t.o.Logger.Warn("scheduler: close without a full flush", zap.Error(err))
-		return
-	}
-	done := make(chan error, 1)
-	if t.journal.Append([]journal.Record{{Kind: kindClosed}}, func(err error) { done <- err }) != nil {
-		return
-	}
-	select {
-	case err := <-done:
-		t.o.Logger.Info("scheduler: closed in order", zap.Error(err))
-	case <-ctx.Done():
 	}
 }
