Cut the calls that a restart of a worker finds on their way

The stand-in let a call that waited at a frozen VM, or was delayed, take effect after a restart of that VM. A restart cuts its connections, so such a call never takes effect; its caller still cannot know. Without this the case "a start that waited before a restart never runs" fails with "1 != 0".

--- a/standin/worker/fault.go
+++ b/standin/worker/fault.go
@@ -24,6 +24,8 @@
 var (
 	errDown = errors.New("worker is down")
 	errLost = errors.New("the answer was lost")
+	// errRestarted is the cut connection of a call that was on its way during a restart.
+	errRestarted = errors.New("worker restarted")
 )
 
 // SetFault replaces the fault.
--- a/worker/contract_test.go
+++ b/worker/contract_test.go
@@ -333,6 +333,20 @@
 			b.at.SetFault(standin.Fault{})
 			b.Equal(b.beat(0).Reports[0].State, worker.Ended)
 		}},
+		// A start waits at a frozen VM, which is then restarted. Its owner learns of the new boot and
+		// places the task anew. The start that waited came over a connection that is gone: if it
+		// ran now, the task would run twice.
+		{"a start that waited before a restart never runs", nil, func(b *bench) {
+			for _, f := range []standin.Fault{{Frozen: true}, {DelayMillis: 3000}} {
+				b.at.SetFault(f)
+				_, err := b.Start(b.within(time.Second), &worker.Start{Attempt: "j/0/1", Service: true})
+				b.True(err != nil && !errors.Is(err, worker.ErrNotSent))
+				b.at.Restart()
+				b.at.SetFault(standin.Fault{})
+				time.Sleep(5 * time.Second)
+				b.Equal(b.at.State().Starts, int64(0))
+			}
+		}},
 		// The start's answer is lost and the worker reboots before the repeat: the task runs again, and
 		// only the changed boot tells its owner, who must ask for the boot before any repeat.
 		{"answer lost, then restarted", nil, func(b *bench) {
