--- a/member/member.go
+++ b/member/member.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/lease"
+	"turmericgap/metric"
 	"turmericgap/rpc"
 	"turmericgap/store"
 )
@@ -19,6 +20,7 @@
 	DefaultBeat    = 500 * time.Millisecond
 	DefaultPromise = 3 * time.Second
 	DefaultLook    = 30 * time.Second
+	DefaultListLag = 10 * time.Second
 	// CallTimeout bounds one call of the store, which may be slow.
 	CallTimeout = 5 * time.Second
 
@@ -32,12 +34,13 @@
 
 // Group is this process's part in the table of its zone and role.
 type Group struct {
-	opts  Options
-	store *store.Store
-	lease *lease.Holder
-	self  Member
-	log   *zap.Logger
-	pool  *rpc.Pool
+	opts   Options
+	store  *store.Store
+	lease  *lease.Holder
+	self   Member
+	log    *zap.Logger
+	pool   *rpc.Pool
+	meters meters
 
 	mu    sync.Mutex
 	table Table
@@ -47,7 +50,9 @@
 	// keyLease is the lease that the member's own key is bound to; zero when it may be absent.
 	keyLease int64
 	// asked is when the last round of asking for promises began, plus their length.
-	asked   time.Time
+	asked time.Time
+	// dropped says that the VM list lacked this VM since the lease was last held.
+	dropped bool
 	peers   map[string]*peer
 	leaving bool
 	stopped bool
@@ -79,6 +84,10 @@
 	removing int64
 	// absent is when the peer's key was first seen to be absent.
 	absent time.Time
+	// unlisted is since when the VM list was seen not to show its VM.
+	unlisted time.Time
+	// ended says that another process has answered at its address.
+	ended bool
 	// suspect says that it was not heard for several heartbeats.
 	suspect bool
 	calling bool
@@ -89,13 +98,16 @@
 func New(s *store.Store, self Member, opts ...Option) *Group {
 	o := Options{
 		TTL: DefaultTTL, Drift: DefaultTTL / driftShare, Beat: DefaultBeat, Promise: DefaultPromise,
-		Look: DefaultLook, Elects: self.Role == RoleScheduler, Logger: zap.NewNop(),
-		Rules: func() int64 { return 0 }, Newer: func(Member, int64) {}, OnChange: func(Table) {},
+		Look: DefaultLook, ListLag: DefaultListLag, Elects: self.Role == RoleScheduler, Logger: zap.NewNop(),
+		Metrics: metric.New(),
+		Rules:   func() int64 { return 0 }, Newer: func(Member, int64) {}, OnChange: func(Table) {},
 		Listed: func() (map[string]bool, bool) { return nil, false },
 	}
 	for _, f := range opts {
 		f(&o)
 	}
+	// A promise that outlives a lease could bind a peer to a member that was removed and is back.
+	o.Promise = min(o.Promise, o.TTL/2)
 	if self.Incarnation == 0 {
 		self.Incarnation = rand.Int64()
 	}
@@ -103,7 +115,7 @@
 	g := &Group{
 		opts: o, store: s, self: self, log: o.Logger, peers: make(map[string]*peer),
 		wake: make(chan struct{}, 1), tell: make(chan struct{}, 1), writing: make(chan struct{}, 1),
-		cancel: func() {},
+		cancel: func() {}, meters: newMeters(o.Metrics),
 	}
 	if g.opts.Call == nil {
 		g.pool = rpc.NewPool()
@@ -241,20 +253,26 @@
 	return max(0, g.lease.Deadline().Sub(now))
 }
 
-// promised says whether every other member of the table has promised beyond now. The bound on the
+// promised says whether every other member of the table has promised beyond now, or has ended. The bound on the
 // last round makes a process that was frozen stop even when it is alone in its table.
 func (g *Group) promised(now time.Time) bool {
-	if !now.Before(g.asked) {
+	if !before(now, g.asked) {
 		return false
 	}
 	for _, p := range g.peers {
-		if !now.Before(p.promised) {
+		if !p.ended && !before(now, p.promised) {
 			return false
 		}
 	}
 	return true
 }
 
+// before asks both clocks: the monotonic one of a VM that was suspended may not have moved, and its
+// process would trust promises that ended meanwhile.
+func before(now, deadline time.Time) bool {
+	return now.Before(deadline) && now.Round(0).Before(deadline.Round(0))
+}
+
 // adopt makes t the known table if it is newer, and keeps one peer record for each other member.
 func (g *Group) adopt(t Table) {
 	if t.Version <= g.table.Version {
