--- a/gate/gate.go
+++ b/gate/gate.go
@@ -207,10 +207,11 @@
 	}
 	l := &g.opts.Limits
 	cl := &call{check: *c, zone: c.Zone, retries: l.Retries, queue: l.Queue}
-	if d.Service != "" && c.Target == "" {
+	// A session stays where it is, and what another gate has decided is not decided anew.
+	if free := c.Target == "" && !c.Forwarded; free && d.Service != "" {
 		cl.check.Service = d.Service
 	}
-	if d.Zone != "" {
+	if c.Target == "" && d.Zone != "" {
 		cl.zone = d.Zone
 	}
 	if d.Retries != 0 {
--- a/gate/sessions.go
+++ b/gate/sessions.go
@@ -203,6 +203,8 @@
 	control := http.NewResponseController(out.Naive())
 	// Answers go out while requests come in.
 	_ = control.EnableFullDuplex()
+	// The deadline of an earlier answer on this connection may have passed.
+	_ = control.SetWriteDeadline(time.Now().Add(g.opts.Limits.ReadTimeout))
 	ctx.ContentType("application/x-ndjson")
 	// What the caller has sent after the last answer must not be taken for another request.
 	ctx.Header("Connection", "close")
