--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -51,7 +51,7 @@
 	if busy {
 		return ErrBusy
 	}
-	err := j.queue.add(entry{cut: &cut{records}, done: func(error) {}})
+	_, err := j.queue.add(entry{cut: &cut{records}, done: func(error) {}})
 	if err != nil {
 		j.setCutting(false)
 	}
@@ -75,6 +75,7 @@
 		generation: number(j.head.Number+1) + "-" + j.writer,
 		backoff:    retry.New(),
 	}
+	j.snap.notBefore = time.Now().Add(j.snapLimiter.Reserve().Delay())
 }
 
 // snapshotStep makes one write: a part, or the head when all parts are durable.
@@ -96,11 +97,13 @@
 		j.log.Warn("journal: snapshot failed", zap.String("generation", s.generation), zap.Error(err))
 		return err
 	}
+	pause := time.Duration(0)
 	if done {
 		s.backoff.Reset()
 	} else {
-		s.notBefore = time.Now().Add(s.backoff.Next())
+		pause = s.backoff.Next()
 	}
+	s.notBefore = time.Now().Add(max(pause, j.snapLimiter.Reserve().Delay()))
 	return nil
 }
 
@@ -209,6 +212,7 @@
 	j.stats.SnapshotBytes = s.bytes
 	j.stats.Segments -= covered
 	j.stats.SegmentBytes -= removed
-	j.due = j.stats.Segments >= j.maxSegments || j.stats.SegmentBytes >= j.maxSegmentBytes
+	j.measureSegments()
 	j.cutting = false
+	j.metrics.Counter(metricSnapshots).Inc(1)
 }
--- a/member/beat.go
+++ b/member/beat.go
@@ -61,7 +61,11 @@
 		r.Refused = g.refusal(p, b)
 		r.Promised = r.Refused == ""
 	}
-	if r.Promised {
+	switch {
+	case r.Refused != "":
+		g.meters.refused.Inc(1)
+	case r.Promised:
+		g.meters.promised.Inc(1)
 		// The drift allowance covers a clock here that runs faster than the asker's.
 		p.given = later(p.given, now.Add(min(b.Ask, g.opts.Promise)+g.opts.Drift))
 	}
@@ -87,6 +91,9 @@
 func (g *Group) hear(p *peer, version, rules int64, now time.Time) {
 	p.heard, p.suspect, p.rules = now, false, max(p.rules, rules)
 	p.confirmed = max(p.confirmed, version)
+	if p.established.IsZero() && g.joined != 0 && p.confirmed >= g.joined {
+		p.established = now
+	}
 	if g.self.State == Joining && g.joined != 0 && g.allConfirmed() {
 		g.nudge()
 	}
@@ -98,6 +105,7 @@
 // beat sends heartbeats to all others of the table.
 func (g *Group) beat(ctx context.Context) {
 	for sleep(ctx, jitter(g.opts.Beat)) {
+		g.measure()
 		for _, m := range g.due() {
 			g.wg.Go(func() { g.beatOne(ctx, m) })
 		}
@@ -109,8 +117,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	if g.asks(now) && !g.unlisted(g.self.VM) {
-		g.asked = now.Add(g.opts.Promise)
+	if g.asks(now) {
+		// One that the list drops may be replaced from then on, also when the list shows it again.
+		if g.dropped = g.dropped || g.unlisted(g.self.VM); !g.dropped {
+			g.asked = now.Add(g.opts.Promise)
+		}
 	}
 	var out []Member
 	for _, p := range g.peers {
@@ -128,7 +139,7 @@
 
 // asks says that the lease was not renewed for long, so that promises are needed soon or now.
 func (g *Group) asks(now time.Time) bool {
-	return g.joined != 0 && g.lease.until.Sub(now) < g.opts.TTL/2
+	return g.joined != 0 && g.leaseLeft(now) < g.opts.TTL/2
 }
 
 func (g *Group) unlisted(vm string) bool {
@@ -149,7 +160,13 @@
 		return
 	}
 	p.calling = false
-	if err != nil || !r.From.same(m) {
+	if err != nil {
+		return
+	}
+	if !r.From.same(m) {
+		// Another process at its very address: m has ended, and will never remove this one. Without
+		// this, a restart in a store outage would end the whole zone, as it cannot join and promise.
+		p.ended = p.ended || r.From.ID == m.ID && r.From.Address == m.Address
 		return
 	}
 	if r.Promised {
--- a/member/member.go
+++ b/member/member.go
@@ -8,6 +8,8 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/lease"
+	"turmericgap/metric"
 	"turmericgap/rpc"
 	"turmericgap/store"
 )
@@ -18,11 +20,11 @@
 	DefaultBeat    = 500 * time.Millisecond
 	DefaultPromise = 3 * time.Second
 	DefaultLook    = 30 * time.Second
-	// CallTimeout bounds one call of the store.
-	CallTimeout = 2 * time.Second
+	DefaultListLag = 10 * time.Second
+	// CallTimeout bounds one call of the store, which may be slow.
+	CallTimeout = 5 * time.Second
 
 	driftShare   = 20
-	renewShare   = 3
 	suspectBeats = 4
 	// stagger keeps members that see the same key vanish from writing at once.
 	stagger = 200 * time.Millisecond
@@ -32,20 +34,25 @@
 
 // Group is this process's part in the table of its zone and role.
 type Group struct {
-	opts  Options
-	store *store.Store
-	self  Member
-	log   *zap.Logger
-	pool  *rpc.Pool
+	opts   Options
+	store  *store.Store
+	lease  *lease.Holder
+	self   Member
+	log    *zap.Logger
+	pool   *rpc.Pool
+	meters meters
 
 	mu    sync.Mutex
 	table Table
 	// joined is a version of the table at or after the one that first held this incarnation;
 	// zero while it is not in the table.
 	joined int64
-	lease  held
+	// keyLease is the lease that the member's own key is bound to; zero when it may be absent.
+	keyLease int64
 	// asked is when the last round of asking for promises began, plus their length.
-	asked   time.Time
+	asked time.Time
+	// dropped says that the VM list lacked this VM since the lease was last held.
+	dropped bool
 	peers   map[string]*peer
 	leaving bool
 	stopped bool
@@ -60,16 +67,6 @@
 	wg      sync.WaitGroup
 }
 
-// held is the store lease, counted on the monotonic clock from before the request was sent.
-type held struct {
-	id    int64
-	until time.Time
-	// granted is when the lease was asked for.
-	granted time.Time
-	// keyRevision is that of the member's own key; zero when it may be absent.
-	keyRevision int64
-}
-
 // peer is what this process knows of another member of the table.
 type peer struct {
 	member Member
@@ -77,6 +74,8 @@
 	rules  int64
 	// confirmed is the newest table version that the peer is known to have.
 	confirmed int64
+	// established is since when it is known to have a table that holds this process.
+	established time.Time
 	// promised is when the peer's promise to this process ends, on this process's count.
 	promised time.Time
 	// given is when this process's promise to the peer ends.
@@ -85,6 +84,10 @@
 	removing int64
 	// absent is when the peer's key was first seen to be absent.
 	absent time.Time
+	// unlisted is since when the VM list was seen not to show its VM.
+	unlisted time.Time
+	// ended says that another process has answered at its address.
+	ended bool
 	// suspect says that it was not heard for several heartbeats.
 	suspect bool
 	calling bool
@@ -95,13 +98,16 @@
 func New(s *store.Store, self Member, opts ...Option) *Group {
 	o := Options{
 		TTL: DefaultTTL, Drift: DefaultTTL / driftShare, Beat: DefaultBeat, Promise: DefaultPromise,
-		Look: DefaultLook, Elects: self.Role == RoleScheduler, Logger: zap.NewNop(),
-		Rules: func() int64 { return 0 }, Newer: func(Member, int64) {}, OnChange: func(Table) {},
+		Look: DefaultLook, ListLag: DefaultListLag, Elects: self.Role == RoleScheduler, Logger: zap.NewNop(),
+		Metrics: metric.New(),
+		Rules:   func() int64 { return 0 }, Newer: func(Member, int64) {}, OnChange: func(Table) {},
 		Listed: func() (map[string]bool, bool) { return nil, false },
 	}
 	for _, f := range opts {
 		f(&o)
 	}
+	// A promise that outlives a lease could bind a peer to a member that was removed and is back.
+	o.Promise = min(o.Promise, o.TTL/2)
 	if self.Incarnation == 0 {
 		self.Incarnation = rand.Int64()
 	}
@@ -109,7 +115,7 @@
 	g := &Group{
 		opts: o, store: s, self: self, log: o.Logger, peers: make(map[string]*peer),
 		wake: make(chan struct{}, 1), tell: make(chan struct{}, 1), writing: make(chan struct{}, 1),
-		cancel: func() {},
+		cancel: func() {}, meters: newMeters(o.Metrics),
 	}
 	if g.opts.Call == nil {
 		g.pool = rpc.NewPool()
@@ -123,20 +129,28 @@
 // Start joins the table and keeps the membership until Leave or Stop, or until ctx ends.
 func (g *Group) Start(ctx context.Context) error {
 	ctx, g.cancel = context.WithCancel(ctx)
+	g.mu.Lock()
+	g.lease = lease.New(g.store, lease.TTL(g.opts.TTL), lease.Drift(g.opts.Drift), lease.Logger(g.log),
+		lease.Lost(func(int64) { g.nudge() }))
+	g.mu.Unlock()
 	g.wg.Go(func() { g.tend(ctx) })
-	g.wg.Go(func() { g.renew(ctx) })
 	g.wg.Go(func() { g.beat(ctx) })
 	g.wg.Go(func() { g.notify(ctx) })
 	return nil
 }
 
-// Stop ends all duties at once and leaves the table as it is; the lease lapses by itself.
+// Stop ends all duties at once and revokes the lease, but leaves the table as it is.
 func (g *Group) Stop() {
 	g.mu.Lock()
 	g.stopped = true
 	g.mu.Unlock()
 	g.cancel()
 	g.wg.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), CallTimeout)
+	defer cancel()
+	if err := g.lease.Close(ctx); err != nil {
+		g.log.Warn("member: lease not revoked", zap.Error(err))
+	}
 	if g.pool != nil {
 		g.pool.Close()
 	}
@@ -200,15 +214,20 @@
 	}
 }
 
-// Absent is told by a watch that the lease-bound key of a member of this table has vanished.
-func (g *Group) Absent(id string) {
+// Presence is told by a watch whether the lease-bound key of a member of this table is there.
+func (g *Group) Presence(id string, there bool) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	p := g.peers[id]
-	if p != nil && p.absent.IsZero() {
+	switch {
+	case p == nil:
+		if id == g.self.ID && !there {
+			g.nudge()
+		}
+	case there:
+		p.absent = time.Time{}
+	case p.absent.IsZero():
 		p.absent = time.Now()
-	}
-	g.mu.Unlock()
-	if p != nil || id == g.self.ID {
 		g.nudge()
 	}
 }
@@ -217,23 +236,43 @@
 	if g.stopped || g.joined == 0 {
 		return false
 	}
-	return now.Before(g.lease.until) || g.promised(now)
+	return g.leased() || g.promised(now)
+}
+
+// leased says that the member's key is bound to a lease that surely holds. It asks for the ID last:
+// IDs do not come back, so that the lease found valid is the one of the key.
+func (g *Group) leased() bool {
+	return g.lease != nil && g.lease.Valid() && g.lease.ID() == g.keyLease
+}
+
+// leaseLeft gives the time until the lease of the member's key must not be trusted any more.
+func (g *Group) leaseLeft(now time.Time) time.Duration {
+	if !g.leased() {
+		return 0
+	}
+	return max(0, g.lease.Deadline().Sub(now))
 }
 
-// promised says whether every other member of the table has promised beyond now. The bound on the
+// promised says whether every other member of the table has promised beyond now, or has ended. The bound on the
 // last round makes a process that was frozen stop even when it is alone in its table.
 func (g *Group) promised(now time.Time) bool {
-	if !now.Before(g.asked) {
+	if !before(now, g.asked) {
 		return false
 	}
 	for _, p := range g.peers {
-		if !now.Before(p.promised) {
+		if !p.ended && !before(now, p.promised) {
 			return false
 		}
 	}
 	return true
 }
 
+// before asks both clocks: the monotonic one of a VM that was suspended may not have moved, and its
+// process would trust promises that ended meanwhile.
+func before(now, deadline time.Time) bool {
+	return now.Before(deadline) && now.Round(0).Before(deadline.Round(0))
+}
+
 // adopt makes t the known table if it is newer, and keeps one peer record for each other member.
 func (g *Group) adopt(t Table) {
 	if t.Version <= g.table.Version {
@@ -270,7 +309,7 @@
 	g.log.Warn("member: removed from the table by others", zap.Int64("version", g.table.Version))
 	g.joined, g.asked, g.self.State = 0, time.Time{}, Joining
 	for _, p := range g.peers {
-		p.promised = time.Time{}
+		p.promised, p.established = time.Time{}, time.Time{}
 	}
 }
 
--- a/view/options.go
+++ b/view/options.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/member"
+	"turmericgap/metric"
 )
 
 // Options set up a Keeper or a Follower.
@@ -17,6 +18,8 @@
 	List func(ctx context.Context) (Listing, error)
 	// ListEvery is the interval at which the VM list is read.
 	ListEvery time.Duration
+	// Refresh is the interval at which everything in the store is read again.
+	Refresh time.Duration
 	// Groups are told the tables and the vanished keys.
 	Groups []*member.Group
 	// Seeds are addresses of processes to ask before any table is known.
@@ -30,6 +33,8 @@
 	// Ask asks a Keeper for its next view; the default is rpc "view.next".
 	Ask    func(ctx context.Context, address string, c *NextCall) (*NextReply, error)
 	Logger *zap.Logger
+	// Metrics gets the versions that are known and what fails.
+	Metrics *metric.Registry
 }
 
 // Option changes Options.
@@ -46,6 +51,9 @@
 // ListEvery sets the interval at which the VM list is read.
 func ListEvery(d time.Duration) Option { return func(o *Options) { o.ListEvery = d } }
 
+// Refresh sets the interval at which everything in the store is read again.
+func Refresh(d time.Duration) Option { return func(o *Options) { o.Refresh = d } }
+
 // Groups adds groups of this process that are told of tables and vanished keys.
 func Groups(g ...*member.Group) Option {
 	return func(o *Options) { o.Groups = append(o.Groups, g...) }
@@ -72,3 +80,6 @@
 
 // Logger sets the log.
 func Logger(l *zap.Logger) Option { return func(o *Options) { o.Logger = l } }
+
+// Metrics sets where the view's metrics go.
+func Metrics(r *metric.Registry) Option { return func(o *Options) { o.Metrics = r } }
