--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -133,19 +133,7 @@
 		for i := range n {
 			id := fmt.Sprint("z", z, "g", i)
 			g := New(ID(id), Zone(fmt.Sprint("z", z)), Targets(func() []target.Info { return infos }), Dial(dial), Seed(uint64(i)),
-				Member(func() bool { return true }, func() int64 { return 1 }), Neighbours(Siblings{
-					func(ctx context.Context, gate string, ask *share.Ask) (*share.Loans, error) {
-						time.Sleep(time.Millisecond)
-						return siblings[gate].Lend(ctx, ask)
-					},
-					func(ctx context.Context, gate string, r *share.Return) error {
-						_, err := siblings[gate].TakeBack(ctx, r)
-						return err
-					},
-					func(ctx context.Context, gate string, m *share.Confirmation) (*share.Confirmation, error) {
-						return siblings[gate].Hear(ctx, m)
-					},
-				}))
+				listed, direct(siblings, time.Millisecond))
 			if p.order != nil {
 				local := slices.DeleteFunc(slices.Clone(infos), func(info target.Info) bool { return info.Zone != g.opts.Zone })
 				g.mu.Lock()
--- a/gate/session_test.go
+++ b/gate/session_test.go
@@ -114,11 +114,12 @@
 		_, b, _ := c.call("POST", "/sessions/desk/requests?method=add", "1")
 		is.Equal(string(b.Answer.Body), opened.Target+" "+opened.Session+" 1")
 
-		_, far := served(t, f, ID("g3"), Zone("z2"), Rules(func(*Check) Decision { return Decision{Zone: "z2"} }), Peers(func(zone string) []string { return []string{zone} },
-			func(ctx context.Context, zone string, in *Check) (*Result, error) {
-				is.Equal(zone, "z1")
-				return second.Forwarded(ctx, in)
-			}))
+		_, far := served(t, f, ID("g3"), Zone("z2"), Rules(func(*Check) Decision { return Decision{Zone: "z2"} }),
+			Targets(func() []target.Info { return nil }), Peers(func(zone string) []string { return []string{zone} },
+				func(ctx context.Context, zone string, in *Check) (*Result, error) {
+					is.Equal(zone, "z1")
+					return second.Forwarded(ctx, in)
+				}))
 		far.token = opened.Token
 		_, b, _ = far.call("POST", "/sessions/desk/requests?method=add", "2")
 		is.Equal(string(b.Answer.Body), opened.Target+" "+opened.Session+" 2")
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -21,6 +21,9 @@
 // SetTable takes over a newer gate table of this zone. Its ids are those of Option ID, which differ
 // from one life of a process to the next.
 func (g *Gate) SetTable(t share.Table) {
+	if len(t.Gates) > maxGates {
+		g.log.Error("gate: connections are not divided for so many gates", zap.Int("gates", len(t.Gates)), zap.Int("most", maxGates))
+	}
 	g.shares.SetTable(t, time.Now())
 	signal(g.kick)
 	signal(g.tables)
@@ -79,6 +82,22 @@
 	signal(g.kick)
 }
 
+// sayLeft tells the siblings that nothing here uses a target any more, so that they take over this
+// gate's share as soon as the table lacks it.
+func (g *Gate) sayLeft() {
+	if g.opts.Siblings.Confirm == nil {
+		return
+	}
+	own := g.shares.Confirms(time.Now())
+	for _, gate := range g.shares.Others() {
+		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+		if _, err := g.opts.Siblings.Confirm(ctx, gate, &own); err != nil {
+			g.log.Debug("gate: leave not heard", zap.String("gate", gate), zap.Error(err))
+		}
+		cancel()
+	}
+}
+
 // untilStop gives a context that ends with the gate.
 func (g *Gate) untilStop() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gate/work.go
+++ b/gate/work.go
@@ -91,5 +91,9 @@
 	for g.work.left() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPoll)
 	}
-	return g.work.left()
+	left := g.work.left()
+	if left == 0 && g.shares.Leave(time.Now()) {
+		g.sayLeft()
+	}
+	return left
 }
--- a/gate/zone_test.go
+++ b/gate/zone_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -44,7 +45,7 @@
 		z.infos[i].Slots = slots
 	}
 	for _, id := range gates {
-		z.gates[id] = z.gate(ID(id), Member(func() bool { return true }, func() int64 { return 1 }), Neighbours(Siblings{z.borrow, z.giveBack, z.confirm}))
+		z.gates[id] = z.gate(ID(id), listed, direct(z.gates, 0))
 	}
 	z.table(1, gates...)
 	time.Sleep(20 * time.Second) // A new zone waits for the last requests of gates before it.
@@ -64,18 +65,24 @@
 	return z.most
 }
 
-func (z *zone) borrow(ctx context.Context, gate string, ask *share.Ask) (*share.Loans, error) {
-	return z.gates[gate].Lend(ctx, ask)
-}
-
-func (z *zone) giveBack(ctx context.Context, gate string, r *share.Return) error {
-	_, err := z.gates[gate].TakeBack(ctx, r)
-	return err
+// direct gives the siblings among some gates, reached by calls that take a while.
+func direct(gates map[string]*Gate, takes time.Duration) Option {
+	return Neighbours(Siblings{
+		func(ctx context.Context, gate string, ask *share.Ask) (*share.Loans, error) {
+			time.Sleep(takes)
+			return gates[gate].Lend(ctx, ask)
+		},
+		func(ctx context.Context, gate string, r *share.Return) error {
+			_, err := gates[gate].TakeBack(ctx, r)
+			return err
+		},
+		func(ctx context.Context, gate string, c *share.Confirmation) (*share.Confirmation, error) {
+			return gates[gate].Hear(ctx, c)
+		},
+	})
 }
 
-func (z *zone) confirm(ctx context.Context, gate string, c *share.Confirmation) (*share.Confirmation, error) {
-	return z.gates[gate].Hear(ctx, c)
-}
+var listed = Member(func() bool { return true }, func() int64 { return 1 })
 
 func (z *zone) table(version int64, gates ...string) {
 	for _, id := range gates {
@@ -196,3 +203,48 @@
 		})
 	}
 }
+
+// The callers of a gate get slots and answers through other processes, over the wire.
+// A gate of the zone lends over rpc; one of another zone forwards a check there.
+func TestOverRPC(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		servers := map[string]*rpc.Server{"g1": rpc.NewServer(), "g2": rpc.NewServer(), "g3": rpc.NewServer()}
+		pool := rpc.NewPool(rpc.Dial(func(_ context.Context, address string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go servers[address].ServeConn(far)
+			return near, nil
+		}))
+		z := newZone(1, 8, time.Second)
+		reach := OverRPC(pool, func(gate string) (string, bool) { return gate, true }, func(string) []string { return []string{"g1"} })
+		for id, zone := range map[string]string{"g1": "z1", "g2": "z1", "g3": "z2"} {
+			z.gates[id] = z.gate(ID(id), Zone(zone), listed, reach)
+			z.gates[id].Register(servers[id])
+		}
+		z.table(1, "g1", "g2")
+		time.Sleep(20 * time.Second)
+		results := make(chan *Result, 7)
+		for range 6 {
+			go func() { results <- z.gates["g1"].Do(context.Background(), &Check{Service: "desk"}) }()
+		}
+		time.Sleep(200 * time.Millisecond)
+		page := z.gates["g1"].Page()
+		is.Equal(page.Shares, share.Report{Valid: true, Version: 1, Agreed: 1, Used: 4, Borrowed: 2})
+		is.Equal(page.Services[0].Targets[0].Outstanding, 6)
+		go func() {
+			results <- z.gates["g3"].Do(context.Background(), &Check{Service: "desk", Deadline: 10 * time.Second})
+		}()
+		for range 7 {
+			is.Equal((<-results).Outcome, job.Done)
+		}
+		time.Sleep(3 * time.Second) // What was borrowed is returned.
+		is.Equal(z.gates["g2"].Drain(time.Now()), 0)
+		z.table(2, "g1")
+		is.Equal(z.gates["g1"].Page().Shares.Agreed, int64(2)) // It has left, and need not be waited for.
+		z.close()
+		pool.Close()
+		for _, s := range servers {
+			s.Close()
+		}
+	})
+}
--- a/share/share.go
+++ b/share/share.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -39,9 +40,12 @@
 	settled   time.Time
 	anew      bool
 	confirmed map[string]Confirmation
-	confirms  int64
-	uses      map[string]*use
-	serial    uint64
+	// left are the gates of known tables that have left by themselves, gone whether this one has.
+	left     map[string]bool
+	gone     bool
+	confirms int64
+	uses     map[string]*use
+	serial   uint64
 }
 
 // use is what is taken of one target.
@@ -73,7 +77,10 @@
 	for _, f := range opts {
 		f(&o)
 	}
-	return &Holder{id: id, opts: o, confirmed: make(map[string]Confirmation), uses: make(map[string]*use)}
+	return &Holder{
+		id: id, opts: o, confirmed: make(map[string]Confirmation), left: make(map[string]bool),
+		uses: make(map[string]*use),
+	}
 }
 
 // SetTable takes a newer table over; an older or the same one changes nothing.
@@ -105,10 +112,10 @@
 
 // mustSettle reports whether requests of a gate that t does not list may still occupy targets.
 func (h *Holder) mustSettle(t *Table) bool {
-	if h.base != nil && t.lacks(h.base) {
+	if h.base != nil && t.lacks(h.base, h.left) {
 		return true
 	}
-	return slices.ContainsFunc(h.pending, func(old Table) bool { return t.lacks(&old) })
+	return slices.ContainsFunc(h.pending, func(old Table) bool { return t.lacks(&old, h.left) })
 }
 
 func (h *Holder) newest() *Table {
@@ -124,6 +131,9 @@
 	defer h.mu.Unlock()
 	if t := h.newest(); t != nil && t.has(c.Gate) && c.Version >= h.confirmed[c.Gate].Version {
 		h.confirmed[c.Gate] = c
+		if c.Left {
+			h.left[c.Gate] = true
+		}
 	}
 	h.move(now)
 }
@@ -136,7 +146,7 @@
 	if h.mayConfirm(now) {
 		h.confirms = h.newest().Version
 	}
-	return Confirmation{Gate: h.id, Version: h.confirms, Knows: !h.anew}
+	return Confirmation{Gate: h.id, Version: h.confirms, Knows: !h.anew, Left: h.gone}
 }
 
 func (h *Holder) mayConfirm(now time.Time) bool {
@@ -187,6 +197,7 @@
 	if settled {
 		base := *t
 		h.base, h.pending, h.anew, h.settled = &base, nil, false, time.Time{}
+		maps.DeleteFunc(h.left, func(gate string, _ bool) bool { return !base.has(gate) })
 	}
 }
 
@@ -199,7 +210,7 @@
 
 // limit is the smallest share of the base and all newer tables.
 func (h *Holder) limit(target string, slots int) int {
-	if h.base == nil {
+	if h.base == nil || h.gone {
 		return 0
 	}
 	n := h.base.Of(h.id, target, slots)
@@ -263,6 +274,21 @@
 	return n
 }
 
+// Leave gives up all shares for good, if nothing is taken of them and nothing is lent. It is called
+// before a planned stop; where it reports false, the others wait as for a gate that died.
+func (h *Holder) Leave(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, u := range h.uses {
+		u.prune(now)
+		if u.own > 0 || len(u.lent) > 0 || slices.ContainsFunc(u.borrowed, func(b *borrowed) bool { return b.inUse > 0 }) {
+			return false
+		}
+	}
+	h.gone = true
+	return true
+}
+
 // Valid reports whether the gate holds its membership.
 func (h *Holder) Valid() bool { return h.opts.Valid() }
 
@@ -299,7 +325,7 @@
 		u.own++
 		return &Slot{target: target, since: since}, true
 	}
-	if b := u.loan(until); b != nil {
+	if b := u.loan(until); b != nil && !h.gone {
 		b.inUse++
 		b.used = now
 		return &Slot{target: target, loan: b, since: since}, true
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -118,6 +118,19 @@
 	}
 }
 
+// leave is a planned stop: the gate says that it has left, and is taken out of the table at once.
+func (w *world) leave(id string, s *sim) {
+	if !slices.Contains(w.table().Gates, id) || !s.holder.Leave(w.now) {
+		return
+	}
+	c := s.holder.Confirms(w.now)
+	for _, other := range w.table().Gates {
+		w.gates[other].holder.Confirmed(c, w.now)
+	}
+	s.dead = true
+	w.change(slices.DeleteFunc(slices.Clone(w.table().Gates), func(g string) bool { return g == id }))
+}
+
 func (w *world) heartbeat(s *sim) {
 	c := s.holder.Confirms(w.now)
 	to := w.gates[w.table().Gates[w.draw(len(w.table().Gates))]]
@@ -233,6 +246,10 @@
 			s.dead = w.draw(3) == 0
 			s.frozen = w.now.Add(3 * leaseTime)
 		}
+	case k == 75:
+		if w.draw(3) == 0 {
+			w.leave(id, s)
+		}
 	case k < 95:
 		w.learn(s)
 	case k < 130:
@@ -348,8 +365,12 @@
 func TestNewGatesWaitForEarlierOnes(t *testing.T) {
 	for name, c := range map[string]struct {
 		before []string
+		left   bool
 		want   int
-	}{"all new": {nil, 0}, "one knows": {[]string{"a"}, 4}, "one knows a dead one": {[]string{"a", "x"}, 0}} {
+	}{
+		"all new": {nil, false, 0}, "one knows": {[]string{"a"}, false, 4},
+		"one knows a dead one": {[]string{"a", "x"}, false, 0}, "one knows that the other left": {[]string{"a", "x"}, true, 4},
+	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Unix(1000, 0)
@@ -357,7 +378,7 @@
 			if c.before != nil {
 				a.SetTable(Table{7, c.before}, now)
 				now = now.Add(DefaultSettle)
-				a.Confirmed(Confirmation{Gate: "x", Version: 7}, now)
+				a.Confirmed(Confirmation{Gate: "x", Version: 7, Left: c.left}, now)
 			}
 			for range 3 {
 				a.SetTable(Table{9, []string{"a", "b"}}, now)
@@ -475,3 +496,24 @@
 	is.Equal(len(short.Loans), 1)
 	is.True(second.ID != first.ID)
 }
+
+// A gate must not say that it has left while its requests or loans may occupy targets, and once it has
+// said so it uses nothing more.
+func TestLeave(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	h := New("a", Settle(0), Life(10*time.Second, time.Second))
+	h.SetTable(Table{7, []string{"a", "b"}}, now)
+	h.Confirmed(Confirmation{Gate: "b", Version: 7}, now)
+	slot, _ := h.Take("t", 16, now.Add(time.Second), now)
+	is.True(!h.Leave(now))
+	h.Release(slot, now)
+	is.Equal(len(h.Lend(&Ask{Gate: "b", Want: 1, Targets: []Target{{"t", 16}}}, now).Loans), 1)
+	is.True(!h.Leave(now))
+	later := now.Add(11 * time.Second)
+	is.True(!h.Confirms(later).Left)
+	is.True(h.Leave(later))
+	is.True(h.Confirms(later).Left)
+	_, ok := h.Take("t", 16, later.Add(time.Second), later)
+	is.True(!ok)
+}
--- a/share/table.go
+++ b/share/table.go
@@ -31,9 +31,9 @@
 
 func (t *Table) has(gate string) bool { return slices.Contains(t.Gates, gate) }
 
-// lacks reports whether a gate of other is missing from t.
-func (t *Table) lacks(other *Table) bool {
-	return slices.ContainsFunc(other.Gates, func(gate string) bool { return !t.has(gate) })
+// lacks reports whether a gate of other is missing from t that has not left by itself.
+func (t *Table) lacks(other *Table, left map[string]bool) bool {
+	return slices.ContainsFunc(other.Gates, func(gate string) bool { return !t.has(gate) && !left[gate] })
 }
 
 // Confirmation is what a gate tells the others of its zone.
@@ -44,4 +44,7 @@
 	// Knows says that the gate knows the earlier tables, and that nothing is left at the targets of
 	// gates that were removed.
 	Knows bool `json:"knows" msgpack:"k"`
+	// Left says that the gate uses nothing any more and never will, so that nobody need wait for its
+	// last requests.
+	Left bool `json:"left,omitempty" msgpack:"l,omitempty"`
 }
