Bound the memory that callers' bodies and streams take

Cause: 20000 checks with bodies of 256 KB may take 5 GB; the count alone bounds nothing on a small VM. And callers that were refused together all heard the same Retry-After, and would come back together.

Change: the bodies of checks in progress are bounded by their sum, 64 MB, before they are read; streams by 1000. Retry-After of a full queue is spread over up to a quarter more.

Shown by go test ./gate: without the bound TestHeldBytes fails with "[200 200 200] != [429 200 200]".

--- a/gate/api.go
+++ b/gate/api.go
@@ -121,7 +121,26 @@
 	return raw
 }
 
+// hold makes room for the body of a request, or answers that there is none; it gives what to drop.
+func (g *Gate) hold(ctx iris.Context) (int64, bool) {
+	size := ctx.Request().ContentLength
+	if size < 0 || size > g.opts.Limits.BodyBytes {
+		size = g.opts.Limits.BodyBytes
+	}
+	if r := g.work.hold(size, g.opts.Limits.HeldBytes); r != nil {
+		g.meters.shed.Inc(1)
+		reply(ctx, r)
+		return 0, false
+	}
+	return size, true
+}
+
 func (g *Gate) postCheck(ctx iris.Context) {
+	size, ok := g.hold(ctx)
+	if !ok {
+		return
+	}
+	defer g.work.drop(size)
 	var l finding.List
 	c := &Check{Service: ctx.Params().Get("service"), Method: ctx.Params().Get("method")}
 	g.readHeaders(ctx, c, &l)
--- a/gate/api_test.go
+++ b/gate/api_test.go
@@ -177,6 +177,30 @@
 	is.True(strings.HasPrefix(parent, "00-0af7651916cd43dd8448eb211c80319c-"))
 }
 
+// The callers of a gate that holds as much as it may are told so before their bodies are read.
+func TestHeldBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakes(1, func(ctx context.Context, id string, r *target.Request) (*target.Response, error) {
+			time.Sleep(time.Second)
+			return echo(ctx, id, r)
+		})
+		g := f.gate(Limit(func(l *Limits) { l.HeldBytes = 10 }))
+		defer g.Close()
+		codes := make(chan int, 3)
+		for range 3 {
+			w := httptest.NewRecorder()
+			go func() {
+				g.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/checks/desk/seat", strings.NewReader("12345")))
+				codes <- w.Code
+			}()
+			synctest.Wait()
+		}
+		is.Equal([]int{<-codes, <-codes, <-codes}, []int{429, 200, 200})
+		is.Equal(g.work.bytes, int64(0))
+	})
+}
+
 // No body or header may make the gate fail, or give an answer without an outcome.
 func FuzzAPI(f *testing.F) {
 	fakes := newFakes(1, echo)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,6 +31,8 @@
 	DefaultRetries     = 2
 	DefaultGrace       = 250 * time.Millisecond
 	DefaultChecks      = 20000
+	DefaultStreams     = 1000
+	DefaultHeldBytes   = 64 << 20
 	DefaultPipelined   = 16
 	DefaultConnections = 8192
 	DefaultBodyBytes   = 256 << 10
@@ -130,7 +132,7 @@
 		Limits: Limits{
 			Timeout: DefaultTimeout, MaxTimeout: DefaultMaxTimeout, Queue: DefaultQueue,
 			Retries: DefaultRetries, Grace: DefaultGrace, Checks: DefaultChecks,
-			Pipelined: DefaultPipelined, SessionLife: session.DefaultLife,
+			Streams: DefaultStreams, HeldBytes: DefaultHeldBytes, Pipelined: DefaultPipelined, SessionLife: session.DefaultLife,
 			Connections: DefaultConnections, BodyBytes: DefaultBodyBytes, HeaderBytes: DefaultHeaderBytes,
 			ReadTimeout: DefaultReadTimeout, IdleTimeout: DefaultIdleTimeout,
 		},
--- a/gate/options.go
+++ b/gate/options.go
@@ -58,6 +58,9 @@
 	Grace time.Duration
 	// Checks bounds the checks and streams in progress.
 	Checks int
+	// Streams bounds the streams among them, HeldBytes the bodies of all checks in progress.
+	Streams   int
+	HeldBytes int64
 	// Pipelined bounds the requests of one session that wait for each other.
 	Pipelined int
 	// SessionLife is how long a session token holds.
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"turmericgap/balancer"
@@ -14,6 +15,7 @@
 	leastRetryAfter = 100 * time.Millisecond
 	mostRetryAfter  = 30 * time.Second
 	firstRunTime    = 0.02
+	spreadPart      = 4
 	runSmoothing    = 0.05
 	noTargetRetry   = time.Second
 	// scanWaiters bounds how many waiters are looked at when the first can't take the free slot.
@@ -38,6 +40,7 @@
 	// runTime is the smoothed time in seconds that a check occupies a slot.
 	runTime float64
 	slots   int
+	rng     *rand.Rand
 }
 
 type client struct {
@@ -66,8 +69,10 @@
 
 func newPool(seed uint64, shares *share.Holder) *pool {
 	b := balancer.New(balancer.Seed(seed))
+	rng := rand.New(rand.NewPCG(seed, 1))
 	return &pool{
 		shares:   shares,
+		rng:      rng,
 		balancer: b, pick: b.Pick, clients: make(map[string]*client),
 		waiting: list.New(), bound: make(map[string]*list.List), runTime: firstRunTime,
 	}
@@ -116,8 +121,11 @@
 // run gives how long a check occupies a slot.
 func (p *pool) run() time.Duration { return time.Duration(p.runTime * float64(time.Second)) }
 
+// retryAfter gives when the queue will have drained, and up to a quarter more: callers that were
+// refused together must not all come back together.
 func (p *pool) retryAfter() time.Duration {
-	return min(max(p.expected(p.waiting.Len()), leastRetryAfter), mostRetryAfter)
+	drained := max(p.expected(p.waiting.Len()), leastRetryAfter)
+	return min(drained+time.Duration(p.rng.Int64N(int64(drained)/spreadPart)), mostRetryAfter)
 }
 
 // grant gives a waiter a target if one may take it now.
--- a/gate/sessions.go
+++ b/gate/sessions.go
@@ -142,6 +142,11 @@
 	if !ok {
 		return
 	}
+	size, ok := g.hold(ctx)
+	if !ok {
+		return
+	}
+	defer g.work.drop(size)
 	var l finding.List
 	c.Method = ctx.URLParam("method")
 	checkNames(c, &l)
@@ -194,7 +199,7 @@
 	if !ok {
 		return
 	}
-	if r := g.work.enterStream(g.opts.Limits.Checks); r != nil {
+	if r := g.work.enterStream(&g.opts.Limits); r != nil {
 		reply(ctx, r)
 		return
 	}
--- a/gate/work.go
+++ b/gate/work.go
@@ -13,9 +13,11 @@
 
 // work counts what is in progress, so that a planned stop can finish it.
 type work struct {
-	mu       sync.Mutex
-	checks   int
-	streams  int
+	mu      sync.Mutex
+	checks  int
+	streams int
+	// bytes is what the bodies of requests in progress may take up.
+	bytes    int64
 	draining bool
 	// moving is closed when streams are asked to go on at another gate.
 	moving chan struct{}
@@ -29,9 +31,7 @@
 		return notRun("gate is stopping", drainRetryAfter)
 	}
 	if w.checks+w.streams >= limit {
-		r := notRun("gate is full", fullRetryAfter)
-		r.Limited = true
-		return r
+		return limited("gate is full", fullRetryAfter)
 	}
 	w.checks++
 	return nil
@@ -44,17 +44,38 @@
 }
 
 // enterStream admits one stream, or gives the reason against it.
-func (w *work) enterStream(limit int) *Result {
-	if r := w.enter(limit); r != nil {
+func (w *work) enterStream(l *Limits) *Result {
+	if r := w.enter(l.Checks); r != nil {
 		return r
 	}
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.checks--
+	if w.streams >= l.Streams {
+		return limited("gate has too many streams", fullRetryAfter)
+	}
 	w.streams++
-	w.mu.Unlock()
 	return nil
 }
 
+// hold admits the body of a request before it is read. Without a bound on their sum, callers with
+// large bodies could take all memory long before they are too many.
+func (w *work) hold(n, limit int64) *Result {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.bytes+n > limit {
+		return limited("gate holds too many bodies", fullRetryAfter)
+	}
+	w.bytes += n
+	return nil
+}
+
+func (w *work) drop(n int64) {
+	w.mu.Lock()
+	w.bytes -= n
+	w.mu.Unlock()
+}
+
 func (w *work) leaveStream() {
 	w.mu.Lock()
 	w.streams--
