Give a slot back though the list has lost its target

Cause: the gate looked up the pool of a service again when a check ended. Where the list had lost the service meanwhile, nothing was given back: the slot stayed taken for good, and a planned stop could never say that nothing is left.

Change: a ticket and a waiter keep the pool that they came from.

Shown by go test ./gate: without it TestSlotSurvivesList fails with "1 != 0".

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -186,6 +186,31 @@
 	})
 }
 
+// The slots of a target must come back although the list loses it while it works, and shows it again.
+func TestSlotSurvivesList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakes(1, func(ctx context.Context, _ string, r *target.Request) (*target.Response, error) {
+			time.Sleep(time.Second)
+			return whole1(ctx, r)
+		})
+		all := f.infos
+		g := f.gate()
+		defer g.Close()
+		result := make(chan *Result, 1)
+		go func() { result <- g.Do(context.Background(), &Check{Service: "desk"}) }()
+		synctest.Wait()
+		f.change(func(*target.Info) bool { return false })
+		is.Equal((<-result).Outcome, job.Done)
+		is.Equal(g.Page().Shares.Used, 0)
+		f.mu.Lock()
+		f.infos = all
+		f.mu.Unlock()
+		time.Sleep(time.Second)
+		is.Equal(g.Do(context.Background(), &Check{Service: "desk"}).Outcome, job.Done)
+	})
+}
+
 // The caller hangs up.
 // Its check is at a target, which must hear of it; another check waits in the queue, and must leave
 // it without ever being sent. The slot of the first stays taken until the target has surely stopped.
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -50,6 +50,7 @@
 
 // ticket is the right to send one request to a target.
 type ticket struct {
+	pool   *pool
 	info   target.Info
 	slot   *share.Slot
 	probe  bool
@@ -59,6 +60,7 @@
 }
 
 type waiter struct {
+	pool  *pool
 	ask   balancer.Ask
 	bound string
 	// until gives when a request that is sent now has surely left its target.
@@ -148,7 +150,7 @@
 		p.balancer.Undo(c)
 		return nil
 	}
-	return &ticket{info: c.Info, slot: slot, probe: c.Probe, client: p.clients[c.Info.ID].call, granted: now}
+	return &ticket{pool: p, info: c.Info, slot: slot, probe: c.Probe, client: p.clients[c.Info.ID].call, granted: now}
 }
 
 // dispatch hands free slots to the waiters, first come, first served.
@@ -267,7 +269,7 @@
 		g.meters.waitMicros.Update(time.Since(start).Microseconds())
 		return t, nil
 	case <-ctx.Done():
-		return nil, g.giveUp(cl, w)
+		return nil, g.giveUp(w)
 	}
 }
 
@@ -301,7 +303,7 @@
 	if now.Add(p.expected(q.Len()) + p.run()).After(cl.deadline) {
 		return nil, limited("expected wait and run exceed the time left", p.retryAfter())
 	}
-	w.ready = make(chan *ticket, 1)
+	w.pool, w.ready = p, make(chan *ticket, 1)
 	w.item = q.PushBack(w)
 	return nil, nil
 }
@@ -313,26 +315,22 @@
 }
 
 // giveUp takes a waiter whose caller is gone or whose time is up out of its queue.
-func (g *Gate) giveUp(cl *call, w *waiter) *Result {
+func (g *Gate) giveUp(w *waiter) *Result {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := g.pools[cl.check.Service]
-	if p == nil {
-		return notRun("no usable target", noTargetRetry)
-	}
-	p.remove(w)
+	w.pool.remove(w)
 	select {
 	case t := <-w.ready:
-		g.free(p, t, now)
+		g.free(t, now)
 	default:
 	}
-	return limited("time ran out in the queue", p.retryAfter())
+	return limited("time ran out in the queue", w.pool.retryAfter())
 }
 
 // free gives a slot back and hands it on.
-func (g *Gate) free(p *pool, t *ticket, now time.Time) {
-	p.balancer.Release(t.info.ID)
+func (g *Gate) free(t *ticket, now time.Time) {
+	t.pool.balancer.Release(t.info.ID)
 	g.shares.Release(t.slot, now)
-	p.dispatch(now)
+	t.pool.dispatch(now)
 }
--- a/gate/send.go
+++ b/gate/send.go
@@ -47,7 +47,7 @@
 			return cl.finish(r)
 		}
 		a := g.send(ctx, cl, t)
-		g.settle(cl, t, a)
+		g.settle(t, a)
 		if a.ending == whole {
 			g.budget.Earn()
 			return &Result{Outcome: job.Done, Answer: a.answer, Attempts: cl.attempts, Target: t.info.ID}
--- a/gate/settle.go
+++ b/gate/settle.go
@@ -4,14 +4,12 @@
 
 // settle learns from an attempt and gives its slot back. A request that was given up may work on
 // in its target; its slot stays taken until the deadline that the target was told has passed.
-func (g *Gate) settle(cl *call, t *ticket, a *attempt) {
+func (g *Gate) settle(t *ticket, a *attempt) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := g.pools[cl.check.Service]
-	if p == nil {
-		return
-	}
+	// The pool of the ticket: the list may have lost the service, or have it anew, since then.
+	p := t.pool
 	took := now.Sub(t.granted)
 	p.balancer.Ended(t.info.ID, a.verdict, took, now)
 	if a.leaving {
@@ -24,9 +22,9 @@
 		time.AfterFunc(a.until.Sub(now), func() {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			g.free(p, t, time.Now())
+			g.free(t, time.Now())
 		})
 		return
 	}
-	g.free(p, t, now)
+	g.free(t, now)
 }
