Tell when a gate is ready, and let loans follow the longest deadline

Cause: a new zone's gates use no target until they have agreed, and the platform's balancer could not know. With a shorter longest deadline, loans of a fixed 10 s would still have held that up.

All gates of a zone need the same longest deadline.

Shown by go test ./gate ./share.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -44,6 +44,8 @@
 	refreshInterval = 100 * time.Millisecond
 	turnInterval    = 10 * time.Millisecond
 	sessionKeyBytes = 32
+	// driftPart is how much of a loan's life, one in so many, its lender adds for the drift of clocks.
+	driftPart = 20
 )
 
 // Gate faces the callers of one entry VM.
@@ -99,12 +101,15 @@
 	return g
 }
 
-// newHolder makes the holder of this gate's shares. A removed gate's last requests have ended when
-// the longest deadline and the longest loan are over.
+// newHolder makes the holder of this gate's shares. A loan lives for two thirds of the longest
+// deadline, so that most checks fit into it; a removed gate's last requests and loans have ended when
+// the longest of both is over.
 func newHolder(o *Options) *share.Holder {
 	if o.Valid != nil {
-		settle := max(o.Limits.MaxTimeout+o.Limits.Grace, share.DefaultLife+share.DefaultDrift)
-		return share.New(o.ID, share.Settle(settle), share.Valid(o.Valid), share.Since(o.Since))
+		life := o.Limits.MaxTimeout * 2 / 3
+		drift := life / driftPart
+		settle := max(o.Limits.MaxTimeout+o.Limits.Grace, life+drift)
+		return share.New(o.ID, share.Settle(settle), share.Life(life, drift), share.Valid(o.Valid), share.Since(o.Since))
 	}
 	// Alone in its zone, with nobody before it, it has nothing to wait for.
 	h := share.New(o.ID, share.Settle(0))
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -18,6 +19,13 @@
 	confirmInterval = 200 * time.Millisecond
 )
 
+// Reasons why a gate is not ready.
+var (
+	errStopping  = errors.New("gate is stopping")
+	errNoMember  = errors.New("gate is not a member of its zone")
+	errNotAgreed = errors.New("gates of the zone have not yet agreed on their shares")
+)
+
 // SetTable takes over a newer gate table of this zone. Its ids are those of Option ID, which differ
 // from one life of a process to the next.
 func (g *Gate) SetTable(t share.Table) {
@@ -29,6 +37,19 @@
 	signal(g.tables)
 }
 
+// Ready gives the reason why the gate can't use the targets of its zone yet, or nil.
+func (g *Gate) Ready() error {
+	switch r := g.shares.Report(time.Now()); {
+	case g.work.isDraining():
+		return errStopping
+	case !r.Valid:
+		return errNoMember
+	case r.Agreed == 0:
+		return errNotAgreed
+	}
+	return nil
+}
+
 // Hear serves a sibling's confirmation and answers with this gate's own.
 func (g *Gate) Hear(_ context.Context, c *share.Confirmation) (*share.Confirmation, error) {
 	now := time.Now()
--- a/gate/zone_test.go
+++ b/gate/zone_test.go
@@ -143,9 +143,12 @@
 		g := f.gate(Member(func() bool { return member }, func() int64 { return 1 }))
 		defer g.Close()
 		g.SetTable(share.Table{Version: 1, Gates: []string{"g1"}})
+		is.Equal(g.Ready(), errNotAgreed)
 		time.Sleep(20 * time.Second)
+		is.NoErr(g.Ready())
 		is.Equal(g.Do(context.Background(), &Check{Service: "desk"}).Outcome, job.Done)
 		member = false
+		is.Equal(g.Ready(), errNoMember)
 		start := time.Now()
 		r := g.Do(context.Background(), &Check{Service: "desk"})
 		is.Equal(r.Outcome, job.NotRun)
