Do not learn from run times that are not known

Cause: after a recovery the owner releases ended tasks with Ran zero. Five of them made a class look instant. Without the check the test fails: 1 != 0.

--- a/planner/admit.go
+++ b/planner/admit.go
@@ -185,7 +185,9 @@
 		return
 	}
 	p.drop(t)
-	if end.OK && !e.service() {
+	// An owner that recovers releases tasks whose run it has not seen; learned as zero, they would
+	// make their class look instant and spoil the slack of its deadlines.
+	if end.OK && end.Ran > 0 && !e.service() {
 		p.learner.Observe(e.kind, end.Ran, e.spec.Each, end.Peak.Max(t.peak))
 	}
 	if end.Requeue && !e.final {
--- a/planner/message.go
+++ b/planner/message.go
@@ -58,7 +58,8 @@
 	// Requeue puts the task back into the queue.
 	Requeue bool
 	// OK says that the task gave its answer, so that Ran is worth learning from.
-	OK  bool
+	OK bool
+	// Ran is zero if unknown.
 	Ran time.Duration
 	// Peak is the largest usage seen; zero means unknown.
 	Peak job.Resources
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -317,6 +317,18 @@
 	is.Equal(next.Starts[0].Job, "urgent")
 }
 
+// A new owner releases what had ended before it came, without knowing for how long it ran.
+func TestUnknownRunTimesAreNotLearned(t *testing.T) {
+	is := is.New(t)
+	c := newCell(1, 8000)
+	c.add("a", spec("roster", 2, 1000))
+	for i, ran := range []time.Duration{0, time.Minute} {
+		c.Occupy("a", i, "vm0")
+		c.Release(c.now, "a", i, End{OK: true, Ran: ran})
+		is.Equal(c.learner.Classes(), i)
+	}
+}
+
 func TestAdmit(t *testing.T) {
 	gang := spec("roster", 9, 4000)
 	gang.Gang = true
