--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,7 +36,6 @@
 	plain  grid
 	scarce [maxAccelerators + 1]*grid
 	racks  []*rack
-	free   job.Resources
 }
 
 type rack struct {
@@ -65,7 +64,7 @@
 // Node gives the worker with this id, or nil.
 func (x *Index) Node(id string) *Node { return x.nodes[id] }
 
-// Len is the number of workers, Open that of those which get new tasks.
+// Len counts the workers.
 func (x *Index) Len() int { return len(x.nodes) }
 
 // Open counts the workers that get new tasks.
@@ -119,7 +118,6 @@
 		return
 	}
 	n.leaveCell()
-	n.zone.free = n.zone.free.Minus(n.avail)
 	x.count(n, -1)
 	delete(x.nodes, id)
 	r, z := n.rack, n.zone
@@ -162,9 +160,7 @@
 // refresh puts a changed node into its cell; one with nothing free is in none.
 func (x *Index) refresh(n *Node) {
 	n.leaveCell()
-	n.zone.free = n.zone.free.Minus(n.avail)
 	n.avail = n.available()
-	n.zone.free = n.zone.free.Plus(n.avail)
 	if n.avail.Millicores <= 0 || n.avail.MemoryMB <= 0 {
 		return
 	}
