Wire shares, session keys and call counts; let a mute worker's leases lapse

Cause: each gate acted as if alone in its zone, so that two could use twice a target's slots; a worker that takes messages and never answers was renewed for ever, so that its tasks could never be given up.

Change: gates follow their table and confirm it to each other; tokens are signed with keys of the settings; store calls are counted; the journals of all zones share 60 writes a second; after three heartbeats without answer a worker is asked on without renewal.

--- a/cmd/gate/main.go
+++ b/cmd/gate/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,8 +20,9 @@
 	"turmericgap/route"
 	"turmericgap/rpc"
 	"turmericgap/rule"
+	"turmericgap/session"
 	"turmericgap/setting"
-	"turmericgap/store"
+	"turmericgap/share"
 	"turmericgap/target"
 	"turmericgap/target/web"
 	"turmericgap/view"
@@ -28,8 +30,7 @@
 )
 
 const (
-	forwardMethod = "gate.check"
-	cancelReason  = "cancelled by its caller"
+	cancelReason = "cancelled by its caller"
 )
 
 type settings struct {
@@ -39,17 +40,28 @@
 	// Scheduler is the rpc address of the scheduler on this VM, Seeds those of schedulers elsewhere.
 	Scheduler string   `json:"scheduler"`
 	Seeds     []string `json:"seeds"`
+	// SessionKeys sign session tokens, the first; all are accepted. All gates of the cell need the same.
+	SessionKeys []string `json:"sessionKeys"`
 }
 
 func (s *settings) check(l *finding.List) {
 	s.Check(l)
 	setting.CheckAddress(l, "callerAddress", s.CallerAddress)
 	setting.CheckAddress(l, "scheduler", s.Scheduler)
+	session.CheckKeys(l, "sessionKeys", s.keys()...)
 	for i, a := range s.Seeds {
 		setting.CheckAddress(l, fmt.Sprintf("seeds[%d]", i), a)
 	}
 }
 
+func (s *settings) keys() [][]byte {
+	out := make([][]byte, len(s.SessionKeys))
+	for i, key := range s.SessionKeys {
+		out[i] = []byte(key)
+	}
+	return out
+}
+
 func main() {
 	s := settings{Process: setting.DefaultProcess()}
 	process.Main("gate", &s.Process, &s, s.check, func(service *turmericgap.Service) error { return wire(service, &s) })
@@ -74,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	kv, err := store.Open(s.Store.Kind, s.Store.Endpoint)
+	kv, err := process.Store(service, &s.Process)
 	if err != nil {
 		return err
 	}
@@ -83,18 +95,19 @@
 	p.group = process.Group(service, kv, &s.Process, member.RoleGate, process.Viewer{
 		View:  func() *view.View { return p.follower.View() },
 		Heard: func(m member.Member, v int64) { p.follower.Heard(m, v) },
-	})
+	}, member.OnChange(func(t member.Table) { p.gate.SetTable(gateTable(t)) }))
 	p.follower = view.NewFollower(s.Scheduler, view.Self(p.group.Self()), view.Groups(p.group),
 		view.Seeds(s.Seeds...), view.Logger(logger.Part(log, "view")))
 	rules := &process.Rules{View: p.follower.View, Logger: log}
-	p.gate = gate.New(gate.ID(s.ID), gate.Zone(s.Zone), gate.Dial(web.New(p.calls)),
+	p.gate = gate.New(gate.ID(gateID(p.group.Self())), gate.Zone(s.Zone), gate.Dial(web.New(p.calls)),
 		gate.Targets(func() []target.Info { return p.follower.View().Targets }),
-		gate.Peers(p.gatesOf, p.forward), gate.JobOwner(p.jobs(s)),
+		gate.Member(p.group.Valid, p.group.Joined), gate.OverRPC(p.pool, p.gateAddress, p.gatesOf),
+		gate.SessionKeys(s.keys()...), gate.JobOwner(p.jobs(s)),
 		gate.Rules(func(c *gate.Check) gate.Decision { return decide(rules.List(), s.Zone, c) }),
 		gate.Logger(logger.Part(log, "gate")), gate.Metrics(service.Metrics()))
 	p.register()
 	service.Init(
-		turmericgap.Ready(func() error { return process.Valid(p.group) }),
+		turmericgap.Ready(p.gate.Ready), turmericgap.AddPage("/gate", p.gate.ServePage),
 		turmericgap.Start(func() error {
 			go func() { _ = p.server.Serve(peers) }()
 			go func() { _ = p.gate.Serve(callers) }()
@@ -108,7 +121,7 @@
 func (p *parts) register() {
 	p.follower.Register(p.server)
 	rpc.Handle(p.server, member.BeatMethod, p.group.Beat)
-	rpc.Handle(p.server, forwardMethod, p.gate.Forwarded)
+	p.gate.Register(p.server)
 }
 
 // stop lets what is in progress end, then leaves the table so that its shares pass on at once.
@@ -137,8 +150,25 @@
 	return out
 }
 
-func (p *parts) forward(ctx context.Context, address string, c *gate.Check) (*gate.Result, error) {
-	return rpc.Call[gate.Check, gate.Result](ctx, p.pool.Get(address), forwardMethod, c)
+// gateID is unique for each life of a gate, as shares need it.
+func gateID(m member.Member) string { return m.ID + "#" + strconv.FormatInt(m.Incarnation, 36) }
+
+func gateTable(t member.Table) share.Table {
+	out := share.Table{Version: t.Version}
+	for _, m := range t.Members {
+		out.Gates = append(out.Gates, gateID(m))
+	}
+	return out
+}
+
+// gateAddress gives the address of a gate of this zone.
+func (p *parts) gateAddress(id string) (string, bool) {
+	for _, m := range p.group.Table().Members {
+		if gateID(m) == id {
+			return m.Address, true
+		}
+	}
+	return "", false
 }
 
 func (p *parts) jobs(s *settings) gate.Jobs {
--- a/cmd/internal/process/process.go
+++ b/cmd/internal/process/process.go
@@ -19,6 +19,7 @@
 	"turmericgap/rule/standard"
 	"turmericgap/setting"
 	"turmericgap/store"
+	"turmericgap/store/meter"
 	"turmericgap/view"
 	"turmericgap/vmlist/web"
 	"turmericgap/webcall"
@@ -71,6 +72,15 @@
 	}
 }
 
+// Store opens the platform's key-value service and counts this process's calls of it.
+func Store(s *turmericgap.Service, p *setting.Process) (*store.Store, error) {
+	kv, err := store.Open(p.Store.Kind, p.Store.Endpoint)
+	if err != nil {
+		return nil, err
+	}
+	return meter.New(kv, meter.Metrics(s.Metrics())), nil
+}
+
 // Viewer is where a Group learns what the process's view knows.
 type Viewer struct {
 	View  func() *view.View
@@ -78,11 +88,14 @@
 }
 
 // Group makes this process's part in the table of its zone and role.
-func Group(s *turmericgap.Service, kv *store.Store, p *setting.Process, role string, v Viewer) *member.Group {
+func Group(s *turmericgap.Service, kv *store.Store, p *setting.Process, role string, v Viewer, opts ...member.Option) *member.Group {
 	self := member.Member{ID: p.ID, Role: role, Zone: p.Zone, Address: p.RPCAddress, VM: p.VM}
-	return member.New(kv, self, member.Logger(logger.Part(s.Logger(), "member")),
+	base := []member.Option{
+		member.Logger(logger.Part(s.Logger(), "member")),
 		member.Listed(func() (map[string]bool, bool) { return v.View().Listed() }),
-		member.Rules(func() int64 { return v.View().Rules.Version }, v.Heard))
+		member.Rules(func() int64 { return v.View().Rules.Version }, v.Heard),
+	}
+	return member.New(kv, self, append(base, opts...)...)
 }
 
 // Valid is the readiness of a process that acts only as a valid member.
--- a/cmd/scheduler/main.go
+++ b/cmd/scheduler/main.go
@@ -10,19 +10,25 @@
 
 	"turmericgap"
 	"turmericgap/cmd/internal/process"
+	"turmericgap/journal"
 	"turmericgap/logger"
 	"turmericgap/member"
 	"turmericgap/planner"
 	"turmericgap/rpc"
 	"turmericgap/scheduler"
 	"turmericgap/setting"
-	"turmericgap/store"
 	"turmericgap/view"
 	"turmericgap/webcall"
 	"turmericgap/worker"
 	"turmericgap/worker/web"
 )
 
+// cellWrites is what the journals of all zones may write together, a second.
+const (
+	cellWrites = 60.0
+	writeBurst = 5
+)
+
 func main() {
 	p := setting.DefaultProcess()
 	process.Main("scheduler", &p, &p, p.Check, func(s *turmericgap.Service) error { return wire(s, &p) })
@@ -35,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	kv, err := store.Open(p.Store.Kind, p.Store.Endpoint)
+	kv, err := process.Store(service, p)
 	if err != nil {
 		return err
 	}
@@ -53,6 +59,7 @@
 		scheduler.Zone(p.Zone), scheduler.Store(kv), scheduler.Owns(group.Owns), scheduler.Dial(web.New(calls)),
 		scheduler.Workers(func() []worker.Info { return keeper.View().Workers }),
 		scheduler.Logger(logger.Part(log, "scheduler")), scheduler.Metrics(service.Metrics()),
+		scheduler.Journal(journal.Metrics(service.Metrics()), journal.Rate(cellWrites/float64(len(p.Zones)), writeBurst)),
 		scheduler.Planner(func() *planner.Planner { return planner.New(planner.Rules(rules.List())) }),
 		scheduler.Rules(func(pl *planner.Planner) {
 			if l, newer := rules.Newer(); newer {
--- a/member/member.go
+++ b/member/member.go
@@ -173,6 +173,13 @@
 	return g.table.Epoch, g.table.EpochRevision, true
 }
 
+// Joined gives the table version with which the present membership began; zero means none.
+func (g *Group) Joined() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.joined
+}
+
 // Self gives this process's own entry.
 func (g *Group) Self() Member {
 	g.mu.Lock()
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -119,6 +119,7 @@
 	// Starts lie in the sockets of a frozen VM for longer than any lease, and take effect when it
 	// wakes. They must not run elsewhere meanwhile, whatever the leases say.
 	{"worker frozen with starts in its sockets", func(c *cell, _, _ *node) {
+		time.Sleep(3 * time.Second) // until it has room
 		c.workers[0].SetFault(standin.Fault{Frozen: true})
 		c.submit(spec("late-60", 12, func(s *job.Submission) { s.RunSeconds = 60 }))
 		time.Sleep(80 * time.Second)
@@ -126,6 +127,7 @@
 	}, isDone, doneOrUnsure},
 	// A start is under way while its worker restarts, and arrives in the new boot.
 	{"worker restarts with starts under way", func(c *cell, _, _ *node) {
+		time.Sleep(3 * time.Second) // until it has room
 		c.workers[0].SetFault(standin.Fault{DelayMillis: 2900})
 		c.submit(spec("late-10", 12, func(s *job.Submission) { s.RunSeconds = 10 }))
 		time.Sleep(500 * time.Millisecond)
--- a/scheduler/follow.go
+++ b/scheduler/follow.go
@@ -20,7 +20,7 @@
 func (t *term) onBeat(l *link, b beat) {
 	now := time.Now()
 	if b.err != nil {
-		if !errors.Is(b.err, worker.ErrNotSent) {
+		if b.renews && !errors.Is(b.err, worker.ErrNotSent) {
 			l.mayHaveRenewed = now
 		}
 		t.fleet.Missed(now, l.info.ID)
--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -45,6 +45,7 @@
 	err    error
 	forgot []string
 	began  time.Time
+	renews bool
 }
 
 func (t *term) openLink(info worker.Info) *link {
@@ -91,15 +92,22 @@
 func (t *term) beatLoop(l *link) {
 	var cursor int64
 	wait := time.Duration(0)
+	misses := 0
 	for l.ctx.Err() == nil {
 		h := &worker.Heartbeat{
 			Epoch: t.epoch, LeaseMillis: worker.LeaseMillis(t.o.WorkerLease),
 			Cursor: cursor, WaitMillis: wait.Milliseconds(), Forget: l.takeForget(),
 		}
+		if misses >= missesToStopRenewing {
+			// A worker that takes messages and never answers would be renewed for ever, and its tasks
+			// could never be given up. It is asked on, but renewed only after it has answered.
+			h.LeaseMillis = 0
+		}
 		b := t.beatOnce(l, h, wait)
 		if b.err == nil {
-			cursor, wait = b.reply.Cursor, t.o.BeatWait
+			cursor, wait, misses = b.reply.Cursor, t.o.BeatWait, 0
 		} else {
+			misses++
 			l.giveForget(b.forgot)
 			wait = 0
 		}
@@ -120,7 +128,7 @@
 	defer cancel()
 	began := time.Now()
 	reply, err := l.client.Heartbeat(ctx, h)
-	return beat{reply: reply, err: err, forgot: h.Forget, began: began}
+	return beat{reply: reply, err: err, forgot: h.Forget, began: began, renews: h.LeaseMillis > 0}
 }
 
 func (l *link) takeForget() []string {
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -37,6 +37,9 @@
 	// MaxAnswerBytes bounds the body of one task's answer.
 	MaxAnswerBytes = 16 << 10
 
+	// missesToStopRenewing is how many heartbeats in a row may fail before leases are left to lapse.
+	missesToStopRenewing = 3
+
 	eventRing   = 4096
 	sendRing    = 256
 	startsMost  = 512
--- a/script/cell.sh
+++ b/script/cell.sh
@@ -39,6 +39,7 @@
   cat >$run/gate-$n.json <<JSON
 {"id": "gate-$n", "rpcAddress": "127.0.0.1:70${n}2", "opsAddress": "127.0.0.1:70${n}3",
   "callerAddress": "127.0.0.1:780$n", "scheduler": "127.0.0.1:70${n}0", "seeds": ["127.0.0.1:7010", "127.0.0.1:7020"],
+  "sessionKeys": ["only-for-the-stand-in-cell-on-this-machine"],
   $common}
 JSON
   start scheduler-$n bin/scheduler --settings $run/scheduler-$n.json
