Give operators commands for rules, jobs, members and workers

Cause: ctl drove callers' requests only.

A separate write was ruled out: it leaves editions of rules that were never in force.

Change: rules get|check|set|diff|history|rollback|explain, inforce, jobs, why, members, workers, targets, zones, manual. An edit starts from the newer of store and cell, since after a restoration of the store an edit of its older rules would be accepted and never come into force. docs/ctl.md is printed from the same parser and compared by a test. The scheduler serves operate.state; planner.Loads and scheduler.State are new files. script/cell.sh and stop.sh take PORTS, CALLERS and RUN so that two cells run side by side; the defaults stay.

Not yet: reasons of submissions that a rule refuses are counted, not listed.

--- /dev/null
+++ b/cmd/ctl/cell.go
@@ -0,0 +1,336 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"turmericgap/finding"
+	"turmericgap/job"
+	"turmericgap/member"
+	"turmericgap/operate"
+	"turmericgap/route"
+	"turmericgap/rpc"
+	"turmericgap/view"
+)
+
+func cellCommands(c *common) []command {
+	return []command{
+		{"inforce", "show which rules each process has", "Shows, process by process, the rules' version and when it was last heard of. Exit code 6 says that some process lacks the newest.", &inForce{cell: c}},
+		{"jobs", "list jobs", "Lists the jobs of a zone or of all, live ones first.", &jobs{cell: c}},
+		{"why", "say what a job waits for", "Shows where a job stands, which rule decided, why those before it did not hold, and what the job waits for.", &why{cell: c}},
+		{"members", "show the processes of the cell", "Shows the member tables of all zones, and who owns each zone.", &members{cell: c}},
+		{"workers", "list workers", "Lists the workers of the VM list with what their tasks are charged.", &workers{cell: c}},
+		{"targets", "list targets", "Lists the targets of the VM list.", &targets{cell: c}},
+		{"zones", "show the zones", "Shows owner, queues, packing, ejections and last failed jobs of each zone.", &zones{cell: c}},
+	}
+}
+
+// near is a connection to the scheduler that the operator chose.
+type near struct {
+	c    *common
+	pool *rpc.Pool
+	view *view.View
+}
+
+// reach reads the view of the chosen scheduler.
+func (c *common) reach(ctx context.Context) (*near, error) {
+	n := &near{c: c, pool: rpc.NewPool()}
+	r, err := rpc.Call[view.NextCall, view.NextReply](ctx, n.pool.Get(c.Scheduler), view.NextMethod, &view.NextCall{Workers: true})
+	if err != nil {
+		n.pool.Close()
+		return nil, c.schedulerError(err)
+	}
+	n.view = &r.View
+	return n, nil
+}
+
+func (c *common) schedulerError(err error) error {
+	return &exit{exitFailed, fmt.Errorf("the scheduler at %s gave no answer (%w); try another with --scheduler", c.Scheduler, err)}
+}
+
+// with runs f on the view of the chosen scheduler.
+func (c *common) with(f func(ctx context.Context, n *near) error) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	n, err := c.reach(ctx)
+	if err != nil {
+		return err
+	}
+	defer n.pool.Close()
+	return f(ctx, n)
+}
+
+func (n *near) state(ctx context.Context) (*operate.State, error) {
+	s, err := rpc.Call[operate.Ask, operate.State](ctx, n.pool.Get(n.c.Scheduler), operate.CallState, &operate.Ask{})
+	if err != nil {
+		return nil, n.c.schedulerError(err)
+	}
+	return s, nil
+}
+
+func (n *near) owner(zone string) (string, bool) {
+	t, _ := n.view.Table(zone, member.RoleScheduler)
+	m, ok := t.Find(t.Owner)
+	return m.Address, ok
+}
+
+func (n *near) zones() []string {
+	var out []string
+	for _, t := range n.view.Tables {
+		if t.Role == member.RoleScheduler {
+			out = append(out, t.Zone)
+		}
+	}
+	return out
+}
+
+func (n *near) route() *route.Client {
+	return &route.Client{Zones: n.zones(), Owner: n.owner, Pool: n.pool}
+}
+
+type inForce struct{ cell *common }
+
+// inForceReport is what inforce prints as JSON.
+type inForceReport struct {
+	Newest    int64          `json:"newest"`
+	Behind    int            `json:"behind"`
+	Processes []view.Process `json:"processes"`
+}
+
+// Execute compares every process with the newest version.
+func (f *inForce) Execute([]string) error {
+	return f.cell.with(func(ctx context.Context, n *near) error {
+		s, err := n.state(ctx)
+		if err != nil {
+			return err
+		}
+		r := newReport(s.InForce)
+		if f.cell.JSON {
+			err = printJSON(&r)
+		} else {
+			err = r.print(s.At)
+		}
+		if err == nil && r.Behind > 0 {
+			err = &exit{exitBehind, fmt.Errorf("%d of %d processes are not known to have version %d; ask again in some seconds, then see 'ctl members'", r.Behind, len(r.Processes), r.Newest)}
+		}
+		return err
+	})
+}
+
+func newReport(processes []view.Process) inForceReport {
+	r := inForceReport{Processes: append([]view.Process{}, processes...)}
+	for _, p := range processes {
+		r.Newest = max(r.Newest, p.Rules)
+	}
+	for _, p := range processes {
+		if p.Rules < r.Newest || p.Heard.IsZero() {
+			r.Behind++
+		}
+	}
+	return r
+}
+
+func (r *inForceReport) print(at time.Time) error {
+	fmt.Printf("newest rules: version %d\n", r.Newest)
+	t := newTable("PROCESS", "ROLE", "ZONE", "ADDRESS", "RULES", "HEARD")
+	for _, p := range r.Processes {
+		t.row(p.ID, p.Role, p.Zone, p.Address, strconv.FormatInt(p.Rules, 10), ago(at, p.Heard))
+	}
+	return t.print()
+}
+
+func ago(now, then time.Time) string {
+	if then.IsZero() {
+		return "never"
+	}
+	return max(0, now.Sub(then)).Round(time.Second).String() + " ago"
+}
+
+type jobs struct {
+	cell *common
+	Zone string `long:"zone" description:"only this zone"`
+	Most int    `long:"most" default:"50" description:"the most jobs of each zone"`
+}
+
+// Execute lists jobs; a zone without an answer is said to be so, and the rest is shown.
+func (j *jobs) Execute([]string) error {
+	return j.cell.with(func(ctx context.Context, n *near) error {
+		asked := n.zones()
+		if j.Zone != "" {
+			asked = []string{j.Zone}
+		}
+		all := []job.Status{}
+		var missing []error
+		for _, zone := range asked {
+			l, err := n.route().List(ctx, zone, j.Most)
+			if err != nil {
+				missing = append(missing, fmt.Errorf("zone %s is not shown: %w", zone, err))
+			}
+			all = append(all, l...)
+		}
+		if err := j.print(all); err != nil {
+			return err
+		}
+		return errors.Join(missing...)
+	})
+}
+
+func (j *jobs) print(all []job.Status) error {
+	if j.cell.JSON {
+		return printJSON(all)
+	}
+	t := newTable("JOB", "ZONE", "STATE", "OUTCOME", "RULE", "TASKS", "ACCEPTED", "REASON")
+	for i := range all {
+		s := &all[i]
+		t.row(s.ID, s.Zone, string(s.State), string(s.Outcome), s.Rule, strconv.Itoa(len(s.Tasks)), s.Accepted.Format(time.RFC3339), s.Reason)
+	}
+	return t.print()
+}
+
+type why struct {
+	cell *common
+	Args jobArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute explains the job.
+func (w *why) Execute([]string) error {
+	if route.ZoneOf(w.Args.ID) == "" {
+		return finding.List{{Place: "job", Reason: "must be an id such as zone.1a2b, as 'ctl jobs' shows it"}}
+	}
+	return w.cell.with(func(ctx context.Context, n *near) error {
+		x, err := n.route().Why(ctx, w.Args.ID)
+		if fault := rpc.AsFault(err); fault != nil && fault.Code == rpc.CodeNotFound {
+			return &exit{exitFailed, fmt.Errorf("job %s is not known: its id may be wrong, or it ended long ago; see 'ctl jobs'", w.Args.ID)}
+		}
+		if err != nil {
+			return fmt.Errorf("%w; see the zone's owner in 'ctl members'", err)
+		}
+		if w.cell.JSON {
+			return printJSON(x)
+		}
+		printWhy(x)
+		return nil
+	})
+}
+
+func printWhy(x *route.Why) {
+	e := &x.Explanation
+	fmt.Printf("job %s: %s %s %s\n", x.Status.ID, x.Status.State, x.Status.Outcome, x.Status.Reason)
+	if !e.Known {
+		fmt.Println("  nothing of it waits or runs")
+		return
+	}
+	fmt.Printf("  %d tasks wait, %d run; each is charged %s\n", e.Pending, e.Running, amount(e.Charge))
+	fmt.Printf("  pool %s holds %s\n", e.Pool, amount(e.Holds))
+	if e.WaitsFor != "" {
+		fmt.Println("  waits for " + e.WaitsFor)
+	}
+	if !e.LateAt.IsZero() {
+		fmt.Println("  goes before others from " + e.LateAt.UTC().Format(time.RFC3339))
+	}
+	printExplanation(&e.Rules)
+}
+
+func amount(r job.Resources) string {
+	return fmt.Sprintf("%d millicores, %d MB, %d accelerators", r.Millicores, r.MemoryMB, r.Accelerators)
+}
+
+type members struct{ cell *common }
+
+// membersReport is what members prints as JSON.
+type membersReport struct {
+	Asked  member.Page    `json:"asked"`
+	Tables []member.Table `json:"tables"`
+	// Present holds the keys of the members whose lease is there.
+	Present map[string]bool `json:"present"`
+}
+
+// Execute shows the tables.
+func (m *members) Execute([]string) error {
+	return m.cell.with(func(ctx context.Context, n *near) error {
+		s, err := n.state(ctx)
+		if err != nil {
+			return err
+		}
+		r := membersReport{s.Members, n.view.Tables, n.view.Present}
+		if m.cell.JSON {
+			return printJSON(&r)
+		}
+		return r.print()
+	})
+}
+
+func (r *membersReport) print() error {
+	t := newTable("ZONE", "ROLE", "MEMBER", "VM", "ADDRESS", "STATE", "LEASE", "OWNER")
+	for _, tab := range r.Tables {
+		for _, m := range tab.Members {
+			lease, owner := "absent", ""
+			if r.Present[member.PresentKey(m.Zone, m.Role, m.ID)] {
+				lease = "there"
+			}
+			if tab.Owner == m.ID {
+				owner = "epoch " + strconv.FormatInt(tab.Epoch, 10)
+			}
+			t.row(m.Zone, m.Role, m.ID, m.VM, m.Address, string(m.State), lease, owner)
+		}
+	}
+	if err := t.print(); err != nil {
+		return err
+	}
+	a := &r.Asked
+	fmt.Printf("\nasked %s: valid %t by %s, lease left %s\n", a.Self.ID, a.Valid, a.Basis, time.Duration(a.LeaseMillis)*time.Millisecond)
+	for _, o := range a.Others {
+		fmt.Printf("  %s is %s, heard %s ago\n", plain(o.Member.ID), o.Health, time.Duration(o.HeardMillis)*time.Millisecond)
+	}
+	return nil
+}
+
+type zones struct{ cell *common }
+
+// Execute shows each zone as its owner tells it.
+func (z *zones) Execute([]string) error {
+	return z.cell.with(func(ctx context.Context, n *near) error {
+		cell := operate.Collect(ctx, n.pool, n.view, nil)
+		if z.cell.JSON {
+			return printJSON(cell.Zones)
+		}
+		for i := range cell.Zones {
+			printZone(&cell.Zones[i], cell.At)
+		}
+		return missing(cell.Zones)
+	})
+}
+
+// missing says which zones could not be shown.
+func missing(l []operate.Zone) error {
+	var out []error
+	for i := range l {
+		if l[i].State == nil {
+			out = append(out, fmt.Errorf("zone %s is not shown: %s", l[i].Name, l[i].Problem))
+		}
+	}
+	return errors.Join(out...)
+}
+
+func printZone(z *operate.Zone, now time.Time) {
+	fmt.Printf("zone %s, owner %s", z.Name, z.Owner)
+	if z.State == nil {
+		fmt.Println(": " + plain(z.Problem))
+		return
+	}
+	s := z.State
+	fmt.Printf(", epoch %d: %d live jobs, %d running tasks, %d of %d workers open, packing %.0f%%, %d refused\n",
+		s.Epoch, s.Live, s.Stats.Running, s.Stats.Open, s.Stats.Workers, 100*s.Stats.Packing, s.Refused)
+	for _, class := range operate.Classes(s.Stats.Pending) {
+		fmt.Printf("  %d tasks of class %s wait\n", s.Stats.Pending[class], plain(class))
+	}
+	for _, e := range s.Ejections {
+		fmt.Printf("  %s is %s since %s: %s\n", plain(e.ID), e.State, ago(now, e.Since), plain(e.Reason))
+	}
+	for _, e := range s.Ends {
+		fmt.Printf("  job %s, %s, was %s: %s\n", plain(e.Job), ago(now, e.Ended), e.Outcome, plain(e.Reason))
+	}
+}
--- a/cmd/ctl/main.go
+++ b/cmd/ctl/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 
@@ -17,6 +18,10 @@
 	exitUsage   = 2
 	exitNotRun  = 3
 	exitUnknown = 4
+	// exitConflict means that another edit came first.
+	exitConflict = 5
+	// exitBehind means that some process lacks the newest rules.
+	exitBehind = 6
 )
 
 // common are the options of every command.
@@ -37,22 +42,35 @@
 func (e *exit) Error() string { return e.err.Error() }
 
 func main() {
-	c := &common{}
+	_, err := newParser(&common{}).Parse()
+	os.Exit(report(err))
+}
+
+// newParser holds every command; the manual is printed from it.
+func newParser(c *common) *flags.Parser {
 	parser := flags.NewNamedParser("ctl", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "drives a turmericgap cell"
-	parser.LongDescription = "Exit codes: 0 done, 1 failed, 2 wrong usage or findings, 3 surely not run, 4 may have run."
+	parser.LongDescription = "Exit codes: 0 done, 1 failed, 2 wrong usage or findings, 3 surely not run, 4 may have run or unknown, 5 another edit came first, 6 some process lacks the newest rules."
 	if _, err := parser.AddGroup("Common options", "", c); err != nil {
 		panic(err)
 	}
-	for _, g := range [][]command{callerCommands(c)} {
-		for _, cmd := range g {
-			if _, err := parser.AddCommand(cmd.name, cmd.short, cmd.long, cmd.run); err != nil {
-				panic(err)
-			}
+	add(parser.Command, callerCommands(c))
+	add(parser.Command, cellCommands(c))
+	rules, err := parser.AddCommand("rules", "read and change the rules", "Reads and changes the operators' rules (docs/RULES.md).", &rulesWord{})
+	if err != nil {
+		panic(err)
+	}
+	add(rules, rulesCommands(c))
+	add(parser.Command, []command{{"manual", "print the manual", "Prints the manual of all commands in Markdown.", &manual{parser: parser}}})
+	return parser
+}
+
+func add(to *flags.Command, commands []command) {
+	for _, cmd := range commands {
+		if _, err := to.AddCommand(cmd.name, cmd.short, cmd.long, cmd.run); err != nil {
+			panic(err)
 		}
 	}
-	_, err := parser.Parse()
-	os.Exit(report(err))
 }
 
 // command is one word of the command line.
@@ -76,13 +94,16 @@
 		fmt.Fprintf(os.Stderr, "ctl: %s\nTry ctl --help.\n", flagsErr.Message)
 		return exitUsage
 	case errors.As(err, &l):
-		fmt.Fprintf(os.Stderr, "ctl: %d findings, nothing was changed:\n%s\n", len(l), l)
+		fmt.Fprintf(os.Stderr, "ctl: %d findings, nothing was done:\n%s\n", len(l), l)
 		return exitUsage
 	case errors.As(err, &e):
-		fmt.Fprintf(os.Stderr, "ctl: %s\n", e.err)
+		fmt.Fprintf(os.Stderr, "ctl: %s\n", oneLine(e.err))
 		return e.code
 	default:
-		fmt.Fprintf(os.Stderr, "ctl: %s\n", err)
+		fmt.Fprintf(os.Stderr, "ctl: %s\n", oneLine(err))
 		return exitFailed
 	}
 }
+
+// oneLine joins the lines of an error that has several causes.
+func oneLine(err error) string { return strings.ReplaceAll(err.Error(), "\n", "; ") }
--- a/cmd/scheduler/main.go
+++ b/cmd/scheduler/main.go
@@ -12,6 +12,7 @@
 	"turmericgap/cmd/internal/process"
 	"turmericgap/logger"
 	"turmericgap/member"
+	"turmericgap/operate"
 	"turmericgap/planner"
 	"turmericgap/rpc"
 	"turmericgap/scheduler"
@@ -63,6 +64,8 @@
 	sched.Register(server)
 	keeper.Register(server)
 	rpc.Handle(server, member.BeatMethod, group.Beat)
+	operators := &operate.Source{Members: group.Page, InForce: keeper.InForce, Zone: sched.State, View: keeper.View}
+	operators.Register(server)
 	service.Init(
 		turmericgap.Ready(func() error { return process.Valid(group) }),
 		turmericgap.Start(func() error {
--- /dev/null
+++ b/operate/operate.go
@@ -0,0 +1,139 @@
+package operate
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"turmericgap/member"
+	"turmericgap/rpc"
+	"turmericgap/scheduler"
+	"turmericgap/view"
+)
+
+const (
+	// CallState is the rpc name under which a scheduler tells its state.
+	CallState = "operate.state"
+	// AskTimeout bounds one question to an owner, so that a dead one does not hold up a page.
+	AskTimeout = 2 * time.Second
+)
+
+// Ask asks a scheduler for its state.
+type Ask struct {
+	// Zone asks for the zone's state too, which only its owner has.
+	Zone bool `msgpack:"z"`
+}
+
+// State is what one scheduler knows.
+type State struct {
+	At      time.Time      `json:"at"`
+	Members member.Page    `json:"members"`
+	InForce []view.Process `json:"inForce"`
+	// Zone is nil unless this scheduler owns its zone and was asked for it.
+	Zone *scheduler.State `json:"zone,omitempty"`
+}
+
+// Source is where a scheduler's process finds its own state.
+type Source struct {
+	Members func() member.Page
+	InForce func() []view.Process
+	Zone    func(context.Context) (*scheduler.State, error)
+	View    func() *view.View
+}
+
+// Register serves the operators' calls.
+func (s *Source) Register(server *rpc.Server) { rpc.Handle(server, CallState, s.State) }
+
+// State serves rpc "operate.state".
+func (s *Source) State(ctx context.Context, a *Ask) (*State, error) {
+	out := &State{At: time.Now().UTC(), Members: s.Members(), InForce: s.InForce()}
+	if !a.Zone {
+		return out, nil
+	}
+	zone, err := s.Zone(ctx)
+	if fault := rpc.AsFault(err); fault != nil && fault.Code == rpc.CodeNotOwner {
+		return out, nil
+	}
+	out.Zone = zone
+	return out, err
+}
+
+// Zone is one zone as its owner tells it.
+type Zone struct {
+	Name    string `json:"name"`
+	Owner   string `json:"owner"`
+	Address string `json:"address"`
+	// State is nil where Problem says why.
+	State   *scheduler.State `json:"state,omitempty"`
+	Problem string           `json:"problem,omitempty"`
+}
+
+// Cell is what can be known of the cell at one moment, its zones in the order of their names.
+type Cell struct {
+	At      time.Time      `json:"at"`
+	View    view.View      `json:"view"`
+	InForce []view.Process `json:"inForce"`
+	Zones   []Zone         `json:"zones"`
+}
+
+// Collect asks the owners of all zones of the view at once; one that is silent costs AskTimeout.
+func Collect(ctx context.Context, pool *rpc.Pool, v *view.View, inForce []view.Process) Cell {
+	c := Cell{At: time.Now().UTC(), View: *v, InForce: inForce, Zones: zonesOf(v)}
+	var wg sync.WaitGroup
+	for i := range c.Zones {
+		z := &c.Zones[i]
+		if z.Address == "" {
+			z.Problem = "the zone has no owner"
+			continue
+		}
+		wg.Go(func() { z.ask(ctx, pool) })
+	}
+	wg.Wait()
+	return c
+}
+
+func (z *Zone) ask(ctx context.Context, pool *rpc.Pool) {
+	ctx, cancel := context.WithTimeout(ctx, AskTimeout)
+	defer cancel()
+	s, err := rpc.Call[Ask, State](ctx, pool.Get(z.Address), CallState, &Ask{Zone: true})
+	switch {
+	case err != nil:
+		z.Problem = "its owner gave no answer: " + err.Error()
+	case s.Zone == nil:
+		z.Problem = "its owner does not serve it just now"
+	default:
+		z.State = s.Zone
+	}
+}
+
+// zonesOf gives every zone that has a table or a worker.
+func zonesOf(v *view.View) []Zone {
+	names := make([]string, 0, len(v.Tables))
+	for _, t := range v.Tables {
+		names = append(names, t.Zone)
+	}
+	for i := range v.Workers {
+		names = append(names, v.Workers[i].Zone)
+	}
+	slices.Sort(names)
+	names = slices.Compact(names)
+	out := make([]Zone, len(names))
+	for i, name := range names {
+		out[i].Name = name
+		if t, ok := v.Table(name, member.RoleScheduler); ok {
+			m, _ := t.Find(t.Owner)
+			out[i].Owner, out[i].Address = t.Owner, m.Address
+		}
+	}
+	return out
+}
+
+// Classes gives the classes with waiting tasks, the fullest first.
+func Classes(pending map[string]int) []string {
+	return slices.SortedFunc(maps.Keys(pending), func(a, b string) int {
+		return cmp.Or(cmp.Compare(pending[b], pending[a]), cmp.Compare(a, b))
+	})
+}
--- /dev/null
+++ b/scheduler/state.go
@@ -0,0 +1,70 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"turmericgap/fleet"
+	"turmericgap/job"
+	"turmericgap/planner"
+)
+
+// stateEnds bounds the ended jobs that are shown.
+const stateEnds = 20
+
+// State is what operators see of a zone at its owner.
+type State struct {
+	Zone      string           `json:"zone"`
+	Epoch     int64            `json:"epoch"`
+	Live      int              `json:"live"`
+	Stats     planner.Stats    `json:"stats"`
+	Workers   []planner.Load   `json:"workers"`
+	Ejections []fleet.Ejection `json:"ejections"`
+	// Refused counts the submissions that a rule refused since this process started.
+	Refused int64 `json:"refused"`
+	// Ends are the last jobs that ended without an answer.
+	Ends []End `json:"ends"`
+}
+
+// End is a job that ended as not run or unknown, with the reason.
+type End struct {
+	Job     string      `json:"job"`
+	Ended   time.Time   `json:"ended"`
+	Outcome job.Outcome `json:"outcome"`
+	Reason  string      `json:"reason"`
+}
+
+// State gives the operators' view of the zone; only its owner has one.
+func (s *Scheduler) State(ctx context.Context) (*State, error) {
+	t, err := s.owner()
+	if err != nil {
+		return nil, err
+	}
+	out, err := ask(ctx, t, t.state)
+	if err != nil {
+		return nil, lookFault(err)
+	}
+	out.Refused = s.o.Metrics.Counter("job.refused").Count()
+	return out, nil
+}
+
+// state runs on the loop.
+func (t *term) state() *State {
+	s := &State{
+		Zone: t.o.Zone, Epoch: t.epoch, Live: len(t.live), Stats: t.planner.Stats(time.Now()),
+		Workers: t.planner.Loads(), Ejections: t.fleet.Reasons(),
+	}
+	for _, e := range t.jobs {
+		if !e.durable || e.ended.IsZero() {
+			continue
+		}
+		if outcome, reason := e.outcome(); outcome != job.Done {
+			s.Ends = append(s.Ends, End{Job: e.id, Ended: e.ended, Outcome: outcome, Reason: reason})
+		}
+	}
+	slices.SortFunc(s.Ends, func(a, b End) int { return cmp.Or(b.Ended.Compare(a.Ended), cmp.Compare(a.Job, b.Job)) })
+	s.Ends = s.Ends[:min(len(s.Ends), stateEnds)]
+	return s
+}
--- a/script/cell.sh
+++ b/script/cell.sh
@@ -1,9 +1,14 @@
 #!/usr/bin/env bash
 # Starts a cell on stand-ins of the platform: three availability zones, four entry VMs, each with a
 # gate and a scheduler. Settings, logs and process ids go below run/. Stop it with script/stop.sh.
+# PORTS is the first two digits of all ports but the callers' (70, so that these are 7000 to 7499),
+# CALLERS that of the callers' ports, RUN the directory; set all three to run a second cell.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-run=run
+run=${RUN:-run}
+ports=${PORTS:-70}
+callers=${CALLERS:-78}
+store=127.0.0.1:$((ports + 1))00 list=127.0.0.1:$((ports + 4))00
 mkdir -p $run
 : >$run/platform.pids
 : >$run/entries.pids
@@ -17,28 +22,28 @@
   echo $! >>$pids
 }
 
-start store bin/standinstore --listen 127.0.0.1:7100
-start list bin/standinlist --listen 127.0.0.1:7400
-port=7200
+start store bin/standinstore --listen $store
+start list bin/standinlist --listen $list
+port=$((ports + 2))00
 for zone in kochi-hall alappuzha-hall kollam-hall; do
-  start worker-$zone bin/standinworker --listen 127.0.0.1:$port --zone $zone --count 4 --racks 2 --register 127.0.0.1:7400
-  start target-$zone bin/standintarget --listen 127.0.0.1:$((port + 100)) --zone $zone --service course-desk --count 4 --register 127.0.0.1:7400
-  start engine-$zone bin/standintarget --listen 127.0.0.1:$((port + 110)) --zone $zone --service padan-engine --count 4 --register 127.0.0.1:7400
+  start worker-$zone bin/standinworker --listen 127.0.0.1:$port --zone $zone --count 4 --racks 2 --register $list
+  start target-$zone bin/standintarget --listen 127.0.0.1:$((port + 100)) --zone $zone --service course-desk --count 4 --register $list
+  start engine-$zone bin/standintarget --listen 127.0.0.1:$((port + 110)) --zone $zone --service padan-engine --count 4 --register $list
   port=$((port + 1))
 done
 
 entry() { # number, zone
   local n=$1 zone=$2
   local common="\"vm\": \"entry-$n\", \"zone\": \"$zone\", \"zones\": [\"kochi-hall\", \"alappuzha-hall\", \"kollam-hall\"],
-  \"store\": {\"kind\": \"etcd\", \"endpoint\": \"http://127.0.0.1:7100\"}, \"listAddress\": \"127.0.0.1:7400\",
+  \"store\": {\"kind\": \"etcd\", \"endpoint\": \"http://$store\"}, \"listAddress\": \"$list\",
   \"trace\": {\"exporter\": \"$trace\", \"address\": \"$([ "$trace" = stdout ] && echo $run/spans-$n.json)\"}"
   cat >$run/scheduler-$n.json <<JSON
-{"id": "scheduler-$n", "rpcAddress": "127.0.0.1:70${n}0", "opsAddress": "127.0.0.1:70${n}1",
+{"id": "scheduler-$n", "rpcAddress": "127.0.0.1:$ports${n}0", "opsAddress": "127.0.0.1:$ports${n}1",
   $common}
 JSON
   cat >$run/gate-$n.json <<JSON
-{"id": "gate-$n", "rpcAddress": "127.0.0.1:70${n}2", "opsAddress": "127.0.0.1:70${n}3",
-  "callerAddress": "127.0.0.1:780$n", "scheduler": "127.0.0.1:70${n}0", "seeds": ["127.0.0.1:7010", "127.0.0.1:7020"],
+{"id": "gate-$n", "rpcAddress": "127.0.0.1:$ports${n}2", "opsAddress": "127.0.0.1:$ports${n}3",
+  "callerAddress": "127.0.0.1:${callers}0$n", "scheduler": "127.0.0.1:$ports${n}0", "seeds": ["127.0.0.1:${ports}10", "127.0.0.1:${ports}20"],
   $common}
 JSON
   start scheduler-$n bin/scheduler --settings $run/scheduler-$n.json
--- a/script/stop.sh
+++ b/script/stop.sh
@@ -10,5 +10,5 @@
   done
   rm -f "$1"
 }
-end run/entries.pids
-end run/platform.pids
+end "${RUN:-run}"/entries.pids
+end "${RUN:-run}"/platform.pids
