--- a/member/options.go
+++ b/member/options.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"turmericgap/metric"
 )
 
 // Options set up a Group; its functions must not call the Group, but for OnChange.
@@ -25,12 +27,15 @@
 	Call func(ctx context.Context, address string, b *Beat) (*BeatReply, error)
 	// Listed gives the VMs of the VM list by their Member.VM; known is false before the first list.
 	Listed func() (vms map[string]bool, known bool)
+	// ListLag is how late the VM list may be.
+	ListLag time.Duration
 	// Rules gives the version of the rules that this process has in force.
 	Rules func() int64
 	// Newer is told of a peer that has newer rules.
 	Newer    func(from Member, version int64)
 	OnChange func(Table)
 	Logger   *zap.Logger
+	Metrics  *metric.Registry
 }
 
 // Option changes Options.
@@ -47,7 +52,7 @@
 // Interval sets the time between heartbeats.
 func Interval(d time.Duration) Option { return func(o *Options) { o.Beat = d } }
 
-// Promise sets how long a promise holds; it must be shorter than the lease.
+// Promise sets how long a promise holds, at most half of the lease.
 func Promise(d time.Duration) Option { return func(o *Options) { o.Promise = d } }
 
 // Look sets the longest time between two looks at the store.
@@ -66,6 +71,9 @@
 	return func(o *Options) { o.Listed = f }
 }
 
+// ListLag sets how late the VM list may be: a VM that it does not show counts as ended only after it.
+func ListLag(d time.Duration) Option { return func(o *Options) { o.ListLag = d } }
+
 // Rules sets how rule versions are told to and learnt from peers.
 func Rules(version func() int64, newer func(from Member, version int64)) Option {
 	return func(o *Options) { o.Rules, o.Newer = version, newer }
@@ -76,3 +84,6 @@
 
 // Logger sets the log.
 func Logger(l *zap.Logger) Option { return func(o *Options) { o.Logger = l } }
+
+// Metrics sets where the membership's metrics go.
+func Metrics(r *metric.Registry) Option { return func(o *Options) { o.Metrics = r } }
