Show the whole cell on every scheduler's operators' port

Cause: no page told an operator in one look what is wrong; /metrics knows one process, and a zone's queues and ejections are known to its owner alone.

Weighed: each scheduler could push its state to the others, which costs traffic that nobody reads. Chosen: the page asks the zones' owners when it is looked at, all at once, 2 s each at most, and is kept for 2 s so that many readers cost the owners one question. A zone whose owner is silent is shown as not known, never as empty.

Change: package status (html/template, one embedded page, no outside files, a policy header that allows none), served as /status: what needs attention first, zones, queues by class, workers by zone and rack with packing, members with lease, rules and last sign, ejections with reasons, last jobs that ended as not run or unknown.

Seen in a cell of four entry VMs: all well gave "Nothing here needs attention"; with scheduler and gate of the one VM of a zone killed by -9, the page 5 s later named the silent owner and both absent leases, and showed the zone's racks as not known. With the store restarted empty, a rule edit from version 0 was refused as a conflict and one from version 1 accepted as 2; 2 s later no process had it and inforce still ended with 0, which is why it now asks the store.

Without the kept page TestServerKeepsPage fails with "10 != 1"; without the case of an owner that lost its zone TestCollectTellsWhatIsMissing fails on zone b's empty problem; with text/template the golden page of the half-dead cell fails. The page was read as HTML text; no headless browser is installed.

--- a/cmd/ctl/cell.go
+++ b/cmd/ctl/cell.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"strconv"
 	"time"
 
@@ -95,6 +96,7 @@
 
 // inForceReport is what inforce prints as JSON.
 type inForceReport struct {
+	// Newest is the newest version that the store or any process is known to have.
 	Newest    int64          `json:"newest"`
 	Behind    int            `json:"behind"`
 	Processes []view.Process `json:"processes"`
@@ -107,7 +109,7 @@
 		if err != nil {
 			return err
 		}
-		r := newReport(s.InForce)
+		r := newReport(s, f.cell.stored(ctx))
 		if f.cell.JSON {
 			err = printJSON(&r)
 		} else {
@@ -120,13 +122,29 @@
 	})
 }
 
-func newReport(processes []view.Process) inForceReport {
-	r := inForceReport{Processes: append([]view.Process{}, processes...)}
-	for _, p := range processes {
+// stored gives the version in the store, or zero when that does not answer.
+func (c *common) stored(ctx context.Context) int64 {
+	ctx, cancel := context.WithTimeout(ctx, operate.AskTimeout)
+	defer cancel()
+	kv, err := c.openStore()
+	if err != nil {
+		return 0
+	}
+	e, err := operate.Current(ctx, kv)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "ctl: %s\nctl: the processes are compared with each other alone\n", oneLine(err))
+	}
+	return e.Version
+}
+
+// newReport counts a process as behind that has older rules, or that nobody has lately heard.
+func newReport(s *operate.State, stored int64) inForceReport {
+	r := inForceReport{Newest: stored, Processes: append([]view.Process{}, s.InForce...)}
+	for _, p := range s.InForce {
 		r.Newest = max(r.Newest, p.Rules)
 	}
-	for _, p := range processes {
-		if p.Rules < r.Newest || p.Heard.IsZero() {
+	for _, p := range s.InForce {
+		if p.Rules < r.Newest || s.At.Sub(p.Heard) > operate.Silent {
 			r.Behind++
 		}
 	}
--- a/cmd/scheduler/main.go
+++ b/cmd/scheduler/main.go
@@ -10,6 +10,7 @@
 
 	"turmericgap"
 	"turmericgap/cmd/internal/process"
+	"turmericgap/journal"
 	"turmericgap/logger"
 	"turmericgap/member"
 	"turmericgap/operate"
@@ -17,6 +18,7 @@
 	"turmericgap/rpc"
 	"turmericgap/scheduler"
 	"turmericgap/setting"
+	"turmericgap/status"
 	"turmericgap/store"
 	"turmericgap/view"
 	"turmericgap/webcall"
@@ -54,6 +56,7 @@
 		scheduler.Zone(p.Zone), scheduler.Store(kv), scheduler.Owns(group.Owns), scheduler.Dial(web.New(calls)),
 		scheduler.Workers(func() []worker.Info { return keeper.View().Workers }),
 		scheduler.Logger(logger.Part(log, "scheduler")), scheduler.Metrics(service.Metrics()),
+		scheduler.Journal(journal.Metrics(service.Metrics())),
 		scheduler.Planner(func() *planner.Planner { return planner.New(planner.Rules(rules.List())) }),
 		scheduler.Rules(func(pl *planner.Planner) {
 			if l, newer := rules.Newer(); newer {
@@ -66,7 +69,9 @@
 	rpc.Handle(server, member.BeatMethod, group.Beat)
 	operators := &operate.Source{Members: group.Page, InForce: keeper.InForce, Zone: sched.State, View: keeper.View}
 	operators.Register(server)
+	pool := rpc.NewPool()
 	service.Init(
+		turmericgap.AddPage("/status", status.NewServer(p.ID, operators.Collector(pool)).ServeHTTP),
 		turmericgap.Ready(func() error { return process.Valid(group) }),
 		turmericgap.Start(func() error {
 			go func() { _ = server.Serve(listener) }()
@@ -81,6 +86,7 @@
 				log.Warn("scheduler: left without hand-over", zap.Error(err))
 			}
 			keeper.Close()
+			pool.Close()
 			listener.Close()
 			server.Close()
 		}))
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	CallState = "operate.state"
 	// AskTimeout bounds one question to an owner, so that a dead one does not hold up a page.
 	AskTimeout = 2 * time.Second
+	// Silent is after which time without a sign a process is not known to be there.
+	Silent = 30 * time.Second
 )
 
 // Ask asks a scheduler for its state.
@@ -101,7 +104,7 @@
 	s, err := rpc.Call[Ask, State](ctx, pool.Get(z.Address), CallState, &Ask{Zone: true})
 	switch {
 	case err != nil:
-		z.Problem = "its owner gave no answer: " + err.Error()
+		z.Problem = "its owner gave no answer: " + strings.ReplaceAll(err.Error(), "\n", ": ")
 	case s.Zone == nil:
 		z.Problem = "its owner does not serve it just now"
 	default:
@@ -137,3 +140,8 @@
 		return cmp.Or(cmp.Compare(pending[b], pending[a]), cmp.Compare(a, b))
 	})
 }
+
+// Collector gives a function that collects the cell as this process sees it.
+func (s *Source) Collector(pool *rpc.Pool) func(context.Context) Cell {
+	return func(ctx context.Context) Cell { return Collect(ctx, pool, s.View(), s.InForce()) }
+}
