--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINT_VERSION := v2.15.0
 LINT := $(TOOLS)/golangci-lint
 
-.PHONY: build demo test fmt check lint tools
+.PHONY: build demo test fmt check lint tools fuzz
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -18,6 +18,15 @@
 	go test -count=1 ./policy
 	./script/knownred.sh
 
+# Each target of the whole tree in turn, for a fixed count of inputs; not a part of test.
+FUZZ_COUNT := 2000x
+fuzz:
+	@grep -rl --include=*_test.go '^func Fuzz' . | while read -r file; do \
+		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' $$file); do \
+			echo "$$name in $$(dirname $$file)"; \
+			go test -run '^$$' -fuzz "^$$name$$" -fuzztime $(FUZZ_COUNT) -parallel 2 $$(dirname $$file) || exit 1; \
+		done; done
+
 check: tools
 	@out=$$(go tool gofumpt -l . ); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
 	go vet ./...
--- a/cmd/gate/main.go
+++ b/cmd/gate/main.go
@@ -20,7 +20,6 @@
 	"turmericgap/rpc"
 	"turmericgap/rule"
 	"turmericgap/setting"
-	"turmericgap/store"
 	"turmericgap/target"
 	"turmericgap/target/web"
 	"turmericgap/view"
@@ -74,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	kv, err := store.Open(s.Store.Kind, s.Store.Endpoint)
+	kv, err := process.Store(service, &s.Process)
 	if err != nil {
 		return err
 	}
--- a/cmd/internal/process/process.go
+++ b/cmd/internal/process/process.go
@@ -19,6 +19,7 @@
 	"turmericgap/rule/standard"
 	"turmericgap/setting"
 	"turmericgap/store"
+	"turmericgap/store/meter"
 	"turmericgap/view"
 	"turmericgap/vmlist/web"
 	"turmericgap/webcall"
@@ -71,6 +72,15 @@
 	}
 }
 
+// Store opens the platform's key-value service within this process's budget of calls, and counts them.
+func Store(s *turmericgap.Service, p *setting.Process) (*store.Store, error) {
+	kv, err := store.Open(p.Store.Kind, p.Store.Endpoint)
+	if err != nil {
+		return nil, err
+	}
+	return meter.New(kv, meter.Metrics(s.Metrics())), nil
+}
+
 // Viewer is where a Group learns what the process's view knows.
 type Viewer struct {
 	View  func() *view.View
--- a/cmd/scheduler/main.go
+++ b/cmd/scheduler/main.go
@@ -19,7 +19,6 @@
 	"turmericgap/scheduler"
 	"turmericgap/setting"
 	"turmericgap/status"
-	"turmericgap/store"
 	"turmericgap/view"
 	"turmericgap/webcall"
 	"turmericgap/worker"
@@ -38,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	kv, err := store.Open(p.Store.Kind, p.Store.Endpoint)
+	kv, err := process.Store(service, p)
 	if err != nil {
 		return err
 	}
