--- a/cmd/gate/main.go
+++ b/cmd/gate/main.go
@@ -84,7 +84,7 @@
 		Heard: func(m member.Member, v int64) { p.follower.Heard(m, v) },
 	})
 	p.follower = view.NewFollower(s.Scheduler, view.Self(p.group.Self()), view.Groups(p.group),
-		view.Seeds(s.Seeds...), view.Logger(logger.Part(log, "view")))
+		view.Seeds(s.Seeds...), view.Logger(logger.Part(log, "view")), view.Metrics(service.Metrics()))
 	rules := &process.Rules{View: p.follower.View, Logger: log}
 	p.gate = gate.New(gate.ID(s.ID), gate.Zone(s.Zone), gate.Dial(web.New(p.calls)),
 		gate.Targets(func() []target.Info { return p.follower.View().Targets }),
--- a/cmd/internal/process/process.go
+++ b/cmd/internal/process/process.go
@@ -90,7 +90,7 @@
 // Group makes this process's part in the table of its zone and role.
 func Group(s *turmericgap.Service, kv *store.Store, p *setting.Process, role string, v Viewer) *member.Group {
 	self := member.Member{ID: p.ID, Role: role, Zone: p.Zone, Address: p.RPCAddress, VM: p.VM}
-	return member.New(kv, self, member.Logger(logger.Part(s.Logger(), "member")),
+	return member.New(kv, self, member.Logger(logger.Part(s.Logger(), "member")), member.Metrics(s.Metrics()),
 		member.Listed(func() (map[string]bool, bool) { return v.View().Listed() }),
 		member.Rules(func() int64 { return v.View().Rules.Version }, v.Heard))
 }
--- a/cmd/scheduler/main.go
+++ b/cmd/scheduler/main.go
@@ -49,7 +49,7 @@
 	})
 	log := service.Logger()
 	keeper = view.New(kv, view.Self(group.Self()), view.Groups(group), view.Logger(logger.Part(log, "view")),
-		view.List(process.Listing(calls, p.ListAddress)))
+		view.Metrics(service.Metrics()), view.List(process.Listing(calls, p.ListAddress)))
 	rules := process.Rules{View: keeper.View, Logger: log}
 	sched := scheduler.New(
 		scheduler.Zone(p.Zone), scheduler.Store(kv), scheduler.Owns(group.Owns), scheduler.Dial(web.New(calls)),
