Tell a zone whose owner may not act from one whose workers fail

Cause: a store was restarted empty under a running cell. The owner of one zone was left without lease and promises, its /ready gave 503, and it sent no heartbeats. /status showed all its workers as closed, "17 heartbeats in a row failed", its lease as there, and nothing of the true reason; the workers answered.

Not mended here: the reason that the fleet gives for these workers is still that their heartbeats failed, since a heartbeat that was not sent counts as one.

--- a/cmd/ctl/cell.go
+++ b/cmd/ctl/cell.go
@@ -342,6 +342,9 @@
 	s := z.State
 	fmt.Printf(", epoch %d: %d live jobs, %d running tasks, %d of %d workers open, packing %.0f%%, %d refused\n",
 		s.Epoch, s.Live, s.Stats.Running, s.Stats.Open, s.Stats.Workers, 100*s.Stats.Packing, s.Refused)
+	if doubt := z.Doubt(); doubt != "" {
+		fmt.Println("  " + doubt)
+	}
 	for _, class := range operate.Classes(s.Stats.Pending) {
 		fmt.Printf("  %d tasks of class %s wait\n", s.Stats.Pending[class], plain(class))
 	}
--- a/cmd/ctl/main.go
+++ b/cmd/ctl/main.go
@@ -41,9 +41,12 @@
 
 func (e *exit) Error() string { return e.err.Error() }
 
-func main() {
-	_, err := newParser(&common{}).Parse()
-	os.Exit(report(err))
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run gives the exit code of a command line.
+func run(args []string) int {
+	_, err := newParser(&common{}).ParseArgs(args)
+	return report(err)
 }
 
 // newParser holds every command; the manual is printed from it.
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -69,6 +69,8 @@
 	Name    string `json:"name"`
 	Owner   string `json:"owner"`
 	Address string `json:"address"`
+	// Basis is what lets the owner act just now; empty where it gave no answer.
+	Basis member.Basis `json:"basis,omitempty"`
 	// State is nil where Problem says why.
 	State   *scheduler.State `json:"state,omitempty"`
 	Problem string           `json:"problem,omitempty"`
@@ -102,6 +104,9 @@
 	ctx, cancel := context.WithTimeout(ctx, AskTimeout)
 	defer cancel()
 	s, err := rpc.Call[Ask, State](ctx, pool.Get(z.Address), CallState, &Ask{Zone: true})
+	if err == nil {
+		z.Basis = s.Members.Basis
+	}
 	switch {
 	case err != nil:
 		z.Problem = "its owner gave no answer: " + strings.ReplaceAll(err.Error(), "\n", ": ")
@@ -145,3 +150,18 @@
 func (s *Source) Collector(pool *rpc.Pool) func(context.Context) Cell {
 	return func(ctx context.Context) Cell { return Collect(ctx, pool, s.View(), s.InForce()) }
 }
+
+// Doubt says in a sentence why an owner that answers may still start nothing; empty if all is well.
+//
+// Failure: the store was lost or restored and the owner's lease with it. Symptom: its workers look
+// as if their heartbeats failed, because it may not send any. The basis tells the two apart.
+func (z *Zone) Doubt() string {
+	switch z.Basis {
+	case member.ByNothing:
+		return "its owner holds neither lease nor promises, so that it starts and renews nothing; see its log and the store"
+	case member.ByPromises:
+		return "its owner acts by its peers' promises: the store is out of its reach"
+	default:
+		return ""
+	}
+}
--- a/operate/operate_test.go
+++ b/operate/operate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -20,7 +21,7 @@
 	servers := map[string]*rpc.Server{"10.0.0.1:1": rpc.NewServer(), "10.0.0.2:1": rpc.NewServer()}
 	for address, server := range servers {
 		s := &Source{
-			Members: func() member.Page { return member.Page{} }, InForce: func() []view.Process { return nil },
+			Members: func() member.Page { return member.Page{Basis: member.ByNothing} }, InForce: func() []view.Process { return nil },
 			Zone: func(context.Context) (*scheduler.State, error) {
 				if address == "10.0.0.2:1" {
 					return nil, &rpc.Fault{Code: rpc.CodeNotOwner}
@@ -51,6 +52,8 @@
 	c := Collect(context.Background(), pool, v, nil)
 	is.Equal(len(c.Zones), 4)
 	is.Equal(c.Zones[0].State.Live, 4)
+	is.True(strings.Contains(c.Zones[0].Doubt(), "neither lease nor promises"))
+	is.Equal(c.Zones[2].Doubt(), "")
 	is.Equal(c.Zones[1].Problem, "its owner does not serve it just now")
 	is.Equal(c.Zones[2].Problem, "its owner gave no answer: not sent: use of closed network connection")
 	is.Equal(c.Zones[3].Problem, "the zone has no owner")
--- a/status/status.go
+++ b/status/status.go
@@ -115,6 +115,9 @@
 			p.alarm("Zone %s: %s.", z.Name, z.Problem)
 			continue
 		}
+		if doubt := z.Doubt(); doubt != "" {
+			p.alarm("Zone %s: %s.", z.Name, doubt)
+		}
 		if s := z.State.Stats; s.Workers > 0 && 2*s.Open < s.Workers {
 			p.alarm("Zone %s: only %d of %d workers get new tasks.", z.Name, s.Open, s.Workers)
 		}
--- a/status/status_test.go
+++ b/status/status_test.go
@@ -47,7 +47,7 @@
 		c.View.Tables = append(c.View.Tables, member.Table{Zone: zone, Role: m.Role, Epoch: 2, Owner: id, Members: []member.Member{m}})
 		c.View.Present[member.PresentKey(zone, m.Role, id)] = true
 		c.InForce = append(c.InForce, view.Process{Address: m.Address, Rules: 7, Heard: now.Add(-time.Second)})
-		c.Zones = append(c.Zones, operate.Zone{Name: zone, Owner: id, Address: m.Address, State: s})
+		c.Zones = append(c.Zones, operate.Zone{Name: zone, Owner: id, Address: m.Address, Basis: member.ByLease, State: s})
 	}
 	return c
 }
@@ -60,6 +60,7 @@
 	clear(c.View.Present)
 	c.View.Present[member.PresentKey("alappuzha-hall", member.RoleScheduler, "scheduler-0")] = true
 	s := c.Zones[0].State
+	c.Zones[0].Basis = member.ByNothing
 	s.Stats.Open = 1
 	s.Stats.Pending = map[string]int{"<script>alert(1)</script>": 9, "roster": 40}
 	s.Workers[1].Open, s.Workers[2].Info.Leaving, s.Workers[3].Probe = false, true, true
