Make ctl's default gate that of script/cell.sh

Cause: the default was 127.0.0.1:7800, where nothing listens in the cell that script/cell.sh starts; a new user's first command failed.

Change: 127.0.0.1:7801. The head of a list of findings no longer says "1 findings".

--- a/cmd/ctl/main.go
+++ b/cmd/ctl/main.go
@@ -26,7 +26,7 @@
 
 // common are the options of every command.
 type common struct {
-	Gate      string `long:"gate" env:"TURMERICGAP_GATE" default:"127.0.0.1:7800" description:"callers' address of a gate, IP number and port"`
+	Gate      string `long:"gate" env:"TURMERICGAP_GATE" default:"127.0.0.1:7801" description:"callers' address of a gate, IP number and port"`
 	Scheduler string `long:"scheduler" env:"TURMERICGAP_SCHEDULER" default:"127.0.0.1:7010" description:"rpc address of any scheduler, IP number and port"`
 	Store     string `long:"store" env:"TURMERICGAP_STORE" default:"http://127.0.0.1:7100" description:"endpoint of the platform's key-value service"`
 	JSON      bool   `long:"json" description:"print JSON"`
@@ -97,7 +97,7 @@
 		fmt.Fprintf(os.Stderr, "ctl: %s\nTry ctl --help.\n", flagsErr.Message)
 		return exitUsage
 	case errors.As(err, &l):
-		fmt.Fprintf(os.Stderr, "ctl: %d findings, nothing was done:\n%s\n", len(l), l)
+		fmt.Fprintf(os.Stderr, "ctl: nothing was done; findings: %d\n%s\n", len(l), l)
 		return exitUsage
 	case errors.As(err, &e):
 		fmt.Fprintf(os.Stderr, "ctl: %s\n", oneLine(e.err))
