--- a/cmd/scheduler/main.go
+++ b/cmd/scheduler/main.go
@@ -25,6 +25,12 @@
 	"turmericgap/worker/web"
 )
 
+// cellWrites is what the journals of all zones may write together, a second.
+const (
+	cellWrites = 60.0
+	writeBurst = 5
+)
+
 func main() {
 	p := setting.DefaultProcess()
 	process.Main("scheduler", &p, &p, p.Check, func(s *turmericgap.Service) error { return wire(s, &p) })
@@ -55,7 +61,7 @@
 		scheduler.Zone(p.Zone), scheduler.Store(kv), scheduler.Owns(group.Owns), scheduler.Dial(web.New(calls)),
 		scheduler.Workers(func() []worker.Info { return keeper.View().Workers }),
 		scheduler.Logger(logger.Part(log, "scheduler")), scheduler.Metrics(service.Metrics()),
-		scheduler.Journal(journal.Metrics(service.Metrics())),
+		scheduler.Journal(journal.Metrics(service.Metrics()), journal.Rate(cellWrites/float64(len(p.Zones)), writeBurst)),
 		scheduler.Planner(func() *planner.Planner { return planner.New(planner.Rules(rules.List())) }),
 		scheduler.Rules(func(pl *planner.Planner) {
 			if l, newer := rules.Newer(); newer {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,6 +31,8 @@
 	DefaultRetries     = 2
 	DefaultGrace       = 250 * time.Millisecond
 	DefaultChecks      = 20000
+	DefaultStreams     = 1000
+	DefaultHeldBytes   = 64 << 20
 	DefaultPipelined   = 16
 	DefaultConnections = 8192
 	DefaultBodyBytes   = 256 << 10
@@ -42,6 +44,8 @@
 	refreshInterval = 100 * time.Millisecond
 	turnInterval    = 10 * time.Millisecond
 	sessionKeyBytes = 32
+	// driftPart is how much of a loan's life, one in so many, its lender adds for the drift of clocks.
+	driftPart = 20
 )
 
 // Gate faces the callers of one entry VM.
@@ -97,12 +101,15 @@
 	return g
 }
 
-// newHolder makes the holder of this gate's shares. A removed gate's last requests have ended when
-// the longest deadline and the longest loan are over.
+// newHolder makes the holder of this gate's shares. A loan lives for two thirds of the longest
+// deadline, so that most checks fit into it; a removed gate's last requests and loans have ended when
+// the longest of both is over.
 func newHolder(o *Options) *share.Holder {
 	if o.Valid != nil {
-		settle := max(o.Limits.MaxTimeout+o.Limits.Grace, share.DefaultLife+share.DefaultDrift)
-		return share.New(o.ID, share.Settle(settle), share.Valid(o.Valid), share.Since(o.Since))
+		life := o.Limits.MaxTimeout * 2 / 3
+		drift := life / driftPart
+		settle := max(o.Limits.MaxTimeout+o.Limits.Grace, life+drift)
+		return share.New(o.ID, share.Settle(settle), share.Life(life, drift), share.Valid(o.Valid), share.Since(o.Since))
 	}
 	// Alone in its zone, with nobody before it, it has nothing to wait for.
 	h := share.New(o.ID, share.Settle(0))
@@ -130,7 +137,7 @@
 		Limits: Limits{
 			Timeout: DefaultTimeout, MaxTimeout: DefaultMaxTimeout, Queue: DefaultQueue,
 			Retries: DefaultRetries, Grace: DefaultGrace, Checks: DefaultChecks,
-			Pipelined: DefaultPipelined, SessionLife: session.DefaultLife,
+			Streams: DefaultStreams, HeldBytes: DefaultHeldBytes, Pipelined: DefaultPipelined, SessionLife: session.DefaultLife,
 			Connections: DefaultConnections, BodyBytes: DefaultBodyBytes, HeaderBytes: DefaultHeaderBytes,
 			ReadTimeout: DefaultReadTimeout, IdleTimeout: DefaultIdleTimeout,
 		},
@@ -207,10 +214,11 @@
 	}
 	l := &g.opts.Limits
 	cl := &call{check: *c, zone: c.Zone, retries: l.Retries, queue: l.Queue}
-	if d.Service != "" && c.Target == "" {
+	// A session stays where it is, and what another gate has decided is not decided anew.
+	if free := c.Target == "" && !c.Forwarded; free && d.Service != "" {
 		cl.check.Service = d.Service
 	}
-	if d.Zone != "" {
+	if c.Target == "" && d.Zone != "" {
 		cl.zone = d.Zone
 	}
 	if d.Retries != 0 {
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"turmericgap/balancer"
@@ -14,6 +15,7 @@
 	leastRetryAfter = 100 * time.Millisecond
 	mostRetryAfter  = 30 * time.Second
 	firstRunTime    = 0.02
+	spreadPart      = 4
 	runSmoothing    = 0.05
 	noTargetRetry   = time.Second
 	// scanWaiters bounds how many waiters are looked at when the first can't take the free slot.
@@ -38,6 +40,7 @@
 	// runTime is the smoothed time in seconds that a check occupies a slot.
 	runTime float64
 	slots   int
+	rng     *rand.Rand
 }
 
 type client struct {
@@ -47,6 +50,7 @@
 
 // ticket is the right to send one request to a target.
 type ticket struct {
+	pool   *pool
 	info   target.Info
 	slot   *share.Slot
 	probe  bool
@@ -56,6 +60,7 @@
 }
 
 type waiter struct {
+	pool  *pool
 	ask   balancer.Ask
 	bound string
 	// until gives when a request that is sent now has surely left its target.
@@ -66,8 +71,10 @@
 
 func newPool(seed uint64, shares *share.Holder) *pool {
 	b := balancer.New(balancer.Seed(seed))
+	rng := rand.New(rand.NewPCG(seed, 1))
 	return &pool{
 		shares:   shares,
+		rng:      rng,
 		balancer: b, pick: b.Pick, clients: make(map[string]*client),
 		waiting: list.New(), bound: make(map[string]*list.List), runTime: firstRunTime,
 	}
@@ -116,8 +123,11 @@
 // run gives how long a check occupies a slot.
 func (p *pool) run() time.Duration { return time.Duration(p.runTime * float64(time.Second)) }
 
+// retryAfter gives when the queue will have drained, and up to a quarter more: callers that were
+// refused together must not all come back together.
 func (p *pool) retryAfter() time.Duration {
-	return min(max(p.expected(p.waiting.Len()), leastRetryAfter), mostRetryAfter)
+	drained := max(p.expected(p.waiting.Len()), leastRetryAfter)
+	return min(drained+time.Duration(p.rng.Int64N(int64(drained)/spreadPart)), mostRetryAfter)
 }
 
 // grant gives a waiter a target if one may take it now.
@@ -140,7 +150,7 @@
 		p.balancer.Undo(c)
 		return nil
 	}
-	return &ticket{info: c.Info, slot: slot, probe: c.Probe, client: p.clients[c.Info.ID].call, granted: now}
+	return &ticket{pool: p, info: c.Info, slot: slot, probe: c.Probe, client: p.clients[c.Info.ID].call, granted: now}
 }
 
 // dispatch hands free slots to the waiters, first come, first served.
@@ -259,7 +269,7 @@
 		g.meters.waitMicros.Update(time.Since(start).Microseconds())
 		return t, nil
 	case <-ctx.Done():
-		return nil, g.giveUp(cl, w)
+		return nil, g.giveUp(w)
 	}
 }
 
@@ -293,7 +303,7 @@
 	if now.Add(p.expected(q.Len()) + p.run()).After(cl.deadline) {
 		return nil, limited("expected wait and run exceed the time left", p.retryAfter())
 	}
-	w.ready = make(chan *ticket, 1)
+	w.pool, w.ready = p, make(chan *ticket, 1)
 	w.item = q.PushBack(w)
 	return nil, nil
 }
@@ -305,26 +315,22 @@
 }
 
 // giveUp takes a waiter whose caller is gone or whose time is up out of its queue.
-func (g *Gate) giveUp(cl *call, w *waiter) *Result {
+func (g *Gate) giveUp(w *waiter) *Result {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := g.pools[cl.check.Service]
-	if p == nil {
-		return notRun("no usable target", noTargetRetry)
-	}
-	p.remove(w)
+	w.pool.remove(w)
 	select {
 	case t := <-w.ready:
-		g.free(p, t, now)
+		g.free(t, now)
 	default:
 	}
-	return limited("time ran out in the queue", p.retryAfter())
+	return limited("time ran out in the queue", w.pool.retryAfter())
 }
 
 // free gives a slot back and hands it on.
-func (g *Gate) free(p *pool, t *ticket, now time.Time) {
-	p.balancer.Release(t.info.ID)
+func (g *Gate) free(t *ticket, now time.Time) {
+	t.pool.balancer.Release(t.info.ID)
 	g.shares.Release(t.slot, now)
-	p.dispatch(now)
+	t.pool.dispatch(now)
 }
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -18,14 +19,37 @@
 	confirmInterval = 200 * time.Millisecond
 )
 
+// Reasons why a gate is not ready.
+var (
+	errStopping  = errors.New("gate is stopping")
+	errNoMember  = errors.New("gate is not a member of its zone")
+	errNotAgreed = errors.New("gates of the zone have not yet agreed on their shares")
+)
+
 // SetTable takes over a newer gate table of this zone. Its ids are those of Option ID, which differ
 // from one life of a process to the next.
 func (g *Gate) SetTable(t share.Table) {
+	if len(t.Gates) > maxGates {
+		g.log.Error("gate: connections are not divided for so many gates", zap.Int("gates", len(t.Gates)), zap.Int("most", maxGates))
+	}
 	g.shares.SetTable(t, time.Now())
 	signal(g.kick)
 	signal(g.tables)
 }
 
+// Ready gives the reason why the gate can't use the targets of its zone yet, or nil.
+func (g *Gate) Ready() error {
+	switch r := g.shares.Report(time.Now()); {
+	case g.work.isDraining():
+		return errStopping
+	case !r.Valid:
+		return errNoMember
+	case r.Agreed == 0:
+		return errNotAgreed
+	}
+	return nil
+}
+
 // Hear serves a sibling's confirmation and answers with this gate's own.
 func (g *Gate) Hear(_ context.Context, c *share.Confirmation) (*share.Confirmation, error) {
 	now := time.Now()
@@ -79,6 +103,22 @@
 	signal(g.kick)
 }
 
+// sayLeft tells the siblings that nothing here uses a target any more, so that they take over this
+// gate's share as soon as the table lacks it.
+func (g *Gate) sayLeft() {
+	if g.opts.Siblings.Confirm == nil {
+		return
+	}
+	own := g.shares.Confirms(time.Now())
+	for _, gate := range g.shares.Others() {
+		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+		if _, err := g.opts.Siblings.Confirm(ctx, gate, &own); err != nil {
+			g.log.Debug("gate: leave not heard", zap.String("gate", gate), zap.Error(err))
+		}
+		cancel()
+	}
+}
+
 // untilStop gives a context that ends with the gate.
 func (g *Gate) untilStop() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -29,7 +29,9 @@
 	// The rest belongs to the term's loop.
 	boot     string
 	answered bool
-	listed   bool
+	// answeredAt is when the last heartbeat that was answered had left.
+	answeredAt time.Time
+	listed     bool
 	// told, open and probe are what the planner was last told.
 	told        worker.Info
 	open, probe bool
@@ -42,7 +44,8 @@
 	reply  *worker.HeartbeatReply
 	err    error
 	forgot []string
-	ended  time.Time
+	began  time.Time
+	renews bool
 }
 
 func (t *term) openLink(info worker.Info) *link {
@@ -89,15 +92,22 @@
 func (t *term) beatLoop(l *link) {
 	var cursor int64
 	wait := time.Duration(0)
+	misses := 0
 	for l.ctx.Err() == nil {
 		h := &worker.Heartbeat{
 			Epoch: t.epoch, LeaseMillis: worker.LeaseMillis(t.o.WorkerLease),
 			Cursor: cursor, WaitMillis: wait.Milliseconds(), Forget: l.takeForget(),
 		}
+		if misses >= missesToStopRenewing {
+			// A worker that takes messages and never answers would be renewed for ever, and its tasks
+			// could never be given up. It is asked on, but renewed only after it has answered.
+			h.LeaseMillis = 0
+		}
 		b := t.beatOnce(l, h, wait)
 		if b.err == nil {
-			cursor, wait = b.reply.Cursor, t.o.BeatWait
+			cursor, wait, misses = b.reply.Cursor, t.o.BeatWait, 0
 		} else {
+			misses++
 			l.giveForget(b.forgot)
 			wait = 0
 		}
@@ -116,8 +126,9 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, wait+t.o.CallTimeout)
 	defer cancel()
+	began := time.Now()
 	reply, err := l.client.Heartbeat(ctx, h)
-	return beat{reply: reply, err: err, forgot: h.Forget, ended: time.Now()}
+	return beat{reply: reply, err: err, forgot: h.Forget, began: began, renews: h.LeaseMillis > 0}
 }
 
 func (l *link) takeForget() []string {
@@ -153,7 +164,7 @@
 func (t *term) sendStart(e *entry, i int, now time.Time) {
 	k := &e.tasks[i]
 	l := t.links[k.Worker]
-	if l == nil || now.Before(t.quietUntil) {
+	if l == nil {
 		return
 	}
 	s := &worker.Start{
@@ -173,6 +184,7 @@
 	})
 	if ok {
 		k.sentAt = now
+		k.starts++
 	}
 }
 
@@ -199,6 +211,11 @@
 // worker did: heartbeats will, and the tick sends the same attempt again.
 func (t *term) onStarted(l *link, attempt string, report *worker.Report, err error) {
 	t.onCalled(l, report, err)
+	if errors.Is(err, worker.ErrNotSent) {
+		if _, _, k := t.find(l, attempt); k != nil {
+			k.starts--
+		}
+	}
 	if !errors.Is(err, worker.ErrRefused) {
 		return
 	}
@@ -216,7 +233,8 @@
 	if !errors.Is(err, worker.ErrNotSent) {
 		l.mayHaveRenewed = now
 	}
-	if err == nil && report != nil {
+	// Only a heartbeat, which tells the worker's boot, can prove by Forbidden that nothing ran.
+	if err == nil && report != nil && report.State != worker.Forbidden {
 		t.onReport(l, report, now)
 	}
 }
--- a/script/cell.sh
+++ b/script/cell.sh
@@ -44,6 +44,7 @@
   cat >$run/gate-$n.json <<JSON
 {"id": "gate-$n", "rpcAddress": "127.0.0.1:$ports${n}2", "opsAddress": "127.0.0.1:$ports${n}3",
   "callerAddress": "127.0.0.1:${callers}0$n", "scheduler": "127.0.0.1:$ports${n}0", "seeds": ["127.0.0.1:${ports}10", "127.0.0.1:${ports}20"],
+  "sessionKeys": ["only-for-the-stand-in-cell-on-this-machine"],
   $common}
 JSON
   start scheduler-$n bin/scheduler --settings $run/scheduler-$n.json
