--- a/cmd/gate/main.go
+++ b/cmd/gate/main.go
@@ -97,7 +97,7 @@
 		Heard: func(m member.Member, v int64) { p.follower.Heard(m, v) },
 	}, member.OnChange(func(t member.Table) { p.gate.SetTable(gateTable(t)) }))
 	p.follower = view.NewFollower(s.Scheduler, view.Self(p.group.Self()), view.Groups(p.group),
-		view.Seeds(s.Seeds...), view.Logger(logger.Part(log, "view")))
+		view.Seeds(s.Seeds...), view.Logger(logger.Part(log, "view")), view.Metrics(service.Metrics()))
 	rules := &process.Rules{View: p.follower.View, Logger: log}
 	p.gate = gate.New(gate.ID(gateID(p.group.Self())), gate.Zone(s.Zone), gate.Dial(web.New(p.calls)),
 		gate.Targets(func() []target.Info { return p.follower.View().Targets }),
--- a/cmd/internal/process/process.go
+++ b/cmd/internal/process/process.go
@@ -91,7 +91,7 @@
 func Group(s *turmericgap.Service, kv *store.Store, p *setting.Process, role string, v Viewer, opts ...member.Option) *member.Group {
 	self := member.Member{ID: p.ID, Role: role, Zone: p.Zone, Address: p.RPCAddress, VM: p.VM}
 	base := []member.Option{
-		member.Logger(logger.Part(s.Logger(), "member")),
+		member.Logger(logger.Part(s.Logger(), "member")), member.Metrics(s.Metrics()),
 		member.Listed(func() (map[string]bool, bool) { return v.View().Listed() }),
 		member.Rules(func() int64 { return v.View().Rules.Version }, v.Heard),
 	}
--- a/cmd/scheduler/main.go
+++ b/cmd/scheduler/main.go
@@ -13,10 +13,12 @@
 	"turmericgap/journal"
 	"turmericgap/logger"
 	"turmericgap/member"
+	"turmericgap/operate"
 	"turmericgap/planner"
 	"turmericgap/rpc"
 	"turmericgap/scheduler"
 	"turmericgap/setting"
+	"turmericgap/status"
 	"turmericgap/view"
 	"turmericgap/webcall"
 	"turmericgap/worker"
@@ -53,7 +55,7 @@
 	})
 	log := service.Logger()
 	keeper = view.New(kv, view.Self(group.Self()), view.Groups(group), view.Logger(logger.Part(log, "view")),
-		view.List(process.Listing(calls, p.ListAddress)))
+		view.Metrics(service.Metrics()), view.List(process.Listing(calls, p.ListAddress)))
 	rules := process.Rules{View: keeper.View, Logger: log}
 	sched := scheduler.New(
 		scheduler.Zone(p.Zone), scheduler.Store(kv), scheduler.Owns(group.Owns), scheduler.Dial(web.New(calls)),
@@ -70,7 +72,11 @@
 	sched.Register(server)
 	keeper.Register(server)
 	rpc.Handle(server, member.BeatMethod, group.Beat)
+	operators := &operate.Source{Members: group.Page, InForce: keeper.InForce, Zone: sched.State, View: keeper.View}
+	operators.Register(server)
+	pool := rpc.NewPool()
 	service.Init(
+		turmericgap.AddPage("/status", status.NewServer(p.ID, operators.Collector(pool)).ServeHTTP),
 		turmericgap.Ready(func() error { return process.Valid(group) }),
 		turmericgap.Start(func() error {
 			go func() { _ = server.Serve(listener) }()
@@ -85,6 +91,7 @@
 				log.Warn("scheduler: left without hand-over", zap.Error(err))
 			}
 			keeper.Close()
+			pool.Close()
 			listener.Close()
 			server.Close()
 		}))
