--- a/script/cell.sh
+++ b/script/cell.sh
@@ -23,7 +23,8 @@
 }
 
 start store bin/standinstore --listen $store
-start list bin/standinlist --listen $list
+start list bin/standinlist --listen $list --entry entry-1:kochi-hall --entry entry-2:kochi-hall \
+  --entry entry-3:alappuzha-hall --entry entry-4:kollam-hall
 port=$((ports + 2))00
 for zone in kochi-hall alappuzha-hall kollam-hall; do
   start worker-$zone bin/standinworker --listen 127.0.0.1:$port --zone $zone --count 4 --racks 2 --register $list
