--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -114,7 +114,11 @@
 		if !t.post(func() { t.onBeat(l, b) }) {
 			return
 		}
-		if b.err != nil && !pause(l.ctx, t.o.BeatRetry) {
+		rest := t.o.BeatPause
+		if b.err != nil {
+			rest = t.o.BeatRetry
+		}
+		if !pause(l.ctx, rest) {
 			return
 		}
 	}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -23,6 +23,9 @@
 	DefaultMessageLife = 3 * time.Second
 	DefaultBeatWait    = 10 * time.Second
 	DefaultBeatRetry   = time.Second
+	// DefaultBeatPause joins the changes of a busy worker into one answer; each end is heard this
+	// much later at the most.
+	DefaultBeatPause   = 250 * time.Millisecond
 	DefaultCallTimeout = 2 * time.Second
 	DefaultResend      = 3 * time.Second
 	DefaultTick        = time.Second
@@ -65,7 +68,8 @@
 	Journal []journal.Option
 
 	WorkerLease, WorkerDrift, MessageLife    time.Duration
-	BeatWait, BeatRetry, CallTimeout, Resend time.Duration
+	BeatWait, BeatRetry, BeatPause           time.Duration
+	CallTimeout, Resend                      time.Duration
 	Tick, RetryAfter, KeepAnswers, StoreSlow time.Duration
 	KeepAnswerBytes, MaxLive                 int
 }
@@ -81,7 +85,7 @@
 		Planner:     func() *planner.Planner { return planner.New() },
 		Rules:       func(*planner.Planner) {},
 		WorkerLease: DefaultWorkerLease, WorkerDrift: DefaultWorkerDrift, MessageLife: DefaultMessageLife,
-		BeatWait: DefaultBeatWait, BeatRetry: DefaultBeatRetry, CallTimeout: DefaultCallTimeout, Resend: DefaultResend,
+		BeatWait: DefaultBeatWait, BeatRetry: DefaultBeatRetry, BeatPause: DefaultBeatPause, CallTimeout: DefaultCallTimeout, Resend: DefaultResend,
 		Tick: DefaultTick, StoreSlow: DefaultStoreSlow, RetryAfter: DefaultRetryAfter, KeepAnswers: DefaultKeepAnswers,
 		KeepAnswerBytes: DefaultKeepAnswerBytes, MaxLive: DefaultMaxLive,
 	}
