--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -190,6 +190,22 @@
 	}
 }
 
+// cancel asks until some scheduler has made the cancellation durable.
+func (c *cell) cancel(id string) {
+	for {
+		c.mu.Lock()
+		n := c.owner
+		c.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, err := n.sched.Cancel(ctx, id, "wave")
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // await waits up to limit for a job's end and tells the judge its outcome.
 func (c *cell) await(id string, limit time.Duration) *job.Status {
 	deadline := time.Now().Add(limit)
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -284,3 +284,36 @@
 		is.NoErr(c.stop())
 	})
 }
+
+// The callers of a wave of cancellations hear of each job what is true of it: not run if nothing of it
+// was ever sent, done if its end came first, unknown if it was stopped half way.
+// Twenty jobs queue, start, run and end while their cancellations arrive, and the owner dies among them.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2)
+		a, b := c.add(), c.add()
+		c.take(a)
+		var ids []string
+		for i := range 20 {
+			ids = append(ids, c.submit(spec(fmt.Sprint("job-", i), 2, once)))
+		}
+		time.Sleep(1900 * time.Millisecond)
+		// The last first: a stop frees room, in which a queued job starts before its own cancellation.
+		for i := len(ids) - 1; i >= 0; i-- {
+			if i == 10 {
+				kill(c, a, b)
+			}
+			c.cancel(ids[i])
+		}
+		outcomes := map[job.Outcome]int{}
+		for _, id := range ids {
+			outcomes[c.await(id, 5*time.Minute).Outcome]++
+		}
+		if outcomes[job.NotRun] == 0 || outcomes[job.Unknown]+outcomes[job.Done] == 0 {
+			t.Errorf("outcomes %v: the wave met no job queued, or none started", outcomes)
+		}
+		if err := c.stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
