Show refusals with their reasons, and say things once

Cause: operators saw how many submissions were refused and not why; waiting with jitter stood in four packages, trace parents in three; the file that follows attempts had grown to 381 lines.

--- a/gate/send.go
+++ b/gate/send.go
@@ -8,12 +8,12 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"turmericgap/balancer"
 	"turmericgap/job"
 	"turmericgap/target"
+	tracing "turmericgap/trace"
 )
 
 // ending says what is known of one attempt.
@@ -107,7 +107,7 @@
 	defer span.End()
 	req := &target.Request{
 		ID: g.nextID("try"), Key: cl.check.Key, Session: cl.check.Session, Method: cl.check.Method,
-		Body: cl.check.Body, LeftMillis: end.Sub(now).Milliseconds(), Parent: parentOf(ctx),
+		Body: cl.check.Body, LeftMillis: end.Sub(now).Milliseconds(), Parent: tracing.Parent(ctx),
 	}
 	if !g.shares.Holds(t.slot, end.Add(g.opts.Limits.Grace)) {
 		// The process was paused since the slot was given; a sibling may have it by now.
@@ -133,12 +133,6 @@
 	return now.Add(cl.deadline.Sub(now) / 2)
 }
 
-func parentOf(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	propagation.TraceContext{}.Inject(ctx, carrier)
-	return carrier["traceparent"]
-}
-
 // judge tells what is known of an attempt. Only what the target said about this very attempt
 // counts: an answer to another one, or a cut one, says no more than that this one may have run.
 func (g *Gate) judge(ctx context.Context, req *target.Request, resp *target.Response, err error) *attempt {
--- a/member/beat.go
+++ b/member/beat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericgap/rpc"
+	"turmericgap/store/retry"
 )
 
 // Beat is one heartbeat from a member to another of its table.
@@ -104,7 +105,7 @@
 
 // beat sends heartbeats to all others of the table.
 func (g *Group) beat(ctx context.Context) {
-	for sleep(ctx, jitter(g.opts.Beat)) {
+	for retry.Sleep(ctx, retry.Jitter(g.opts.Beat)) {
 		g.measure()
 		for _, m := range g.due() {
 			g.wg.Go(func() { g.beatOne(ctx, m) })
--- a/member/member.go
+++ b/member/member.go
@@ -349,20 +349,3 @@
 		}
 	}
 }
-
-// sleep waits and says whether ctx still goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
-// jitter spreads d over half of itself up to all of it, so that processes do not act in step.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d/2+1)
-}
--- a/member/tend.go
+++ b/member/tend.go
@@ -68,7 +68,7 @@
 		return looks.Next()
 	}
 	looks.Reset()
-	return jitter(g.opts.Look)
+	return retry.Jitter(g.opts.Look)
 }
 
 // step reads the store, plans and applies one change.
@@ -98,7 +98,7 @@
 		return 0, err
 	}
 	if !res.Succeeded {
-		return jitter(stagger), nil
+		return retry.Jitter(stagger), nil
 	}
 	g.applied(s, &c, res.Revision)
 	return max(c.again, time.Millisecond), nil
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -12,10 +12,10 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
-	"go.opentelemetry.io/otel/propagation"
-	"go.opentelemetry.io/otel/trace"
+	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"turmericgap/finding"
+	"turmericgap/trace"
 )
 
 // Defaults.
@@ -97,9 +97,9 @@
 
 // Call runs the handler within the deadline and the trace of the envelope.
 func (e *endpoint[Req, Resp]) Call(in *Envelope[Req], out *Reply[Resp]) error {
-	ctx, cancel := context.WithTimeout(extract(in.Parent), in.Left)
+	ctx, cancel := context.WithTimeout(trace.WithParent(context.Background(), in.Parent), in.Left)
 	defer cancel()
-	ctx, span := otel.Tracer(tracerName).Start(ctx, "serve "+e.name, trace.WithSpanKind(trace.SpanKindServer))
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "serve "+e.name, oteltrace.WithSpanKind(oteltrace.SpanKindServer))
 	defer span.End()
 	body, err := e.do(ctx, &in.Body)
 	if err == nil {
@@ -182,7 +182,7 @@
 	ctx, cancel := withDeadline(ctx)
 	defer cancel()
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "call "+name,
-		trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("peer", c.address)))
+		oteltrace.WithSpanKind(oteltrace.SpanKindClient), oteltrace.WithAttributes(attribute.String("peer", c.address)))
 	defer span.End()
 	conn, err := c.get(ctx)
 	if err != nil {
@@ -190,7 +190,7 @@
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	deadline, _ := ctx.Deadline()
-	in := &Envelope[Req]{Left: time.Until(deadline), Parent: inject(ctx), Body: *req}
+	in := &Envelope[Req]{Left: time.Until(deadline), Parent: trace.Parent(ctx), Body: *req}
 	out := &Reply[Resp]{}
 	select {
 	case done := <-conn.Go(name+".Call", in, out, make(chan *netrpc.Call, 1)).Done:
@@ -218,15 +218,3 @@
 	}
 	return context.WithTimeout(ctx, DefaultTimeout)
 }
-
-const parentKey = "traceparent"
-
-func inject(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	propagation.TraceContext{}.Inject(ctx, carrier)
-	return carrier[parentKey]
-}
-
-func extract(parent string) context.Context {
-	return propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier{parentKey: parent})
-}
--- a/scheduler/accept.go
+++ b/scheduler/accept.go
@@ -106,7 +106,7 @@
 	}
 	d := t.planner.Admit(now, &planner.Job{ID: id, Spec: spec, Accepted: now})
 	if d.Refused != "" {
-		t.o.Metrics.Counter("job.refused").Inc(1)
+		t.refused(spec, d, now)
 		return accepted{fault: rpc.Refused(d.RetryAfter, "rule %s: %s", d.Rule, d.Refused)}
 	}
 	e := newEntry(id, jobRecord{Spec: *spec, Accepted: now.UTC(), Parent: parent})
--- a/scheduler/follow.go
+++ b/scheduler/follow.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"sort"
 	"time"
 
 	"go.uber.org/zap"
 
 	"turmericgap/job"
-	"turmericgap/journal"
 	"turmericgap/planner"
 	"turmericgap/worker"
 )
@@ -185,83 +183,6 @@
 	t.save([]change{{e, i, next}}, func() { t.release(e, i, now) })
 }
 
-// verdict gives the task's next durable state after the end of its attempt.
-func (t *term) verdict(e *entry, k *task, r *worker.Report, now time.Time) taskRecord {
-	next := k.taskRecord
-	switch {
-	case r.State == worker.Forbidden && k.doubt != "":
-		next.Ran = true
-		next.Failures++
-		t.settle(e, &next, k.doubt, now)
-	case r.State == worker.Forbidden:
-		if e.cancel != nil {
-			t.endUnstarted(e, &next, now)
-		} else {
-			next.again("")
-		}
-	case r.State == worker.Stopped:
-		next.Ran = true
-		next.Checkpoint = r.Checkpoint
-		t.settle(e, &next, stopReason(k), now)
-	case r.Answer == nil || !r.Answer.Whole() || len(r.Answer.Body) > MaxAnswerBytes:
-		next.Ran = true
-		next.Failures++
-		t.settle(e, &next, "its answer was cut or is too long", now)
-	case r.Answer.Exit != 0 && e.cancel == nil && e.Spec.Repeatable && k.Failures+1 < t.attempts(e) && !t.fleet.JobFailing(e.id):
-		next.Ran = true
-		next.Failures++
-		next.again("it failed and is run again")
-	default:
-		next.Ran = true
-		next.end(job.Done, "", now)
-		next.Answer = r.Answer
-	}
-	return next
-}
-
-// settle decides on an attempt that ended without a whole answer: run again only what may be.
-func (t *term) settle(e *entry, next *taskRecord, reason string, now time.Time) {
-	switch {
-	case e.cancel != nil:
-		next.end(job.Unknown, "cancelled: "+e.cancel.Reason, now)
-	case e.Spec.Repeatable && next.Failures < t.attempts(e):
-		next.again(reason)
-	default:
-		next.end(job.Unknown, reason, now)
-	}
-}
-
-// endUnstarted ends a task of which no attempt is anywhere.
-func (t *term) endUnstarted(e *entry, next *taskRecord, now time.Time) {
-	if next.Ran {
-		next.end(job.Unknown, "cancelled after an earlier attempt: "+e.cancel.Reason, now)
-		return
-	}
-	next.end(job.NotRun, "cancelled: "+e.cancel.Reason, now)
-}
-
-func (r *taskRecord) again(reason string) {
-	r.Phase, r.Worker, r.Boot, r.Reason = pending, "", "", reason
-}
-
-func (r *taskRecord) end(o job.Outcome, reason string, now time.Time) {
-	r.Phase, r.Outcome, r.Reason, r.Ended, r.Checkpoint = final, o, reason, now, nil
-}
-
-func stopReason(k *task) string {
-	if k.stop != "" {
-		return k.stop
-	}
-	return "its worker stopped it"
-}
-
-func (t *term) attempts(e *entry) int {
-	if e.decision.Retries > 0 {
-		return 1 + e.decision.Retries
-	}
-	return DefaultAttempts
-}
-
 // release frees the worker's resources after a durable end, and ends the job with its last task.
 func (t *term) release(e *entry, i int, now time.Time) {
 	k := &e.tasks[i]
@@ -294,88 +215,3 @@
 	}
 	e.waiters = nil
 }
-
-// change is the next durable state of one task.
-type change struct {
-	e    *entry
-	task int
-	next taskRecord
-}
-
-// save commits changes and applies them when they are durable. When the journal takes no more, the
-// tasks stay as they are and the tick tries again.
-func (t *term) save(changes []change, then func()) bool {
-	records := make([]journal.Record, len(changes))
-	for i, c := range changes {
-		records[i] = encode(kindTask, taskKey(c.e.id, c.task), c.next)
-	}
-	err := t.journal.Append(records, func(err error) {
-		if err != nil {
-			t.fail(err)
-			return
-		}
-		t.post(func() {
-			for _, c := range changes {
-				c.e.tasks[c.task].saving, c.e.tasks[c.task].next = false, taskRecord{}
-				t.set(c.e, c.task, c.next)
-			}
-			then()
-		})
-	})
-	if err != nil {
-		return false
-	}
-	for _, c := range changes {
-		c.e.tasks[c.task].saving, c.e.tasks[c.task].next = true, c.next
-	}
-	return true
-}
-
-// fail ends the term after a commit that surely will not come: another owner has the zone.
-func (t *term) fail(err error) {
-	t.o.Logger.Warn("scheduler: term ends", zap.Int64("epoch", t.epoch), zap.Error(err))
-	go t.close(closedContext(), false)
-}
-
-// ref names one task.
-type ref struct {
-	e    *entry
-	task int
-}
-
-// set replaces a task's durable record and keeps the index of what is held at each worker.
-func (t *term) set(e *entry, i int, r taskRecord) {
-	k := &e.tasks[i]
-	if k.Phase == intended {
-		delete(t.held[k.Worker], ref{e, i})
-		if len(t.held[k.Worker]) == 0 {
-			delete(t.held, k.Worker)
-		}
-	}
-	k.taskRecord = r
-	if k.Phase == intended {
-		if t.held[k.Worker] == nil {
-			t.held[k.Worker] = make(map[ref]bool)
-		}
-		t.held[k.Worker][ref{e, i}] = true
-	}
-}
-
-// heldAt gives the tasks whose attempt is held to be at a worker, in a fixed order.
-func (t *term) heldAt(workerID string) []ref {
-	refs := make([]ref, 0, len(t.held[workerID]))
-	for r := range t.held[workerID] {
-		refs = append(refs, r)
-	}
-	sortRefs(refs)
-	return refs
-}
-
-func sortRefs(refs []ref) {
-	sort.Slice(refs, func(i, k int) bool {
-		if refs[i].e.id != refs[k].e.id {
-			return refs[i].e.id < refs[k].e.id
-		}
-		return refs[i].task < refs[k].task
-	})
-}
--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -8,9 +8,10 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"turmericgap/store/retry"
+	tracing "turmericgap/trace"
 	"turmericgap/worker"
 )
 
@@ -118,7 +119,7 @@
 		if b.err != nil {
 			rest = t.o.BeatRetry
 		}
-		if !pause(l.ctx, rest) {
+		if !retry.Sleep(l.ctx, rest) {
 			return
 		}
 	}
@@ -155,15 +156,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // sendStart sends an attempt whose intent is durable; it may be a repeat of one sent before.
 func (t *term) sendStart(e *entry, i int, now time.Time) {
 	k := &e.tasks[i]
@@ -182,7 +174,7 @@
 		defer cancel()
 		ctx, span := startSpan(ctx, parent, "worker.start", s.Attempt)
 		defer span.End()
-		s.Parent = parentOf(ctx)
+		s.Parent = tracing.Parent(ctx)
 		report, err := l.client.Start(ctx, s)
 		t.post(func() { t.onStarted(l, s.Attempt, report, err) })
 	})
@@ -246,15 +238,7 @@
 const tracerName = "turmericgap/scheduler"
 
 func startSpan(ctx context.Context, parent, name, attempt string) (context.Context, trace.Span) {
-	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{parentKey: parent})
+	ctx = tracing.WithParent(ctx, parent)
 	return otel.Tracer(tracerName).Start(ctx, name,
 		trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("attempt", attempt)))
 }
-
-const parentKey = "traceparent"
-
-func parentOf(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	propagation.TraceContext{}.Inject(ctx, carrier)
-	return carrier[parentKey]
-}
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -8,12 +8,13 @@
 	"turmericgap/planner"
 	"turmericgap/route"
 	"turmericgap/rpc"
+	tracing "turmericgap/trace"
 )
 
 // Register serves the calls about jobs.
 func (s *Scheduler) Register(server *rpc.Server) {
 	rpc.Handle(server, route.CallSubmit, func(ctx context.Context, r *route.Submit) (*job.Status, error) {
-		return s.Submit(ctx, &r.Spec, parentOf(ctx))
+		return s.Submit(ctx, &r.Spec, tracing.Parent(ctx))
 	})
 	rpc.Handle(server, route.CallStatus, func(ctx context.Context, r *route.Ask) (*job.Status, error) {
 		return s.Status(ctx, r.ID)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -11,8 +11,11 @@
 	"turmericgap/planner"
 )
 
-// stateEnds bounds the ended jobs that are shown.
-const stateEnds = 20
+// stateEnds bounds the ended jobs that are shown, stateRefusals the refusals.
+const (
+	stateEnds     = 20
+	stateRefusals = 20
+)
 
 // State is what operators see of a zone at its owner.
 type State struct {
@@ -24,6 +27,8 @@
 	Ejections []fleet.Ejection `json:"ejections"`
 	// Refused counts the submissions that a rule refused since this process started.
 	Refused int64 `json:"refused"`
+	// Refusals are the last of them, with their reasons.
+	Refusals []Refusal `json:"refusals"`
 	// Ends are the last jobs that ended without an answer.
 	Ends []End `json:"ends"`
 }
@@ -36,6 +41,24 @@
 	Reason  string      `json:"reason"`
 }
 
+// Refusal is a submission that was not accepted, with the reason.
+type Refusal struct {
+	At     time.Time `json:"at"`
+	Team   string    `json:"team"`
+	Class  string    `json:"class"`
+	Rule   string    `json:"rule"`
+	Reason string    `json:"reason"`
+}
+
+// refused keeps the last refusals for operators.
+func (t *term) refused(spec *job.Submission, d planner.Decision, now time.Time) {
+	t.o.Metrics.Counter("job.refused").Inc(1)
+	if len(t.refusals) == stateRefusals {
+		t.refusals = slices.Delete(t.refusals, 0, 1)
+	}
+	t.refusals = append(t.refusals, Refusal{At: now, Team: spec.Team, Class: spec.Class, Rule: d.Rule, Reason: d.Refused})
+}
+
 // State gives the operators' view of the zone; only its owner has one.
 func (s *Scheduler) State(ctx context.Context) (*State, error) {
 	t, err := s.owner()
@@ -55,6 +78,7 @@
 	s := &State{
 		Zone: t.o.Zone, Epoch: t.epoch, Live: len(t.live), Stats: t.planner.Stats(time.Now()),
 		Workers: t.planner.Loads(), Ejections: t.fleet.Reasons(),
+		Refusals: slices.Clone(t.refusals),
 	}
 	for _, e := range t.jobs {
 		if !e.durable || e.ended.IsZero() {
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -40,6 +40,7 @@
 	draining bool
 	dirty    bool
 	answers  int
+	refusals []Refusal
 }
 
 // openTerm recovers the zone's state from the journal and starts the loop.
--- a/status/status.go
+++ b/status/status.go
@@ -56,6 +56,13 @@
 	Processes   []Process
 	Ejections   []fleet.Ejection
 	Ends        []scheduler.End
+	Refusals    []Refusal
+}
+
+// Refusal is a submission that a zone did not accept.
+type Refusal struct {
+	Zone string
+	scheduler.Refusal
 }
 
 // Queue is the waiting tasks of one class in one zone.
@@ -126,7 +133,12 @@
 		}
 		p.Ejections = append(p.Ejections, z.State.Ejections...)
 		p.Ends = append(p.Ends, z.State.Ends...)
+		for _, r := range z.State.Refusals {
+			p.Refusals = append(p.Refusals, Refusal{z.Name, r})
+		}
 	}
+	slices.SortStableFunc(p.Refusals, func(a, b Refusal) int { return b.At.Compare(a.At) })
+	p.Refusals = p.Refusals[:min(len(p.Refusals), endsMost)]
 	slices.SortStableFunc(p.Ends, func(a, b scheduler.End) int { return b.Ended.Compare(a.Ended) })
 	p.Ends = p.Ends[:min(len(p.Ends), endsMost)]
 }
--- a/store/retry/retry.go
+++ b/store/retry/retry.go
@@ -41,7 +41,22 @@
 func (b *Backoff) Next() time.Duration {
 	d := b.next
 	b.next = min(b.next*factor, b.max)
-	return d/2 + rand.N(d/2+1)
+	return Jitter(d)
+}
+
+// Jitter spreads d over half of itself up to all of it, so that processes do not act in step.
+func Jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+
+// Sleep waits and says whether ctx still goes on.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
 }
 
 // Reset starts again with the shortest pause.
@@ -49,14 +64,10 @@
 
 // Wait pauses; it fails when ctx ends first.
 func (b *Backoff) Wait(ctx context.Context) error {
-	t := time.NewTimer(b.Next())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
+	if !Sleep(ctx, b.Next()) {
 		return ctx.Err()
-	case <-t.C:
-		return nil
 	}
+	return nil
 }
 
 // Read repeats a call that changes nothing until it succeeds or ctx ends; its last error is then given.
--- a/view/spread.go
+++ b/view/spread.go
@@ -13,6 +13,7 @@
 
 	"turmericgap/member"
 	"turmericgap/rpc"
+	"turmericgap/store/retry"
 )
 
 const (
@@ -105,7 +106,7 @@
 				s.tell(ctx, address)
 			})
 		}
-		t := time.NewTimer(jitter(s.opts.Spread))
+		t := time.NewTimer(retry.Jitter(s.opts.Spread))
 		select {
 		case <-ctx.Done():
 		case <-s.kicked:
--- a/view/view.go
+++ b/view/view.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -178,7 +177,7 @@
 		*from = revision + 1
 	}
 	// Without the refresh, a watch that is open but brings nothing would freeze the tables here.
-	ctx, cancel := context.WithTimeoutCause(ctx, jitter(k.opts.Refresh), errRefresh)
+	ctx, cancel := context.WithTimeoutCause(ctx, retry.Jitter(k.opts.Refresh), errRefresh)
 	defer cancel()
 	err := k.store.Watch(ctx, member.CellPrefix, *from, func(batch store.Batch) {
 		for _, e := range batch.Events {
@@ -236,7 +235,7 @@
 }
 
 func (k *Keeper) pollList(ctx context.Context) {
-	for wait := time.Duration(0); sleep(ctx, wait); wait = jitter(k.opts.ListEvery) {
+	for wait := time.Duration(0); retry.Sleep(ctx, wait); wait = retry.Jitter(k.opts.ListEvery) {
 		l, err := k.list(ctx)
 		if err != nil {
 			k.opts.Metrics.Counter("view_listFailed_total").Inc(1)
@@ -254,18 +253,3 @@
 }
 
 func newBackoff() *retry.Backoff { return retry.New(retry.Between(firstBackoff, lastBackoff)) }
-
-// jitter spreads d over half of itself up to all of it, so that processes do not act in step.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
-
-// sleep waits and says whether ctx still goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
