Stop a gate under a session, as real processes

A caller sends 60 requests of a session without pause; its gate gets SIGTERM at the 20th. Each is answered, in order, by the same target, through the other gate after the first refused.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	"testing"
 	"time"
 
+	"turmericgap/gate"
 	"turmericgap/job"
 	"turmericgap/member"
 	"turmericgap/rpc"
@@ -24,6 +26,7 @@
 
 const (
 	zone    = "kochi-hall"
+	service = "course-desk"
 	workers = 3
 	// patience bounds every wait; a verdict never depends on how fast anything is.
 	patience = time.Minute
@@ -40,6 +43,7 @@
 	gates  [2]string
 	rpc    [2]string
 	scheds [2]*proc
+	doors  [2]*proc
 	specs  [2][]string
 }
 
@@ -86,6 +90,7 @@
 	w.start("standinstore", "--listen", w.store)
 	w.start("standinlist", "--listen", w.list, "--entry", "entry-0:"+zone, "--entry", "entry-1:"+zone)
 	w.start("standinworker", "--listen", w.worker, "--zone", zone, "--count", fmt.Sprint(workers), "--cores", "4", "--register", w.list)
+	w.start("standintarget", "--listen", address(t), "--zone", zone, "--count", "2", "--service", service, "--register", w.list)
 	for i := range 2 {
 		w.rpc[i], w.gates[i] = address(t), address(t)
 		common := map[string]any{
@@ -99,7 +104,7 @@
 		})
 		w.specs[i] = []string{"scheduler", "--settings", sched}
 		w.scheds[i] = w.start(w.specs[i]...)
-		w.start("gate", "--settings", gate)
+		w.doors[i] = w.start("gate", "--settings", gate)
 		if i == 0 {
 			w.await(w.submit("first", 1, true)) // the first scheduler owns the zone from now on
 		}
@@ -252,3 +257,90 @@
 		}
 	}
 }
+
+// The caller of a session sees each of its requests answered, in order, by the same target.
+// It talks to a gate without pause while that gate is stopped in order; what the gate then refuses
+// was not run, and goes on at the other gate with the same token. Nothing is cut off half way.
+func TestSessionOutlivesGate(t *testing.T) {
+	w := newWorld(t)
+	token := w.openSession()
+	gone := make(chan struct{})
+	at := 0
+	for n := int64(1); n <= 60; n++ {
+		if n == 20 {
+			go func() {
+				defer close(gone)
+				w.doors[0].end(syscall.SIGTERM)
+			}()
+		}
+		for began := time.Now(); ; {
+			if time.Since(began) > patience {
+				t.Fatalf("request %d has no answer", n)
+			}
+			count, ok := w.ask(at, token)
+			if !ok {
+				at = 1 // not run here, or nothing listens here any more
+				time.Sleep(pause / 10)
+				continue
+			}
+			if count != n {
+				t.Fatalf("request %d is number %d at its target", n, count)
+			}
+			break
+		}
+	}
+	<-gone
+	if at != 1 {
+		t.Error("the session never left its gate")
+	}
+}
+
+func (w *world) openSession() string {
+	for began := time.Now(); time.Since(began) < patience; time.Sleep(pause) {
+		resp, err := http.Post("http://"+w.gates[0]+"/v1/sessions/"+service, "", nil)
+		if err != nil {
+			continue
+		}
+		var b gate.Body
+		_ = json.NewDecoder(resp.Body).Decode(&b)
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusCreated {
+			return b.Token
+		}
+	}
+	w.t.Fatal("no session was opened")
+	return ""
+}
+
+// ask sends the next request of a session to a gate. It gives the request's number at the target;
+// false means that the gate surely did not run it.
+func (w *world) ask(door int, token string) (count int64, ok bool) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+w.gates[door]+"/v1/sessions/"+service+"/requests?method=next", nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req.Header.Set(gate.HeaderSession, token)
+	resp, err := http.DefaultClient.Do(req)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return 0, false
+	}
+	if err != nil {
+		w.t.Fatalf("a request was cut off: %v", err)
+	}
+	defer resp.Body.Close()
+	var b gate.Body
+	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
+		w.t.Fatal(err)
+	}
+	switch {
+	case b.Outcome == job.NotRun:
+		return 0, false
+	case b.Outcome != job.Done || !b.Answer.Whole():
+		w.t.Fatalf("status %d, outcome %q: %s", resp.StatusCode, b.Outcome, b.Reason)
+	}
+	var echo struct{ Count int64 }
+	if err := json.Unmarshal(b.Answer.Body, &echo); err != nil {
+		w.t.Fatal(err)
+	}
+	return echo.Count, true
+}
