Send a job that its home zone can never run to one that can

Cause: a job's home is a hash of its key. One that needs what only another zone has, such as accelerators, was refused as if no worker of the cell could run it, and a refusal for good came with a time to try again.

Weighed: letting the caller's side try zone after zone. Rejected: a repeat of the key, when the home zone has got such a worker, would run the job twice.

Change: the home zone commits where the key belongs and then sends the request there; a repeat follows the first. A job that fits nowhere gets 422 without Retry-After.

--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -166,7 +166,12 @@
 		write(ctx, http.StatusConflict, body)
 	case rpc.CodeNotFound:
 		write(ctx, http.StatusNotFound, body)
-	case rpc.CodeRefused, rpc.CodeNotOwner:
+	case rpc.CodeRefused, rpc.CodeNotOwner, rpc.CodeMoved:
+		if fault.Code == rpc.CodeRefused && fault.RetryAfter == 0 {
+			// To try again is no use: a caller that is told when to come back would come for ever.
+			write(ctx, http.StatusUnprocessableEntity, body)
+			return
+		}
 		after := max(fault.RetryAfter, noOwnerRetry)
 		body.RetryAfterMillis = after.Milliseconds()
 		retryAfter(ctx, after)
--- a/planner/admit.go
+++ b/planner/admit.go
@@ -24,7 +24,7 @@
 	case p.index.Len() == 0:
 		d.Refused, d.RetryAfter = "no worker is known yet", retryNoWorkers
 	case !p.index.Possible(j.Spec.Each, j.Spec.Tasks, j.Spec.Gang, j.Spec.Zone):
-		d.Refused = hopeless(j.Spec)
+		d.Refused, d.Hopeless = hopeless(j.Spec), true
 	case p.pending+j.Spec.Tasks > p.options.MostPending:
 		d.Refused, d.RetryAfter = "the queue is full", retryFullQueue
 	case effect.MostPending > 0 && p.pendingUnder(d.Rule)+j.Spec.Tasks > effect.MostPending:
@@ -38,7 +38,7 @@
 }
 
 func hopeless(s *job.Submission) string {
-	where := "no zone"
+	where := "the zone"
 	if s.Zone != "" {
 		where = "zone " + s.Zone
 	}
--- a/planner/message.go
+++ b/planner/message.go
@@ -21,6 +21,8 @@
 	Priority int
 	// Refused is the reason for a refusal; empty means accepted.
 	Refused string
+	// Hopeless says that it was refused because it fits nowhere, even in an empty zone.
+	Hopeless bool
 	// RetryAfter is when a refused job may be offered again; zero means that it is hopeless.
 	RetryAfter     time.Duration
 	TimeoutSeconds int64
--- a/route/route.go
+++ b/route/route.go
@@ -61,7 +61,14 @@
 	if l := spec.Check(); len(l) > 0 {
 		return nil, &rpc.Fault{Code: rpc.CodeInvalid, Reason: l.Error(), Findings: l}
 	}
-	return send[Submit, job.Status](ctx, c, HomeZone(spec, c.Zones), CallSubmit, &Submit{Spec: *spec})
+	st, err := send[Submit, job.Status](ctx, c, HomeZone(spec, c.Zones), CallSubmit, &Submit{Spec: *spec})
+	if f := rpc.AsFault(err); f == nil || f.Code != rpc.CodeMoved {
+		return st, err
+	}
+	// The home zone has remembered for good where the key belongs, so that a repeat goes there too.
+	there := *spec
+	there.Zone = rpc.AsFault(err).Zone
+	return send[Submit, job.Status](ctx, c, there.Zone, CallSubmit, &Submit{Spec: there})
 }
 
 // Status asks where a job stands.
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -42,6 +42,8 @@
 	CodeNotFound Code = "notFound"
 	// CodeNotOwner means that another process owns the thing; nothing was done here.
 	CodeNotOwner Code = "notOwner"
+	// CodeMoved means that the request belongs to the zone in Fault.Zone; nothing was started here.
+	CodeMoved Code = "moved"
 	// CodeUnknown means that the request may have taken effect.
 	CodeUnknown Code = "unknown"
 )
@@ -53,6 +55,8 @@
 	Findings finding.List `msgpack:"f,omitempty"`
 	// RetryAfter is when a caller may try again; zero means that trying again is no use.
 	RetryAfter time.Duration `msgpack:"a,omitempty"`
+	// Zone is set with CodeMoved.
+	Zone string `msgpack:"z,omitempty"`
 }
 
 // Error gives the code and the reason.
--- a/scheduler/accept.go
+++ b/scheduler/accept.go
@@ -21,6 +21,12 @@
 	fault  *rpc.Fault
 	// wait is set while the job's record is under way.
 	wait chan error
+	// moved is the zone that the job goes to once wait is done.
+	moved string
+}
+
+func movedTo(zone string) *rpc.Fault {
+	return &rpc.Fault{Code: rpc.CodeMoved, Reason: "the job belongs to zone " + zone, Zone: zone}
 }
 
 // submit accepts a job: its record is durable before the caller hears of it.
@@ -35,6 +41,9 @@
 		if fault := t.awaitRecord(ctx, id, a.wait); fault != nil {
 			return nil, fault
 		}
+		if a.moved != "" {
+			return nil, movedTo(a.moved)
+		}
 		return t.status(ctx, id)
 	}
 	if a.fault != nil {
@@ -101,10 +110,22 @@
 	if e := t.jobs[id]; e != nil {
 		return t.repeat(e, spec)
 	}
+	if m, ok := t.moved[id]; ok {
+		return accepted{fault: movedTo(m.Zone)}
+	}
+	if _, ok := t.moving[id]; ok {
+		return accepted{fault: rpc.Refused(t.o.RetryAfter, "the job is on its way to another zone")}
+	}
 	if fault := t.mayAccept(); fault != nil {
 		return accepted{fault: fault}
 	}
 	d := t.planner.Admit(now, &planner.Job{ID: id, Spec: spec, Accepted: now})
+	if d.Hopeless && spec.Zone == "" {
+		if zone := t.zoneFor(spec); zone != "" {
+			return t.move(id, zone, now)
+		}
+		d.Refused = "it fits into no zone of the cell, even if empty"
+	}
 	if d.Refused != "" {
 		t.refused(spec, d, now)
 		return accepted{fault: rpc.Refused(d.RetryAfter, "rule %s: %s", d.Rule, d.Refused)}
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 	"turmericgap/route"
 	"turmericgap/rpc"
 	standin "turmericgap/standin/worker"
+	"turmericgap/worker"
 )
 
 // fault is one row: what happens to a zone that runs a mixed load, and what its callers then see.
@@ -317,3 +319,38 @@
 		}
 	})
 }
+
+// The caller of a job that its home zone can never run gets it run by a zone that can, and a repeat of
+// its key goes there too, also from a new owner and after the home zone has got a worker for it.
+// A job that fits into no zone is refused for good, without a time to come back.
+func TestMovedToZoneThatFits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1)
+		here := c.listed()
+		far := worker.Info{ID: "far", Zone: "kollam-hall", Has: job.Resources{Millicores: 8000, MemoryMB: 16000, Accelerators: 8}}
+		var listed atomic.Pointer[[]worker.Info]
+		listed.Store(&[]worker.Info{here[0], far})
+		c.listed = func() []worker.Info { return *listed.Load() }
+		a, b := c.add(), c.add()
+		c.take(a)
+		time.Sleep(2 * time.Second)
+		big := spec("big", 2, func(s *job.Submission) { s.Each.Accelerators, s.Gang = 4, true })
+		for _, n := range []*node{a, a, b} {
+			if n == b {
+				kill(c, a, b)
+				time.Sleep(2 * time.Second)
+				here[0].Has = far.Has
+				listed.Store(&here)
+				time.Sleep(2 * time.Second)
+			}
+			_, err := n.sched.Submit(context.Background(), big, "")
+			is.Equal(rpc.AsFault(err).Code, rpc.CodeMoved)
+			is.Equal(rpc.AsFault(err).Zone, "kollam-hall")
+		}
+		_, err := b.sched.Submit(context.Background(), spec("huge", 1, func(s *job.Submission) { s.Each.Accelerators = 9 }), "")
+		is.Equal(rpc.AsFault(err).Code, rpc.CodeRefused)
+		is.Equal(rpc.AsFault(err).RetryAfter, time.Duration(0))
+		is.NoErr(c.stop())
+	})
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -199,6 +199,11 @@
 
 // forgetOld drops finished jobs after their time, and bodies of answers beyond the budget.
 func (t *term) forgetOld(now time.Time) {
+	for id, m := range t.moved {
+		if now.Sub(m.At) > t.o.KeepAnswers {
+			delete(t.moved, id)
+		}
+	}
 	var oldest *entry
 	for id, e := range t.jobs {
 		if e.ended.IsZero() {
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -18,6 +18,7 @@
 	kindJob    = "job"
 	kindTask   = "task"
 	kindCancel = "cancel"
+	kindMoved  = "moved"
 )
 
 // phase is the durable part of where a task stands.
@@ -59,6 +60,12 @@
 	At     time.Time `msgpack:"t"`
 }
 
+// movedRecord sends the submissions with a key to another zone, where their first one went.
+type movedRecord struct {
+	Zone string    `msgpack:"z"`
+	At   time.Time `msgpack:"t"`
+}
+
 func encode(kind, key string, body any) journal.Record {
 	raw, err := msgpack.Marshal(body)
 	if err != nil {
@@ -117,6 +124,12 @@
 		if e := t.jobs[id]; e != nil && task < len(e.tasks) {
 			t.set(e, task, body)
 		}
+	case kindMoved:
+		var body movedRecord
+		if err := msgpack.Unmarshal(r.Data, &body); err != nil {
+			return eris.Wrapf(err, "moved record %s", r.Key)
+		}
+		t.moved[r.Key] = body
 	case kindCancel:
 		var body cancelRecord
 		if err := msgpack.Unmarshal(r.Data, &body); err != nil {
@@ -133,6 +146,11 @@
 // the journal asks for it; the loop calls it between two appends.
 func (t *term) snapshot() []journal.Record {
 	var out []journal.Record
+	for _, moved := range []map[string]movedRecord{t.moved, t.moving} {
+		for id, m := range moved {
+			out = append(out, encode(kindMoved, id, m))
+		}
+	}
 	for id, e := range t.jobs {
 		out = append(out, encode(kindJob, id, e.jobRecord))
 		for i := range e.tasks {
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -35,6 +35,10 @@
 	live  map[string]*entry
 	held  map[string]map[ref]bool
 	links map[string]*link
+	// moved are the keys whose jobs went to other zones.
+	moved map[string]movedRecord
+	// moving are those whose records are under way.
+	moving map[string]movedRecord
 	// since is when the term began; sends of an earlier owner ended before.
 	since    time.Time
 	draining bool
@@ -49,7 +53,7 @@
 		o: o, epoch: epoch, planner: o.Planner(), fleet: fleet.New(), since: time.Now(),
 		events: make(chan func(), eventRing), closing: make(chan struct{}), closed: make(chan struct{}),
 		jobs: make(map[string]*entry), live: make(map[string]*entry),
-		held: make(map[string]map[ref]bool), links: make(map[string]*link),
+		held: make(map[string]map[ref]bool), links: make(map[string]*link), moved: make(map[string]movedRecord), moving: make(map[string]movedRecord),
 	}
 	j, err := journal.Open(ctx, o.Store, o.Zone, epochKey(o.Zone), epochRevision,
 		append([]journal.Option{journal.Logger(o.Logger)}, o.Journal...)...)
