Move repeatable work away from workers that leave, with its checkpoint

Cause: a worker announced as leaving got nothing new, and its tasks ran until the VM ended, which lost up to all of their work.

Change: half a minute after the announcement what may be repeated is checkpointed, stopped and goes on elsewhere; what may run once ends there.

Shown by: TestLeavingWorkerIsDrained. Without the drain the task stays; without the checkpoint it ends after 80 minutes in place of under 65.

--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -354,3 +354,39 @@
 		is.NoErr(c.stop())
 	})
 }
+
+// The caller of a long job sees it done, and hears nothing of the worker that left in the middle.
+// The VM list announces that a worker leaves; half a minute later its task is checkpointed, stopped
+// and goes on elsewhere from there. What may run once ends where it is.
+func TestLeavingWorkerIsDrained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 2)
+		var listed atomic.Pointer[[]worker.Info]
+		all := c.listed()
+		listed.Store(&all)
+		c.listed = func() []worker.Info { return *listed.Load() }
+		a := c.add()
+		c.take(a)
+		hour := func(s *job.Submission) { s.RunSeconds = 3600 }
+		moved, kept := c.submit(spec("moved", 2, hour)), c.submit(spec("kept", 2, hour, once))
+		time.Sleep(20 * time.Minute)
+		before, err := a.sched.Status(context.Background(), moved)
+		is.NoErr(err)
+		leaving := slices.Clone(all)
+		for i := range leaving {
+			leaving[i].Leaving = leaving[i].ID == before.Tasks[0].Worker
+		}
+		listed.Store(&leaving)
+		st := c.await(moved, 2*time.Hour)
+		is.Equal(st.Outcome, job.Done)
+		// Twenty minutes were done before the move; without the checkpoint the end came after 80.
+		is.True(st.Ended.Sub(st.Accepted) < 65*time.Minute)
+		is.Equal(st.Tasks[0].Attempt, 2)
+		is.True(st.Tasks[0].Worker != before.Tasks[0].Worker)
+		st = c.await(kept, 2*time.Hour)
+		is.Equal(st.Outcome, job.Done)
+		is.Equal(st.Tasks[0].Attempt+st.Tasks[1].Attempt, 2)
+		is.NoErr(c.stop())
+	})
+}
--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -31,8 +31,9 @@
 	boot     string
 	answered bool
 	// answeredAt is when the last heartbeat that was answered had left.
-	answeredAt time.Time
-	listed     bool
+	answeredAt   time.Time
+	listed       bool
+	leavingSince time.Time
 	// told, open and probe are what the planner was last told.
 	told        worker.Info
 	open, probe bool
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -30,7 +30,9 @@
 	DefaultResend      = 3 * time.Second
 	DefaultTick        = time.Second
 	// DefaultStoreSlow is how long a commit may take before new jobs are refused.
-	DefaultStoreSlow   = 2 * time.Second
+	DefaultStoreSlow = 2 * time.Second
+	// DefaultDrainAfter is how long tasks may go on at a worker that leaves before they are moved.
+	DefaultDrainAfter  = 30 * time.Second
 	DefaultRetryAfter  = 2 * time.Second
 	DefaultAttempts    = 4
 	DefaultMaxLive     = 20_000
@@ -71,6 +73,7 @@
 	BeatWait, BeatRetry, BeatPause           time.Duration
 	CallTimeout, Resend                      time.Duration
 	Tick, RetryAfter, KeepAnswers, StoreSlow time.Duration
+	DrainAfter                               time.Duration
 	KeepAnswerBytes, MaxLive                 int
 }
 
@@ -86,7 +89,7 @@
 		Rules:       func(*planner.Planner) {},
 		WorkerLease: DefaultWorkerLease, WorkerDrift: DefaultWorkerDrift, MessageLife: DefaultMessageLife,
 		BeatWait: DefaultBeatWait, BeatRetry: DefaultBeatRetry, BeatPause: DefaultBeatPause, CallTimeout: DefaultCallTimeout, Resend: DefaultResend,
-		Tick: DefaultTick, StoreSlow: DefaultStoreSlow, RetryAfter: DefaultRetryAfter, KeepAnswers: DefaultKeepAnswers,
+		Tick: DefaultTick, StoreSlow: DefaultStoreSlow, DrainAfter: DefaultDrainAfter, RetryAfter: DefaultRetryAfter, KeepAnswers: DefaultKeepAnswers,
 		KeepAnswerBytes: DefaultKeepAnswerBytes, MaxLive: DefaultMaxLive,
 	}
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -67,10 +67,38 @@
 		if e == nil || e.tasks[p.Task].Phase != intended || e.tasks[p.Task].stop != "" {
 			continue
 		}
-		e.tasks[p.Task].stop = "preempted for " + p.For
 		t.o.Metrics.Counter("task.preempted").Inc(1)
-		t.sendAct(e, p.Task, worker.Checkpoint, now)
-		t.sendAct(e, p.Task, worker.Stop, now)
+		t.yield(e, p.Task, "preempted for "+p.For, now)
+	}
+}
+
+// yield checkpoints and stops a task that is to go on elsewhere.
+func (t *term) yield(e *entry, i int, reason string, now time.Time) {
+	e.tasks[i].stop = reason
+	t.sendAct(e, i, worker.Checkpoint, now)
+	t.sendAct(e, i, worker.Stop, now)
+}
+
+// drainWorkers moves what may be repeated away from workers that leave, after a time in which short
+// tasks end by themselves. What may run once is left to end there.
+func (t *term) drainWorkers(now time.Time) {
+	for id, l := range t.links {
+		if !l.info.Leaving {
+			l.leavingSince = time.Time{}
+			continue
+		}
+		if l.leavingSince.IsZero() {
+			l.leavingSince = now
+		}
+		if now.Sub(l.leavingSince) < t.o.DrainAfter {
+			continue
+		}
+		for _, r := range t.heldAt(id) {
+			k := &r.e.tasks[r.task]
+			if r.e.Spec.Repeatable && k.confirmed && k.stop == "" && !k.saving {
+				t.yield(r.e, r.task, "its worker leaves", now)
+			}
+		}
 	}
 }
 
@@ -79,6 +107,7 @@
 	t.syncWorkers(now)
 	t.o.Rules(t.planner)
 	t.repeatSends(now)
+	t.drainWorkers(now)
 	t.lapseWorkers(now)
 	t.forgetOld(now)
 	t.cutSnapshot()
--- a/scheduler/verdict.go
+++ b/scheduler/verdict.go
@@ -23,7 +23,9 @@
 		}
 	case r.State == worker.Stopped:
 		next.Ran = true
-		next.Checkpoint = r.Checkpoint
+		if len(r.Checkpoint) > 0 {
+			next.Checkpoint = r.Checkpoint
+		}
 		t.settle(e, &next, stopReason(k), now)
 	case r.Answer == nil || !r.Answer.Whole() || len(r.Answer.Body) > MaxAnswerBytes:
 		next.Ran = true
