--- a/setting/setting.go
+++ b/setting/setting.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,19 +45,17 @@
 	return l.Err()
 }
 
+// unknownField is how encoding/json begins the one error that Unmarshal does not report itself.
+const unknownField = "json: unknown field "
+
 func unknownFields(l *finding.List, raw []byte, into any) {
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
-	err := dec.Decode(into)
-	if err == nil {
-		return
-	}
-	var typeErr *json.UnmarshalTypeError
-	var syntaxErr *json.SyntaxError
-	if errors.As(err, &typeErr) || errors.As(err, &syntaxErr) {
-		return // Unmarshal reports these with their place.
+	if err := dec.Decode(into); err != nil {
+		if name, found := strings.CutPrefix(err.Error(), unknownField); found {
+			l.Add(strings.Trim(name, `"`), "is not a known field")
+		}
 	}
-	l.Add("settings", "%s", err.Error())
 }
 
 func place(raw []byte, err error) string {
