Stop attempts that take longer than their rule allows

Change: a batch attempt over its rule's time is stopped and counts as failed; a live job follows the newest rules' decision each second.

--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -79,6 +79,14 @@
 	return first.Outcome, first.Reason
 }
 
+// stopOvertime is why an attempt is stopped that takes longer than its rule allows.
+const stopOvertime = "it took longer than its rule allows"
+
+func (e *entry) overtime(k *task, now time.Time) bool {
+	limit := time.Duration(e.decision.TimeoutSeconds) * time.Second
+	return limit > 0 && e.Spec.Kind == job.Batch && k.confirmed && now.Sub(k.started) > limit
+}
+
 // close sets the end of a job whose tasks are all final.
 func (e *entry) close() {
 	for i := range e.tasks {
@@ -93,19 +101,20 @@
 	s.Tasks = make([]job.TaskStatus, len(e.tasks))
 	for i := range e.tasks {
 		s.Tasks[i] = e.tasks[i].status(i)
-		if st := s.Tasks[i].State; st != job.Queued && (s.State == job.Queued || st == job.Active) {
+		if st := s.Tasks[i].State; order[st] > order[s.State] {
 			s.State = st
 		}
 	}
 	if e.final() {
 		s.State, s.Ended = job.Final, e.ended
 		s.Outcome, s.Reason = e.outcome()
-	} else if s.State == job.Final {
-		s.State = job.Queued
 	}
 	return s
 }
 
+// order says which of its tasks' states a job shows while it has no outcome.
+var order = map[job.State]int{job.Queued: 1, job.Starting: 2, job.Stopping: 3, job.Active: 4}
+
 func (k *task) status(index int) job.TaskStatus {
 	s := job.TaskStatus{
 		Index: index, Outcome: k.Outcome, Reason: k.Reason, Worker: k.Worker,
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -13,8 +13,11 @@
 	"github.com/matryer/is"
 
 	"turmericgap/job"
+	"turmericgap/planner"
 	"turmericgap/route"
 	"turmericgap/rpc"
+	"turmericgap/rule"
+	_ "turmericgap/rule/retry"
 	standin "turmericgap/standin/worker"
 	"turmericgap/worker"
 )
@@ -390,3 +393,27 @@
 		is.NoErr(c.stop())
 	})
 }
+
+// The caller of a job that never ends hears so, after as many attempts as its rule allows, and later
+// jobs get the room. The declared run time of ten seconds was far off.
+// The attempt is stopped when it has taken longer than the rule allows, and run again once.
+func TestOvertime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1, standin.Class("stuck", 24*time.Hour))
+		rules, err := rule.New(rule.Document{Rules: []rule.Rule{{ID: "all", Then: []rule.Action{
+			{Kind: "retry", With: []byte(`{"timeoutSeconds": 60, "retries": 1}`)},
+		}}}})
+		is.NoErr(err)
+		a := c.add(Planner(func() *planner.Planner { return planner.New(planner.Rules(rules)) }))
+		c.take(a)
+		stuck := c.submit(spec("stuck", 4, func(s *job.Submission) { s.Class, s.RunSeconds = "stuck", 10 }))
+		next := c.submit(spec("next", 1))
+		st := c.await(stuck, 10*time.Minute)
+		is.Equal(st.Outcome, job.Unknown)
+		is.Equal(st.Tasks[0].Attempt, 2)
+		is.Equal(st.Tasks[0].Reason, stopOvertime)
+		is.Equal(c.await(next, time.Minute).Outcome, job.Done)
+		is.NoErr(c.stop())
+	})
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -118,24 +118,35 @@
 // repeatSends goes on with whatever a full ring, a lost message or a full journal has held up.
 func (t *term) repeatSends(now time.Time) {
 	for _, e := range t.live {
+		if d, known := t.planner.Decision(e.id); known {
+			e.decision = d // the rules may have changed
+		}
 		for i := range e.tasks {
-			k := &e.tasks[i]
-			switch {
-			case k.saving || k.Phase == final:
-			case k.report != nil:
-				t.finish(e, i, now)
-			case now.Sub(k.sentAt) < t.o.Resend:
-			case k.Phase == pending && e.cancel != nil:
-				t.cancelTask(e, i, now)
-			case k.Phase == intended && (k.stop != "" || e.cancel != nil):
-				t.sendAct(e, i, worker.Stop, now)
-			case k.Phase == intended && !k.confirmed && t.lacks(k):
-				t.sendStart(e, i, now)
+			if k := &e.tasks[i]; !k.saving && k.Phase != final {
+				t.repeatSend(e, i, now)
 			}
 		}
 	}
 }
 
+func (t *term) repeatSend(e *entry, i int, now time.Time) {
+	k := &e.tasks[i]
+	switch {
+	case k.report != nil:
+		t.finish(e, i, now)
+	case k.stop == "" && e.overtime(k, now):
+		k.stop = stopOvertime
+		t.sendAct(e, i, worker.Stop, now)
+	case now.Sub(k.sentAt) < t.o.Resend:
+	case k.Phase == pending && e.cancel != nil:
+		t.cancelTask(e, i, now)
+	case k.Phase == intended && (k.stop != "" || e.cancel != nil):
+		t.sendAct(e, i, worker.Stop, now)
+	case k.Phase == intended && !k.confirmed && t.lacks(k):
+		t.sendStart(e, i, now)
+	}
+}
+
 // syncWorkers follows the VM list: new workers get a link, lost ones keep theirs while they hold tasks.
 func (t *term) syncWorkers(now time.Time) {
 	listed := t.listWorkers(now)
--- a/scheduler/verdict.go
+++ b/scheduler/verdict.go
@@ -22,10 +22,7 @@
 			next.again("")
 		}
 	case r.State == worker.Stopped:
-		next.Ran = true
-		if len(r.Checkpoint) > 0 {
-			next.Checkpoint = r.Checkpoint
-		}
+		next.stopped(k, r)
 		t.settle(e, &next, stopReason(k), now)
 	case r.Answer == nil || !r.Answer.Whole() || len(r.Answer.Body) > MaxAnswerBytes:
 		next.Ran = true
@@ -43,6 +40,18 @@
 	return next
 }
 
+// stopped takes in an attempt that its worker ended without an answer. One that took too long counts
+// as failed, or it would be run again for ever.
+func (r *taskRecord) stopped(k *task, report *worker.Report) {
+	r.Ran = true
+	if k.stop == stopOvertime {
+		r.Failures++
+	}
+	if len(report.Checkpoint) > 0 {
+		r.Checkpoint = report.Checkpoint
+	}
+}
+
 // settle decides on an attempt that ended without a whole answer: run again only what may be.
 func (t *term) settle(e *entry, next *taskRecord, reason string, now time.Time) {
 	switch {
