--- a/script/cell.sh
+++ b/script/cell.sh
@@ -2,12 +2,12 @@
 # Starts a cell on stand-ins of the platform: three availability zones, four entry VMs, each with a
 # gate and a scheduler. Settings, logs and process ids go below run/. Stop it with script/stop.sh.
 # PORTS is the first two digits of all ports but the callers' (70, so that these are 7000 to 7499),
-# CALLERS that of the callers' ports, RUN the directory; set all three to run a second cell.
+# ENTRIES is the number of entry VMs, 1 to 8. CALLERS that of the callers' ports, RUN the directory; set all three to run a second cell.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 run=${RUN:-run}
 ports=${PORTS:-70}
-callers=${CALLERS:-78}
+callers=${CALLERS:-78} entries=${ENTRIES:-4}
 store=127.0.0.1:$((ports + 1))00 list=127.0.0.1:$((ports + 4))00
 mkdir -p $run
 : >$run/platform.pids
@@ -23,8 +23,10 @@
 }
 
 start store bin/standinstore --listen $store
-start list bin/standinlist --listen $list --entry entry-1:kochi-hall --entry entry-2:kochi-hall \
-  --entry entry-3:alappuzha-hall --entry entry-4:kollam-hall
+zones=(kochi-hall kochi-hall alappuzha-hall kollam-hall alappuzha-hall kollam-hall kochi-hall alappuzha-hall)
+listed=()
+for n in $(seq "$entries"); do listed+=(--entry "entry-$n:${zones[n - 1]}"); done
+start list bin/standinlist --listen $list "${listed[@]}"
 port=$((ports + 2))00
 for zone in kochi-hall alappuzha-hall kollam-hall; do
   start worker-$zone bin/standinworker --listen 127.0.0.1:$port --zone $zone --count 4 --racks 2 --register $list
@@ -52,7 +54,4 @@
   start gate-$n bin/gate --settings $run/gate-$n.json
 }
 pids=$run/entries.pids
-entry 1 kochi-hall
-entry 2 kochi-hall
-entry 3 alappuzha-hall
-entry 4 kollam-hall
+for n in $(seq "$entries"); do entry "$n" "${zones[n - 1]}"; done
