--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -128,9 +128,6 @@
 	return func(o *Options) { o.Journal = append(o.Journal, opts...) }
 }
 
-// Tune changes any option, for settings and tests.
-func Tune(f func(*Options)) Option { return f }
-
 func closedContext() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
