--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"turmericgap/gate/target"
 	"turmericgap/share"
-	"turmericgap/target"
 )
 
 // Defaults.
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"turmericgap/target"
+	"turmericgap/gate/target"
 )
 
 // The properties run from a fixed seed, so that a verdict does not change from run to run.
--- a/cell/trace_test.go
+++ b/cell/trace_test.go
@@ -20,6 +20,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"turmericgap/gate"
+	"turmericgap/gate/target"
 	"turmericgap/job"
 	"turmericgap/member"
 	"turmericgap/route"
@@ -29,7 +30,6 @@
 	standin "turmericgap/standin/worker"
 	"turmericgap/store"
 	"turmericgap/store/memory"
-	"turmericgap/target"
 	"turmericgap/worker"
 )
 
--- a/cmd/gate/main.go
+++ b/cmd/gate/main.go
@@ -14,6 +14,8 @@
 	"turmericgap/cmd/internal/process"
 	"turmericgap/finding"
 	"turmericgap/gate"
+	"turmericgap/gate/target"
+	"turmericgap/gate/target/web"
 	"turmericgap/job"
 	"turmericgap/logger"
 	"turmericgap/member"
@@ -23,8 +25,6 @@
 	"turmericgap/session"
 	"turmericgap/setting"
 	"turmericgap/share"
-	"turmericgap/target"
-	"turmericgap/target/web"
 	"turmericgap/view"
 	"turmericgap/webcall"
 )
--- a/cmd/journalload/main.go
+++ b/cmd/journalload/main.go
@@ -13,8 +13,8 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"turmericgap/journal"
-	"turmericgap/journal/load"
+	"turmericgap/record"
+	"turmericgap/record/load"
 	"turmericgap/store"
 	_ "turmericgap/store/etcd" // registers itself
 )
@@ -49,7 +49,7 @@
 	plan := load.DefaultPlan()
 	plan.Name = fmt.Sprintf("load-%d", os.Getpid())
 	plan.Zones, plan.Starts, plan.For = args.Zones, args.Starts, time.Duration(args.Seconds)*time.Second
-	plan.Journal = []journal.Option{journal.Rate(args.Rate, journal.DefaultBurst)}
+	plan.Journal = []record.Option{record.Rate(args.Rate, record.DefaultBurst)}
 	kv, err := store.Open(args.Store, args.Endpoint)
 	if err != nil {
 		return err
--- a/cmd/scheduler/main.go
+++ b/cmd/scheduler/main.go
@@ -10,11 +10,11 @@
 
 	"turmericgap"
 	"turmericgap/cmd/internal/process"
-	"turmericgap/journal"
 	"turmericgap/logger"
 	"turmericgap/member"
 	"turmericgap/operate"
 	"turmericgap/planner"
+	"turmericgap/record"
 	"turmericgap/rpc"
 	"turmericgap/scheduler"
 	"turmericgap/setting"
@@ -61,7 +61,7 @@
 		scheduler.Zone(p.Zone), scheduler.Store(kv), scheduler.Owns(group.Owns), scheduler.Dial(web.New(calls)),
 		scheduler.Workers(func() []worker.Info { return keeper.View().Workers }),
 		scheduler.Logger(logger.Part(log, "scheduler")), scheduler.Metrics(service.Metrics()),
-		scheduler.Journal(journal.Metrics(service.Metrics()), journal.Rate(cellWrites/float64(len(p.Zones)), writeBurst)),
+		scheduler.Journal(record.Metrics(service.Metrics()), record.Rate(cellWrites/float64(len(p.Zones)), writeBurst)),
 		scheduler.Planner(func() *planner.Planner { return planner.New(planner.Rules(rules.List())) }),
 		scheduler.Rules(func(pl *planner.Planner) {
 			if l, newer := rules.Newer(); newer {
--- a/cmd/standintarget/main.go
+++ b/cmd/standintarget/main.go
@@ -10,11 +10,11 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"turmericgap/gate/target"
 	"turmericgap/history"
 	"turmericgap/standin/endpoint"
 	"turmericgap/standin/list"
 	standin "turmericgap/standin/target"
-	"turmericgap/target"
 	"turmericgap/vmlist"
 )
 
--- a/gate/api_test.go
+++ b/gate/api_test.go
@@ -21,10 +21,10 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"turmericgap/finding"
+	"turmericgap/gate/target"
 	"turmericgap/job"
 	"turmericgap/rpc"
 	"turmericgap/session"
-	"turmericgap/target"
 )
 
 var update = flag.Bool("update", false, "write the golden files anew")
--- a/gate/bench_test.go
+++ b/gate/bench_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"testing"
 
-	"turmericgap/target"
+	"turmericgap/gate/target"
 )
 
 // BenchmarkDo measures a check that finds a free slot among 50 targets.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -15,11 +15,11 @@
 	"go.uber.org/zap"
 
 	"turmericgap/budget"
+	"turmericgap/gate/target"
 	"turmericgap/job"
 	"turmericgap/metric"
 	"turmericgap/session"
 	"turmericgap/share"
-	"turmericgap/target"
 )
 
 // Defaults.
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -13,8 +13,8 @@
 	"github.com/matryer/is"
 
 	"turmericgap/budget"
+	"turmericgap/gate/target"
 	"turmericgap/job"
-	"turmericgap/target"
 )
 
 // fakes is a set of targets whose behaviour is one function.
--- a/gate/options.go
+++ b/gate/options.go
@@ -6,10 +6,10 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/gate/target"
 	"turmericgap/metric"
 	"turmericgap/rpc"
 	"turmericgap/share"
-	"turmericgap/target"
 )
 
 // Forward sends a check to another gate. An error that is neither a *rpc.Fault nor rpc.ErrNotSent
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -16,9 +16,9 @@
 
 	"turmericgap/balancer"
 	"turmericgap/budget"
+	"turmericgap/gate/target"
 	"turmericgap/job"
 	"turmericgap/share"
-	"turmericgap/target"
 )
 
 // The cell of course-desk: 50 targets of 8 slots in three zones, 8 gates, and more callers at some.
--- a/gate/pool.go
+++ b/gate/pool.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"turmericgap/balancer"
+	"turmericgap/gate/target"
 	"turmericgap/share"
-	"turmericgap/target"
 )
 
 const (
--- a/gate/send.go
+++ b/gate/send.go
@@ -11,8 +11,8 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"turmericgap/balancer"
+	"turmericgap/gate/target"
 	"turmericgap/job"
-	"turmericgap/target"
 	tracing "turmericgap/trace"
 )
 
--- a/gate/session_test.go
+++ b/gate/session_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/matryer/is"
 
+	"turmericgap/gate/target"
 	"turmericgap/job"
-	"turmericgap/target"
 )
 
 var sessionKey = []byte("a key of sixteen bytes or more")
--- a/gate/sessions.go
+++ b/gate/sessions.go
@@ -12,9 +12,9 @@
 
 	"turmericgap/balancer"
 	"turmericgap/finding"
+	"turmericgap/gate/target"
 	"turmericgap/job"
 	"turmericgap/session"
-	"turmericgap/target"
 )
 
 const (
--- a/target/contract_test.go
+++ b/gate/target/contract_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/matryer/is"
 
+	"turmericgap/gate/target"
+	"turmericgap/gate/target/web"
 	"turmericgap/standin/endpoint"
 	standin "turmericgap/standin/target"
-	"turmericgap/target"
-	"turmericgap/target/web"
 	"turmericgap/webcall"
 )
 
--- a/target/web/web.go
+++ b/gate/target/web/web.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"net/http"
 
-	"turmericgap/target"
+	"turmericgap/gate/target"
 	"turmericgap/webcall"
 )
 
--- a/gate/zone_test.go
+++ b/gate/zone_test.go
@@ -13,10 +13,10 @@
 
 	"github.com/matryer/is"
 
+	"turmericgap/gate/target"
 	"turmericgap/job"
 	"turmericgap/rpc"
 	"turmericgap/share"
-	"turmericgap/target"
 )
 
 // zone is several gates before the same targets. Heartbeats and loans go by direct calls.
--- a/journal/doc.go
+++ b/record/doc.go
@@ -1,4 +1,4 @@
-// Package journal keeps one owner's records in the platform's key-value service.
+// Package record keeps one owner's records in the platform's key-value service.
 //
 // Records become durable in groups: one transaction writes all that became due since the last, and
 // compares the owner's epoch, so that an owner that was replaced writes nothing more. Snapshots of
@@ -6,4 +6,4 @@
 //
 // An answer that was lost leaves open whether its group was written. The journal then reads the
 // group's key and decides by what it finds; nobody is told anything before that.
-package journal
+package record
--- a/journal/load/load.go
+++ b/record/load/load.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"turmericgap/journal"
+	"turmericgap/record"
 	"turmericgap/store"
 )
 
@@ -36,7 +36,7 @@
 	JobLife     time.Duration
 	AcceptBytes int
 	TaskBytes   int
-	Journal     []journal.Option
+	Journal     []record.Option
 }
 
 // DefaultPlan is a cell of the two-year size.
@@ -123,7 +123,7 @@
 	plan    Plan
 	zone    string
 	store   *store.Store
-	journal *journal.Journal
+	journal *record.Journal
 	live    map[int]bool
 
 	mu     sync.Mutex
@@ -131,13 +131,13 @@
 }
 
 func (o *owner) run(ctx context.Context) error {
-	root := journal.Prefix + o.zone + "/"
+	root := record.Prefix + o.zone + "/"
 	epoch := root + "epoch"
 	res, err := o.store.Txn(ctx, store.Txn{Then: []store.Op{{Key: epoch}}})
 	if err != nil {
 		return eris.Wrap(err, "take the load's epoch")
 	}
-	if o.journal, err = journal.Open(ctx, o.store, o.zone, epoch, res.Revision, o.plan.Journal...); err != nil {
+	if o.journal, err = record.Open(ctx, o.store, o.zone, epoch, res.Revision, o.plan.Journal...); err != nil {
 		return eris.Wrap(err, "open the load's journal")
 	}
 	o.starts(ctx)
@@ -177,14 +177,14 @@
 	}
 }
 
-func (o *owner) record(n, size int) journal.Record {
-	return journal.Record{Kind: "task", Key: fmt.Sprintf("%s-%08d", o.zone, n), Data: make([]byte, size)}
+func (o *owner) record(n, size int) record.Record {
+	return record.Record{Kind: "task", Key: fmt.Sprintf("%s-%08d", o.zone, n), Data: make([]byte, size)}
 }
 
 func (o *owner) append(n, size int) {
 	at := time.Now()
 	// A refusal is counted by the journal.
-	_ = o.journal.Append([]journal.Record{o.record(n, size)}, func(err error) {
+	_ = o.journal.Append([]record.Record{o.record(n, size)}, func(err error) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		if err != nil {
@@ -195,8 +195,8 @@
 	})
 }
 
-func (o *owner) state() []journal.Record {
-	out := make([]journal.Record, 0, 2*len(o.live))
+func (o *owner) state() []record.Record {
+	out := make([]record.Record, 0, 2*len(o.live))
 	for n := range o.live {
 		out = append(out, o.record(n, o.plan.AcceptBytes), o.record(n, o.plan.TaskBytes))
 	}
--- a/journal/measure_test.go
+++ b/record/measure_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package record_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 
 	"github.com/matryer/is"
 
-	"turmericgap/journal"
-	"turmericgap/journal/load"
+	"turmericgap/record"
+	"turmericgap/record/load"
 	"turmericgap/store"
 	"turmericgap/store/memory"
 )
@@ -19,7 +19,7 @@
 	callTakes = 5 * time.Millisecond
 	// cellCalls is what the journals of a cell may ask of the store a second.
 	cellCalls = 100
-	epochKey  = journal.Prefix + "kochi-hall/epoch"
+	epochKey  = record.Prefix + "kochi-hall/epoch"
 )
 
 // The store's budget has to last for the cell at each rate; the figures are printed with -v.
@@ -55,13 +55,13 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	j, err := journal.Open(ctx, s, "kochi-hall", epochKey, res.Revision, journal.Rate(1000, 1000))
+	j, err := record.Open(ctx, s, "kochi-hall", epochKey, res.Revision, record.Rate(1000, 1000))
 	if err != nil {
 		tb.Fatal(err)
 	}
-	state := make([]journal.Record, live)
+	state := make([]record.Record, live)
 	for i := range state {
-		state[i] = journal.Record{Kind: "task", Key: fmt.Sprintf("kochi-hall-%08d", i), Data: make([]byte, 200)}
+		state[i] = record.Record{Kind: "task", Key: fmt.Sprintf("kochi-hall-%08d", i), Data: make([]byte, 200)}
 	}
 	for range times {
 		for from := 0; from < live; from += 100 {
@@ -83,12 +83,12 @@
 }
 
 func recovered(tb testing.TB, s *store.Store, revision int64) int {
-	j, err := journal.Open(context.Background(), s, "kochi-hall", epochKey, revision)
+	j, err := record.Open(context.Background(), s, "kochi-hall", epochKey, revision)
 	if err != nil {
 		tb.Fatal(err)
 	}
 	found := 0
-	if err := j.Replay(func(journal.Record) error { found++; return nil }); err != nil {
+	if err := j.Replay(func(record.Record) error { found++; return nil }); err != nil {
 		tb.Fatal(err)
 	}
 	_ = j.Close(context.Background()) // nothing was appended
--- a/journal/snapshot.go
+++ b/record/snapshot.go
@@ -1,4 +1,4 @@
-package journal
+package record
 
 import (
 	"fmt"
--- a/scheduler/accept.go
+++ b/scheduler/accept.go
@@ -8,8 +8,8 @@
 
 	"turmericgap/finding"
 	"turmericgap/job"
-	"turmericgap/journal"
 	"turmericgap/planner"
+	"turmericgap/record"
 	"turmericgap/route"
 	"turmericgap/rpc"
 	"turmericgap/worker"
@@ -80,7 +80,7 @@
 		return nil
 	case errors.Is(err, errTakenBack):
 		return rpc.Refused(t.o.RetryAfter, "the store does not take records now")
-	case errors.Is(err, journal.ErrFenced), errors.Is(err, journal.ErrClosed):
+	case errors.Is(err, record.ErrFenced), errors.Is(err, record.ErrClosed):
 		return rpc.Refused(t.o.RetryAfter, "the zone changes its owner")
 	}
 	return &rpc.Fault{Code: rpc.CodeUnknown, Reason: "the job's record is under way; ask again with the same key", RetryAfter: t.o.RetryAfter}
@@ -133,7 +133,7 @@
 	e := newEntry(id, jobRecord{Spec: *spec, Accepted: now.UTC(), Parent: parent})
 	e.durable, e.decision = false, d
 	wait := make(chan error, waitersMost)
-	ticket, err := t.journal.Offer([]journal.Record{encode(kindJob, id, e.jobRecord)}, func(err error) {
+	ticket, err := t.journal.Offer([]record.Record{encode(kindJob, id, e.jobRecord)}, func(err error) {
 		if err != nil {
 			wait <- err
 			t.fail(err)
@@ -203,7 +203,7 @@
 	}
 	done := make(chan struct{})
 	c := cancelRecord{Reason: reason, At: now.UTC()}
-	err := t.journal.Append([]journal.Record{encode(kindCancel, id, c)}, func(err error) {
+	err := t.journal.Append([]record.Record{encode(kindCancel, id, c)}, func(err error) {
 		if err != nil {
 			t.fail(err)
 			return
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -11,7 +11,7 @@
 
 	"turmericgap/history"
 	"turmericgap/job"
-	"turmericgap/journal"
+	"turmericgap/record"
 	"turmericgap/rpc"
 	standin "turmericgap/standin/worker"
 	"turmericgap/store"
@@ -76,7 +76,7 @@
 	opts := append([]Option{
 		Zone(testZone), Store(c.kv.Client(n.store)), Owns(n.owns), Dial(n.dial),
 		Workers(func() []worker.Info { return c.listed() }),
-		Journal(journal.Rate(100, 10)),
+		Journal(record.Rate(100, 10)),
 	}, tune...)
 	n.sched = New(opts...)
 	c.nodes = append(c.nodes, n)
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"turmericgap/journal"
+	"turmericgap/record"
 
 	"go.uber.org/zap"
 )
@@ -18,7 +18,7 @@
 // save commits changes and applies them when they are durable. When the journal takes no more, the
 // tasks stay as they are and the tick tries again.
 func (t *term) save(changes []change, then func()) bool {
-	records := make([]journal.Record, len(changes))
+	records := make([]record.Record, len(changes))
 	for i, c := range changes {
 		records[i] = encode(kindTask, taskKey(c.e.id, c.task), c.next)
 	}
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"turmericgap/job"
-	"turmericgap/journal"
 	"turmericgap/planner"
+	"turmericgap/record"
 	"turmericgap/worker"
 )
 
@@ -25,7 +25,7 @@
 	// saved is closed when the record is durable; nil afterwards.
 	saved chan error
 	// ticket takes the record back that is under way.
-	ticket  journal.Ticket
+	ticket  record.Ticket
 	waiters []chan job.Status
 	ended   time.Time
 }
--- a/scheduler/move.go
+++ b/scheduler/move.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"turmericgap/job"
-	"turmericgap/journal"
+	"turmericgap/record"
 	"turmericgap/rpc"
 	"turmericgap/worker"
 )
@@ -48,7 +48,7 @@
 func (t *term) move(id, zone string, now time.Time) accepted {
 	wait := make(chan error, 1)
 	m := movedRecord{Zone: zone, At: now.UTC()}
-	err := t.journal.Append([]journal.Record{encode(kindMoved, id, m)}, func(err error) {
+	err := t.journal.Append([]record.Record{encode(kindMoved, id, m)}, func(err error) {
 		if err != nil {
 			wait <- err
 			t.fail(err)
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -6,9 +6,9 @@
 
 	"go.uber.org/zap"
 
-	"turmericgap/journal"
 	"turmericgap/metric"
 	"turmericgap/planner"
+	"turmericgap/record"
 	"turmericgap/store"
 	"turmericgap/worker"
 )
@@ -67,7 +67,7 @@
 	Planner func() *planner.Planner
 	// Rules gives the planner newer rules, when there are any.
 	Rules   func(*planner.Planner)
-	Journal []journal.Option
+	Journal []record.Option
 
 	WorkerLease, WorkerDrift, MessageLife    time.Duration
 	BeatWait, BeatRetry, BeatPause           time.Duration
@@ -124,7 +124,7 @@
 func Rules(f func(*planner.Planner)) Option { return func(o *Options) { o.Rules = f } }
 
 // Journal adds options to the journal.
-func Journal(opts ...journal.Option) Option {
+func Journal(opts ...record.Option) Option {
 	return func(o *Options) { o.Journal = append(o.Journal, opts...) }
 }
 
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/job"
-	"turmericgap/journal"
+	"turmericgap/record"
 )
 
 // The kinds of records. A snapshot consists of the same kinds as the segments after it.
@@ -66,13 +66,13 @@
 	At   time.Time `msgpack:"t"`
 }
 
-func encode(kind, key string, body any) journal.Record {
+func encode(kind, key string, body any) record.Record {
 	raw, err := msgpack.Marshal(body)
 	if err != nil {
 		// Only a type that msgpack cannot write at all comes here, which the first test run shows.
 		panic(err)
 	}
-	return journal.Record{Kind: kind, Key: key, Data: raw}
+	return record.Record{Kind: kind, Key: key, Data: raw}
 }
 
 func taskKey(id string, task int) string { return id + "/" + strconv.Itoa(task) }
@@ -104,7 +104,7 @@
 }
 
 // apply changes the state by one durable record; it serves recovery and the running term alike.
-func (t *term) apply(r journal.Record) error {
+func (t *term) apply(r record.Record) error {
 	switch r.Kind {
 	case kindJob:
 		var body jobRecord
@@ -144,8 +144,8 @@
 
 // snapshot gives the state after exactly the records appended so far, those under way included, as
 // the journal asks for it; the loop calls it between two appends.
-func (t *term) snapshot() []journal.Record {
-	var out []journal.Record
+func (t *term) snapshot() []record.Record {
+	var out []record.Record
 	for _, moved := range []map[string]movedRecord{t.moved, t.moving} {
 		for id, m := range moved {
 			out = append(out, encode(kindMoved, id, m))
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	"turmericgap/fleet"
-	"turmericgap/journal"
 	"turmericgap/planner"
+	"turmericgap/record"
 )
 
 var errTermClosed = errors.New("this process no longer owns the zone")
@@ -20,7 +20,7 @@
 type term struct {
 	o       *Options
 	epoch   int64
-	journal *journal.Journal
+	journal *record.Journal
 	planner *planner.Planner
 	fleet   *fleet.Fleet
 	events  chan func()
@@ -55,8 +55,8 @@
 		jobs: make(map[string]*entry), live: make(map[string]*entry),
 		held: make(map[string]map[ref]bool), links: make(map[string]*link), moved: make(map[string]movedRecord), moving: make(map[string]movedRecord),
 	}
-	j, err := journal.Open(ctx, o.Store, o.Zone, epochKey(o.Zone), epochRevision,
-		append([]journal.Option{journal.Logger(o.Logger)}, o.Journal...)...)
+	j, err := record.Open(ctx, o.Store, o.Zone, epochKey(o.Zone), epochRevision,
+		append([]record.Option{record.Logger(o.Logger)}, o.Journal...)...)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/list/list.go
+++ b/standin/list/list.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"turmericgap/target"
+	"turmericgap/gate/target"
 	"turmericgap/vmlist"
 	"turmericgap/worker"
 )
--- a/standin/target/fault.go
+++ b/standin/target/fault.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"fmt"
 
+	"turmericgap/gate/target"
 	"turmericgap/job"
-	"turmericgap/target"
 )
 
 // Fault says how the target fails; the zero value is a sound target.
--- a/standin/target/handler.go
+++ b/standin/target/handler.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/http"
 
+	"turmericgap/gate/target"
+	"turmericgap/gate/target/web"
 	"turmericgap/standin/endpoint"
-	"turmericgap/target"
-	"turmericgap/target/web"
 )
 
 // Paths of the stand-in itself.
--- a/standin/target/options.go
+++ b/standin/target/options.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"turmericgap/gate/target"
 	"turmericgap/history"
-	"turmericgap/target"
 )
 
 // Options are what a Target is made of.
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"turmericgap/gate/target"
 	"turmericgap/history"
-	"turmericgap/target"
 )
 
 // Defaults.
--- a/view/board.go
+++ b/view/board.go
@@ -8,9 +8,9 @@
 	"sync"
 	"sync/atomic"
 
+	"turmericgap/gate/target"
 	"turmericgap/member"
 	"turmericgap/metric"
-	"turmericgap/target"
 	"turmericgap/worker"
 )
 
--- a/vmlist/contract_test.go
+++ b/vmlist/contract_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/matryer/is"
 
+	"turmericgap/gate/target"
 	"turmericgap/standin/endpoint"
 	"turmericgap/standin/list"
-	"turmericgap/target"
 	"turmericgap/vmlist"
 	"turmericgap/vmlist/web"
 	"turmericgap/webcall"
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"turmericgap/target"
+	"turmericgap/gate/target"
 	"turmericgap/worker"
 )
 
