--- /dev/null
+++ b/cmd/entry/main.go
@@ -0,0 +1,63 @@
+// Command entry is the one program of an entry VM on the users' platform: it takes callers' work, and
+// places and follows the work of the whole cell while its VM owns the cell.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+
+	"turmericgap"
+	"turmericgap/logger"
+	"turmericgap/platform"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type arguments struct {
+	Settings string `long:"settings" short:"s" description:"the platform's settings file" env:"TURMERICGAP_CONFIG" default:"/etc/turmericgap/boot.json"`
+	Check    bool   `long:"check" description:"report all findings of the settings and end"`
+}
+
+func main() {
+	var args arguments
+	if _, err := flags.NewParser(&args, flags.Default).Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	settings, err := platform.LoadSettings(args.Settings)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "entry: settings in %s:\n%s\n", args.Settings, err)
+		os.Exit(exitUsage)
+	}
+	if args.Check {
+		fmt.Println("settings: no findings")
+		return
+	}
+	os.Exit(run(settings))
+}
+
+func run(settings *platform.Settings) int {
+	out := logger.NewBounded(os.Stdout)
+	defer out.Close()
+	log := logger.NewTo("entry", out).With(zap.String("vm", settings.ID))
+	service := turmericgap.New(turmericgap.Name("entry"), turmericgap.Logger(log), turmericgap.OpsAddress(settings.Metrics),
+		turmericgap.ShutdownWithin(settings.ShutdownWithin*9/10))
+	err := wire(service, settings)
+	if err == nil {
+		err = service.Run()
+	}
+	if err != nil {
+		log.Error("service: failed", zap.Error(err))
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/entry/wire.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap"
+	"turmericgap/configuration"
+	"turmericgap/dispatch"
+	"turmericgap/front"
+	"turmericgap/job"
+	"turmericgap/logger"
+	"turmericgap/owner"
+	"turmericgap/permit"
+	"turmericgap/platform"
+	"turmericgap/rpc"
+)
+
+const (
+	// outOfRotation is how long after the first refusal the platform still sends new connections:
+	// two probes, one a second.
+	outOfRotation = 2200 * time.Millisecond
+	// usualHeaderBytes and the following bound what a caller may send before the configuration is known.
+	usualHeaderBytes   = 16 << 10
+	usualHeaderTimeout = 3 * time.Second
+	usualIdleTimeout   = 60 * time.Second
+)
+
+// parts are the parts of the program that live as long as it does.
+type parts struct {
+	settings *platform.Settings
+	log      *zap.Logger
+	client   *platform.Client
+	peers    *rpc.Pool
+	server   *rpc.Server
+	config   *configuration.Keeper
+	group    *owner.Group
+	dispatch *dispatch.Dispatcher
+	front    *front.Front
+	callers  *http.Server
+	ready    *http.Server
+	stopping atomic.Bool
+}
+
+// wire joins the parts.
+func wire(service *turmericgap.Service, s *platform.Settings) error {
+	p := &parts{settings: s, log: service.Logger(), client: platform.NewClient(), peers: rpc.NewPool(), server: rpc.NewServer()}
+	listeners, err := p.listen()
+	if err != nil {
+		return err
+	}
+	kv := p.client.Store(s.Store)
+	ask := p.client.Permits(s.Permits)
+	p.dispatch = dispatch.New(
+		dispatch.Store(kv), dispatch.Workers(platform.WorkersPrefix, platform.DecodeWorker, p.client.Agent),
+		dispatch.Config(func() *job.Config { return p.config.Current() }),
+		dispatch.Permits(func() []owner.Node { return p.group.Nodes() }, p.askFrom(ask)),
+		dispatch.Bounds(s.MostHold, s.StopWithin, s.KeepEnded),
+		dispatch.Logger(logger.Part(p.log, "dispatch")), dispatch.Metrics(service.Metrics()))
+	p.config = configuration.New(kv, platform.ConfigKey, platform.DecodeConfig, p.askConfig, logger.Part(p.log, "configuration"))
+	p.group = owner.New(kv, owner.Node{ID: s.ID, Zone: s.Zone, Address: s.Peers},
+		owner.Logger(logger.Part(p.log, "owner")), owner.Lead(p.dispatch.Lead))
+	p.front = front.New(front.Options{
+		Store: kv, Dispatcher: p.dispatch, Group: p.group, Peers: p.peers, Permits: ask,
+		StoreHeard: p.config.Heard, Logger: logger.Part(p.log, "front"), Metrics: service.Metrics(),
+	})
+	p.config.Start()
+	p.group.Start()
+	p.front.Register(p.server)
+	rpc.Handle(p.server, methodConfig, p.serveConfig)
+	p.serve(listeners)
+	service.Init(turmericgap.Ready(p.check), turmericgap.Stop(p.stop))
+	return nil
+}
+
+// listeners are the open ports.
+type listeners struct{ callers, ready, peers net.Listener }
+
+func (p *parts) listen() (l listeners, err error) {
+	for _, one := range []struct {
+		into    *net.Listener
+		address string
+	}{{&l.peers, p.settings.Peers}, {&l.callers, p.settings.Callers}, {&l.ready, p.settings.Ready}} {
+		if *one.into, err = net.Listen("tcp", one.address); err != nil {
+			return l, err
+		}
+	}
+	return l, nil
+}
+
+func (p *parts) serve(l listeners) {
+	handler := platform.Ingress(&platform.Callers{
+		Config: p.config.Current, Submit: p.front.Submit, Status: p.front.Status, Cancel: p.front.Cancel,
+		Waiting: p.front.Waiting, Decided: p.decided,
+	})
+	p.callers = &http.Server{
+		Handler: handler, MaxHeaderBytes: usualHeaderBytes, ReadHeaderTimeout: usualHeaderTimeout, IdleTimeout: usualIdleTimeout,
+	}
+	p.ready = &http.Server{Handler: platform.Readiness(p.check), ReadHeaderTimeout: usualHeaderTimeout}
+	go p.run("callers", func() error { return p.callers.Serve(l.callers) })
+	go p.run("readiness", func() error { return p.ready.Serve(l.ready) })
+	go p.run("peers", func() error { return p.server.Serve(l.peers) })
+}
+
+func (p *parts) run(name string, serve func() error) {
+	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		p.log.Error("entry: a port is no longer served", zap.String("port", name), zap.Error(err))
+	}
+}
+
+// check tells why this VM should get no new connections, or nil.
+func (p *parts) check() error {
+	switch {
+	case p.stopping.Load():
+		return errors.New("stopping")
+	case p.config.Current() == nil:
+		return errors.New("no configuration yet")
+	}
+	return nil
+}
+
+// decided logs an answer to a caller; states that were read are counted only.
+func (p *parts) decided(r *http.Request, id string, status int, took time.Duration, err error) {
+	if r.Method == http.MethodGet && err == nil {
+		return
+	}
+	p.log.Info("entry: answered", zap.String("method", r.Method), zap.String("id", id), zap.Int("status", status),
+		zap.Duration("took", took), zap.Error(err))
+}
+
+// askFrom puts a question to the policy service from a VM of the cell.
+func (p *parts) askFrom(local permit.Ask) func(context.Context, owner.Node, *permit.Question) (*permit.Answer, error) {
+	return func(ctx context.Context, from owner.Node, q *permit.Question) (*permit.Answer, error) {
+		if from.ID == p.settings.ID {
+			return local(ctx, q)
+		}
+		return rpc.Call[permit.Question, permit.Answer](ctx, p.peers.Get(from.Address), front.MethodAsk, q)
+	}
+}
+
+// stop drains the VM: another one takes over the cell at once, callers are served until the platform
+// has taken this VM out of rotation, and what is under way is answered.
+func (p *parts) stop(deadline time.Time) {
+	p.stopping.Store(true)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	p.callers.SetKeepAlivesEnabled(false)
+	p.group.Resign(ctx)
+	select {
+	case <-ctx.Done():
+	case <-time.After(outOfRotation):
+	}
+	if err := p.callers.Shutdown(ctx); err != nil {
+		p.log.Warn("entry: requests were cut", zap.Error(err))
+	}
+	p.front.Close()
+	if err := p.group.Leave(ctx); err != nil {
+		p.log.Warn("entry: the lease lapses by itself", zap.Error(err))
+	}
+	p.config.Close()
+	p.peers.Close()
+	p.server.Close()
+	p.client.Close()
+}
--- /dev/null
+++ b/dispatch/commit.go
@@ -0,0 +1,234 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/job"
+	"turmericgap/store"
+	"turmericgap/store/retry"
+)
+
+// saving is an entry whose state waits for a commit, with what is to happen after it.
+type saving struct {
+	e       *entry
+	effects []func()
+}
+
+// commits groups the changes of entries into transactions, one under way at a time.
+type commits struct {
+	queue []*saving
+	busy  bool
+	// revision is that of commitKey, number counts the commits of the term.
+	revision int64
+	number   int64
+	// after runs once the commit under way is durable.
+	after []func()
+}
+
+// commitMark is the value of commitKey; it tells whose commit was the last.
+type commitMark struct {
+	Fence  int64 `msgpack:"f"`
+	Number int64 `msgpack:"n"`
+}
+
+const (
+	// commitOverhead is two conditions and the write of commitKey.
+	commitOverhead = 3
+	// opsMost is how many entries of one work a commit may need: its end removes two and writes one.
+	opsMost = 3
+	// commitAgain and commitAgainMost bound the pauses between tries of one commit.
+	commitAgain     = 10 * time.Millisecond
+	commitAgainMost = 250 * time.Millisecond
+)
+
+// save marks an entry for the next commit; effect runs on the loop once it is durable.
+func (t *term) save(e *entry, effect func()) {
+	if e.saving == nil {
+		e.saving = &saving{e: e}
+		t.commits.queue = append(t.commits.queue, e.saving)
+	}
+	if effect != nil {
+		e.saving.effects = append(e.saving.effects, effect)
+	}
+}
+
+// afterSaved runs effect once the present state of an entry is durable.
+func (t *term) afterSaved(e *entry, effect func()) { t.save(e, effect) }
+
+// change is what one commit writes.
+type change struct {
+	txn    store.Txn
+	mark   []byte
+	done   []func()
+	shown  map[*entry]job.WorkState
+	closed []*entry
+}
+
+// flush sends the next commit if none is under way.
+func (t *term) flush() {
+	c := &t.commits
+	if c.busy || (len(c.queue) == 0 && len(t.removed) == 0) {
+		return
+	}
+	c.busy = true
+	c.number++
+	ch := t.collect()
+	before, started := c.revision, time.Now()
+	t.wg.Go(func() {
+		revision, err := t.commit(ch, before)
+		if err != nil {
+			if t.ctx.Err() == nil {
+				t.post(func() { t.lose("a commit was refused", err) })
+			}
+			return
+		}
+		t.post(func() { t.committed(ch, revision, time.Since(started)) })
+	})
+}
+
+// collect turns as many changes as one transaction holds into operations.
+func (t *term) collect() *change {
+	c := &t.commits
+	ch := &change{mark: encode(&commitMark{t.tenure.Fence, c.number}), shown: make(map[*entry]job.WorkState)}
+	ch.txn.Compares = []store.Compare{
+		t.tenure.Compare(),
+		{Key: commitKey, Target: store.ModRevision, Revision: c.revision},
+	}
+	ch.txn.Then = []store.Op{{Key: commitKey, Value: ch.mark}}
+	taken := 0
+	for _, s := range c.queue {
+		if len(ch.txn.Then)+opsMost > mostOps-commitOverhead+1 {
+			break
+		}
+		taken++
+		t.put(ch, s.e)
+		ch.done = append(ch.done, s.effects...)
+		s.e.saving = nil
+	}
+	c.queue = append(c.queue[:0:0], c.queue[taken:]...)
+	for len(t.removed) > 0 && len(ch.txn.Then) < mostOps-commitOverhead+1 {
+		ch.txn.Then = append(ch.txn.Then, store.Op{Delete: true, Key: endedPrefix + t.removed[0]})
+		t.removed = t.removed[1:]
+	}
+	return ch
+}
+
+// put adds the state of one entry. The record of a work that has ended, with none of its runs left,
+// takes the place of the work and its progress.
+func (t *term) put(ch *change, e *entry) {
+	id := e.work.ID
+	ch.shown[e] = e.visible()
+	if !e.over() {
+		ch.txn.Then = append(ch.txn.Then, store.Op{Key: statePrefix + id, Value: encode(e.record())})
+		return
+	}
+	if e.settled {
+		return
+	}
+	e.settled = true
+	end := Ended{State: e.state, At: time.Now(), Queue: e.work.Queue.Name}
+	ch.closed = append(ch.closed, e)
+	ch.txn.Then = append(ch.txn.Then,
+		store.Op{Delete: true, Key: workPrefix + id},
+		store.Op{Delete: true, Key: statePrefix + id},
+		store.Op{Key: endedPrefix + id, Value: encode(&end)})
+}
+
+// visible is what a caller may be told of the state once it is durable.
+func (e *entry) visible() job.WorkState {
+	if !e.state.Final() && e.started {
+		return job.WorkRunning
+	}
+	return e.state
+}
+
+// over reports whether the work has ended and its record may go. A completed one waits for nothing;
+// of the others all runs must have ended, so that a successor goes on stopping them.
+func (e *entry) over() bool {
+	return e.state == job.WorkCompleted || (e.state.Final() && e.held == 0)
+}
+
+// committed runs on the loop after a commit.
+func (t *term) committed(ch *change, revision int64, took time.Duration) {
+	t.commits.busy, t.commits.revision = false, revision
+	t.o.Metrics.Histogram("dispatch.commitMillis").Update(took.Milliseconds())
+	for e, state := range ch.shown {
+		e.shown = state
+	}
+	for _, e := range ch.closed {
+		delete(t.entries, e.work.ID)
+		t.noteEnded(e.work.ID, Ended{State: e.state, At: time.Now(), Queue: e.work.Queue.Name})
+		t.log.Info("dispatch: work ended", zap.String("id", e.work.ID), zap.String("queue", e.work.Queue.Name),
+			zap.String("state", string(e.state)), zap.Duration("took", time.Since(e.work.Accepted)),
+			zap.Duration("beforeGoal", time.Until(e.goal)))
+	}
+	for _, f := range ch.done {
+		f()
+	}
+	after := t.commits.after
+	t.commits.after = nil
+	for _, f := range after {
+		f()
+	}
+}
+
+func (t *term) noteEnded(id string, end Ended) {
+	if _, known := t.ended[id]; known {
+		return
+	}
+	t.ended[id] = end
+	t.endedOrder = append(t.endedOrder, id)
+}
+
+// commit sends a transaction until its outcome is certain, and gives the revision of commitKey after
+// it. An answer that was lost is resolved by trying again: the number in commitKey tells whether an
+// earlier try went through, and once a later commit has changed it, no earlier try ever can.
+func (t *term) commit(ch *change, before int64) (int64, error) {
+	b := retry.New(retry.Between(commitAgain, commitAgainMost))
+	for {
+		ctx, cancel := context.WithTimeout(t.ctx, storeWithin)
+		res, err := t.o.Store.Txn(ctx, ch.txn)
+		if err == nil && !res.Succeeded {
+			var revision int64
+			if revision, err = t.resolve(ctx, ch, &res); err == nil {
+				cancel()
+				return revision, nil
+			}
+		}
+		cancel()
+		switch {
+		case err == nil:
+			return res.Revision, nil
+		case errors.Is(err, errTermClosed):
+			return 0, err
+		case t.ctx.Err() != nil:
+			return 0, t.ctx.Err()
+		}
+		t.o.Metrics.Counter("dispatch.commitRetries").Inc(1)
+		t.log.Warn("dispatch: commit without an answer", zap.Int64("after", before), zap.Error(err))
+		retry.Sleep(t.ctx, b.Next())
+	}
+}
+
+// resolve tells whether a refused transaction had gone through at an earlier try.
+func (t *term) resolve(ctx context.Context, ch *change, res *store.TxnResult) (int64, error) {
+	found := res.Found
+	if len(found) == 0 {
+		r, err := t.o.Store.Range(ctx, store.Range{Key: commitKey})
+		if err != nil {
+			return 0, err
+		}
+		found = r.Pairs
+	}
+	for i := range found {
+		if found[i].Key == commitKey && bytes.Equal(found[i].Value, ch.mark) {
+			return found[i].ModRevision, nil
+		}
+	}
+	return 0, errTermClosed
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"turmericgap/job"
+	"turmericgap/owner"
+	"turmericgap/rpc"
+)
+
+// errTermClosed means that this VM no longer owns the cell.
+var errTermClosed = errors.New("this entry VM no longer owns the cell")
+
+// retryOwner is when a caller may try again while the cell has no owner: about a take-over.
+const retryOwner = time.Second
+
+// Dispatcher answers for the cell whenever this entry VM owns it.
+type Dispatcher struct {
+	o    *Options
+	mu   sync.Mutex
+	term *term
+}
+
+// New returns a Dispatcher that waits for its first tenure.
+func New(opts ...Option) *Dispatcher { return &Dispatcher{o: newOptions(opts)} }
+
+// Lead runs the cell's work until ctx ends; it is what an owner.Group is given to do.
+func (d *Dispatcher) Lead(ctx context.Context, tenure *owner.Tenure) {
+	t := newTerm(ctx, d.o, tenure)
+	defer t.close()
+	if !t.recover() {
+		return
+	}
+	d.set(t)
+	defer d.set(nil)
+	t.loop()
+}
+
+func (d *Dispatcher) set(t *term) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.term = t
+}
+
+func (d *Dispatcher) current() (*term, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.term == nil {
+		return nil, &rpc.Fault{Code: rpc.CodeNotOwner, Reason: "this entry VM does not own the cell", RetryAfter: retryOwner}
+	}
+	return d.term, nil
+}
+
+// Leads reports whether this VM owns the cell and has read its state.
+func (d *Dispatcher) Leads() bool {
+	t, err := d.current()
+	return err == nil && t != nil
+}
+
+// Offer tells the owner of accepted work, so that it need not wait for the store to tell.
+func (d *Dispatcher) Offer(ctx context.Context, works []job.Work) error {
+	t, err := d.current()
+	if err != nil {
+		return err
+	}
+	_, err = ask(ctx, t, func() struct{} {
+		t.offer(works)
+		return struct{}{}
+	})
+	return err
+}
+
+// Status gives the durable state of a work; it is CodeNotFound where the owner does not hold it.
+func (d *Dispatcher) Status(ctx context.Context, id string) (job.WorkState, error) {
+	t, err := d.current()
+	if err != nil {
+		return "", err
+	}
+	state, err := ask(ctx, t, func() job.WorkState { return t.shown(id) })
+	if err != nil {
+		return "", err
+	}
+	if state == "" {
+		return "", &rpc.Fault{Code: rpc.CodeNotFound, Reason: "no such work"}
+	}
+	return state, nil
+}
+
+// Cancel ends a work; it returns once that is durable. It is CodeNotFound where the owner does not
+// hold the work.
+func (d *Dispatcher) Cancel(ctx context.Context, id string) error {
+	t, err := d.current()
+	if err != nil {
+		return err
+	}
+	type outcome struct {
+		known bool
+		done  chan struct{}
+	}
+	o, err := ask(ctx, t, func() outcome {
+		known, done := t.cancel(id)
+		return outcome{known, done}
+	})
+	if err != nil {
+		return err
+	}
+	if !o.known {
+		return &rpc.Fault{Code: rpc.CodeNotFound, Reason: "no such work"}
+	}
+	select {
+	case <-o.done:
+		return nil
+	case <-t.ctx.Done():
+		return errTermClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Waiting counts the accepted works of a queue of which no task has started.
+func (d *Dispatcher) Waiting(ctx context.Context, queue string) (int, error) {
+	t, err := d.current()
+	if err != nil {
+		return 0, err
+	}
+	return ask(ctx, t, func() int { return t.waiting(queue) })
+}
--- /dev/null
+++ b/dispatch/entry.go
@@ -0,0 +1,194 @@
+package dispatch
+
+import (
+	"time"
+
+	"turmericgap/job"
+	"turmericgap/worker"
+)
+
+// entry is a live Work.
+type entry struct {
+	work *job.Work
+	// queue is the newest configuration of its queue.
+	queue *job.Queue
+	// state is what has been decided, shown what is durable and may be told.
+	state, shown job.WorkState
+	runs         int64
+	begun        int
+	live         []*occurrence
+	// held counts the runs that may hold capacity somewhere.
+	held int
+	// started says that a task has started; until then the work counts as waiting.
+	started bool
+	// late says that the work's record is to be removed once its last run has ended.
+	settled bool
+	// goal is when the work should be done, lost when it is worth nothing any more.
+	goal, lost time.Time
+	saving     *saving
+}
+
+type occurrence struct {
+	number int
+	stages []*stage
+	// left counts tasks that are not done.
+	left int
+}
+
+// stage is a step of one occurrence.
+type stage struct {
+	e     *entry
+	occ   *occurrence
+	index int
+	spec  *job.Step
+	tasks []task
+	// waiting and done count tasks by phase.
+	waiting, done int
+	// fails counts the failed runs of a gang; gang is the one under way.
+	fails int
+	gang  *gangRun
+	// ready says that the steps before it are done, since when its tasks wait.
+	ready bool
+	since time.Time
+	permits
+	// avoid holds workers on which a task of the stage has failed.
+	avoid map[string]int
+}
+
+type task struct {
+	phase      phase
+	run        *run
+	number     int64 // of the latest run
+	fails      int
+	checkpoint string
+}
+
+// gangRun is one run of all tasks of a gang.
+type gangRun struct {
+	number  int64
+	members int // whose ends are not known yet
+	// broken says that a member will not do, so that the others are stopped.
+	broken bool
+	failed bool
+	done   bool
+}
+
+// run is one start of a task; it holds capacity from its intent until its end is known.
+type run struct {
+	s      *stage
+	index  int
+	number int64
+	n      *node
+	need   job.Resources
+	// begun is when the start was sent.
+	begun time.Time
+	// until is when the order to start is void, on the worker's clock; zero if none was sent.
+	until time.Duration
+	// confirmed says that the worker has the run.
+	confirmed bool
+	// doubt says that the order had no answer: the run is there, or may still begin until its time
+	// has passed on the worker's clock.
+	doubt bool
+	// recovered says that a former owner sent the order.
+	recovered bool
+	// stopping says that its end was ordered, haltedAt when that was last sent.
+	stopping bool
+	haltedAt time.Time
+	ended    bool
+	// percent and movedAt tell when the run was last seen to get on.
+	percent int
+	movedAt time.Time
+}
+
+func (r *run) task() worker.Task {
+	return worker.Task{Work: r.s.e.work.ID, Occurrence: r.s.occ.number, Step: r.s.index, Index: r.index}
+}
+
+func newEntry(w *job.Work) *entry {
+	e := &entry{work: w, queue: &w.Queue, state: job.WorkQueued, shown: job.WorkQueued}
+	e.reckon()
+	return e
+}
+
+// reckon works out the goal from the caller's estimates along the longest chain of steps.
+func (e *entry) reckon() {
+	chain := e.longestChain()
+	objective := time.Duration(e.queue.Slack*float64(chain)) + e.queue.Target
+	e.goal = e.work.Accepted.Add(objective)
+	e.lost = e.work.Accepted.Add(lostAfter * objective)
+}
+
+// lostAfter times the objective is when late work is worth nothing.
+const lostAfter = 3
+
+func (e *entry) longestChain() time.Duration {
+	ends := make([]time.Duration, len(e.work.Steps))
+	var longest time.Duration
+	for i := range e.work.Steps {
+		s := &e.work.Steps[i]
+		for _, before := range s.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// begin opens an occurrence with all tasks waiting.
+func (e *entry) begin(number int) *occurrence {
+	o := &occurrence{number: number}
+	for i := range e.work.Steps {
+		spec := &e.work.Steps[i]
+		o.stages = append(o.stages, &stage{
+			e: e, occ: o, index: i, spec: spec, tasks: make([]task, spec.Tasks), waiting: spec.Tasks,
+		})
+		o.left += spec.Tasks
+	}
+	e.live = append(e.live, o)
+	e.begun = max(e.begun, number+1)
+	return o
+}
+
+// open reports whether the steps before a stage are done.
+func (s *stage) open() bool {
+	for _, i := range s.spec.After {
+		before := s.occ.stages[i]
+		if before.done < len(before.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// record gives the durable form.
+func (e *entry) record() *progress {
+	p := &progress{State: e.state, Runs: e.runs, Begun: e.begun}
+	for _, o := range e.live {
+		or := occurrenceRecord{Number: o.number}
+		for _, s := range o.stages {
+			sr := stageRecord{Fails: s.fails, Tasks: make([]taskRecord, len(s.tasks))}
+			for i := range s.tasks {
+				t := &s.tasks[i]
+				tr := taskRecord{Phase: t.phase, Run: t.number, Fails: t.fails, Checkpoint: t.checkpoint}
+				if t.run != nil {
+					tr.Worker = t.run.n.id
+				}
+				sr.Tasks[i] = tr
+			}
+			or.Steps = append(or.Steps, sr)
+		}
+		p.Live = append(p.Live, or)
+	}
+	return p
+}
+
+// drop forgets an occurrence that has ended.
+func (e *entry) drop(o *occurrence) {
+	for i := range e.live {
+		if e.live[i] == o {
+			e.live = append(e.live[:i], e.live[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/hold.go
@@ -0,0 +1,223 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/store/retry"
+	"turmericgap/worker"
+)
+
+// mostEnds is how many ends a worker lists at a time.
+const mostEnds = 500
+
+// holdOrder tells the goroutine of a worker's lease what to send next.
+type holdOrder struct {
+	hold  worker.Hold
+	pause time.Duration
+}
+
+// open starts the goroutine that keeps a worker's lease.
+func (t *term) open(n *node) {
+	n.agent = t.o.Agent(n.listing.Info)
+	if n.leaseEnd.IsZero() {
+		n.leaseEnd = t.firstLapse()
+	}
+	ctx, cancel := context.WithCancel(t.ctx)
+	n.stop = cancel
+	// The first hold raises the fence and tells the clock; it extends nothing, as no clock is known.
+	n.orders <- holdOrder{hold: worker.Hold{Fence: t.tenure.Fence}}
+	t.wg.Go(func() { t.keep(ctx, n) })
+}
+
+// firstLapse is when a worker that this term has never reached holds nothing of a former owner, who
+// may have gone on extending its lease for holdGrace.
+func (t *term) firstLapse() time.Time { return t.since.Add(holdGrace + t.leaseSpan()) }
+
+// leaseSpan is how long after a hold was sent the lease may last on the worker's clock.
+func (t *term) leaseSpan() time.Duration {
+	return t.o.MostHold + time.Duration(clockSlack*float64(t.o.MostHold)) + lapseMargin
+}
+
+// keep sends the holds of one worker, one at a time.
+func (t *term) keep(ctx context.Context, n *node) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case order := <-n.orders:
+			if order.pause > 0 && !retry.Sleep(ctx, order.pause) {
+				return
+			}
+			call, cancel := context.WithTimeout(ctx, order.hold.Wait+holdSlack)
+			held, err := n.agent.Hold(call, &order.hold)
+			cancel()
+			if ctx.Err() != nil {
+				return
+			}
+			t.post(func() { t.onHold(n, held, err) })
+		}
+	}
+}
+
+// next sends the following hold. It extends the lease unless the worker has been silent or this
+// owner's own tenure was not confirmed for too long.
+func (t *term) next(n *node, wait, pause time.Duration) {
+	now := time.Now()
+	h := worker.Hold{Fence: t.tenure.Fence, Observed: n.observed, Wait: wait}
+	if n.synced && n.misses < extendMisses && now.Before(t.tenure.Confirmed().Add(holdGrace)) {
+		// The order is sent after the pause; the lease then ends that much earlier.
+		h.Until = n.clockNow(now) + t.o.MostHold
+		n.leaseEnd = now.Add(pause + t.leaseSpan())
+	}
+	n.orders <- holdOrder{hold: h, pause: pause}
+}
+
+// onHold takes in the answer to a hold.
+func (t *term) onHold(n *node, held *worker.Held, err error) {
+	now := time.Now()
+	if err != nil {
+		t.onHoldFailed(n, err)
+		return
+	}
+	if !n.synced || n.misses >= extendMisses {
+		t.log.Info("dispatch: worker answers", zap.String("worker", n.id), zap.Int("active", len(held.Active)),
+			zap.Int("ended", len(held.Ended)), zap.Int("misses", n.misses))
+		t.dirty = true
+	}
+	n.misses, n.heard = 0, now
+	n.clock, n.clockAt = held.Clock, now
+	ended := t.onEnds(n, held.Ended)
+	t.onActive(n, held)
+	n.synced = true
+	if !ended {
+		t.next(n, holdWait, 0)
+		return
+	}
+	// The worker is told of the ends once they are durable; the lease must not wait for a slow store.
+	sent := false
+	again := func(wait, pause time.Duration) {
+		if sent || n.stopped(t) {
+			return
+		}
+		sent = true
+		t.next(n, wait, pause)
+	}
+	upTo := n.seen
+	t.afterAllSaved(func() {
+		n.observed = max(n.observed, upTo)
+		again(holdWait, 0)
+	})
+	time.AfterFunc(observeWithin, func() { t.post(func() { again(0, 0) }) })
+}
+
+// stopped reports whether the worker's goroutine has been ended.
+func (n *node) stopped(t *term) bool { return t.nodes[n.id] != n }
+
+// afterAllSaved runs f once all that is waiting for a commit now is durable.
+func (t *term) afterAllSaved(f func()) {
+	left := len(t.commits.queue)
+	if left == 0 && !t.commits.busy {
+		f()
+		return
+	}
+	if left == 0 {
+		// A commit under way may hold what was decided before; the next one ends after it.
+		t.commits.after = append(t.commits.after, f)
+		return
+	}
+	last := t.commits.queue[left-1]
+	last.effects = append(last.effects, f)
+}
+
+func (t *term) onHoldFailed(n *node, err error) {
+	var refused *worker.Refusal
+	switch {
+	case errors.Is(err, worker.ErrReplaced):
+		n.listed = false
+		t.gone(n, worker.EndingLapsed, "its lifetime is over")
+		return
+	case errors.As(err, &refused) && refused.Reason == worker.ReasonFenced:
+		t.lose("a worker knows a later owner", err)
+		return
+	}
+	if n.misses++; n.misses == extendMisses {
+		t.log.Warn("dispatch: worker does not answer", zap.String("worker", n.id), zap.Int("runs", len(n.runs)), zap.Error(err))
+	}
+	if n.stopped(t) {
+		return
+	}
+	pause := min(holdAgain<<min(n.misses, 3), holdAgainMost)
+	t.next(n, 0, pause)
+}
+
+// onEnds takes in the ends that are new and says whether there are any that the worker still lists.
+func (t *term) onEnds(n *node, ended []worker.End) bool {
+	for i := range ended {
+		e := &ended[i]
+		if e.Number <= n.seen {
+			continue
+		}
+		n.seen = e.Number
+		if r := n.runs[runKey{e.Task, e.Run}]; r != nil {
+			t.endRun(r, e.How, e.Checkpoint)
+		}
+	}
+	return n.seen > n.observed
+}
+
+// onActive compares the runs that the worker lists with those that it should have.
+func (t *term) onActive(n *node, held *worker.Held) {
+	now := time.Now()
+	listed := make(map[runKey]bool, len(held.Active))
+	strange := 0
+	for i := range held.Active {
+		a := &held.Active[i]
+		key := runKey{a.Task, a.Run}
+		listed[key] = true
+		r := n.runs[key]
+		if r == nil {
+			strange++
+			t.haltStrange(n, a)
+			continue
+		}
+		t.seeRun(r, a, now)
+	}
+	if strange != n.strange {
+		t.log.Info("dispatch: runs that nobody asked for are being stopped", zap.String("worker", n.id), zap.Int("runs", strange))
+		n.strange, t.dirty = strange, true
+	}
+	if len(held.Ended) >= mostEnds {
+		// More ends may follow, that of a run which is not listed as active among them.
+		return
+	}
+	for key, r := range n.runs {
+		if !listed[key] && r.absent(n, held.Clock) {
+			t.neverRan(r, "the worker does not list it")
+		}
+	}
+}
+
+// seeRun notes what a worker tells of a run.
+func (t *term) seeRun(r *run, a *worker.Active, now time.Time) {
+	r.confirmed, r.doubt = true, false
+	r.recovered = false
+	if a.Percent != r.percent || r.movedAt.IsZero() {
+		r.percent, r.movedAt = a.Percent, now
+	}
+	if a.Checkpoint != "" {
+		r.s.keepCheckpoint(r.index, a.Checkpoint)
+	}
+}
+
+// absent reports whether a run that the worker does not list can never start there.
+func (r *run) absent(n *node, clock time.Duration) bool {
+	if r.recovered {
+		// This term's fence was raised by the hold, so that an older order is refused from now on.
+		return true
+	}
+	return r.doubt && clock > r.until
+}
--- /dev/null
+++ b/dispatch/node.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/job"
+	"turmericgap/store"
+	"turmericgap/store/follow"
+	"turmericgap/worker"
+)
+
+// runKey names a run on a worker.
+type runKey struct {
+	task   worker.Task
+	number int64
+}
+
+// node is one lifetime of a worker.
+type node struct {
+	id      string
+	listing worker.Listing
+	// listed says that the worker's entry is in the store now.
+	listed bool
+	agent  *worker.Agent
+	stop   context.CancelFunc
+	orders chan holdOrder
+	// free is the capacity less what is charged; held is the part of free kept for a stage that waits
+	// for its permits.
+	free job.Resources
+	held job.Resources
+	runs map[runKey]*run
+	// strange counts runs on the worker that this term does not know; their size is unknown, so that
+	// nothing new is placed beside them.
+	strange int
+	// synced says that the worker has answered a hold of this term: older starts are void there.
+	synced bool
+	// clock is the worker's clock as it was at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	heard   time.Time
+	// seen is the highest number of an end that was taken in, observed the highest that is durable.
+	seen, observed int64
+	misses         int
+	// leaseEnd is when all that ran there has surely ended if the worker stays silent.
+	leaseEnd time.Time
+	unwell   time.Time
+	// fails and dones count the ends of runs lately, halved as they grow.
+	fails, dones float64
+}
+
+// clockNow estimates the worker's clock; it errs to the early side by the way of the last answer.
+func (n *node) clockNow(now time.Time) time.Duration { return n.clock + now.Sub(n.clockAt) }
+
+// usable reports whether new runs may be placed on the worker.
+func (n *node) usable(now time.Time) bool {
+	return n.listed && n.synced && !n.listing.Leaving && n.strange == 0 && n.misses == 0 &&
+		now.After(n.unwell) && now.Sub(n.heard) < holdWait+holdSlack+observeWithin
+}
+
+// room gives the capacity for new runs.
+func (n *node) room() job.Resources { return n.free.Minus(n.held) }
+
+func (n *node) take(r *run) {
+	n.runs[runKey{r.task(), r.number}] = r
+	n.free = n.free.Minus(r.need)
+}
+
+// give frees what a run held.
+func (n *node) give(r *run) {
+	delete(n.runs, runKey{r.task(), r.number})
+	n.free = n.free.Plus(r.need)
+}
+
+// followWorkers hears of the workers' entries.
+func (t *term) followWorkers() {
+	f := &follow.Follower{
+		Store: t.o.Store, Prefix: t.o.WorkersPrefix, Logger: t.log,
+		Reset:  func(pairs []store.Pair, _ int64) { t.post(func() { t.resetWorkers(pairs) }) },
+		Change: func(events []store.Event, _ int64) { t.post(func() { t.changeWorkers(events) }) },
+	}
+	t.wg.Go(func() { f.Run(t.ctx) })
+}
+
+func (t *term) resetWorkers(pairs []store.Pair) {
+	present := make(map[string]bool, len(pairs))
+	for i := range pairs {
+		if l, ok := t.listing(pairs[i].Key, pairs[i].Value); ok {
+			present[l.ID] = true
+			t.setWorker(l)
+		}
+	}
+	for id, n := range t.nodes {
+		if n.listed && !present[id] {
+			t.unlist(n)
+		}
+	}
+}
+
+func (t *term) changeWorkers(events []store.Event) {
+	for i := range events {
+		e := &events[i]
+		if e.Deleted {
+			if n := t.nodes[workID(e.Pair.Key, t.o.WorkersPrefix)]; n != nil {
+				t.unlist(n)
+			}
+			continue
+		}
+		if l, ok := t.listing(e.Pair.Key, e.Pair.Value); ok {
+			t.setWorker(l)
+		}
+	}
+}
+
+// nodeFor gives the node of that ID, which may not be listed.
+func (t *term) nodeFor(id string) *node {
+	n := t.nodes[id]
+	if n == nil {
+		n = &node{id: id, runs: make(map[runKey]*run), orders: make(chan holdOrder, 1)}
+		t.nodes[id] = n
+	}
+	return n
+}
+
+func (t *term) setWorker(l worker.Listing) {
+	n := t.nodeFor(l.ID)
+	if !n.listed || n.listing.Leaving != l.Leaving {
+		t.log.Info("dispatch: worker listed", zap.String("worker", l.ID), zap.String("pool", l.Pool),
+			zap.Bool("leaving", l.Leaving), zap.String("rack", l.Rack))
+	}
+	n.free = n.free.Plus(l.Has).Minus(n.listing.Has)
+	n.listing, n.listed = l, true
+	if n.agent == nil {
+		t.open(n)
+	}
+	t.dirty = true
+}
+
+// unlist notes that the worker's entry has gone. What runs there goes on as long as the worker answers.
+func (t *term) unlist(n *node) {
+	n.listed = false
+	t.log.Info("dispatch: worker no longer listed", zap.String("worker", n.id), zap.Int("runs", len(n.runs)))
+	t.retire(n)
+}
+
+// retire forgets a worker that is not listed and holds nothing.
+func (t *term) retire(n *node) {
+	if n.listed || len(n.runs) > 0 {
+		return
+	}
+	if n.stop != nil {
+		n.stop()
+	}
+	delete(t.nodes, n.id)
+}
+
+// gone ends all runs of a lifetime that is over.
+func (t *term) gone(n *node, how worker.Ending, reason string) {
+	t.log.Info("dispatch: worker's runs are over", zap.String("worker", n.id), zap.String("reason", reason), zap.Int("runs", len(n.runs)))
+	for _, r := range n.runs {
+		t.endRun(r, how, "")
+	}
+	t.retire(n)
+}
+
+// lapse ends what ran on workers that were silent for longer than any lease that they may hold.
+func (t *term) lapse(now time.Time) {
+	for _, n := range t.nodes {
+		if len(n.runs) > 0 && (n.misses > 0 || !n.synced) && now.After(n.leaseEnd) {
+			t.gone(n, worker.EndingLapsed, "silent until its lease had lapsed")
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/permits.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/owner"
+	"turmericgap/permit"
+)
+
+const (
+	// askSlack is added to the time that a question should take before it is given up.
+	askSlack = 600 * time.Millisecond
+	// askAgain is the pause after a question without an answer.
+	askAgain = 150 * time.Millisecond
+	// ticketMargin is what must be left of a ticket's time when a start is decided: the commit of the
+	// intent and the way to the worker come after.
+	ticketMargin = 80 * time.Millisecond
+	// usualGrant is the share of workers that are expected to be allowed before any answer is known.
+	usualGrant = 0.4
+	// nameMore is how many times the workers that should just do are named, as some fill up meanwhile.
+	nameMore = 1.6
+	// namedLeast is the least number of workers that a first question names.
+	namedLeast = 24
+)
+
+// permits is what a stage knows of the workers that may run it. What is allowed for a step does not
+// change; only tickets expire.
+type permits struct {
+	// answers holds the ticket of each worker that is allowed, and an empty one for the others.
+	answers map[string]ticket
+	asking  bool
+	// askFrom is when a question may be put again after a failure.
+	askFrom time.Time
+	// kept holds the capacity that is kept while a question is under way.
+	kept []keptRoom
+}
+
+type ticket struct {
+	value   string
+	until   time.Time
+	allowed bool
+}
+
+type keptRoom struct {
+	n     *node
+	tasks int
+}
+
+// ticket gives the ticket to send to a worker.
+func (s *stage) ticket(workerID string) string { return s.answers[workerID].value }
+
+// forget drops a ticket that a worker did not take; whether it is allowed stays known.
+func (s *stage) forget(workerID string) {
+	if a, ok := s.answers[workerID]; ok {
+		a.until = time.Time{}
+		s.answers[workerID] = a
+	}
+}
+
+// needsPermit reports whether the stage's queue has a policy service.
+func (s *stage) needsPermit() bool { return s.e.queue.Permit != nil }
+
+// mayRun reports whether a worker may run the stage at all, as far as is known.
+func (s *stage) mayRun(n *node) bool {
+	return !s.needsPermit() || s.answers[n.id].allowed
+}
+
+// ready reports whether a start on the worker may be sent now.
+func (s *stage) permitted(n *node, now time.Time) bool {
+	if !s.needsPermit() {
+		return true
+	}
+	a := s.answers[n.id]
+	return a.allowed && now.Add(ticketMargin).Before(a.until)
+}
+
+// keep sets room aside while a question is under way.
+func (s *stage) keep(n *node, tasks int) {
+	n.held = n.held.Plus(s.charge().Times(tasks))
+	s.kept = append(s.kept, keptRoom{n, tasks})
+}
+
+// letGo gives back the room that was set aside.
+func (t *term) letGo(s *stage) {
+	for _, k := range s.kept {
+		k.n.held = k.n.held.Minus(s.charge().Times(k.tasks))
+	}
+	if len(s.kept) > 0 {
+		t.dirty = true
+	}
+	s.kept = s.kept[:0]
+}
+
+// firstQuestion names the workers with the most room that were not named yet.
+func (t *term) firstQuestion(s *stage, now time.Time) {
+	need := s.charge()
+	type candidate struct {
+		n    *node
+		fits int
+	}
+	var list []candidate
+	for _, n := range t.nodes {
+		if _, known := s.answers[n.id]; known || !t.suits(s, n) || !n.listed || n.listing.Leaving {
+			continue
+		}
+		most := fits(n.listing.Has, need)
+		if most == 0 {
+			continue
+		}
+		c := candidate{n, fits(n.room(), need)}
+		if !n.usable(now) {
+			c.fits = -1
+		}
+		list = append(list, c)
+	}
+	if len(list) == 0 {
+		return
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.fits != b.fits {
+			return b.fits - a.fits
+		}
+		return strings.Compare(a.n.id, b.n.id)
+	})
+	enough := t.nameCount(s, need, len(list))
+	names := make([]string, 0, enough)
+	for i := 0; i < enough; i++ {
+		names = append(names, list[i].n.id)
+	}
+	t.question(s, names, now)
+}
+
+// nameCount is how many workers a first question names. More cost time at the service, fewer may not
+// be enough once some of them are refused or full.
+func (t *term) nameCount(s *stage, need resources, there int) int {
+	p := s.e.queue.Permit
+	perNode := 1
+	for _, n := range t.nodes {
+		perNode = max(perNode, fits(n.listing.Has, need)/2)
+	}
+	wanted := int(nameMore * float64(s.waiting) / float64(perNode) / t.grantShare(s.e.queue.Name))
+	if p.PerWorker*permit.MaxWorkers < p.Base {
+		// Naming all costs less than asking twice.
+		wanted = there
+	}
+	if s.spec.Gang {
+		wanted = max(wanted, there*gangNamed/100)
+	}
+	return min(max(wanted, namedLeast), there, permit.MaxWorkers)
+}
+
+// gangNamed is the share of workers, in percent, that a gang's first question names at least: all of
+// its tasks need room at the same time.
+const gangNamed = 60
+
+// question puts a question to the service from the entry VM that can answer first.
+func (t *term) question(s *stage, names []string, now time.Time) {
+	p := s.e.queue.Permit
+	cost := p.Base + time.Duration(len(names))*p.PerWorker
+	nodes := t.o.Nodes()
+	ids := make([]string, len(nodes))
+	for i := range nodes {
+		ids[i] = nodes[i].ID
+	}
+	vm, until, ok := t.desk.Pick(ids, cost, now)
+	if !ok {
+		s.askFrom = now.Add(askAgain)
+		return
+	}
+	from := nodes[slices.Index(ids, vm)]
+	q := &permit.Question{Work: s.e.work.ID, Occurrence: s.occ.number, Step: s.index, Workers: names}
+	s.asking = true
+	t.o.Metrics.Counter("dispatch.questions").Inc(1)
+	t.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, time.Until(until)+askSlack)
+		defer cancel()
+		a, err := t.o.Ask(ctx, from, q)
+		t.post(func() { t.onAnswer(s, from, q, now, a, err) })
+	})
+}
+
+// onAnswer notes what the service allows.
+func (t *term) onAnswer(s *stage, from owner.Node, q *permit.Question, asked time.Time, a *permit.Answer, err error) {
+	now := time.Now()
+	s.asking = false
+	t.dirty = true
+	t.letGo(s)
+	if err != nil {
+		t.desk.Failed(from.ID, now.Add(askSlack))
+		s.askFrom = now.Add(askAgain)
+		t.log.Info("dispatch: question without an answer", zap.String("id", q.Work), zap.Int("step", q.Step),
+			zap.String("from", from.ID), zap.Int("workers", len(q.Workers)), zap.Error(err))
+		return
+	}
+	if s.answers == nil {
+		s.answers = make(map[string]ticket, len(q.Workers))
+	}
+	for _, id := range q.Workers {
+		if known := s.answers[id]; !known.allowed {
+			s.answers[id] = ticket{}
+		}
+	}
+	for _, g := range a.Grants {
+		s.answers[g.Worker] = ticket{value: g.Ticket, until: now.Add(a.Valid), allowed: true}
+	}
+	t.noteGrants(s.e.queue.Name, len(a.Grants), len(q.Workers))
+	t.log.Info("dispatch: permits", zap.String("id", q.Work), zap.Int("step", q.Step), zap.String("from", from.ID),
+		zap.Int("named", len(q.Workers)), zap.Int("allowed", len(a.Grants)), zap.Duration("took", now.Sub(asked)),
+		zap.Duration("waited", now.Sub(s.since)))
+}
+
+// grantWeight is the weight of the newest answer in the share of workers that a queue is allowed.
+const grantWeight = 0.1
+
+func (t *term) noteGrants(queue string, allowed, named int) {
+	if named == 0 {
+		return
+	}
+	share := t.grantShare(queue)
+	t.grants[queue] = share + grantWeight*(float64(allowed)/float64(named)-share)
+}
+
+func (t *term) grantShare(queue string) float64 {
+	if share, ok := t.grants[queue]; ok {
+		return max(share, leastGrant)
+	}
+	return usualGrant
+}
+
+// leastGrant bounds how few workers a queue is expected to be allowed.
+const leastGrant = 0.1
--- /dev/null
+++ b/dispatch/recover.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"turmericgap/job"
+	"turmericgap/store"
+	"turmericgap/store/follow"
+	"turmericgap/store/retry"
+)
+
+// watchPause is kept between two answers of the watch over accepted work. The entry VMs tell of it
+// directly; the watch only finds what they could not tell.
+const watchPause = 300 * time.Millisecond
+
+// recover reads the cell's state; false means that the tenure ended before.
+func (t *term) recover() bool {
+	read := func(prefix string) (store.RangeResult, error) {
+		return retry.Read(t.ctx, func(ctx context.Context) (store.RangeResult, error) {
+			return t.o.Store.Range(ctx, store.Range{Key: prefix, End: store.PrefixEnd(prefix)})
+		}, retry.Between(commitAgain, commitAgainMost))
+	}
+	mark, err := retry.Read(t.ctx, func(ctx context.Context) (store.RangeResult, error) {
+		return t.o.Store.Range(ctx, store.Range{Key: commitKey})
+	}, retry.Between(commitAgain, commitAgainMost))
+	if err != nil {
+		return false
+	}
+	if len(mark.Pairs) > 0 {
+		t.commits.revision = mark.Pairs[0].ModRevision
+	}
+	states, err := read(statePrefix)
+	if err != nil {
+		return false
+	}
+	works, err := read(workPrefix)
+	if err != nil {
+		return false
+	}
+	t.config = t.o.Config()
+	t.restore(works.Pairs, states.Pairs)
+	t.wg.Go(t.readEnded)
+	t.followAll()
+	return true
+}
+
+// restore rebuilds the entries. A work without a state has not started; a state without a work belongs
+// to one that has ended since.
+func (t *term) restore(works, states []store.Pair) {
+	progressOf := make(map[string]*progress, len(states))
+	for i := range states {
+		p := &progress{}
+		if err := msgpack.Unmarshal(states[i].Value, p); err != nil {
+			t.log.Error("dispatch: a state cannot be read", zap.String("key", states[i].Key), zap.Error(err))
+			continue
+		}
+		progressOf[workID(states[i].Key, statePrefix)] = p
+	}
+	runs := 0
+	for i := range works {
+		w := t.decodeWork(works[i])
+		if w == nil {
+			continue
+		}
+		p := progressOf[w.ID]
+		if p == nil {
+			t.add(w)
+			continue
+		}
+		runs += t.resume(w, p)
+	}
+	t.log.Info("dispatch: the cell's state was read", zap.Int("works", len(t.entries)), zap.Int("runs", runs),
+		zap.Duration("took", time.Since(t.since)))
+}
+
+func (t *term) decodeWork(p store.Pair) *job.Work {
+	w := &job.Work{}
+	if err := msgpack.Unmarshal(p.Value, w); err != nil {
+		t.log.Error("dispatch: a work cannot be read", zap.String("key", p.Key), zap.Error(err))
+		return nil
+	}
+	return w
+}
+
+// resume rebuilds an entry that had started, and gives how many of its runs may be present on workers.
+func (t *term) resume(w *job.Work, p *progress) int {
+	e := newEntry(w)
+	t.adopt(e)
+	e.runs, e.begun, e.started = p.Runs, p.Begun, p.Runs > 0
+	e.state = job.WorkQueued
+	if p.State.Final() {
+		e.state = p.State
+	}
+	e.shown = e.visible()
+	t.entries[w.ID] = e
+	for i := range p.Live {
+		t.resumeOccurrence(e, &p.Live[i])
+	}
+	if w.Occurrences > e.begun {
+		t.timed[e] = struct{}{}
+	}
+	if e.state.Final() {
+		t.settle(e)
+		t.haltAll(e)
+		return e.held
+	}
+	for _, o := range e.live {
+		t.openStages(o)
+	}
+	return e.held
+}
+
+func (t *term) resumeOccurrence(e *entry, or *occurrenceRecord) {
+	begun := e.begun
+	o := e.begin(or.Number)
+	e.begun = begun
+	for i := range or.Steps {
+		if i < len(o.stages) {
+			t.resumeStage(o.stages[i], &or.Steps[i])
+		}
+	}
+}
+
+func (t *term) resumeStage(s *stage, sr *stageRecord) {
+	s.fails = sr.Fails
+	for i := range sr.Tasks {
+		if i >= len(s.tasks) {
+			return
+		}
+		tr := &sr.Tasks[i]
+		k := &s.tasks[i]
+		k.fails, k.number, k.checkpoint = tr.Fails, tr.Run, tr.Checkpoint
+		switch tr.Phase {
+		case phaseStarted:
+			k.phase = phaseStarted
+			s.waiting--
+			t.resumeRun(s, i, tr)
+		case phaseDone:
+			k.phase = phaseDone
+			s.waiting--
+			s.done++
+			s.occ.left--
+		default:
+		}
+	}
+}
+
+// resumeRun charges a run that a former owner may have started.
+func (t *term) resumeRun(s *stage, index int, tr *taskRecord) {
+	n := t.nodeFor(tr.Worker)
+	if n.leaseEnd.IsZero() {
+		n.leaseEnd = t.firstLapse()
+	}
+	r := &run{s: s, index: index, number: tr.Run, n: n, need: s.charge(), recovered: true, begun: t.since}
+	s.tasks[index].run = r
+	s.e.held++
+	n.take(r)
+	if !s.spec.Gang {
+		return
+	}
+	if s.gang == nil {
+		s.gang = &gangRun{number: tr.Run}
+	}
+	s.gang.members++
+}
+
+// readEnded reads the records of ended work, which nothing waits for: a state that is asked for
+// meanwhile is read from the store.
+func (t *term) readEnded() {
+	res, err := retry.Read(t.ctx, func(ctx context.Context) (store.RangeResult, error) {
+		return t.o.Store.Range(ctx, store.Range{Key: endedPrefix, End: store.PrefixEnd(endedPrefix)})
+	})
+	if err != nil {
+		return
+	}
+	found := make(map[string]Ended, len(res.Pairs))
+	for i := range res.Pairs {
+		var end Ended
+		if err := msgpack.Unmarshal(res.Pairs[i].Value, &end); err != nil {
+			t.log.Error("dispatch: a record cannot be read", zap.String("key", res.Pairs[i].Key), zap.Error(err))
+			continue
+		}
+		found[workID(res.Pairs[i].Key, endedPrefix)] = end
+	}
+	t.post(func() {
+		for id, end := range found {
+			t.noteEnded(id, end)
+		}
+		t.endedRead = true
+	})
+}
+
+// followWorks hears of accepted work that its entry VM could not tell of.
+func (t *term) followWorks() {
+	take := func(pairs []store.Pair) {
+		var works []*job.Work
+		for i := range pairs {
+			if w := t.decodeWork(pairs[i]); w != nil {
+				works = append(works, w)
+			}
+		}
+		t.post(func() {
+			for _, w := range works {
+				t.add(w)
+			}
+		})
+	}
+	f := &follow.Follower{
+		Store: t.o.Store, Prefix: workPrefix, Pause: watchPause, Logger: t.log,
+		Reset: func(pairs []store.Pair, _ int64) { take(pairs) },
+		Change: func(events []store.Event, _ int64) {
+			var pairs []store.Pair
+			for i := range events {
+				if !events[i].Deleted {
+					pairs = append(pairs, events[i].Pair)
+				}
+			}
+			if len(pairs) > 0 {
+				take(pairs)
+			}
+		},
+	}
+	t.wg.Go(func() { f.Run(t.ctx) })
+}
--- /dev/null
+++ b/dispatch/term.go
@@ -0,0 +1,283 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/job"
+	"turmericgap/owner"
+	"turmericgap/permit"
+	"turmericgap/worker"
+)
+
+// term is one tenure, from the reading of the cell's state to its end.
+type term struct {
+	o      *Options
+	log    *zap.Logger
+	tenure *owner.Tenure
+	ctx    context.Context
+	end    context.CancelFunc
+	events chan func()
+	wg     sync.WaitGroup
+	since  time.Time
+
+	// The rest belongs to the loop.
+	entries map[string]*entry
+	ended   map[string]Ended
+	// endedRead says that the records of work that ended under former owners have been read.
+	endedRead bool
+	// endedOrder holds the ended works by their end, oldest first.
+	endedOrder []string
+	nodes      map[string]*node
+	// stages holds those with waiting tasks whose turn has come.
+	stages map[*stage]struct{}
+	// timed holds the entries with occurrences that are not due yet.
+	timed   map[*entry]struct{}
+	commits commits
+	desk    *permit.Desk
+	config  *job.Config
+	dirty   bool
+	// removed lists the ended records that the next commits take away.
+	removed []string
+	// grants is the share of named workers that each queue is allowed.
+	grants map[string]float64
+}
+
+func newTerm(ctx context.Context, o *Options, tenure *owner.Tenure) *term {
+	t := &term{
+		o: o, log: o.Logger.With(zap.Int64("fence", tenure.Fence)), tenure: tenure, since: time.Now(),
+		events: make(chan func(), eventRing), entries: make(map[string]*entry), ended: make(map[string]Ended),
+		nodes: make(map[string]*node), stages: make(map[*stage]struct{}), timed: make(map[*entry]struct{}),
+		desk: permit.NewDesk(), grants: make(map[string]float64),
+	}
+	t.ctx, t.end = context.WithCancel(ctx)
+	return t
+}
+
+// loop is the one goroutine that owns the term's state.
+func (t *term) loop() {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case f := <-t.events:
+			f()
+			t.drain()
+		case <-tick.C:
+			t.onTick(time.Now())
+		}
+		t.syncConfig()
+		if t.dirty {
+			t.place(time.Now())
+		}
+		t.flush()
+	}
+}
+
+// drain runs what else has come, so that one plan and one commit serve many events.
+func (t *term) drain() {
+	for range eventRing {
+		select {
+		case f := <-t.events:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// post hands f to the loop; it is dropped when the term ends.
+func (t *term) post(f func()) {
+	select {
+	case t.events <- f:
+	case <-t.ctx.Done():
+	}
+}
+
+// ask runs f on the loop and gives its result.
+func ask[T any](ctx context.Context, t *term, f func() T) (T, error) {
+	var none T
+	got := make(chan T, 1)
+	select {
+	case t.events <- func() { got <- f() }:
+	case <-t.ctx.Done():
+		return none, errTermClosed
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+	select {
+	case v := <-got:
+		return v, nil
+	case <-t.ctx.Done():
+		return none, errTermClosed
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+// lose ends the term because a worker or the store has told of another owner.
+func (t *term) lose(reason string, err error) {
+	t.log.Warn("dispatch: ownership is lost", zap.String("reason", reason), zap.Error(err))
+	t.end()
+	t.tenure.Lost()
+}
+
+// close waits for the goroutines of the term.
+func (t *term) close() {
+	t.end()
+	t.wg.Wait()
+}
+
+// syncConfig takes over a newer configuration.
+func (t *term) syncConfig() {
+	c := t.o.Config()
+	if c == t.config || c == nil {
+		return
+	}
+	t.config = c
+	for _, e := range t.entries {
+		t.adopt(e)
+	}
+	t.dirty = true
+	t.log.Info("dispatch: configuration taken over", zap.Int64("version", c.Version))
+}
+
+// adopt gives an entry the newest configuration of its queue. A queue that was removed goes on under
+// its last one, since what was accepted must end.
+func (t *term) adopt(e *entry) {
+	if t.config == nil {
+		return
+	}
+	if q := t.config.Named(e.work.Queue.Name); q != nil {
+		e.queue = q
+		e.reckon()
+	}
+}
+
+// add takes an accepted work that the term does not know yet.
+func (t *term) add(w *job.Work) {
+	if t.entries[w.ID] != nil {
+		return
+	}
+	if _, over := t.ended[w.ID]; over {
+		return
+	}
+	e := newEntry(w)
+	t.adopt(e)
+	t.entries[w.ID] = e
+	if w.Occurrences > 0 {
+		t.timed[e] = struct{}{}
+		t.beginDue(e, time.Now())
+		return
+	}
+	t.openStages(e.begin(0))
+}
+
+// offer takes work that an entry VM has just accepted. An offer that was under way while its work
+// ran and ended under a former owner would run it again; until the ended work is known, only the
+// watch tells of new work, which the store orders after its end.
+func (t *term) offer(works []job.Work) {
+	if !t.endedRead {
+		return
+	}
+	for i := range works {
+		t.add(&works[i])
+	}
+}
+
+// openStages makes the stages of an occurrence whose turn has come ready.
+func (t *term) openStages(o *occurrence) {
+	for _, s := range o.stages {
+		if s.waiting == 0 || s.e.state.Final() || !s.open() {
+			continue
+		}
+		if !s.ready {
+			s.ready, s.since = true, time.Now()
+		}
+		t.stages[s] = struct{}{}
+		t.dirty = true
+	}
+}
+
+// shown gives the durable state of a work, empty where it is not held.
+func (t *term) shown(id string) job.WorkState {
+	if e := t.entries[id]; e != nil {
+		return e.shown
+	}
+	return t.ended[id].State
+}
+
+func (t *term) waiting(queue string) int {
+	n := 0
+	for _, e := range t.entries {
+		if e.work.Queue.Name == queue && !e.started && !e.state.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// cancel decides that a work is cancelled; done is closed once that is durable.
+func (t *term) cancel(id string) (known bool, done chan struct{}) {
+	done = make(chan struct{})
+	e := t.entries[id]
+	if e == nil {
+		_, over := t.ended[id]
+		close(done)
+		return over, done
+	}
+	if e.state.Final() {
+		t.afterSaved(e, func() { close(done) })
+		return true, done
+	}
+	t.log.Info("dispatch: work cancelled", zap.String("id", id), zap.Int("running", e.held))
+	t.conclude(e, job.WorkCancelled)
+	t.afterSaved(e, func() { close(done) })
+	return true, done
+}
+
+// conclude decides a final state: nothing new starts, and what runs is stopped once that is durable.
+func (t *term) conclude(e *entry, state job.WorkState) {
+	e.state = state
+	delete(t.timed, e)
+	for _, o := range e.live {
+		for _, s := range o.stages {
+			delete(t.stages, s)
+			t.letGo(s)
+		}
+	}
+	t.save(e, func() { t.haltAll(e) })
+}
+
+// haltAll stops all runs of a work.
+func (t *term) haltAll(e *entry) {
+	for _, o := range e.live {
+		for _, s := range o.stages {
+			for i := range s.tasks {
+				if r := s.tasks[i].run; r != nil && !r.ended {
+					t.halt(r)
+				}
+			}
+		}
+	}
+}
+
+// followAll starts the goroutines that hear of workers and accepted work.
+func (t *term) followAll() {
+	t.followWorkers()
+	t.followWorks()
+}
+
+func (t *term) listing(key string, raw []byte) (worker.Listing, bool) {
+	l, err := t.o.DecodeWorker(key, raw)
+	if err != nil {
+		t.log.Warn("dispatch: a worker's entry cannot be read", zap.String("key", key), zap.Error(err))
+		return l, false
+	}
+	return l, true
+}
--- /dev/null
+++ b/front/front.go
@@ -0,0 +1,209 @@
+package front
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+
+	"turmericgap/dispatch"
+	"turmericgap/job"
+	"turmericgap/metric"
+	"turmericgap/owner"
+	"turmericgap/rpc"
+)
+
+// Front answers callers on one entry VM.
+type Front struct {
+	o      Options
+	accept *acceptor
+	cancel context.CancelFunc
+}
+
+// New returns a Front that takes submissions at once.
+func New(o Options) *Front {
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metric.New()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Front{o: o, cancel: cancel}
+	f.accept = newAcceptor(ctx, &f.o)
+	return f
+}
+
+// Close ends the acceptance of work; submissions under way get an open outcome.
+func (f *Front) Close() {
+	f.cancel()
+	f.accept.wg.Wait()
+}
+
+// Submit makes a work durable. A Fault with CodeRefused means that it never runs, any other error
+// that it may.
+func (f *Front) Submit(ctx context.Context, w *job.Work) error {
+	created, err := f.accept.submit(ctx, w)
+	if err != nil {
+		return f.submitElsewhere(ctx, w, err)
+	}
+	if created {
+		f.offer(w)
+	}
+	return nil
+}
+
+// submitElsewhere asks the owner of the cell to accept what this VM cannot. The store may decline the
+// calls of some VMs while it serves the others; the work would be refused though it could run.
+func (f *Front) submitElsewhere(ctx context.Context, w *job.Work, cause error) error {
+	fault := rpc.AsFault(cause)
+	if fault == nil || fault.Code != rpc.CodeRefused || f.o.Dispatcher.Leads() {
+		return cause
+	}
+	peer, ok := f.o.Group.Owner()
+	if !ok || peer.ID == f.o.Group.Self().ID {
+		return cause
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerWithin+openWithin)
+	defer cancel()
+	_, err := rpc.Call[submitRequest, none](ctx, f.o.Peers.Get(peer.Address), methodSubmit, &submitRequest{Work: *w})
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, rpc.ErrNotSent):
+		return cause
+	}
+	return err
+}
+
+// offer tells the owner of new work; if that fails, its watch finds the work.
+func (f *Front) offer(w *job.Work) {
+	if f.o.Dispatcher.Leads() {
+		ctx, cancel := context.WithTimeout(context.Background(), offerWithin)
+		defer cancel()
+		f.logOffer(w, f.o.Dispatcher.Offer(ctx, []job.Work{*w}))
+		return
+	}
+	peer, ok := f.o.Group.Owner()
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), offerWithin)
+		defer cancel()
+		_, err := rpc.Call[offerRequest, none](ctx, f.o.Peers.Get(peer.Address), methodOffer, &offerRequest{Works: []job.Work{*w}})
+		f.logOffer(w, err)
+	}()
+}
+
+func (f *Front) logOffer(w *job.Work, err error) {
+	if err != nil {
+		f.o.Logger.Info("front: the owner was not told of work", zap.String("id", w.ID), zap.Error(err))
+	}
+}
+
+// Status gives the state of a work; CodeNotFound means that there is none.
+func (f *Front) Status(ctx context.Context, id string) (job.WorkState, error) {
+	state, err := f.ownerStatus(ctx, id)
+	if err == nil {
+		return state, nil
+	}
+	state, stored := f.storedStatus(ctx, id)
+	if stored != nil {
+		f.o.Logger.Info("front: no state of a work", zap.String("id", id), zap.NamedError("owner", err), zap.NamedError("store", stored))
+		return "", stored
+	}
+	return state, nil
+}
+
+func (f *Front) ownerStatus(ctx context.Context, id string) (job.WorkState, error) {
+	ctx, cancel := context.WithTimeout(ctx, ownerWithin)
+	defer cancel()
+	if f.o.Dispatcher.Leads() {
+		return f.o.Dispatcher.Status(ctx, id)
+	}
+	peer, err := f.owner()
+	if err != nil {
+		return "", err
+	}
+	out, err := rpc.Call[idRequest, statusReply](ctx, f.o.Peers.Get(peer.Address), methodStatus, &idRequest{ID: id})
+	if err != nil {
+		return "", err
+	}
+	return out.State, nil
+}
+
+func (f *Front) owner() (owner.Node, error) {
+	peer, ok := f.o.Group.Owner()
+	if !ok || peer.ID == f.o.Group.Self().ID {
+		return peer, rpc.Refused(retryOwner, "the cell has no owner just now")
+	}
+	return peer, nil
+}
+
+// storedStatus reads a state from the store.
+func (f *Front) storedStatus(ctx context.Context, id string) (job.WorkState, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeWithin)
+	defer cancel()
+	state, err := dispatch.ReadState(ctx, f.o.Store, id)
+	switch {
+	case errors.Is(err, dispatch.ErrNoWork):
+		return "", &rpc.Fault{Code: rpc.CodeNotFound, Reason: err.Error()}
+	case err != nil:
+		return "", rpc.Refused(retryOwner, "neither the owner nor the store can be asked: %v", err)
+	}
+	return state, nil
+}
+
+// Cancel ends a work; it is durable when Cancel returns nil.
+func (f *Front) Cancel(ctx context.Context, id string) error {
+	err := f.ownerCancel(ctx, id)
+	if fault := rpc.AsFault(err); fault == nil || fault.Code != rpc.CodeNotFound {
+		return err
+	}
+	// The owner may not have heard of work that was accepted just now.
+	w, state, err := dispatch.ReadWork(ctx, f.o.Store, id)
+	switch {
+	case errors.Is(err, dispatch.ErrNoWork):
+		return &rpc.Fault{Code: rpc.CodeNotFound, Reason: err.Error()}
+	case err != nil:
+		return rpc.Refused(retryOwner, "the store cannot be asked: %v", err)
+	case state.Final():
+		return nil
+	}
+	f.offer(w)
+	return f.ownerCancel(ctx, id)
+}
+
+func (f *Front) ownerCancel(ctx context.Context, id string) error {
+	if f.o.Dispatcher.Leads() {
+		return f.o.Dispatcher.Cancel(ctx, id)
+	}
+	peer, err := f.owner()
+	if err != nil {
+		return err
+	}
+	_, err = rpc.Call[idRequest, none](ctx, f.o.Peers.Get(peer.Address), methodCancel, &idRequest{ID: id})
+	if errors.Is(err, rpc.ErrNotSent) {
+		return rpc.Refused(retryOwner, "the owner of the cell cannot be reached")
+	}
+	return err
+}
+
+// Waiting counts the accepted works of a queue of which no task has started.
+func (f *Front) Waiting(ctx context.Context, queue string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, ownerWithin)
+	defer cancel()
+	if f.o.Dispatcher.Leads() {
+		return f.o.Dispatcher.Waiting(ctx, queue)
+	}
+	peer, err := f.owner()
+	if err != nil {
+		return 0, err
+	}
+	out, err := rpc.Call[queueRequest, waitingReply](ctx, f.o.Peers.Get(peer.Address), methodWaiting, &queueRequest{Queue: queue})
+	if err != nil {
+		return 0, rpc.Refused(retryOwner, "the owner of the cell cannot be asked: %v", err)
+	}
+	return out.Waiting, nil
+}
--- /dev/null
+++ b/front/options.go
@@ -0,0 +1,58 @@
+package front
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/dispatch"
+	"turmericgap/metric"
+	"turmericgap/owner"
+	"turmericgap/permit"
+	"turmericgap/rpc"
+	"turmericgap/store"
+)
+
+// Defaults.
+const (
+	// acceptRing bounds the submissions that wait for a transaction; a full one refuses.
+	acceptRing = 256
+	// acceptsAtOnce bounds the transactions under way, so that a slow store does not put submissions
+	// in a line, and a dead one is not flooded.
+	acceptsAtOnce = 4
+	// acceptsEach is how many submissions fit into a transaction of 32 entries, three for each.
+	acceptsEach = 10
+	// storeWithin bounds one call of the store.
+	storeWithin = 900 * time.Millisecond
+	// openWithin is how long an accept of unknown outcome is followed up before its caller is told so;
+	// a repeat of the same ID, here or on another VM, then resolves it.
+	openWithin = 1200 * time.Millisecond
+	// refusedAgain is the pause before the second and last try of a call that the store declined.
+	refusedAgain = 60 * time.Millisecond
+	// storeSilent is how long the store may be silent before submissions are refused unsent. Its
+	// watches answer once a second.
+	storeSilent = 2500 * time.Millisecond
+	// ownerWithin bounds a question to the owner of the cell; the store is asked after it.
+	ownerWithin = 700 * time.Millisecond
+	// offerWithin bounds the message that tells the owner of new work.
+	offerWithin = 600 * time.Millisecond
+	// retryStore and retryOwner are when a refused caller may come again: the store's usual outages
+	// last some seconds, a take-over about two.
+	retryStore = 2 * time.Second
+	retryOwner = time.Second
+	retryBusy  = time.Second
+)
+
+// Options are what a Front is made of.
+type Options struct {
+	Store      *store.Store
+	Dispatcher *dispatch.Dispatcher
+	Group      *owner.Group
+	Peers      *rpc.Pool
+	// Permits puts a question to the policy service from this VM.
+	Permits permit.Ask
+	// StoreHeard gives when the store last answered.
+	StoreHeard func() time.Time
+	Logger     *zap.Logger
+	Metrics    *metric.Registry
+}
--- /dev/null
+++ b/front/serve.go
@@ -0,0 +1,74 @@
+package front
+
+import (
+	"context"
+
+	"turmericgap/job"
+	"turmericgap/permit"
+	"turmericgap/rpc"
+)
+
+// Names of the calls between entry VMs.
+const (
+	methodOffer   = "Front.Offer"
+	methodSubmit  = "Front.Submit"
+	methodStatus  = "Front.Status"
+	methodCancel  = "Front.Cancel"
+	methodWaiting = "Front.Waiting"
+	// MethodAsk puts a question to the policy service from the callee's VM.
+	MethodAsk = "Front.Ask"
+)
+
+type none struct{}
+
+type offerRequest struct {
+	Works []job.Work `msgpack:"w"`
+}
+
+type submitRequest struct {
+	Work job.Work `msgpack:"w"`
+}
+
+type idRequest struct {
+	ID string `msgpack:"i"`
+}
+
+type statusReply struct {
+	State job.WorkState `msgpack:"s"`
+}
+
+type queueRequest struct {
+	Queue string `msgpack:"q"`
+}
+
+type waitingReply struct {
+	Waiting int `msgpack:"w"`
+}
+
+// Register serves the calls of the other entry VMs.
+func (f *Front) Register(s *rpc.Server) {
+	rpc.Handle(s, methodOffer, func(ctx context.Context, in *offerRequest) (*none, error) {
+		return &none{}, f.o.Dispatcher.Offer(ctx, in.Works)
+	})
+	rpc.Handle(s, methodSubmit, func(ctx context.Context, in *submitRequest) (*none, error) {
+		created, err := f.accept.submit(ctx, &in.Work)
+		if created {
+			f.offer(&in.Work)
+		}
+		return &none{}, err
+	})
+	rpc.Handle(s, methodStatus, func(ctx context.Context, in *idRequest) (*statusReply, error) {
+		state, err := f.o.Dispatcher.Status(ctx, in.ID)
+		return &statusReply{State: state}, err
+	})
+	rpc.Handle(s, methodCancel, func(ctx context.Context, in *idRequest) (*none, error) {
+		return &none{}, f.o.Dispatcher.Cancel(ctx, in.ID)
+	})
+	rpc.Handle(s, methodWaiting, func(ctx context.Context, in *queueRequest) (*waitingReply, error) {
+		n, err := f.o.Dispatcher.Waiting(ctx, in.Queue)
+		return &waitingReply{Waiting: n}, err
+	})
+	rpc.Handle(s, MethodAsk, func(ctx context.Context, in *permit.Question) (*permit.Answer, error) {
+		return f.o.Permits(ctx, in)
+	})
+}
--- a/options.go
+++ b/options.go
@@ -29,6 +29,9 @@
 // Name sets the program's name in logs and traces.
 func Name(name string) Option { return func(o *Options) { o.Name = name } }
 
+// Logger sets the root logger; the default writes to standard error.
+func Logger(l *zap.Logger) Option { return func(o *Options) { o.Logger = l } }
+
 // OpsAddress sets the operators' port; empty serves none.
 func OpsAddress(address string) Option { return func(o *Options) { o.OpsAddress = address } }
 
--- /dev/null
+++ b/owner/claim.go
@@ -0,0 +1,160 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"turmericgap/store"
+)
+
+// claim takes the cell whenever nobody owns it.
+func (g *Group) claim() {
+	again := time.NewTicker(claimAgain)
+	defer again.Stop()
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-g.wake:
+		case <-again.C:
+		}
+		g.tidy()
+		if g.vacant() {
+			g.pause(time.Duration(g.rank()) * claimStagger)
+		}
+		if g.vacant() && g.ctx.Err() == nil {
+			g.try()
+		}
+	}
+}
+
+// tidy settles a key that stands under this VM's present lease while no tenure runs here. Without it
+// a claim that the store carried out late, or a key whose removal failed, would keep the cell without
+// an owner for as long as this VM renews its lease.
+func (g *Group) tidy() {
+	g.mu.Lock()
+	p, idle, lost := g.owner, g.tenure == nil, g.lost
+	g.mu.Unlock()
+	if p == nil || !idle || p.Lease != g.holder.ID() {
+		return
+	}
+	if p.ModRevision > lost && p.CreateRevision == p.ModRevision {
+		g.begin(p.ModRevision)
+		return
+	}
+	g.release(&Tenure{Key: ownerKey, Revision: p.ModRevision})
+}
+
+func (g *Group) vacant() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.listed && g.owner == nil && g.tenure == nil && !g.leaving && g.holder.Valid()
+}
+
+// rank counts the nodes that go before this one.
+func (g *Group) rank() int {
+	rank := 0
+	for _, n := range g.Nodes() {
+		if n.ID < g.self.ID {
+			rank++
+		}
+	}
+	return rank
+}
+
+// try creates the owner's key. An answer that is lost is no failure: the watch then shows the key
+// as ours, and the tenure begins with what the store says of it.
+func (g *Group) try() {
+	raw, err := msgpack.Marshal(&g.self)
+	if err != nil {
+		g.log.Error("owner: entry cannot be encoded", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, callWithin)
+	defer cancel()
+	leaseID := g.holder.ID()
+	res, err := g.store.Txn(ctx, store.Txn{
+		Compares: []store.Compare{{Key: ownerKey, Target: store.ModRevision}},
+		Then:     []store.Op{{Key: ownerKey, Value: raw, Lease: leaseID}},
+	})
+	if err != nil {
+		g.log.Warn("owner: claim without an answer", zap.Error(err))
+		g.settle(ctx, leaseID)
+		return
+	}
+	if res.Succeeded {
+		g.begin(res.Revision)
+	}
+}
+
+// settle reads the owner's key after a claim whose answer was lost. A key under this VM's present
+// lease is a claim of this process that went through.
+func (g *Group) settle(ctx context.Context, leaseID int64) {
+	res, err := g.store.Range(ctx, store.Range{Key: ownerKey})
+	if err != nil || len(res.Pairs) == 0 {
+		return
+	}
+	if p := res.Pairs[0]; p.Lease == leaseID && p.CreateRevision == p.ModRevision {
+		g.begin(p.ModRevision)
+	}
+}
+
+// begin starts a tenure.
+func (g *Group) begin(revision int64) {
+	g.mu.Lock()
+	if g.tenure != nil || g.leaving || revision <= g.lost {
+		g.mu.Unlock()
+		return
+	}
+	ctx, cancel := context.WithCancel(g.ctx)
+	t := &Tenure{
+		Fence: revision, Key: ownerKey, Revision: revision, Confirmed: g.holder.Deadline,
+		Lost: func() { go g.endTenure("reported lost") },
+	}
+	done := make(chan struct{})
+	g.tenure, g.endTerm, g.termDone = t, cancel, done
+	g.mu.Unlock()
+	g.log.Info("owner: this VM owns the cell", zap.Int64("fence", revision))
+	g.wg.Go(func() {
+		defer close(done)
+		g.lead(ctx, t)
+	})
+}
+
+// endTenure ends the tenure, waits for what runs in it, and gives up the key.
+func (g *Group) endTenure(why string) {
+	g.mu.Lock()
+	t, cancel, done := g.tenure, g.endTerm, g.termDone
+	g.mu.Unlock()
+	if t == nil {
+		return
+	}
+	cancel()
+	<-done
+	g.mu.Lock()
+	if g.tenure != t {
+		g.mu.Unlock()
+		return
+	}
+	g.tenure, g.lost = nil, max(g.lost, t.Revision)
+	g.mu.Unlock()
+	g.log.Info("owner: this VM no longer owns the cell", zap.Int64("fence", t.Fence), zap.String("reason", why))
+	g.release(t)
+	g.poke()
+}
+
+// release removes the key so that another VM need not wait for the lease to lapse.
+func (g *Group) release(t *Tenure) {
+	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
+	defer cancel()
+	_, err := g.store.Txn(ctx, store.Txn{
+		Compares: []store.Compare{t.Compare()},
+		Then:     []store.Op{{Delete: true, Key: ownerKey}},
+	})
+	if err != nil {
+		g.log.Warn("owner: the key lapses with its lease", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,309 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"turmericgap/lease"
+	"turmericgap/store"
+	"turmericgap/store/follow"
+	"turmericgap/store/retry"
+)
+
+// Keys of the group.
+const (
+	root       = "turmericgap/cell/"
+	ownerKey   = root + "owner"
+	nodePrefix = root + "node/"
+)
+
+// Defaults.
+const (
+	// DefaultTTL is how long a dead owner keeps the cell from being taken over. It outlasts the
+	// answers of a store that takes a third of a second for each, with two renewals lost.
+	DefaultTTL = 1600 * time.Millisecond
+	// DefaultRenew makes four renewals in a TTL.
+	DefaultRenew = 400 * time.Millisecond
+	// DefaultDrift covers a clock that runs a fiftieth slower than the store's, and the granularity
+	// of timers.
+	DefaultDrift = 100 * time.Millisecond
+	// claimStagger separates the claims of VMs that see the owner vanish at the same time; it is
+	// several times the store's usual answer, so that mostly one transaction is sent.
+	claimStagger = 25 * time.Millisecond
+	// claimAgain is the pause after a claim without a definite answer.
+	claimAgain = 200 * time.Millisecond
+	// callWithin bounds one call; the store's slowest answers stay below it.
+	callWithin = time.Second
+)
+
+// Node is a live entry VM.
+type Node struct {
+	ID      string `msgpack:"i"`
+	Zone    string `msgpack:"z"`
+	Address string `msgpack:"a"`
+}
+
+// Tenure is one time of owning the cell.
+type Tenure struct {
+	// Fence rises with each tenure of the cell.
+	Fence int64
+	// Key holds at Revision as long as the tenure lasts; commits compare it.
+	Key      string
+	Revision int64
+	// Confirmed gives until when the store surely keeps the tenure, as last confirmed.
+	Confirmed func() time.Time
+	// Lost reports that the tenure has ended, as a commit or a worker has told.
+	Lost func()
+}
+
+// Compare gives the condition that holds while the tenure lasts.
+func (t *Tenure) Compare() store.Compare {
+	return store.Compare{Key: t.Key, Target: store.ModRevision, Revision: t.Revision}
+}
+
+// Group follows the nodes and the owner, and owns the cell when its turn comes.
+type Group struct {
+	store *store.Store
+	self  Node
+	log   *zap.Logger
+	lead  func(ctx context.Context, t *Tenure)
+	ttl   time.Duration
+	renew time.Duration
+
+	holder *lease.Holder
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	// wake is sent to when anything that a claim depends on has changed.
+	wake chan struct{}
+
+	mu       sync.Mutex
+	nodes    map[string]Node
+	owner    *store.Pair
+	ownerAs  Node
+	listed   bool
+	leaving  bool
+	lost     int64 // the revision of an owner's key that was reported lost
+	tenure   *Tenure
+	endTerm  context.CancelFunc
+	termDone chan struct{}
+}
+
+// Option sets up a Group.
+type Option func(*Group)
+
+// Logger sets where the group logs.
+func Logger(l *zap.Logger) Option { return func(g *Group) { g.log = l } }
+
+// Lead sets what the owner does; its context ends with the tenure, and the next tenure waits for it.
+func Lead(f func(ctx context.Context, t *Tenure)) Option { return func(g *Group) { g.lead = f } }
+
+// TTL sets the lease and the pause between its renewals.
+func TTL(ttl, renew time.Duration) Option {
+	return func(g *Group) { g.ttl, g.renew = ttl, renew }
+}
+
+// New returns a group that joins when it is started.
+func New(kv *store.Store, self Node, opts ...Option) *Group {
+	g := &Group{
+		store: kv, self: self, log: zap.NewNop(), ttl: DefaultTTL, renew: DefaultRenew,
+		lead:  func(ctx context.Context, _ *Tenure) { <-ctx.Done() },
+		nodes: make(map[string]Node), wake: make(chan struct{}, 1),
+	}
+	for _, o := range opts {
+		o(g)
+	}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	return g
+}
+
+// Start joins the group.
+func (g *Group) Start() {
+	g.holder = lease.New(g.store, lease.TTL(g.ttl), lease.Renew(g.renew), lease.Drift(DefaultDrift), lease.Logger(g.log),
+		lease.Lost(func(id int64) {
+			g.log.Warn("owner: the store says that the lease is gone", zap.Int64("lease", id))
+			g.endTenure("lease gone")
+		}))
+	g.wg.Go(g.follow)
+	g.wg.Go(g.claim)
+	g.wg.Go(g.enter)
+}
+
+// Self gives this VM's entry.
+func (g *Group) Self() Node { return g.self }
+
+// Owner gives the last known owner of the cell.
+func (g *Group) Owner() (Node, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ownerAs, g.owner != nil
+}
+
+// Nodes gives the live entry VMs by ID.
+func (g *Group) Nodes() []Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]Node, 0, len(g.nodes))
+	for _, n := range g.nodes {
+		out = append(out, n)
+	}
+	slices.SortFunc(out, func(a, b Node) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Resign ends the tenure in order and takes this VM out of the list, so that another one takes over at
+// once; the group goes on telling who owns the cell.
+func (g *Group) Resign(ctx context.Context) {
+	g.mu.Lock()
+	g.leaving = true
+	g.mu.Unlock()
+	g.endTenure("leaving")
+	_, err := g.store.Txn(ctx, store.Txn{Then: []store.Op{{Delete: true, Key: nodePrefix + g.self.ID}}})
+	if err != nil {
+		g.log.Warn("owner: the entry lapses with its lease", zap.Error(err))
+	}
+}
+
+// Leave resigns, ends the lease and stops.
+func (g *Group) Leave(ctx context.Context) error {
+	g.Resign(ctx)
+	g.cancel()
+	g.wg.Wait()
+	return g.holder.Close(ctx)
+}
+
+// Kill stops at once and leaves lease and keys to lapse, as the death of the process would.
+func (g *Group) Kill() {
+	g.endTenure("killed")
+	g.cancel()
+	g.wg.Wait()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = g.holder.Close(ctx)
+}
+
+// enter keeps this VM's entry among the nodes, also after its lease was lost.
+func (g *Group) enter() {
+	b := retry.New()
+	var entered int64
+	for g.ctx.Err() == nil {
+		id, err := g.holder.Wait(g.ctx)
+		if err != nil {
+			return
+		}
+		if id == entered && g.present() {
+			b.Reset()
+			g.pause(g.renew)
+			continue
+		}
+		if err := g.putEntry(id); err != nil {
+			g.log.Warn("owner: cannot write the entry of this VM", zap.Error(err))
+			g.pause(b.Next())
+			continue
+		}
+		entered = id
+		// The entry's own event may still be under way; what is missing after this was taken away.
+		g.pause(g.renew)
+	}
+}
+
+// present reports whether the entry is there as far as the watch has told. Keys may be taken away
+// without any answer that shows it; the VM would then get no work from the others.
+func (g *Group) present() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, ok := g.nodes[g.self.ID]
+	return ok || !g.listed || g.leaving
+}
+
+func (g *Group) putEntry(leaseID int64) error {
+	raw, err := msgpack.Marshal(&g.self)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, callWithin)
+	defer cancel()
+	_, err = g.store.Txn(ctx, store.Txn{Then: []store.Op{{Key: nodePrefix + g.self.ID, Value: raw, Lease: leaseID}}})
+	return err
+}
+
+func (g *Group) pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-g.ctx.Done():
+	case <-t.C:
+	}
+}
+
+// follow keeps nodes and owner as the store tells them.
+func (g *Group) follow() {
+	f := follow.Follower{Store: g.store, Prefix: root, Reset: g.reset, Change: g.apply, Logger: g.log}
+	f.Run(g.ctx)
+}
+
+func (g *Group) reset(pairs []store.Pair, revision int64) {
+	events := make([]store.Event, 0, len(pairs))
+	for _, p := range pairs {
+		events = append(events, store.Event{Pair: p})
+	}
+	g.mu.Lock()
+	clear(g.nodes)
+	g.owner, g.ownerAs, g.listed = nil, Node{}, true
+	g.mu.Unlock()
+	g.apply(events, revision)
+}
+
+// apply takes over changes up to a revision of the store, and ends a tenure whose key has gone or
+// belongs to another. What the store told before the tenure's own key was written says nothing of it.
+func (g *Group) apply(events []store.Event, revision int64) {
+	g.mu.Lock()
+	for i := range events {
+		g.applyOne(&events[i])
+	}
+	ended := g.tenure != nil && revision >= g.tenure.Revision &&
+		(g.owner == nil || g.owner.ModRevision != g.tenure.Revision)
+	g.mu.Unlock()
+	if ended {
+		g.endTenure("the owner's key has changed")
+	}
+	g.poke()
+}
+
+func (g *Group) applyOne(e *store.Event) {
+	key := e.Pair.Key
+	switch {
+	case key == ownerKey && e.Deleted:
+		g.owner, g.ownerAs = nil, Node{}
+	case key == ownerKey:
+		g.owner = &e.Pair
+		g.ownerAs = g.decode(e.Pair)
+		g.log.Info("owner: the cell is owned", zap.String("by", g.ownerAs.ID), zap.Int64("fence", e.Pair.CreateRevision))
+	case strings.HasPrefix(key, nodePrefix) && e.Deleted:
+		delete(g.nodes, strings.TrimPrefix(key, nodePrefix))
+	case strings.HasPrefix(key, nodePrefix):
+		n := g.decode(e.Pair)
+		g.nodes[n.ID] = n
+	}
+}
+
+func (g *Group) decode(p store.Pair) Node {
+	var n Node
+	if err := msgpack.Unmarshal(p.Value, &n); err != nil {
+		g.log.Error("owner: entry cannot be read", zap.String("key", p.Key), zap.Error(err))
+	}
+	return n
+}
+
+func (g *Group) poke() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -139,7 +139,7 @@
 	defer s.mu.Unlock()
 	for _, c := range t.Compares {
 		if s.revisionOf(c) != c.Revision {
-			return store.TxnResult{Revision: s.revision}, nil
+			return store.TxnResult{Revision: s.revision, Found: s.found(t.Compares)}, nil
 		}
 	}
 	for _, op := range t.Then {
@@ -159,6 +159,17 @@
 	return store.TxnResult{Succeeded: true, Revision: s.revision}, nil
 }
 
+// found gives the compared keys that exist.
+func (s *Service) found(compares []store.Compare) []store.Pair {
+	var out []store.Pair
+	for _, c := range compares {
+		if p, ok := s.pairs[c.Key]; ok {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 func check(t store.Txn) error {
 	if len(t.Then) > store.MaxTxnOps || len(t.Compares) > store.MaxTxnOps {
 		return fmt.Errorf("too many operations: %w", store.ErrInvalid)
