Count a gang's failed run across a take-over, and leave silent connections

Cause 1: that a member of a gang's run had failed was kept in memory alone. Ruled out: a lost commit; the log shows the end as durable. Change: the step's record says that its present run is failing.

Change: a call whose time runs out on a connection that has answered nothing since drops it; a dial no longer holds up the calls that wait for it. Shown by TestSilentConnection, which does not end without the change.

The stand-in standin/floor runs tasks in memory under the test's clock and judges what ran where; dispatch's tests run whole cells on it.

--- /dev/null
+++ b/dispatch/cell_test.go
@@ -0,0 +1,299 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"turmericgap/dispatch"
+	"turmericgap/front"
+	"turmericgap/job"
+	"turmericgap/owner"
+	"turmericgap/permit"
+	"turmericgap/rpc"
+	"turmericgap/standin/floor"
+	"turmericgap/store"
+	"turmericgap/store/memory"
+	"turmericgap/worker"
+)
+
+const (
+	workersPrefix = "workers/"
+	pool          = "course-desk"
+	mostHold      = 10 * time.Second
+)
+
+// cell is a whole cell in one process, under the test's clock: the store, workers, and entry VMs whose
+// links can be cut.
+type cell struct {
+	t      *testing.T
+	kv     *memory.Service
+	floor  *floor.Floor
+	config *job.Config
+	// permits gives the answer of the policy service; nil allows every worker at once.
+	permits func(q *permit.Question) ([]string, time.Duration)
+
+	mu  sync.Mutex
+	vms map[string]*vm
+}
+
+// vm is an entry VM.
+type vm struct {
+	id     string
+	store  memory.Faults
+	group  *owner.Group
+	disp   *dispatch.Dispatcher
+	front  *front.Front
+	server *rpc.Server
+	peers  *rpc.Pool
+	// deaf cuts its connections to workers.
+	deaf bool
+	dead bool
+}
+
+func newCell(t *testing.T, behave func(worker.Task, int64) floor.Behaviour, vms ...string) *cell {
+	c := &cell{
+		t: t, kv: memory.New(), floor: floor.New(behave), vms: make(map[string]*vm),
+		config: &job.Config{Version: 1, Queues: []job.Queue{{
+			Name: "roster", Pool: pool, Attempts: 2, Slack: 2, Target: time.Second,
+		}}},
+	}
+	for _, id := range vms {
+		c.boot(id)
+	}
+	t.Cleanup(func() {
+		for _, v := range c.vms {
+			c.kill(v)
+		}
+	})
+	return c
+}
+
+func (c *cell) boot(id string) *vm {
+	v := &vm{id: id, server: rpc.NewServer()}
+	kv := c.kv.Client(&v.store)
+	v.peers = rpc.NewPool(rpc.Dial(c.dial))
+	log := zap.NewNop()
+	ask := func(ctx context.Context, q *permit.Question) (*permit.Answer, error) { return c.answer(ctx, q) }
+	v.disp = dispatch.New(
+		dispatch.Store(kv), dispatch.Config(func() *job.Config { return c.config }), dispatch.Logger(log),
+		dispatch.Workers(workersPrefix, decodeWorker, func(i worker.Info) *worker.Agent { return c.agent(v, i) }),
+		dispatch.Permits(func() []owner.Node { return v.group.Nodes() },
+			func(ctx context.Context, from owner.Node, q *permit.Question) (*permit.Answer, error) {
+				if from.ID == id {
+					return ask(ctx, q)
+				}
+				return rpc.Call[permit.Question, permit.Answer](ctx, v.peers.Get(from.Address), front.MethodAsk, q)
+			}),
+		dispatch.Bounds(mostHold, 200*time.Millisecond, 2*time.Minute))
+	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id}, owner.Logger(log), owner.Lead(v.disp.Lead))
+	v.front = front.New(front.Options{
+		Store: kv, Dispatcher: v.disp, Group: v.group, Peers: v.peers, Permits: ask, StoreHeard: time.Now, Logger: log,
+	})
+	v.front.Register(v.server)
+	c.mu.Lock()
+	c.vms[id] = v
+	c.mu.Unlock()
+	v.group.Start()
+	return v
+}
+
+func decodeWorker(_ string, raw []byte) (l worker.Listing, err error) {
+	return l, msgpack.Unmarshal(raw, &l)
+}
+
+// dial connects entry VMs; one that is dead does not answer.
+func (c *cell) dial(ctx context.Context, address string) (net.Conn, error) {
+	c.mu.Lock()
+	v := c.vms[address]
+	c.mu.Unlock()
+	if v == nil || v.dead {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	go v.server.ServeConn(far)
+	return near, nil
+}
+
+// agent gives a VM's calls to a worker; a VM that is deaf towards workers gets no answers.
+func (c *cell) agent(v *vm, i worker.Info) *worker.Agent {
+	a := c.floor.Client(i)
+	return &worker.Agent{
+		Launch: func(ctx context.Context, l *worker.Launch) (time.Duration, error) {
+			if v.deaf {
+				<-ctx.Done()
+				return 0, ctx.Err()
+			}
+			return a.Launch(ctx, l)
+		},
+		Halt: func(ctx context.Context, h *worker.Halt) (time.Duration, error) {
+			if v.deaf {
+				<-ctx.Done()
+				return 0, ctx.Err()
+			}
+			return a.Halt(ctx, h)
+		},
+		Hold: func(ctx context.Context, h *worker.Hold) (*worker.Held, error) {
+			if v.deaf {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return a.Hold(ctx, h)
+		},
+	}
+}
+
+func (c *cell) answer(ctx context.Context, q *permit.Question) (*permit.Answer, error) {
+	names, takes := q.Workers, time.Duration(0)
+	if c.permits != nil {
+		names, takes = c.permits(q)
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(takes):
+	}
+	a := &permit.Answer{Valid: 1500 * time.Millisecond}
+	for _, id := range names {
+		a.Grants = append(a.Grants, permit.Grant{Worker: id, Ticket: "t-" + id})
+	}
+	return a, nil
+}
+
+// kill ends a VM at once; its lease lapses.
+func (c *cell) kill(v *vm) {
+	if v.dead {
+		return
+	}
+	v.dead = true
+	v.store.Down(true)
+	v.group.Kill()
+	v.front.Close()
+	v.peers.Close()
+	v.server.Close()
+}
+
+// workers lists n workers of so many cores.
+func (c *cell) workers(n int, cores int64) []*floor.Worker {
+	var out []*floor.Worker
+	for i := range n {
+		out = append(out, c.worker(fmt.Sprintf("w%02d", i), cores))
+	}
+	return out
+}
+
+func (c *cell) worker(id string, cores int64) *floor.Worker {
+	info := worker.Info{ID: id, Address: id, Zone: "kochi-hall", Rack: "r1", Has: job.Resources{Millicores: cores * 1000, MemoryMB: 64000}}
+	w := c.floor.Add(info)
+	c.list(worker.Listing{Info: info, Pool: pool, Labels: []string{"a", "r1"}})
+	return w
+}
+
+func (c *cell) list(l worker.Listing) {
+	raw, err := msgpack.Marshal(&l)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.put(store.Op{Key: workersPrefix + l.ID, Value: raw})
+}
+
+func (c *cell) put(op store.Op) {
+	if _, err := c.kv.Store().Txn(c.t.Context(), store.Txn{Then: []store.Op{op}}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// owner waits for a VM that owns the cell and has read its state.
+func (c *cell) owner() *vm {
+	c.t.Helper()
+	for range 600 {
+		for _, v := range c.vms {
+			if !v.dead && v.disp.Leads() {
+				return v
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatal("no entry VM owns the cell")
+	return nil
+}
+
+// work is one step of equal tasks in the queue of rosters.
+func (c *cell) work(id string, s job.Step) *job.Work {
+	if s.Each == (job.Resources{}) {
+		s.Each = job.Resources{Millicores: 1000, MemoryMB: 100}
+	}
+	return &job.Work{ID: id, Queue: c.config.Queues[0], Spec: "spec of " + id, Steps: []job.Step{s}, Accepted: time.Now()}
+}
+
+func (c *cell) submit(v *vm, w *job.Work) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
+	defer cancel()
+	if err := v.front.Submit(ctx, w); err != nil {
+		c.t.Fatalf("submit %s: %v", w.ID, err)
+	}
+}
+
+// state asks an entry VM, which may have to ask the store.
+func (c *cell) state(v *vm, id string) (job.WorkState, error) {
+	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
+	defer cancel()
+	return v.front.Status(ctx, id)
+}
+
+// until waits for a state that some VM shows.
+func (c *cell) until(v *vm, id string, want job.WorkState, within time.Duration) {
+	c.t.Helper()
+	deadline := time.Now().Add(within)
+	var last job.WorkState
+	var err error
+	for time.Now().Before(deadline) {
+		if last, err = c.state(v, id); err == nil && last == want {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatalf("%s is shown as %q (%v), not %q, after %v", id, last, err, want, within)
+}
+
+// judge fails the test for whatever the history shows to be wrong.
+func (c *cell) judge() {
+	c.t.Helper()
+	for _, fault := range c.floor.Judge() {
+		c.t.Error(fault)
+	}
+}
+
+func (c *cell) runs(id string) int {
+	n := 0
+	for _, r := range c.floor.History() {
+		if r.Task.Work == id {
+			n++
+		}
+	}
+	return n
+}
+
+// play runs a test of a cell under the test's clock.
+func play(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
+
+func runsFor(d time.Duration) func(worker.Task, int64) floor.Behaviour {
+	return func(worker.Task, int64) floor.Behaviour {
+		return floor.Behaviour{Runs: d, How: worker.EndingDone, Needs: job.Resources{Millicores: 1000, MemoryMB: 100}}
+	}
+}
+
+func isNotFound(err error) bool {
+	var f *rpc.Fault
+	return errors.As(err, &f) && f.Code == rpc.CodeNotFound
+}
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -171,6 +171,9 @@
 	if s.e.state.Final() {
 		return
 	}
+	if !s.ready {
+		s.ready, s.since = true, time.Now()
+	}
 	t.stages[s] = struct{}{}
 	t.dirty = true
 }
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -167,7 +167,7 @@
 	for _, o := range e.live {
 		or := occurrenceRecord{Number: o.number}
 		for _, s := range o.stages {
-			sr := stageRecord{Fails: s.fails, Tasks: make([]taskRecord, len(s.tasks))}
+			sr := stageRecord{Fails: s.fails, Failing: s.gang != nil && s.gang.failed, Tasks: make([]taskRecord, len(s.tasks))}
 			for i := range s.tasks {
 				t := &s.tasks[i]
 				tr := taskRecord{Phase: t.phase, Run: t.number, Fails: t.fails, Checkpoint: t.checkpoint}
--- /dev/null
+++ b/dispatch/gang_test.go
@@ -0,0 +1,72 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"turmericgap/job"
+	"turmericgap/standin/floor"
+	"turmericgap/worker"
+)
+
+// gangOf gives members that fail, or work for a while and end as done together.
+func gangOf(size int, d time.Duration, how worker.Ending) func(worker.Task, int64) floor.Behaviour {
+	return func(task worker.Task, _ int64) floor.Behaviour {
+		b := floor.Behaviour{Runs: d, How: worker.EndingDone, Gang: size, Attempts: 2, Needs: job.Resources{Millicores: 3000}}
+		if task.Index == 0 {
+			b.How = how
+		} else if how == worker.EndingFailed {
+			b.Runs = time.Hour
+		}
+		return b
+	}
+}
+
+func gangStep(size int) job.Step {
+	return job.Step{Tasks: size, Gang: true, Each: job.Resources{Millicores: 3000, MemoryMB: 100}}
+}
+
+// All members of a gang start together, on as many workers as it takes, and end together.
+func TestGang(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, gangOf(4, 2*time.Second, worker.EndingDone), "vm1", "vm2")
+		c.workers(4, 4)
+		v := c.owner()
+		c.submit(v, c.work("gang", gangStep(4)))
+		c.until(v, "gang", job.WorkCompleted, 10*time.Second)
+		is.Equal(c.runs("gang"), 4)
+		c.judge()
+	})
+}
+
+// A gang that can never succeed is tried twice and shown as failed. The owner dies when the failed end
+// of one member is durable and the other member's end was not heard: the new owner must still count
+// the attempt, or the gang would be started a third time.
+func TestGangAttemptsOutliveOwner(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, gangOf(2, time.Second, worker.EndingFailed), "vm1", "vm2")
+		ws := c.workers(2, 4)
+		first := c.owner()
+		c.submit(first, c.work("gang", gangStep(2)))
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(c.runs("gang"), 2)
+		other := ws[0]
+		for _, r := range c.floor.History() {
+			if r.Task.Index == 1 && r.Worker == ws[1].Info().ID {
+				other = ws[1]
+			}
+		}
+		other.Set(floor.Faults{Cut: true})
+		time.Sleep(time.Second)
+		c.kill(first)
+		other.Set(floor.Faults{})
+		second := c.owner()
+		c.until(second, "gang", job.WorkFailed, 30*time.Second)
+		is.Equal(c.runs("gang"), 4)
+		c.judge()
+	})
+}
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -46,9 +46,10 @@
 }
 
 type stageRecord struct {
-	// Fails counts the failed runs of a gang.
-	Fails int          `msgpack:"f,omitempty"`
-	Tasks []taskRecord `msgpack:"t"`
+	// Fails counts the failed runs of a gang; Failing says that a member of its present run has failed.
+	Fails   int          `msgpack:"f,omitempty"`
+	Failing bool         `msgpack:"g,omitempty"`
+	Tasks   []taskRecord `msgpack:"t"`
 }
 
 type taskRecord struct {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -147,6 +147,12 @@
 		default:
 		}
 	}
+	if s.gang != nil && sr.Failing {
+		// The worker was told that this end is taken note of, and will not list it again. Without the
+		// record the run would count as stopped, and the gang be started once too often.
+		s.gang.failed = true
+		t.breakGang(s)
+	}
 }
 
 // resumeRun charges a run that a former owner may have started.
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -5,6 +5,7 @@
 	"net"
 	netrpc "net/rpc"
 	"sync"
+	"sync/atomic"
 )
 
 // Client calls one peer over one connection, which it opens when needed and again after a failure.
@@ -12,7 +13,22 @@
 	address string
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	mu      sync.Mutex
-	conn    *netrpc.Client
+	conn    *link
+	dialing *dialing
+}
+
+// link is one connection.
+type link struct {
+	*netrpc.Client
+	// heard is when the last answer came, in nanoseconds of the process.
+	heard atomic.Int64
+}
+
+// dialing is a connection being opened, for which any number of calls may wait.
+type dialing struct {
+	done chan struct{}
+	conn *link
+	err  error
 }
 
 // NewClient returns a client of the peer at address, an IP number and port; it dials on the first call.
@@ -27,22 +43,53 @@
 // Address gives the peer's address.
 func (c *Client) Address() string { return c.address }
 
-func (c *Client) get(ctx context.Context) (*netrpc.Client, error) {
+// get gives the connection, and waits for one to be opened no longer than ctx.
+func (c *Client) get(ctx context.Context) (*link, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.conn != nil {
+		defer c.mu.Unlock()
 		return c.conn, nil
 	}
+	d := c.dialing
+	if d == nil {
+		d = &dialing{done: make(chan struct{})}
+		c.dialing = d
+		go c.open(d)
+	}
+	c.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// open dials on behalf of all calls that wait.
+func (c *Client) open(d *dialing) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
 	conn, err := c.dial(ctx, c.address)
-	if err != nil {
-		return nil, err
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer close(d.done)
+	d.err = err
+	if err == nil {
+		d.conn = &link{Client: netrpc.NewClientWithCodec(newClientCodec(conn))}
+	}
+	if c.dialing != d {
+		// The client was closed meanwhile.
+		if d.conn != nil {
+			d.conn.Close()
+		}
+		d.conn, d.err = nil, net.ErrClosed
+		return
 	}
-	c.conn = netrpc.NewClientWithCodec(newClientCodec(conn))
-	return c.conn, nil
+	c.dialing, c.conn = nil, d.conn
 }
 
 // drop forgets a connection that failed, unless a newer one has taken its place.
-func (c *Client) drop(failed *netrpc.Client) {
+func (c *Client) drop(failed *link) {
 	c.mu.Lock()
 	if c.conn == failed {
 		c.conn = nil
@@ -55,7 +102,7 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	conn := c.conn
-	c.conn = nil
+	c.conn, c.dialing = nil, nil
 	c.mu.Unlock()
 	if conn != nil {
 		conn.Close()
--- a/rpc/options.go
+++ b/rpc/options.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-const dialTimeout = time.Second
+// dialTimeout is many times the way between zones; a longer silence means that the peer is gone.
+const dialTimeout = 500 * time.Millisecond
 
 // Option sets up a Client.
 type Option func(*Client)
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -194,6 +194,7 @@
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	deadline, _ := ctx.Deadline()
+	sent := time.Now()
 	in := &Envelope[Req]{Left: time.Until(deadline), Parent: trace.Parent(ctx), Body: *req}
 	out := &Reply[Resp]{}
 	select {
@@ -203,12 +204,13 @@
 		err = ctx.Err()
 	}
 	if err != nil {
-		if !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) {
+		if !inTime(err) || conn.silentSince(sent) {
 			c.drop(conn)
 		}
 		span.SetStatus(codes.Error, err.Error())
 		return nil, fmt.Errorf("%s to %s: %w", name, c.address, err)
 	}
+	conn.heard.Store(time.Now().UnixNano())
 	if out.Fault != nil {
 		span.SetStatus(codes.Error, out.Fault.Reason)
 		return nil, out.Fault
@@ -216,6 +218,23 @@
 	return &out.Body, nil
 }
 
+// inTime reports whether a call ended because its caller no longer waits, not because the connection
+// has failed.
+func inTime(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+}
+
+// silentAfter is how long a connection must have been silent beside a call without an answer to be
+// given up. It is many times the way between zones.
+const silentAfter = 250 * time.Millisecond
+
+// silentSince reports whether nothing came over the connection since a call was sent on it. After a cut
+// a connection may stay open and silent for good: without this every later call over it would wait in
+// vain, though a new connection would work.
+func (l *link) silentSince(sent time.Time) bool {
+	return time.Since(sent) > silentAfter && l.heard.Load() < sent.UnixNano()
+}
+
 func withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	if _, ok := ctx.Deadline(); ok {
 		return context.WithCancel(ctx)
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -104,3 +105,33 @@
 	_, err := Call[question, answer](context.Background(), client, "test", &question{})
 	is.True(errors.Is(err, ErrNotSent))
 }
+
+// A caller's calls to a peer get no answer, and go on getting none.
+// The connection went silent without a reset, as after a cut, and the call's time runs out on it.
+// The next call must not wait on the same connection: a new one works.
+func TestSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewServer()
+		Handle(s, "test", func(context.Context, *question) (*answer, error) { return &answer{1}, nil })
+		dials := 0
+		client := NewClient("10.0.0.1:1", Dial(func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			if dials++; dials == 1 {
+				go func() { _, _ = io.Copy(io.Discard, far) }()
+				return near, nil
+			}
+			go s.ServeConn(far)
+			return near, nil
+		}))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := Call[question, answer](ctx, client, "test", &question{})
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		_, err = Call[question, answer](context.Background(), client, "test", &question{})
+		is.NoErr(err)
+		is.Equal(dials, 2)
+		client.Close()
+		s.Close()
+	})
+}
