Count work as waiting until a worker has confirmed a start

Cause: a work counted as started once its start was decided. Ruled out: an owner that did not know of the work; it had sent starts.

Change: a confirmed start, an end or a listed run makes the work a started one; an owner whose tenure the store has not confirmed for a second gives no count.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -126,5 +126,8 @@
 	if err != nil {
 		return 0, err
 	}
+	if !t.current() {
+		return 0, rpc.Refused(retryOwner, "the store has not confirmed for a while that this entry VM owns the cell")
+	}
 	return ask(ctx, t, func() int { return t.waiting(queue) })
 }
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -16,6 +16,9 @@
 	}
 	t.free(r)
 	e := r.s.e
+	if how == worker.EndingDone || how == worker.EndingFailed {
+		e.started = true
+	}
 	if checkpoint != "" {
 		r.s.keepCheckpoint(r.index, checkpoint)
 	}
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -19,7 +19,7 @@
 	live         []*occurrence
 	// held counts the runs that may hold capacity somewhere.
 	held int
-	// started says that a task has started; until then the work counts as waiting.
+	// started says that a worker has confirmed a start; until then the work counts as waiting.
 	started bool
 	// late says that the work's record is to be removed once its last run has ended.
 	settled bool
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -203,7 +203,7 @@
 
 // seeRun notes what a worker tells of a run.
 func (t *term) seeRun(r *run, a *worker.Active, now time.Time) {
-	r.confirmed, r.doubt = true, false
+	r.confirm()
 	r.recovered = false
 	if a.Percent != r.percent || r.movedAt.IsZero() {
 		r.percent, r.movedAt = a.Percent, now
@@ -213,6 +213,12 @@
 	}
 }
 
+// confirm notes that the worker has the run.
+func (r *run) confirm() {
+	r.confirmed, r.doubt = true, false
+	r.s.e.started = true
+}
+
 // absent reports whether a run that the worker does not list can never start there.
 func (r *run) absent(n *node, clock time.Duration) bool {
 	if r.recovered {
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -60,6 +60,9 @@
 	// of workers. It carries running work through an outage of the store; a successor waits as long
 	// before it counts the lease of a worker that it cannot reach as lapsed.
 	holdGrace = 5 * time.Second
+	// countGrace is how long after its last confirmed moment an owner still counts waiting work: the
+	// count may be two seconds old.
+	countGrace = time.Second
 	// clockSlack covers a worker's clock that runs a fiftieth slower than ours, doubled.
 	clockSlack = 0.04
 	// lapseMargin covers the way of a hold to its worker.
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -65,7 +65,7 @@
 		return
 	}
 	if err == nil {
-		r.confirmed, r.doubt = true, false
+		r.confirm()
 		t.o.Metrics.Counter("dispatch.starts").Inc(1)
 		return
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -336,7 +336,6 @@
 	k.phase, k.run, k.number = phaseStarted, r, number
 	s.waiting--
 	e.held++
-	e.started = true
 	n.take(r)
 	t.save(e, func() { t.launch(r) })
 	t.log.Info("dispatch: start decided", zap.String("id", e.work.ID), zap.Int("occurrence", s.occ.number), zap.Int("step", s.index),
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -90,7 +90,7 @@
 func (t *term) resume(w *job.Work, p *progress) int {
 	e := newEntry(w)
 	t.adopt(e)
-	e.runs, e.begun, e.started = p.Runs, p.Begun, p.Runs > 0
+	e.runs, e.begun = p.Runs, p.Begun
 	e.state = job.WorkQueued
 	if p.State.Final() {
 		e.state = p.State
@@ -144,6 +144,7 @@
 			s.waiting--
 			s.done++
 			s.occ.left--
+			s.e.started = true
 		default:
 		}
 	}
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -207,11 +207,18 @@
 // shown gives the durable state of a work, empty where it is not held.
 func (t *term) shown(id string) job.WorkState {
 	if e := t.entries[id]; e != nil {
+		if !e.shown.Final() && e.started {
+			return job.WorkRunning
+		}
 		return e.shown
 	}
 	return t.ended[id].State
 }
 
+// current reports whether the store has lately confirmed the tenure. An owner that was replaced
+// without having heard of it does not know the newest work.
+func (t *term) current() bool { return time.Now().Before(t.tenure.Confirmed().Add(countGrace)) }
+
 func (t *term) waiting(queue string) int {
 	n := 0
 	for _, e := range t.entries {
