Name all workers where that costs less than a second question

Cause: a roster's first question named 28 of 47 workers, so that with a quarter of them allowed many rosters asked again for the other 19, a second later. Ruled out: the service's queues; its work was 299 s in 69 s on eight VMs.

Change: all are named where workers x time for each is below the time of a question. Shown by TestGangAsksOnce: two questions before.

--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -1,12 +1,14 @@
 package dispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"turmericgap/job"
+	"turmericgap/permit"
 	"turmericgap/standin/floor"
 	"turmericgap/worker"
 )
@@ -70,3 +72,34 @@
 		c.judge()
 	})
 }
+
+// A roster waits for one answer of the policy service, not for two in a row: where naming every worker
+// takes less time than a second question, the first one names them all.
+func TestGangAsksOnce(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, gangOf(4, time.Second, worker.EndingDone), "vm1", "vm2")
+		c.config.Queues[0].Permit = &job.PermitCost{Base: 600 * time.Millisecond, PerWorker: 10 * time.Millisecond, Valid: 1500 * time.Millisecond}
+		allowed := []string{"w06", "w07", "w08", "w09"}
+		questions := 0
+		c.permits = func(q *permit.Question) ([]string, time.Duration) {
+			questions++
+			var names []string
+			for _, id := range allowed {
+				if slices.Contains(q.Workers, id) {
+					names = append(names, id)
+				}
+			}
+			return names, 600*time.Millisecond + time.Duration(len(q.Workers))*10*time.Millisecond
+		}
+		c.workers(10, 4)
+		v := c.owner()
+		time.Sleep(time.Second)
+		begun := time.Now()
+		c.submit(v, c.work("gang", gangStep(4)))
+		c.until(v, "gang", job.WorkCompleted, 10*time.Second)
+		is.Equal(questions, 1)
+		is.True(time.Since(begun) < 2*time.Second)
+		c.judge()
+	})
+}
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -144,7 +144,7 @@
 		perNode = max(perNode, fits(n.listing.Has, need)/2)
 	}
 	wanted := int(nameMore * float64(s.waiting) / float64(perNode) / t.grantShare(s.e.queue.Name))
-	if p.PerWorker*permit.MaxWorkers < p.Base {
+	if time.Duration(there)*p.PerWorker < p.Base {
 		// Naming all costs less than asking twice.
 		wanted = there
 	}
