Keep up to eight commits under way at a slow store

Cause: commits went one after the other. Ruled out: acceptance, which has four transactions under way; the workers' room.

Change: changes of different entries go in up to eight lanes, each with a key of its own that its commits compare; another lane is opened when a change has waited for 12 ms or a transaction is full, so that one lane serves a store that answers as usual. A worker is told of an end when the entry that it changed is durable.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,28 +17,47 @@
 // saving is an entry whose state waits for a commit, with what is to happen after it.
 type saving struct {
 	e       *entry
+	since   time.Time
 	effects []func()
 }
 
-// commits groups the changes of entries into transactions, one under way at a time.
+// commits groups the changes of entries into transactions. One is under way at a time while the store
+// answers as usual; more are opened when it is slow, since changes of different entries do not depend on
+// each other. An entry is in one of them at most.
 type commits struct {
 	queue []*saving
-	busy  bool
-	// revision is that of commitKey, number counts the commits of the term.
+	lanes [mostLanes]lane
+	busy  int
+	// number counts the commits of the term.
+	number int64
+	// waking says that a timer will look at the queue again.
+	waking bool
+}
+
+// lane is a line of transactions, each of which compares the one before it.
+type lane struct {
+	key      string
+	busy     bool
 	revision int64
-	number   int64
-	// after runs once the commit under way is durable.
-	after []func()
 }
 
-// commitMark is the value of commitKey; it tells whose commit was the last.
+const (
+	// mostLanes bounds the transactions under way. At a store that takes 330 ms for an answer they carry
+	// 700 changes a second; one alone carried 88, less than a burst of checks makes.
+	mostLanes = 8
+	// laneWait is how long a change waits before another lane is opened beside those under way: three
+	// times the usual answer of the store.
+	laneWait = 12 * time.Millisecond
+)
+
+// commitMark is the value of a lane's key; it tells whose commit was the last.
 type commitMark struct {
 	Fence  int64 `msgpack:"f"`
 	Number int64 `msgpack:"n"`
 }
 
 const (
-	// commitOverhead is two conditions and the write of commitKey.
+	// commitOverhead is two conditions and the write of the lane's key.
 	commitOverhead = 3
 	// opsMost is how many entries of one work a commit may need: its end removes two and writes one.
 	opsMost = 3
@@ -49,7 +69,7 @@
 // save marks an entry for the next commit; effect runs on the loop once it is durable.
 func (t *term) save(e *entry, effect func()) {
 	if e.saving == nil {
-		e.saving = &saving{e: e}
+		e.saving = &saving{e: e, since: time.Now()}
 		t.commits.queue = append(t.commits.queue, e.saving)
 	}
 	if effect != nil {
@@ -62,6 +82,7 @@
 
 // change is what one commit writes.
 type change struct {
+	lane   *lane
 	txn    store.Txn
 	mark   []byte
 	done   []func()
@@ -69,16 +90,79 @@
 	closed []*entry
 }
 
-// flush sends the next commit if none is under way.
+// flush sends the commits that are due.
 func (t *term) flush() {
 	c := &t.commits
-	if c.busy || (len(c.queue) == 0 && len(t.removed) == 0) {
-		return
+	for {
+		free := c.free()
+		if free == nil || !t.due() {
+			return
+		}
+		c.busy++
+		free.busy = true
+		c.number++
+		t.send(t.collect(free))
+	}
+}
+
+// name gives the lanes their keys.
+func (c *commits) name() {
+	for i := range c.lanes {
+		c.lanes[i].key = commitPrefix + strconv.Itoa(i)
+	}
+}
+
+// resume notes the last change of a lane's key.
+func (c *commits) resume(key string, revision int64) {
+	for i := range c.lanes {
+		if c.lanes[i].key == key {
+			c.lanes[i].revision = revision
+		}
+	}
+}
+
+// free gives a lane that may be used, or nil.
+func (c *commits) free() *lane {
+	for i := range c.lanes {
+		if !c.lanes[i].busy {
+			return &c.lanes[i]
+		}
 	}
-	c.busy = true
-	c.number++
-	ch := t.collect()
-	before, started := c.revision, time.Now()
+	return nil
+}
+
+// due reports whether a commit should be sent now: at once if none is under way, else when as much
+// waits as one holds or when it has waited for longer than the store usually takes.
+func (t *term) due() bool {
+	c := &t.commits
+	ready, oldest := 0, time.Time{}
+	for _, s := range c.queue {
+		if s.e.writing {
+			continue
+		}
+		if ready++; oldest.IsZero() {
+			oldest = s.since
+		}
+	}
+	switch {
+	case ready == 0:
+		return c.busy == 0 && len(t.removed) >= removeTogether
+	case c.busy == 0 || ready >= mostOps-commitOverhead:
+		return true
+	}
+	left := laneWait - time.Since(oldest)
+	if left > 0 && !c.waking {
+		c.waking = true
+		time.AfterFunc(left, func() { t.post(func() { c.waking = false }) })
+	}
+	return left <= 0
+}
+
+// removeTogether is how many records of ended work are removed by one commit.
+const removeTogether = 24
+
+func (t *term) send(ch *change) {
+	before, started := ch.lane.revision, time.Now()
 	t.wg.Go(func() {
 		revision, err := t.commit(ch, before)
 		if err != nil {
@@ -92,25 +176,25 @@
 }
 
 // collect turns as many changes as one transaction holds into operations.
-func (t *term) collect() *change {
+func (t *term) collect(l *lane) *change {
 	c := &t.commits
-	ch := &change{mark: encode(&commitMark{t.tenure.Fence, c.number}), shown: make(map[*entry]job.WorkState)}
+	ch := &change{lane: l, mark: encode(&commitMark{t.tenure.Fence, c.number}), shown: make(map[*entry]job.WorkState)}
 	ch.txn.Compares = []store.Compare{
 		t.tenure.Compare(),
-		{Key: commitKey, Target: store.ModRevision, Revision: c.revision},
+		{Key: l.key, Target: store.ModRevision, Revision: l.revision},
 	}
-	ch.txn.Then = []store.Op{{Key: commitKey, Value: ch.mark}}
-	taken := 0
+	ch.txn.Then = []store.Op{{Key: l.key, Value: ch.mark}}
+	var left []*saving
 	for _, s := range c.queue {
-		if len(ch.txn.Then)+opsMost > mostOps-commitOverhead+1 {
-			break
+		if s.e.writing || len(ch.txn.Then)+opsMost > mostOps-commitOverhead+1 {
+			left = append(left, s)
+			continue
 		}
-		taken++
 		t.put(ch, s.e)
 		ch.done = append(ch.done, s.effects...)
-		s.e.saving = nil
+		s.e.saving, s.e.writing = nil, true
 	}
-	c.queue = append(c.queue[:0:0], c.queue[taken:]...)
+	c.queue = left
 	for len(t.removed) > 0 && len(ch.txn.Then) < mostOps-commitOverhead+1 {
 		ch.txn.Then = append(ch.txn.Then, store.Op{Delete: true, Key: endedPrefix + t.removed[0]})
 		t.removed = t.removed[1:]
@@ -155,10 +239,11 @@
 
 // committed runs on the loop after a commit.
 func (t *term) committed(ch *change, revision int64, took time.Duration) {
-	t.commits.busy, t.commits.revision = false, revision
+	t.commits.busy--
+	ch.lane.busy, ch.lane.revision = false, revision
 	t.o.Metrics.Histogram("dispatch.commitMillis").Update(took.Milliseconds())
 	for e, state := range ch.shown {
-		e.shown = state
+		e.shown, e.writing = state, false
 	}
 	for _, e := range ch.closed {
 		delete(t.entries, e.work.ID)
@@ -170,11 +255,6 @@
 	for _, f := range ch.done {
 		f()
 	}
-	after := t.commits.after
-	t.commits.after = nil
-	for _, f := range after {
-		f()
-	}
 }
 
 func (t *term) noteEnded(id string, end Ended) {
@@ -185,8 +265,8 @@
 	t.endedOrder = append(t.endedOrder, id)
 }
 
-// commit sends a transaction until its outcome is certain, and gives the revision of commitKey after
-// it. An answer that was lost is resolved by trying again: the number in commitKey tells whether an
+// commit sends a transaction until its outcome is certain, and gives the revision of its lane's key after
+// it. An answer that was lost is resolved by trying again: the number in that key tells whether an
 // earlier try went through, and once a later commit has changed it, no earlier try ever can.
 func (t *term) commit(ch *change, before int64) (int64, error) {
 	b := retry.New(retry.Between(commitAgain, commitAgainMost))
@@ -219,14 +299,14 @@
 func (t *term) resolve(ctx context.Context, ch *change, res *store.TxnResult) (int64, error) {
 	found := res.Found
 	if len(found) == 0 {
-		r, err := t.o.Store.Range(ctx, store.Range{Key: commitKey})
+		r, err := t.o.Store.Range(ctx, store.Range{Key: ch.lane.key})
 		if err != nil {
 			return 0, err
 		}
 		found = r.Pairs
 	}
 	for i := range found {
-		if found[i].Key == commitKey && bytes.Equal(found[i].Value, ch.mark) {
+		if found[i].Key == ch.lane.key && bytes.Equal(found[i].Value, ch.mark) {
 			return found[i].ModRevision, nil
 		}
 	}
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -25,7 +25,9 @@
 	settled bool
 	// goal is when the work should be done, lost when it is worth nothing any more.
 	goal, lost time.Time
-	saving     *saving
+	// saving holds changes that wait for a commit, writing says that one with the entry is under way.
+	saving  *saving
+	writing bool
 }
 
 type occurrence struct {
--- a/dispatch/fault_test.go
+++ b/dispatch/fault_test.go
@@ -1,6 +1,8 @@
 package dispatch_test
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,3 +37,29 @@
 		c.judge()
 	})
 }
+
+// A burst of checks meets a store that takes a third of a second for each answer. Acceptance, intent and
+// end each wait for it once; a queue of commits must not build up behind these, or every caller of the
+// burst waits for longer than its check is worth.
+func TestBurstAtSlowStore(t *testing.T) {
+	play(t, func(t *testing.T) {
+		c := newCell(t, runsFor(time.Second), "vm1", "vm2")
+		c.workers(20, 16)
+		v := c.owner()
+		time.Sleep(time.Second)
+		for _, each := range c.vms {
+			each.store.Delay(330 * time.Millisecond)
+		}
+		var callers sync.WaitGroup
+		for i := range 200 {
+			time.Sleep(20 * time.Millisecond)
+			callers.Go(func() {
+				w := c.work(fmt.Sprint("check", i), job.Step{Tasks: 2})
+				c.submit(v, w)
+				c.until(v, w.ID, job.WorkCompleted, 2500*time.Millisecond)
+			})
+		}
+		callers.Wait()
+		c.judge()
+	})
+}
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -29,6 +29,7 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	n.stop = cancel
 	// The first hold raises the fence and tells the clock; it extends nothing, as no clock is known.
+	n.holding = true
 	n.orders <- holdOrder{hold: worker.Hold{Fence: t.tenure.Fence}}
 	t.wg.Go(func() { t.keep(ctx, n) })
 }
@@ -73,12 +74,14 @@
 		h.Until = n.clockNow(now) + t.o.MostHold
 		n.leaseEnd = now.Add(pause + t.leaseSpan())
 	}
+	n.holding = true
 	n.orders <- holdOrder{hold: h, pause: pause}
 }
 
 // onHold takes in the answer to a hold.
 func (t *term) onHold(n *node, held *worker.Held, err error) {
 	now := time.Now()
+	n.holding = false
 	if err != nil {
 		t.onHoldFailed(n, err)
 		return
@@ -90,47 +93,59 @@
 	}
 	n.misses, n.heard = 0, now
 	n.clock, n.clockAt = held.Clock, now
-	ended := t.onEnds(n, held.Ended)
+	t.onEnds(n, held.Ended)
 	t.onActive(n, held)
 	n.synced = true
-	if !ended {
+	if n.seen == n.observed {
 		t.next(n, holdWait, 0)
 		return
 	}
-	// The worker is told of the ends once they are durable; the lease must not wait for a slow store.
-	sent := false
-	again := func(wait, pause time.Duration) {
-		if sent || n.stopped(t) {
-			return
-		}
-		sent = true
-		t.next(n, wait, pause)
+	if n.unsaved == 0 {
+		n.observed = n.seen
+		t.next(n, holdWait, 0)
+		return
 	}
-	upTo := n.seen
-	t.afterAllSaved(func() {
-		n.observed = max(n.observed, upTo)
-		again(holdWait, 0)
+	// The worker is told of the ends once they are durable; the lease must not wait for a slow store.
+	n.waiting++
+	waiting := n.waiting
+	time.AfterFunc(observeWithin, func() {
+		t.post(func() {
+			if n.waiting == waiting {
+				t.proceed(n, 0)
+			}
+		})
 	})
-	time.AfterFunc(observeWithin, func() { t.post(func() { again(0, 0) }) })
 }
 
+// proceed sends the hold that waited for ends to become durable.
+func (t *term) proceed(n *node, wait time.Duration) {
+	n.waiting++
+	if !n.stopped(t) && n.idle() {
+		t.next(n, wait, 0)
+	}
+}
+
+// idle reports whether no hold is under way or ordered. There is one at a time.
+func (n *node) idle() bool { return !n.holding }
+
 // stopped reports whether the worker's goroutine has been ended.
 func (n *node) stopped(t *term) bool { return t.nodes[n.id] != n }
 
-// afterAllSaved runs f once all that is waiting for a commit now is durable.
-func (t *term) afterAllSaved(f func()) {
-	left := len(t.commits.queue)
-	if left == 0 && !t.commits.busy {
-		f()
-		return
-	}
-	if left == 0 {
-		// A commit under way may hold what was decided before; the next one ends after it.
-		t.commits.after = append(t.commits.after, f)
+// noteEnd keeps the worker from being told of an end before the entry that it changed is durable.
+func (t *term) noteEnd(n *node, e *entry) {
+	if e.saving == nil {
 		return
 	}
-	last := t.commits.queue[left-1]
-	last.effects = append(last.effects, f)
+	n.unsaved++
+	t.save(e, func() {
+		if n.unsaved--; n.unsaved > 0 {
+			return
+		}
+		n.observed = n.seen
+		if n.idle() {
+			t.proceed(n, holdWait)
+		}
+	})
 }
 
 func (t *term) onHoldFailed(n *node, err error) {
@@ -154,8 +169,8 @@
 	t.next(n, 0, pause)
 }
 
-// onEnds takes in the ends that are new and says whether there are any that the worker still lists.
-func (t *term) onEnds(n *node, ended []worker.End) bool {
+// onEnds takes in the ends that are new.
+func (t *term) onEnds(n *node, ended []worker.End) {
 	for i := range ended {
 		e := &ended[i]
 		if e.Number <= n.seen {
@@ -164,9 +179,9 @@
 		n.seen = e.Number
 		if r := n.runs[runKey{e.Task, e.Run}]; r != nil {
 			t.endRun(r, e.How, e.Checkpoint)
+			t.noteEnd(n, r.s.e)
 		}
 	}
-	return n.seen > n.observed
 }
 
 // onActive compares the runs that the worker lists with those that it should have.
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -43,7 +43,12 @@
 	heard   time.Time
 	// seen is the highest number of an end that was taken in, observed the highest that is durable.
 	seen, observed int64
-	misses         int
+	// unsaved counts the ends that were taken in and are not durable yet.
+	unsaved int
+	// holding says that a hold is under way, waiting numbers the waits for durable ends.
+	holding bool
+	waiting int
+	misses  int
 	// leaseEnd is when all that ran there has surely ended if the worker stays silent.
 	leaseEnd time.Time
 	unwell   time.Time
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -16,8 +16,9 @@
 	workPrefix  = root + "work/"
 	statePrefix = root + "state/"
 	endedPrefix = root + "ended/"
-	// commitKey is rewritten by every commit, which compares its revision.
-	commitKey = root + "commit"
+	// commitPrefix holds a key for each lane of commits, which every commit of the lane rewrites and
+	// compares.
+	commitPrefix = root + "commit/"
 )
 
 // phase is where a task stands.
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -24,14 +24,12 @@
 			return t.o.Store.Range(ctx, store.Range{Key: prefix, End: store.PrefixEnd(prefix)})
 		}, retry.Between(commitAgain, commitAgainMost))
 	}
-	mark, err := retry.Read(t.ctx, func(ctx context.Context) (store.RangeResult, error) {
-		return t.o.Store.Range(ctx, store.Range{Key: commitKey})
-	}, retry.Between(commitAgain, commitAgainMost))
+	marks, err := read(commitPrefix)
 	if err != nil {
 		return false
 	}
-	if len(mark.Pairs) > 0 {
-		t.commits.revision = mark.Pairs[0].ModRevision
+	for i := range marks.Pairs {
+		t.commits.resume(marks.Pairs[i].Key, marks.Pairs[i].ModRevision)
 	}
 	states, err := read(statePrefix)
 	if err != nil {
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -53,6 +53,7 @@
 		nodes: make(map[string]*node), stages: make(map[*stage]struct{}), timed: make(map[*entry]struct{}),
 		desk: permit.NewDesk(), grants: make(map[string]float64),
 	}
+	t.commits.name()
 	t.ctx, t.end = context.WithCancel(ctx)
 	return t
 }
