--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -16,6 +16,7 @@
 	"turmericgap/front"
 	"turmericgap/job"
 	"turmericgap/logger"
+	"turmericgap/metric"
 	"turmericgap/owner"
 	"turmericgap/permit"
 	"turmericgap/platform"
@@ -36,6 +37,7 @@
 type parts struct {
 	settings *platform.Settings
 	log      *zap.Logger
+	metrics  *metric.Registry
 	client   *platform.Client
 	peers    *rpc.Pool
 	server   *rpc.Server
@@ -50,7 +52,9 @@
 
 // wire joins the parts.
 func wire(service *turmericgap.Service, s *platform.Settings) error {
-	p := &parts{settings: s, log: service.Logger(), client: platform.NewClient(), peers: rpc.NewPool(), server: rpc.NewServer()}
+	p := &parts{settings: s, log: service.Logger(), peers: rpc.NewPool(), server: rpc.NewServer()}
+	p.metrics = service.Metrics()
+	p.client = platform.NewClient(func(kind string) { p.metrics.Counter("platform.calls." + kind).Inc(1) })
 	listeners, err := p.listen()
 	if err != nil {
 		return err
@@ -105,6 +109,7 @@
 	p.ready = &http.Server{Handler: platform.Readiness(p.check), ReadHeaderTimeout: usualHeaderTimeout}
 	go p.run("callers", func() error { return p.callers.Serve(l.callers) })
 	go p.run("readiness", func() error { return p.ready.Serve(l.ready) })
+	go p.report()
 	go p.run("peers", func() error { return p.server.Serve(l.peers) })
 }
 
@@ -114,6 +119,16 @@
 	}
 }
 
+// reportEvery is the pause between two lines with the counters, for those who have only the logs.
+const reportEvery = 10 * time.Second
+
+// report logs the counters from time to time.
+func (p *parts) report() {
+	for range time.Tick(reportEvery) {
+		p.log.Info("entry: counters", zap.Any("counters", p.metrics.Counters()))
+	}
+}
+
 // check tells why this VM should get no new connections, or nil.
 func (p *parts) check() error {
 	switch {
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -15,8 +15,8 @@
 
 const (
 	// askAfter is how long the store may be silent before other VMs are asked; its watches answer
-	// once a second. With askEvery it stays below the two seconds for new configuration.
-	askAfter = 1600 * time.Millisecond
+	// every two seconds.
+	askAfter = 2300 * time.Millisecond
 	askEvery = 300 * time.Millisecond
 	askWait  = 300 * time.Millisecond
 )
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -32,6 +32,8 @@
 	number int64
 	// waking says that a timer will look at the queue again.
 	waking bool
+	// sent is when the newest commit was sent.
+	sent time.Time
 }
 
 // lane is a line of transactions, each of which compares the one before it.
@@ -48,6 +50,10 @@
 	// laneWait is how long a change waits before another lane is opened beside those under way: three
 	// times the usual answer of the store.
 	laneWait = 12 * time.Millisecond
+	// commitEvery is the least pause between two commits that are not full. What comes after a pause is
+	// sent at once. On a calm day of 26 works a second it takes the commits from 95 to 40 a second,
+	// for 12 ms more on a busy path.
+	commitEvery = 25 * time.Millisecond
 )
 
 // commitMark is the value of a lane's key; it tells whose commit was the last.
@@ -147,10 +153,13 @@
 	switch {
 	case ready == 0:
 		return c.busy == 0 && len(t.removed) >= removeTogether
-	case c.busy == 0 || ready >= mostOps-commitOverhead:
+	case ready >= mostOps-commitOverhead:
 		return true
 	}
-	left := laneWait - time.Since(oldest)
+	left := commitEvery - time.Since(c.sent)
+	if c.busy > 0 {
+		left = max(left, laneWait-time.Since(oldest))
+	}
 	if left > 0 && !c.waking {
 		c.waking = true
 		time.AfterFunc(left, func() { t.post(func() { c.waking = false }) })
@@ -163,6 +172,7 @@
 
 func (t *term) send(ch *change) {
 	before, started := ch.lane.revision, time.Now()
+	t.commits.sent = started
 	t.wg.Go(func() {
 		revision, err := t.commit(ch, before)
 		if err != nil {
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -79,10 +79,14 @@
 	n.free = n.free.Plus(r.need)
 }
 
+// workersPause is kept between two answers of the watch over workers, each of which writes its entry
+// every second or two. A worker that leaves must get nothing new after two seconds.
+const workersPause = 300 * time.Millisecond
+
 // followWorkers hears of the workers' entries.
 func (t *term) followWorkers() {
 	f := &follow.Follower{
-		Store: t.o.Store, Prefix: t.o.WorkersPrefix, Logger: t.log,
+		Store: t.o.Store, Prefix: t.o.WorkersPrefix, Pause: workersPause, Logger: t.log,
 		Reset:  func(pairs []store.Pair, _ int64) { t.post(func() { t.resetWorkers(pairs) }) },
 		Change: func(events []store.Event, _ int64) { t.post(func() { t.changeWorkers(events) }) },
 	}
--- a/front/options.go
+++ b/front/options.go
@@ -30,8 +30,8 @@
 	// refusedAgain is the pause before the second and last try of a call that the store declined.
 	refusedAgain = 60 * time.Millisecond
 	// storeSilent is how long the store may be silent before submissions are refused unsent. Its
-	// watches answer once a second.
-	storeSilent = 2500 * time.Millisecond
+	// watches answer every two seconds.
+	storeSilent = 3 * time.Second
 	// ownerWithin bounds a question to the owner of the cell; the store is asked after it.
 	ownerWithin = 700 * time.Millisecond
 	// offerWithin bounds the message that tells the owner of new work.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -35,6 +35,17 @@
 	return r.inner.GetOrRegister(name, build).(metrics.Histogram)
 }
 
+// Counters gives the counts of all counters by name.
+func (r *Registry) Counters() map[string]int64 {
+	out := make(map[string]int64)
+	r.inner.Each(func(name string, m any) {
+		if c, ok := m.(metrics.Counter); ok {
+			out[name] = c.Count()
+		}
+	})
+	return out
+}
+
 const sampleSize = 512
 
 var quantiles = []float64{0.5, 0.99}
