Read the settings again at SIGHUP instead of ending

Change: the settings are read again, what changed is logged, and a file that cannot be read leaves those of the start in force.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -42,16 +42,16 @@
 		fmt.Println("settings: no findings")
 		return
 	}
-	os.Exit(run(settings))
+	os.Exit(run(settings, args.Settings))
 }
 
-func run(settings *platform.Settings) int {
+func run(settings *platform.Settings, path string) int {
 	out := logger.NewBounded(os.Stdout)
 	defer out.Close()
 	log := logger.NewTo("entry", out).With(zap.String("vm", settings.ID))
 	service := turmericgap.New(turmericgap.Name("entry"), turmericgap.Logger(log), turmericgap.OpsAddress(settings.Metrics),
 		turmericgap.ShutdownWithin(settings.ShutdownWithin*9/10))
-	err := wire(service, settings)
+	err := wire(service, settings, path)
 	if err == nil {
 		err = service.Run()
 	}
--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -51,9 +51,10 @@
 }
 
 // wire joins the parts.
-func wire(service *turmericgap.Service, s *platform.Settings) error {
+func wire(service *turmericgap.Service, s *platform.Settings, path string) error {
 	p := &parts{settings: s, log: service.Logger(), peers: rpc.NewPool(), server: rpc.NewServer()}
 	p.metrics = service.Metrics()
+	p.reloadOn(path)
 	p.client = platform.NewClient(func(kind string) { p.metrics.Counter("platform.calls." + kind).Inc(1) })
 	listeners, err := p.listen()
 	if err != nil {
