--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -70,7 +70,9 @@
 	// launchVoid is when an order to start that has not arrived is void. It leaves time for a second
 	// try, and capacity is charged no longer than that for a start without an answer.
 	launchVoid = 1500 * time.Millisecond
-	// launchWithin bounds one try; workers answer within milliseconds.
+	// launchFirst and launchWithin bound the first and the second try; workers answer within
+	// milliseconds. A worker that is silent for launchFirst gets nothing new.
+	launchFirst  = 150 * time.Millisecond
 	launchWithin = 400 * time.Millisecond
 	// haltAgain is the pause before an order to stop is repeated.
 	haltAgain = 400 * time.Millisecond
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -30,25 +30,25 @@
 	}
 	agent := r.n.agent
 	t.wg.Go(func() {
-		err := t.twice(func(ctx context.Context) error {
+		err := t.once(launchFirst, func(ctx context.Context) error {
 			_, err := agent.Launch(ctx, order)
 			return err
 		})
+		if err != nil && !definite(err) && t.ctx.Err() == nil {
+			// What is sent to a worker that is cut off stays charged there until the cut has healed or
+			// its lease has lapsed; the sooner it gets nothing new, the fewer callers wait for that.
+			t.post(func() { r.n.unwell = time.Now().Add(unwellFor) })
+			err = t.once(launchWithin, func(ctx context.Context) error {
+				_, err := agent.Launch(ctx, order)
+				return err
+			})
+		}
 		t.post(func() { t.onLaunched(r, err) })
 	})
 }
 
-// twice makes a call again if it had no answer; orders are idempotent.
-func (t *term) twice(call func(context.Context) error) error {
-	err := t.once(call)
-	if err == nil || definite(err) || t.ctx.Err() != nil {
-		return err
-	}
-	return t.once(call)
-}
-
-func (t *term) once(call func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(t.ctx, launchWithin)
+func (t *term) once(within time.Duration, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(t.ctx, within)
 	defer cancel()
 	return call(ctx)
 }
@@ -124,7 +124,7 @@
 	order := &worker.Halt{Task: r.task(), Run: r.number, Fence: t.tenure.Fence}
 	t.wg.Go(func() {
 		var clock time.Duration
-		err := t.once(func(ctx context.Context) (err error) {
+		err := t.once(launchWithin, func(ctx context.Context) (err error) {
 			clock, err = agent.Halt(ctx, order)
 			return err
 		})
@@ -157,7 +157,7 @@
 	agent := n.agent
 	order := &worker.Halt{Task: a.Task, Run: a.Run, Fence: t.tenure.Fence}
 	t.wg.Go(func() {
-		err := t.once(func(ctx context.Context) error {
+		err := t.once(launchWithin, func(ctx context.Context) error {
 			_, err := agent.Halt(ctx, order)
 			return err
 		})
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -15,8 +15,10 @@
 const (
 	// askSlack is added to the time that a question should take before it is given up.
 	askSlack = 350 * time.Millisecond
-	// askAgain is the pause after a question without an answer.
-	askAgain = 20 * time.Millisecond
+	// askAgain is the pause after a question without an answer, doubled after each further one up to
+	// askAgainMost.
+	askAgain     = 20 * time.Millisecond
+	askAgainMost = 400 * time.Millisecond
 	// ticketMargin is what must be left of a ticket's time when a start is decided: the commit of the
 	// intent and the way to the worker come after.
 	ticketMargin = 80 * time.Millisecond
@@ -35,7 +37,8 @@
 	answers map[string]ticket
 	asking  bool
 	// askFrom is when a question may be put again after a failure.
-	askFrom time.Time
+	askFrom   time.Time
+	askFailed int
 	// kept holds the capacity that is kept while a question is under way.
 	kept []keptRoom
 }
@@ -193,12 +196,14 @@
 	t.letGo(s)
 	if err != nil {
 		t.desk.Failed(from.ID, now)
-		s.askFrom = now.Add(askAgain)
+		s.askFrom = now.Add(min(askAgain<<min(s.askFailed, 8), askAgainMost))
+		s.askFailed++
 		t.log.Info("dispatch: question without an answer", zap.String("id", q.Work), zap.Int("step", q.Step),
 			zap.String("from", from.ID), zap.Int("workers", len(q.Workers)), zap.Error(err))
 		return
 	}
 	t.desk.Answered(from.ID)
+	s.askFailed = 0
 	if s.answers == nil {
 		s.answers = make(map[string]ticket, len(q.Workers))
 	}
--- a/front/options.go
+++ b/front/options.go
@@ -38,9 +38,10 @@
 	ownerRest = 800 * time.Millisecond
 	// offerWithin bounds the message that tells the owner of new work.
 	offerWithin = 600 * time.Millisecond
-	// retryStore and retryOwner are when a refused caller may come again: the store's usual outages
-	// last some seconds, a take-over about two.
-	retryStore = 2 * time.Second
+	// retryStore and retryOwner are when a refused caller may come again. The store's outages last some
+	// seconds, a take-over less than two: a caller who comes each second is served within a second of
+	// the end, and one who comes later may have given up by then.
+	retryStore = time.Second
 	retryOwner = time.Second
 	retryBusy  = time.Second
 )
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -27,8 +27,10 @@
 	ttl   time.Duration
 	drift time.Duration
 	renew time.Duration
-	lost  func(int64)
-	log   *zap.Logger
+	// overlap lets renewals be sent while earlier ones have no answer.
+	overlap bool
+	lost    func(int64)
+	log     *zap.Logger
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -36,6 +38,7 @@
 
 	mu       sync.Mutex
 	id       int64
+	gone     int64 // the last lease that the service said is gone
 	deadline time.Time
 	closed   bool
 	changed  chan struct{}
@@ -124,17 +127,32 @@
 	return nil
 }
 
+// run keeps the lease. With overlapping renewals it sends them in step with the clock, whether or not
+// those before have been answered: at a store that takes longer for an answer than the pause between
+// them, the lease is still kept.
 func (h *Holder) run() {
 	b := retry.New(retry.Between(retry.DefaultMin, h.renew))
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	for h.ctx.Err() == nil {
-		err := h.once()
-		if err == nil {
-			b.Reset()
+		if h.overlap && h.ID() != 0 {
+			calls.Go(func() { h.report(h.once()) })
 			h.pause(h.renew)
 			continue
 		}
+		if err := h.once(); err != nil {
+			h.report(err)
+			h.pause(b.Next())
+			continue
+		}
+		b.Reset()
+		h.pause(h.renew)
+	}
+}
+
+func (h *Holder) report(err error) {
+	if err != nil && h.ctx.Err() == nil {
 		h.log.Warn("lease: renewal failed", zap.Int64("lease", h.ID()), zap.Error(err))
-		h.pause(b.Next())
 	}
 }
 
@@ -148,9 +166,14 @@
 }
 
 // once makes one call: a renewal, or a grant when there is no lease. The call ends in time for the
-// next try, so that one message that is lost does not cost the lease.
+// next try, so that one message that is lost does not cost the lease; where renewals overlap, an answer
+// helps as long as the lease lasts.
 func (h *Holder) once() error {
-	ctx, cancel := context.WithTimeout(h.ctx, h.renew)
+	within := h.renew
+	if h.overlap {
+		within = h.ttl
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, within)
 	defer cancel()
 	sent := time.Now() // Read before the call: the service may count from any later moment.
 	id := h.ID()
@@ -164,8 +187,9 @@
 	}
 	ttl, err := h.store.KeepAlive(ctx, id)
 	if errors.Is(err, store.ErrLeaseGone) {
-		h.forget()
-		h.lost(id)
+		if h.forget(id) {
+			h.lost(id)
+		}
 		return err
 	}
 	if err != nil {
@@ -175,19 +199,28 @@
 	return nil
 }
 
+// extend notes a renewal. Answers may overtake each other, and one may be for a lease that is gone.
 func (h *Holder) extend(id int64, sent time.Time, ttl time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.id = id
-	h.deadline = sent.Add(ttl - h.drift)
+	deadline := sent.Add(ttl - h.drift)
+	if h.id == id && deadline.Before(h.deadline) || id == h.gone {
+		return
+	}
+	h.id, h.deadline = id, deadline
 	h.wake()
 }
 
-func (h *Holder) forget() {
+// forget drops a lease that is gone, and reports whether it was the present one.
+func (h *Holder) forget(id int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.id, h.deadline = 0, time.Time{}
+	if h.id != id {
+		return false
+	}
+	h.id, h.deadline, h.gone = 0, time.Time{}, id
 	h.wake()
+	return true
 }
 
 func (h *Holder) wake() {
--- a/lease/options.go
+++ b/lease/options.go
@@ -18,6 +18,9 @@
 // Renew sets the pause between renewals; the default is a third of the TTL.
 func Renew(d time.Duration) Option { return func(h *Holder) { h.renew = d } }
 
+// Overlap lets renewals be sent while earlier ones have no answer yet.
+func Overlap() Option { return func(h *Holder) { h.overlap = true } }
+
 // Lost sets a function that is called, on the holder's goroutine, when the service says that the
 // lease is gone; a lease with a new ID follows.
 func Lost(f func(id int64)) Option { return func(h *Holder) { h.lost = f } }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -25,11 +25,11 @@
 
 // Defaults.
 const (
-	// DefaultTTL is how long a dead owner keeps the cell from being taken over. It outlasts the
-	// answers of a store that takes a third of a second for each, with two renewals lost.
-	DefaultTTL = 1600 * time.Millisecond
+	// DefaultTTL is how long a dead owner keeps the cell from being taken over; the store grants no
+	// lease below one second.
+	DefaultTTL = 1200 * time.Millisecond
 	// DefaultRenew makes four renewals in a TTL.
-	DefaultRenew = 400 * time.Millisecond
+	DefaultRenew = 300 * time.Millisecond
 	// DefaultDrift covers a clock that runs a fiftieth slower than the store's, and the granularity
 	// of timers.
 	DefaultDrift = 100 * time.Millisecond
@@ -125,7 +125,7 @@
 
 // Start joins the group.
 func (g *Group) Start() {
-	g.holder = lease.New(g.store, lease.TTL(g.ttl), lease.Renew(g.renew), lease.Drift(DefaultDrift), lease.Logger(g.log),
+	g.holder = lease.New(g.store, lease.TTL(g.ttl), lease.Renew(g.renew), lease.Overlap(), lease.Drift(DefaultDrift), lease.Logger(g.log),
 		lease.Lost(func(id int64) {
 			g.log.Warn("owner: the store says that the lease is gone", zap.Int64("lease", id))
 			g.endTenure("lease gone")
