--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -94,7 +94,9 @@
 		}
 		c.workers(10, 4)
 		v := c.owner()
-		time.Sleep(time.Second)
+		// The owner hears of one worker after the other, with pauses between them; the question must not
+		// come before it knows them all.
+		time.Sleep(5 * time.Second)
 		begun := time.Now()
 		c.submit(v, c.work("gang", gangStep(4)))
 		c.until(v, "gang", job.WorkCompleted, 10*time.Second)
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -69,7 +69,7 @@
 func (t *term) next(n *node, wait, pause time.Duration) {
 	now := time.Now()
 	h := worker.Hold{Fence: t.tenure.Fence, Observed: n.observed, Wait: wait}
-	if n.synced && n.misses < extendMisses && now.Before(t.tenure.Confirmed().Add(holdGrace)) {
+	if n.synced && n.misses < extendMisses && t.tenure.Confirmed(holdGrace) {
 		// The order is sent after the pause; the lease then ends that much earlier.
 		h.Until = n.clockNow(now) + t.o.MostHold
 		n.leaseEnd = now.Add(pause + t.leaseSpan())
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -125,6 +126,9 @@
 		return
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
+		if c := cmp.Compare(s.distance(a.n), s.distance(b.n)); c != 0 {
+			return c
+		}
 		if a.fits != b.fits {
 			return b.fits - a.fits
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -200,7 +200,7 @@
 func (t *term) sorted(s *stage, now time.Time) []*node {
 	var list []*node
 	for _, n := range t.nodes {
-		if n.usable(now) && t.suits(s, n) && s.mayRun(n) {
+		if n.usable(now) && t.suits(s, n) && s.mayRun(n) && !s.disturbs(n) {
 			list = append(list, n)
 		}
 	}
@@ -208,6 +208,9 @@
 		if c := cmp.Compare(s.doubt(a), s.doubt(b)); c != 0 {
 			return c
 		}
+		if c := cmp.Compare(s.distance(a), s.distance(b)); c != 0 {
+			return c
+		}
 		if c := cmp.Compare(a.room().Millicores, b.room().Millicores); c != 0 {
 			return c
 		}
@@ -225,6 +228,28 @@
 	return d
 }
 
+// distance is 1 for a worker away from the stage's data, where its tasks run several times slower.
+func (s *stage) distance(n *node) int {
+	if s.spec.DataRack != "" && s.spec.DataRack != n.listing.Rack {
+		return 1
+	}
+	return 0
+}
+
+// disturbs reports whether a stage and what runs on a worker should not meet: tasks that fill what others
+// leave push the tails of those with a bound over it, and nothing paces them yet.
+func (s *stage) disturbs(n *node) bool {
+	if !s.spec.Filler && s.spec.Tail == 0 {
+		return false
+	}
+	for _, r := range n.runs {
+		if s.spec.Filler && r.s.spec.Tail > 0 || s.spec.Tail > 0 && r.s.spec.Filler {
+			return true
+		}
+	}
+	return false
+}
+
 // failsMost is how many failures, beside fewer good ends, make a worker doubtful. Work fails by its
 // own fault in up to one run of twenty.
 const failsMost = 2
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -242,7 +242,7 @@
 
 // current reports whether the store has lately confirmed the tenure. An owner that was replaced
 // without having heard of it does not know the newest work.
-func (t *term) current() bool { return time.Now().Before(t.tenure.Confirmed().Add(countGrace)) }
+func (t *term) current() bool { return t.tenure.Confirmed(countGrace) }
 
 func (t *term) waiting(queue string) int {
 	n := 0
--- /dev/null
+++ b/dispatch/worker_test.go
@@ -0,0 +1,238 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"turmericgap/job"
+	"turmericgap/standin/floor"
+	"turmericgap/worker"
+)
+
+// A worker is cut off for longer than its lease lasts. What ran there has lapsed, which nobody can see;
+// after the longest time that it may have lasted the tasks run elsewhere, and never beside each other.
+func TestWorkerCutOff(t *testing.T) {
+	for name, cutFor := range map[string]time.Duration{"shorter than its lease": 5 * time.Second, "longer than its lease": 40 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCell(t, runsFor(8*time.Second), "vm1", "vm2")
+				ws := c.workers(2, 4)
+				v := c.owner()
+				c.submit(v, c.work("roster", job.Step{Tasks: 8}))
+				time.Sleep(2 * time.Second)
+				ws[0].Set(floor.Faults{Cut: true})
+				time.Sleep(cutFor)
+				ws[0].Set(floor.Faults{})
+				c.until(v, "roster", job.WorkCompleted, 40*time.Second)
+				again := c.runs("roster") - 8
+				is.Equal(again > 0, cutFor > mostHold)
+				c.judge()
+			})
+		})
+	}
+}
+
+// The owner dies while a worker is cut off from everybody. The successor cannot ask that worker, and
+// must wait until a lease that the dead owner may have extended last has lapsed.
+func TestTakeOverBesideCutWorker(t *testing.T) {
+	play(t, func(t *testing.T) {
+		c := newCell(t, runsFor(12*time.Second), "vm1", "vm2")
+		ws := c.workers(2, 4)
+		first := c.owner()
+		c.submit(first, c.work("roster", job.Step{Tasks: 8}))
+		time.Sleep(2 * time.Second)
+		ws[1].Set(floor.Faults{Cut: true})
+		time.Sleep(100 * time.Millisecond)
+		c.kill(first)
+		c.until(c.owner(), "roster", job.WorkCompleted, time.Minute)
+		c.judge()
+	})
+}
+
+// An owner that the store and the other VMs cannot reach goes on calling the workers. The successor's
+// fence ends that at each worker it reaches, and no task runs twice.
+func TestOwnerCutFromStore(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(6*time.Second), "vm1", "vm2", "vm3")
+		c.workers(3, 4)
+		first := c.owner()
+		c.submit(first, c.work("roster", job.Step{Tasks: 20}))
+		time.Sleep(2 * time.Second)
+		first.store.Cut(true)
+		time.Sleep(3 * time.Second)
+		var second *vm
+		for _, v := range c.vms {
+			if v != first && v.disp.Leads() {
+				second = v
+			}
+		}
+		is.True(second != nil)
+		c.until(second, "roster", job.WorkCompleted, time.Minute)
+		is.Equal(c.runs("roster"), 20)
+		first.store.Cut(false)
+		time.Sleep(time.Second)
+		c.judge()
+	})
+}
+
+// A worker takes an order to start, does not answer, and carries it out seconds later. The order is void
+// by then: its capacity is free again once the worker's clock shows that, and the task runs once.
+func TestLateStart(t *testing.T) {
+	for _, late := range []time.Duration{500 * time.Millisecond, 4 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			play(t, func(t *testing.T) {
+				c := newCell(t, runsFor(time.Second), "vm1")
+				ws := c.workers(1, 2)
+				v := c.owner()
+				time.Sleep(time.Second)
+				ws[0].Set(floor.Faults{LateLaunch: late})
+				c.submit(v, c.work("check", job.Step{Tasks: 4}))
+				time.Sleep(time.Second)
+				ws[0].Set(floor.Faults{})
+				c.until(v, "check", job.WorkCompleted, 20*time.Second)
+				c.judge()
+			})
+		})
+	}
+}
+
+// A worker crashes and another lifetime answers at its address: what ran is over for certain, and goes on
+// elsewhere without the wait for a lease.
+func TestWorkerReplaced(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(4*time.Second), "vm1")
+		ws := c.workers(2, 4)
+		v := c.owner()
+		c.submit(v, c.work("roster", job.Step{Tasks: 4}))
+		time.Sleep(time.Second)
+		for _, w := range ws {
+			if w.Active() > 0 {
+				w.Crash(true)
+				break
+			}
+		}
+		c.until(v, "roster", job.WorkCompleted, 7*time.Second)
+		is.Equal(c.runs("roster"), 8)
+		c.judge()
+	})
+}
+
+// A worker that says that it is leaving gets nothing new, and what runs there ends there.
+func TestLeavingWorker(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(3*time.Second), "vm1")
+		ws := c.workers(2, 4)
+		v := c.owner()
+		c.submit(v, c.work("first", job.Step{Tasks: 8}))
+		time.Sleep(time.Second)
+		is.Equal(ws[0].Active(), 4)
+		c.list(worker.Listing{Info: leaving(ws[0].Info()), Pool: pool, Labels: []string{"a", "r1"}})
+		time.Sleep(time.Second)
+		c.submit(v, c.work("second", job.Step{Tasks: 8}))
+		c.until(v, "second", job.WorkCompleted, 20*time.Second)
+		for _, r := range c.floor.History() {
+			if r.Task.Work == "second" {
+				is.Equal(r.Worker, ws[1].Info().ID)
+			}
+		}
+		is.Equal(c.runs("first"), 8)
+		c.judge()
+	})
+}
+
+func leaving(i worker.Info) worker.Info {
+	i.Leaving = true
+	return i
+}
+
+// Tasks run near their data while there is room; those that fill what others leave keep away from those
+// whose response times have a bound; a service runs again however it ends.
+func TestWhereTasksRun(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, func(task worker.Task, _ int64) floor.Behaviour {
+			b := floor.Behaviour{Runs: time.Second, How: worker.EndingDone, Needs: job.Resources{Millicores: 1000}}
+			switch task.Work {
+			case "service":
+				b.Runs, b.How = 2*time.Second, worker.EndingFailed
+			case "filler":
+				b.Needs = job.Resources{}
+			}
+			return b
+		}, "vm1")
+		for id, rack := range map[string]string{"w1": "r1", "w2": "r2", "w3": "r3"} {
+			info := worker.Info{ID: id, Address: id, Rack: rack, Has: job.Resources{Millicores: 4000, MemoryMB: 64000}}
+			c.floor.Add(info)
+			c.list(worker.Listing{Info: info, Pool: pool, Labels: []string{"a", rack}})
+		}
+		v := c.owner()
+		time.Sleep(time.Second)
+		c.submit(v, c.work("near", job.Step{Tasks: 3, DataRack: "r2"}))
+		c.submit(v, c.work("label", job.Step{Tasks: 3, Label: "r3"}))
+		c.submit(v, c.work("spread", job.Step{Tasks: 3, MostPerWorker: 1}))
+		c.submit(v, c.work("service", job.Step{Tasks: 1, Service: true, Tail: 100 * time.Millisecond}))
+		time.Sleep(200 * time.Millisecond)
+		c.submit(v, c.work("filler", job.Step{Tasks: 2, Filler: true}))
+		time.Sleep(10 * time.Second)
+		on := make(map[string]map[string]int)
+		for _, r := range c.floor.History() {
+			if on[r.Task.Work] == nil {
+				on[r.Task.Work] = make(map[string]int)
+			}
+			on[r.Task.Work][r.Worker]++
+		}
+		is.Equal(on["near"], map[string]int{"w2": 3})
+		is.Equal(on["label"], map[string]int{"w3": 3})
+		is.Equal(on["spread"], map[string]int{"w1": 1, "w2": 1, "w3": 1})
+		is.True(c.runs("service") >= 4)
+		is.Equal(meetings(c.floor.History(), "filler", "service"), 0)
+		is.Equal(c.runs("filler"), 2)
+		c.judge()
+	})
+}
+
+// Work that repeats starts each time when it is due, not before, and is completed after the last time.
+func TestOccurrences(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(time.Second), "vm1", "vm2")
+		c.workers(1, 4)
+		first := c.owner()
+		w := c.work("sweep", job.Step{Tasks: 1})
+		w.Occurrences, w.First, w.Every = 4, time.Now().Add(2*time.Second), 3*time.Second
+		c.submit(first, w)
+		time.Sleep(4 * time.Second)
+		c.kill(first)
+		c.until(c.owner(), "sweep", job.WorkCompleted, 30*time.Second)
+		for _, r := range c.floor.History() {
+			late := r.Begun.Sub(w.Due(r.Task.Occurrence))
+			is.True(late >= 0)
+			is.True(late < 2500*time.Millisecond)
+		}
+		is.Equal(c.runs("sweep"), 4)
+		c.judge()
+	})
+}
+
+// meetings counts the pairs of runs of two works that were on one worker at a time.
+func meetings(history []floor.Run, a, b string) int {
+	n := 0
+	for i := range history {
+		for k := range history {
+			x, y := &history[i], &history[k]
+			if x.Task.Work != a || y.Task.Work != b || x.Worker != y.Worker {
+				continue
+			}
+			if (y.Ended.IsZero() || x.Begun.Before(y.Ended)) && (x.Ended.IsZero() || y.Begun.Before(x.Ended)) {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -85,6 +85,15 @@
 	return h.id != 0 && !h.closed && before(time.Now(), h.deadline, h.deadline.Round(0))
 }
 
+// ValidFor reports whether the service kept the lease until no longer ago than grace. Like Valid it asks
+// both clocks, so that a VM that was suspended does not take its lease for fresh.
+func (h *Holder) ValidFor(grace time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	until := h.deadline.Add(grace)
+	return h.id != 0 && !h.closed && before(time.Now(), until, until.Round(0))
+}
+
 // before asks the monotonic clock and the wall clock, and both must agree. The monotonic clock of a
 // VM that was suspended may not have moved; its holder would trust a lease that lapsed meanwhile.
 func before(now, deadline, wall time.Time) bool {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -56,8 +56,8 @@
 	// Key holds at Revision as long as the tenure lasts; commits compare it.
 	Key      string
 	Revision int64
-	// Confirmed gives until when the store surely keeps the tenure, as last confirmed.
-	Confirmed func() time.Time
+	// Confirmed reports whether the store surely kept the tenure until no longer ago than grace.
+	Confirmed func(grace time.Duration) bool
 	// Lost reports that the tenure has ended, as a commit or a worker has told.
 	Lost func()
 }
