Refuse at once what cannot be made durable, and start nothing on silent workers

Cause 1: while the store was silent, callers were held for up to two seconds, first by the owner's commit and then by their own VM, and then told that the outcome is open. Change: the owner declines new work while a commit has had no answer for 0.7 s, and a VM refuses unsent what comes while a transaction of its own has had none for as long, until its watches have told of the store's return. Shown by TestSilentStore. Cause 2: a worker that is cut off was given new tasks again 0.7 s after the first start without an answer. Change: not before it is heard, nor while its hold is overdue.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -40,6 +40,7 @@
 type lane struct {
 	key      string
 	busy     bool
+	sent     time.Time
 	revision int64
 }
 
@@ -111,6 +112,16 @@
 	}
 }
 
+// stuck reports whether a commit has been without an answer for too long.
+func (c *commits) stuck(now time.Time) bool {
+	for i := range c.lanes {
+		if c.lanes[i].busy && now.Sub(c.lanes[i].sent) > stuckAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // name gives the lanes their keys.
 func (c *commits) name() {
 	for i := range c.lanes {
@@ -172,7 +183,7 @@
 
 func (t *term) send(ch *change) {
 	before, started := ch.lane.revision, time.Now()
-	t.commits.sent = started
+	t.commits.sent, ch.lane.sent = started, started
 	t.wg.Go(func() {
 		revision, err := t.commit(ch, before)
 		if err != nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -92,7 +92,7 @@
 		return err
 	}
 	if !o.taken {
-		return &rpc.Fault{Code: rpc.CodeNotOwner, Reason: "this entry VM does not know all ended work yet", RetryAfter: retryOwner}
+		return &rpc.Fault{Code: rpc.CodeNotOwner, Reason: "this entry VM cannot accept work just now", RetryAfter: retryOwner}
 	}
 	select {
 	case <-o.done:
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -29,7 +29,7 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	n.stop = cancel
 	// The first hold raises the fence and tells the clock; it extends nothing, as no clock is known.
-	n.holding = true
+	n.holding, n.due = true, time.Now().Add(holdLate)
 	n.orders <- holdOrder{hold: worker.Hold{Fence: t.tenure.Fence}}
 	t.wg.Go(func() { t.keep(ctx, n) })
 }
@@ -74,7 +74,7 @@
 		h.Until = n.clockNow(now) + t.o.MostHold
 		n.leaseEnd = now.Add(pause + t.leaseSpan())
 	}
-	n.holding = true
+	n.holding, n.due = true, now.Add(pause+wait+holdLate)
 	n.orders <- holdOrder{hold: h, pause: pause}
 }
 
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -41,6 +41,9 @@
 	clock   time.Duration
 	clockAt time.Time
 	heard   time.Time
+	// silentAt is when an order to the worker last had no answer; until it is heard again it gets
+	// nothing new. due is when the hold under way should have been answered.
+	silentAt, due time.Time
 	// seen is the highest number of an end that was taken in, observed the highest that is durable.
 	seen, observed int64
 	// unsaved counts the ends that were taken in and are not durable yet.
@@ -62,7 +65,7 @@
 // usable reports whether new runs may be placed on the worker.
 func (n *node) usable(now time.Time) bool {
 	return n.listed && n.synced && !n.listing.Leaving && n.strange == 0 && n.misses == 0 &&
-		now.After(n.unwell) && now.Sub(n.heard) < holdWait+holdSlack+observeWithin
+		now.After(n.unwell) && n.heard.After(n.silentAt) && (!n.holding || now.Before(n.due))
 }
 
 // room gives the capacity for new runs.
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -50,6 +50,8 @@
 	// after holdWait and holdSlack.
 	holdWait  = time.Second
 	holdSlack = 500 * time.Millisecond
+	// holdLate is how long after a hold should have been answered its worker gets nothing new.
+	holdLate = 150 * time.Millisecond
 	// holdAgain and holdAgainMost bound the pauses after holds without an answer.
 	holdAgain     = 100 * time.Millisecond
 	holdAgainMost = 800 * time.Millisecond
@@ -80,6 +82,9 @@
 	unwellFor = 700 * time.Millisecond
 	// observeWithin bounds the wait for a durable end before the lease is extended without it.
 	observeWithin = 400 * time.Millisecond
+	// stuckAfter is how long a commit may have no answer before new work is declined: what cannot be
+	// made durable is refused at once, not held. Twice the answer of a slow store.
+	stuckAfter = 700 * time.Millisecond
 	// storeWithin bounds one call of the store as this package sees it.
 	storeWithin = time.Second
 	// mostOps is how many entries one transaction may have.
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -37,7 +37,7 @@
 		if err != nil && !definite(err) && t.ctx.Err() == nil {
 			// What is sent to a worker that is cut off stays charged there until the cut has healed or
 			// its lease has lapsed; the sooner it gets nothing new, the fewer callers wait for that.
-			t.post(func() { r.n.unwell = time.Now().Add(unwellFor) })
+			t.post(func() { r.n.silentAt = time.Now() })
 			err = t.once(launchWithin, func(ctx context.Context) error {
 				_, err := agent.Launch(ctx, order)
 				return err
@@ -84,7 +84,7 @@
 		t.neverRan(r, "the worker is unwell")
 	default:
 		// The order may still be carried out; holds will tell.
-		r.n.unwell = time.Now().Add(unwellFor)
+		r.n.silentAt = time.Now()
 	}
 }
 
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -204,6 +204,9 @@
 	}
 	e := t.entries[w.ID]
 	if e == nil {
+		if t.commits.stuck(time.Now()) {
+			return false, nil
+		}
 		t.add(w)
 		e = t.entries[w.ID]
 		e.unwritten = true
--- a/front/accept.go
+++ b/front/accept.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,6 +39,9 @@
 	queue chan *submission
 	slots chan struct{}
 	wg    sync.WaitGroup
+	// unanswered is when the oldest transaction without an answer was sent, in nanoseconds; zero while
+	// the store answers.
+	unanswered atomic.Int64
 }
 
 func newAcceptor(ctx context.Context, o *Options) *acceptor {
@@ -46,19 +50,21 @@
 	return a
 }
 
-// submit hands a work in and waits for its outcome; open says that it may have been accepted already.
-func (a *acceptor) submit(ctx context.Context, w *job.Work, open bool) (created bool, err error) {
-	if silent := time.Since(a.o.StoreHeard()); silent > storeSilent && !open {
-		return false, rpc.Refused(retryStore, "the store has been silent for %v", silent.Round(time.Millisecond))
+// submit hands a work in and waits for its outcome.
+func (a *acceptor) submit(ctx context.Context, s *submission) (created bool, err error) {
+	if !s.open {
+		if err := a.silent(); err != nil {
+			return false, err
+		}
 	}
-	s := &submission{work: w, begun: time.Now(), open: open, done: make(chan result, 1)}
+	s.done = make(chan result, 1)
 	select {
 	case a.queue <- s:
 	default:
-		if open {
+		if s.open {
 			return false, openOutcome(errBusy)
 		}
-		return false, rpc.Refused(retryBusy, "too many submissions wait")
+		return false, rpc.Refused(retryBusy, "%v", errBusy)
 	}
 	select {
 	case r := <-s.done:
@@ -68,6 +74,27 @@
 	}
 }
 
+// silent refuses work while the store is known not to answer: it would be held in vain until its caller
+// has given up.
+func (a *acceptor) silent() error {
+	if d := time.Since(a.o.StoreHeard()); d > storeSilent {
+		return rpc.Refused(retryStore, "the store has been silent for %v", d.Round(time.Millisecond))
+	}
+	since := a.unanswered.Load()
+	if since == 0 {
+		return nil
+	}
+	// Nothing is sent while submissions are refused: it is the watches that tell of the store's return.
+	if a.o.StoreHeard().UnixNano() > since {
+		a.unanswered.CompareAndSwap(since, 0)
+		return nil
+	}
+	if d := time.Since(time.Unix(0, since)); d > unansweredMost {
+		return rpc.Refused(retryStore, "the store has left a transaction without an answer for %v", d.Round(time.Millisecond))
+	}
+	return nil
+}
+
 var errBusy = errors.New("too many submissions wait")
 
 func openOutcome(cause error) error {
@@ -156,7 +183,11 @@
 		}
 	}
 	started := time.Now()
+	a.unanswered.CompareAndSwap(0, started.UnixNano())
 	res, err := a.o.Store.Txn(ctx, txn)
+	if err == nil || errors.Is(err, store.ErrNotSent) {
+		a.unanswered.Store(0)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -51,12 +51,12 @@
 // costs no call of the store, and puts its questions meanwhile. Without it this VM creates the work by
 // itself, which fails where the owner has done so.
 func (f *Front) Submit(ctx context.Context, w *job.Work) error {
+	begun := time.Now()
 	err := f.ownerAccept(ctx, w)
 	if err == nil {
 		return nil
 	}
-	open := !notDone(err)
-	created, err := f.accept.submit(ctx, w, open)
+	created, err := f.accept.submit(ctx, &submission{work: w, begun: begun, open: !notDone(err)})
 	if err != nil {
 		return f.submitElsewhere(ctx, w, err)
 	}
--- a/front/options.go
+++ b/front/options.go
@@ -32,6 +32,9 @@
 	// storeSilent is how long the store may be silent before submissions are refused unsent. Its
 	// watches answer every two seconds.
 	storeSilent = 3 * time.Second
+	// unansweredMost is how long a transaction may have no answer before new submissions are refused
+	// unsent: twice the answer of a slow store.
+	unansweredMost = 700 * time.Millisecond
 	// ownerWithin bounds a question to the owner of the cell; the store is asked after it.
 	ownerWithin = 500 * time.Millisecond
 	// ownerRest is how long an owner that did not answer is not asked for states.
--- a/front/serve.go
+++ b/front/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"turmericgap/job"
 	"turmericgap/permit"
@@ -52,7 +53,7 @@
 		return &none{}, f.o.Dispatcher.Offer(ctx, in.Works)
 	})
 	rpc.Handle(s, methodSubmit, func(ctx context.Context, in *submitRequest) (*none, error) {
-		created, err := f.accept.submit(ctx, &in.Work, false)
+		created, err := f.accept.submit(ctx, &submission{work: &in.Work, begun: time.Now()})
 		if created {
 			f.offer(&in.Work)
 		}
