Never refuse as 'never runs' a repeat of what may still be accepted

Change: a VM remembers for 15 s what it called open and calls repeats open too; connections that are given up are reset, so that what a cut holds up of them is discarded in place of being carried out late.

--- a/dispatch/store_test.go
+++ b/dispatch/store_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"turmericgap/job"
+	"turmericgap/rpc"
 	"turmericgap/store"
 )
 
@@ -100,3 +102,26 @@
 		c.judge()
 	})
 }
+
+// A VM is cut off from the store and from the owner while it hands work in. Its caller was told that the
+// outcome is open; a repeat at the same VM, refused for want of the store, must not say "never runs".
+func TestRepeatAfterOpenOutcome(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(time.Second), "vm1", "vm2")
+		c.workers(1, 4)
+		first := c.owner()
+		time.Sleep(time.Second)
+		first.store.Cut(true)
+		code := func() rpc.Code {
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			return rpc.AsFault(first.front.Submit(ctx, c.work("roster", job.Step{Tasks: 1}))).Code
+		}
+		is.Equal(code(), rpc.CodeUnknown)
+		first.store.Down(true)
+		is.Equal(code(), rpc.CodeUnknown)
+		time.Sleep(20 * time.Second)
+		is.Equal(code(), rpc.CodeRefused)
+	})
+}
--- a/front/front.go
+++ b/front/front.go
@@ -20,6 +20,7 @@
 	o      Options
 	accept *acceptor
 	cancel context.CancelFunc
+	open   openIDs
 	// silent is until when an owner that did not answer is not asked for states, in nanoseconds.
 	silent atomic.Int64
 }
@@ -52,6 +53,20 @@
 // itself, which fails where the owner has done so.
 func (f *Front) Submit(ctx context.Context, w *job.Work) error {
 	begun := time.Now()
+	err := f.submit(ctx, w, begun)
+	switch fault := rpc.AsFault(err); {
+	case err == nil:
+		f.open.settle(w.ID)
+	case fault == nil || fault.Code == rpc.CodeUnknown:
+		f.open.note(w.ID, begun)
+	case fault.Code == rpc.CodeRefused && f.open.has(w.ID, begun):
+		// An earlier try with this ID may still be accepted, so that this one cannot say "never".
+		return openOutcome(err)
+	}
+	return err
+}
+
+func (f *Front) submit(ctx context.Context, w *job.Work, begun time.Time) error {
 	err := f.ownerAccept(ctx, w)
 	if err == nil {
 		return nil
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -20,6 +20,7 @@
 // link is one connection.
 type link struct {
 	*netrpc.Client
+	conn net.Conn
 	// heard is when the last answer came, in nanoseconds of the process.
 	heard atomic.Int64
 }
@@ -75,7 +76,7 @@
 	defer close(d.done)
 	d.err = err
 	if err == nil {
-		d.conn = &link{Client: netrpc.NewClientWithCodec(newClientCodec(conn))}
+		d.conn = &link{Client: netrpc.NewClientWithCodec(newClientCodec(conn)), conn: conn}
 	}
 	if c.dialing != d {
 		// The client was closed meanwhile.
@@ -95,9 +96,19 @@
 		c.conn = nil
 	}
 	c.mu.Unlock()
+	failed.reset()
 	failed.Close()
 }
 
+// reset makes the close of a connection discard what was not delivered. A request that a cut holds up
+// would otherwise be carried out when the cut heals, long after its caller was told something else.
+func (l *link) reset() {
+	if tcp, ok := l.conn.(*net.TCPConn); ok {
+		// The connection may be closed already, and then holds nothing.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // Close ends the connection.
 func (c *Client) Close() {
 	c.mu.Lock()
