Keep room for the two most urgent gangs

Change: for the two most urgent gangs that can still be in time, room is kept on the workers where they will fit first, by the expected ends there; what ends before may use it, and the question is put so that the tickets are there in time. Shown by TestGangFindsRoomUnderLoad, which fails without.

--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -105,3 +106,44 @@
 		c.judge()
 	})
 }
+
+// Small tasks come without end and fill each core as it becomes free. A gang that needs two whole workers
+// at the same time must get them about as soon as what runs there has ended; without room kept for it,
+// it would wait until the small tasks stop coming.
+func TestGangFindsRoomUnderLoad(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, func(task worker.Task, _ int64) floor.Behaviour {
+			if task.Work == "gang" {
+				return floor.Behaviour{Runs: 2 * time.Second, How: worker.EndingDone, Gang: 2, Needs: job.Resources{Millicores: 4000}}
+			}
+			return floor.Behaviour{Runs: 3 * time.Second, How: worker.EndingDone, Needs: job.Resources{Millicores: 1000}}
+		}, "vm1")
+		c.config.Queues = append(c.config.Queues, job.Queue{Name: "batch", Pool: pool, Priority: 2, Attempts: 2, Slack: 20, Target: time.Minute})
+		c.workers(3, 4)
+		v := c.owner()
+		time.Sleep(5 * time.Second)
+		var handed time.Time
+		for i := range 150 {
+			w := c.work(fmt.Sprint("small", i), job.Step{Tasks: 1, Estimate: 3 * time.Second})
+			w.Queue = c.config.Queues[1]
+			c.submit(v, w)
+			if i == 50 {
+				handed = time.Now()
+				c.submit(v, c.work("gang", job.Step{
+					Tasks: 2, Gang: true, Estimate: 2 * time.Second, Each: job.Resources{Millicores: 4000, MemoryMB: 100},
+				}))
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		var begun time.Time
+		for _, r := range c.floor.History() {
+			if r.Task.Work == "gang" {
+				begun = r.Begun
+			}
+		}
+		is.True(!begun.IsZero())
+		is.True(begun.Sub(handed) < 4500*time.Millisecond)
+		c.judge()
+	})
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -31,7 +31,11 @@
 	// for its permits.
 	free job.Resources
 	held job.Resources
-	runs map[runKey]*run
+	// reserved is room that the present pass keeps for gangs, reservedUntil when the first of them
+	// is expected to start.
+	reserved      job.Resources
+	reservedUntil time.Time
+	runs          map[runKey]*run
 	// strange counts runs on the worker that this term does not know; their size is unknown, so that
 	// nothing new is placed beside them.
 	strange int
@@ -69,7 +73,7 @@
 }
 
 // room gives the capacity for new runs.
-func (n *node) room() job.Resources { return n.free.Minus(n.held) }
+func (n *node) room() job.Resources { return n.free.Minus(n.held).Minus(n.reserved) }
 
 func (n *node) take(r *run) {
 	n.runs[runKey{r.task(), r.number}] = r
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -78,6 +78,7 @@
 // place starts what can start, in the order of urgency, and puts questions to the policy service.
 func (t *term) place(now time.Time) {
 	t.dirty = false
+	t.clearReservations()
 	order := make([]urgency, 0, len(t.stages))
 	for s := range t.stages {
 		order = append(order, urgencyOf(s, now))
@@ -95,6 +96,9 @@
 		return
 	}
 	if s.asking {
+		if s.spec.Gang && s.gang == nil && len(s.kept) == 0 && s.answers != nil {
+			t.reserve(s, t.sorted(s, now), now)
+		}
 		return
 	}
 	if s.needsPermit() && s.answers == nil {
@@ -177,7 +181,7 @@
 
 // roomFor counts the tasks of a stage that fit a worker now.
 func (t *term) roomFor(s *stage, n *node) int {
-	k := fits(n.room(), s.charge())
+	k := fits(n.roomUntil(time.Now().Add(time.Duration(backfillSpare*float64(s.spec.Estimate)))), s.charge())
 	if most := s.spec.MostPerWorker; most > 0 {
 		k = min(k, most-s.on(n))
 	}
@@ -278,13 +282,18 @@
 		t.startGang(s, plan)
 		return
 	}
-	if !s.needsPermit() || now.Before(s.askFrom) {
+	if s.needsPermit() && now.Before(s.askFrom) {
 		return
 	}
 	plan := t.spread(s, nodes, func(*node) bool { return true })
-	if plan == nil {
-		if t.unasked(s, now) {
-			t.firstQuestion(s, now)
+	switch {
+	case plan != nil:
+	case s.needsPermit() && t.unasked(s, now):
+		t.firstQuestion(s, now)
+		return
+	default:
+		if res, ok := t.reserve(s, nodes, now); ok {
+			t.askAhead(s, &res, now)
 		}
 		return
 	}
--- /dev/null
+++ b/dispatch/reserve.go
@@ -0,0 +1,179 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// mostReservations bounds the gangs for which room is kept at a time. More of them would leave the
+	// cell idle for gangs whose turn is far off.
+	mostReservations = 2
+	// overdueShare of its estimate is what a run that has outlived it is expected to take still.
+	overdueShare = 0.25
+	// backfillSpare multiplies the estimate of a task that is to end before a reservation's time.
+	backfillSpare = 1.2
+	// askLead is how much earlier than it takes a question is put, so that the tickets are there when
+	// the room is.
+	askLead = 100 * time.Millisecond
+)
+
+// reservation is room that becomes free for a gang at a time.
+type reservation struct {
+	at   time.Time
+	plan []keptRoom
+}
+
+// release is room on a worker that is expected to become free.
+type release struct {
+	n  *node
+	at time.Time
+	// tasks is how many of the gang's tasks the worker will hold then, beside those that it held before.
+	tasks int
+}
+
+// endAt is when a run is expected to end.
+func (r *run) endAt(now time.Time) time.Time {
+	estimate := r.s.spec.Estimate
+	begun := r.begun
+	if begun.IsZero() {
+		begun = now
+	}
+	if end := begun.Add(estimate); end.After(now) {
+		return end
+	}
+	return now.Add(time.Duration(overdueShare * float64(estimate)))
+}
+
+// soonest finds when and where all tasks of a gang are expected to fit.
+func (t *term) soonest(s *stage, nodes []*node, now time.Time) (reservation, bool) {
+	var releases []release
+	for _, n := range nodes {
+		releases = t.releases(releases, s, n, now)
+	}
+	slices.SortStableFunc(releases, func(a, b release) int { return a.at.Compare(b.at) })
+	left := len(s.tasks)
+	res := reservation{at: now}
+	for _, r := range releases {
+		k := min(r.tasks, left)
+		res.add(r.n, k)
+		res.at = r.at
+		if left -= k; left == 0 {
+			return res, true
+		}
+	}
+	return res, false
+}
+
+func (r *reservation) add(n *node, tasks int) {
+	for i := range r.plan {
+		if r.plan[i].n == n {
+			r.plan[i].tasks += tasks
+			return
+		}
+	}
+	r.plan = append(r.plan, keptRoom{n, tasks})
+}
+
+// releases adds the times at which a worker has room for more of a gang's tasks.
+func (t *term) releases(out []release, s *stage, n *node, now time.Time) []release {
+	need := s.charge()
+	most := len(s.tasks)
+	if s.spec.MostPerWorker > 0 {
+		most = min(most, s.spec.MostPerWorker-s.on(n))
+	}
+	room := n.room()
+	had := min(fits(room, need), most)
+	if had > 0 {
+		out = append(out, release{n, now, had})
+	}
+	runs := make([]*run, 0, len(n.runs))
+	for _, r := range n.runs {
+		if !r.s.spec.Service {
+			runs = append(runs, r)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		if c := a.endAt(now).Compare(b.endAt(now)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.number, b.number)
+	})
+	for _, r := range runs {
+		if had >= most {
+			break
+		}
+		room = room.Plus(r.need)
+		if fit := min(fits(room, need), most); fit > had {
+			out = append(out, release{n, r.endAt(now), fit - had})
+			had = fit
+		}
+	}
+	return out
+}
+
+// reserve keeps room for a gang that does not fit yet, until the next pass. Without it small tasks that
+// come later fill each hole at once, and a gang starves although its turn has come.
+func (t *term) reserve(s *stage, nodes []*node, now time.Time) (reservation, bool) {
+	if t.reservations >= mostReservations || urgencyOf(s, now).hope > 0 {
+		return reservation{}, false
+	}
+	res, ok := t.soonest(s, nodes, now)
+	if !ok || res.at.Add(s.spec.Estimate).After(s.e.lost) {
+		return res, false
+	}
+	t.reservations++
+	for _, p := range res.plan {
+		want := s.charge().Times(p.tasks)
+		p.n.reserved = p.n.reserved.Plus(lesser(want, p.n.room()))
+		if p.n.reservedUntil.IsZero() || res.at.Before(p.n.reservedUntil) {
+			p.n.reservedUntil = res.at
+		}
+	}
+	return res, true
+}
+
+// lesser gives the smaller of each part, none below zero.
+func lesser(a, b resources) resources {
+	return resources{
+		Millicores:   max(min(a.Millicores, b.Millicores), 0),
+		MemoryMB:     max(min(a.MemoryMB, b.MemoryMB), 0),
+		Accelerators: max(min(a.Accelerators, b.Accelerators), 0),
+	}
+}
+
+// clearReservations forgets the reservations of the last pass.
+func (t *term) clearReservations() {
+	t.reservations = 0
+	for _, n := range t.nodes {
+		n.reserved, n.reservedUntil = resources{}, time.Time{}
+	}
+}
+
+// roomUntil gives the room for a task that is expected to take so long: reserved room may be used by
+// what ends before the reservation's time.
+func (n *node) roomUntil(end time.Time) resources {
+	if !n.reservedUntil.IsZero() && end.Before(n.reservedUntil) {
+		return n.free.Minus(n.held)
+	}
+	return n.room()
+}
+
+// askAhead puts the question for a reservation early enough that its tickets are there in time.
+func (t *term) askAhead(s *stage, res *reservation, now time.Time) {
+	if s.asking || !s.needsPermit() || now.Before(s.askFrom) {
+		return
+	}
+	p := s.e.queue.Permit
+	names := make([]string, 0, len(res.plan))
+	valid := true
+	for _, k := range res.plan {
+		names = append(names, k.n.id)
+		valid = valid && s.answers[k.n.id].until.After(res.at.Add(ticketMargin))
+	}
+	takes := p.Base + time.Duration(len(names))*p.PerWorker + askLead
+	if !valid && res.at.Sub(now) < takes {
+		t.question(s, names, now)
+	}
+}
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -42,6 +42,8 @@
 	dirty   bool
 	// removed lists the ended records that the next commits take away.
 	removed []string
+	// reservations counts those of the present pass.
+	reservations int
 	// grants is the share of named workers that each queue is allowed.
 	grants map[string]float64
 }
