--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -165,22 +165,37 @@
 // its tasks need room at the same time.
 const gangNamed = 60
 
+// askers is the entry VMs that may put questions, read once for each pass.
+type askers struct {
+	nodes []owner.Node
+	ids   []string
+}
+
+func (t *term) readAskers() {
+	t.askers.nodes = t.o.Nodes()
+	t.askers.ids = t.askers.ids[:0]
+	for i := range t.askers.nodes {
+		t.askers.ids = append(t.askers.ids, t.askers.nodes[i].ID)
+	}
+	t.desk.Keep(t.askers.ids)
+}
+
+// mayAsk reports whether a stage may put a question now. Where no VM is free for it, it waits for its
+// turn among all stages.
+func (t *term) mayAsk(s *stage, now time.Time) bool {
+	return !now.Before(s.askFrom) && t.desk.Free(t.askers.ids, s.e.queue.Permit.Base, now)
+}
+
 // question puts a question to the service from the entry VM that can answer first.
 func (t *term) question(s *stage, names []string, now time.Time) {
 	p := s.e.queue.Permit
 	cost := p.Base + time.Duration(len(names))*p.PerWorker
-	nodes := t.o.Nodes()
-	ids := make([]string, len(nodes))
-	for i := range nodes {
-		ids[i] = nodes[i].ID
-	}
-	t.desk.Keep(ids)
-	vm, until, ok := t.desk.Pick(ids, cost, now)
+	vm, until, ok := t.desk.Pick(t.askers.ids, cost, now)
 	if !ok {
-		s.askFrom = now.Add(askAgain)
+		t.letGo(s)
 		return
 	}
-	from := nodes[slices.Index(ids, vm)]
+	from := t.askers.nodes[slices.Index(t.askers.ids, vm)]
 	q := &permit.Question{Work: s.e.work.ID, Occurrence: s.occ.number, Step: s.index, Workers: names}
 	s.asking = true
 	t.o.Metrics.Counter("dispatch.questions").Inc(1)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -79,6 +79,7 @@
 func (t *term) place(now time.Time) {
 	t.dirty = false
 	t.clearReservations()
+	t.readAskers()
 	order := make([]urgency, 0, len(t.stages))
 	for s := range t.stages {
 		order = append(order, urgencyOf(s, now))
@@ -102,7 +103,7 @@
 		return
 	}
 	if s.needsPermit() && s.answers == nil {
-		if now.After(s.askFrom) {
+		if t.mayAsk(s, now) {
 			t.firstQuestion(s, now)
 		}
 		return
@@ -138,7 +139,7 @@
 
 // renew asks for new tickets of allowed workers with room, or for workers that were not named yet.
 func (t *term) renew(s *stage, now time.Time) {
-	if !s.needsPermit() || now.Before(s.askFrom) {
+	if !s.needsPermit() || !t.mayAsk(s, now) {
 		return
 	}
 	var names []string
@@ -282,7 +283,8 @@
 		t.startGang(s, plan)
 		return
 	}
-	if s.needsPermit() && now.Before(s.askFrom) {
+	if s.needsPermit() && !t.mayAsk(s, now) {
+		t.reserve(s, nodes, now)
 		return
 	}
 	plan := t.spread(s, nodes, func(*node) bool { return true })
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -17,30 +18,34 @@
 // directly; the watch only finds what they could not tell.
 const watchPause = 300 * time.Millisecond
 
-// recover reads the cell's state; false means that the tenure ended before.
+// recover reads the cell's state; false means that the tenure ended before. The three readings go at the
+// same time: at a store that takes a third of a second for an answer a take-over lasts that long, not
+// three times. Nobody else writes states and lanes under this tenure, and the watch over accepted work
+// finds what is created meanwhile.
 func (t *term) recover() bool {
-	read := func(prefix string) (store.RangeResult, error) {
-		return retry.Read(t.ctx, func(ctx context.Context) (store.RangeResult, error) {
-			return t.o.Store.Range(ctx, store.Range{Key: prefix, End: store.PrefixEnd(prefix)})
-		}, retry.Between(commitAgain, commitAgainMost))
-	}
-	marks, err := read(commitPrefix)
-	if err != nil {
-		return false
-	}
-	for i := range marks.Pairs {
-		t.commits.resume(marks.Pairs[i].Key, marks.Pairs[i].ModRevision)
+	prefixes := []string{commitPrefix, statePrefix, workPrefix}
+	found := make([][]store.Pair, len(prefixes))
+	var reads sync.WaitGroup
+	for i, prefix := range prefixes {
+		reads.Go(func() {
+			res, err := retry.Read(t.ctx, func(ctx context.Context) (store.RangeResult, error) {
+				return t.o.Store.Range(ctx, store.Range{Key: prefix, End: store.PrefixEnd(prefix)})
+			}, retry.Between(commitAgain, commitAgainMost))
+			if err == nil {
+				found[i] = res.Pairs
+			}
+		})
 	}
-	states, err := read(statePrefix)
-	if err != nil {
+	reads.Wait()
+	if t.ctx.Err() != nil {
 		return false
 	}
-	works, err := read(workPrefix)
-	if err != nil {
-		return false
+	marks, states, works := found[0], found[1], found[2]
+	for i := range marks {
+		t.commits.resume(marks[i].Key, marks[i].ModRevision)
 	}
 	t.config = t.o.Config()
-	t.restore(works.Pairs, states.Pairs)
+	t.restore(works, states)
 	t.wg.Go(t.readEnded)
 	t.followAll()
 	return true
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -162,7 +162,7 @@
 
 // askAhead puts the question for a reservation early enough that its tickets are there in time.
 func (t *term) askAhead(s *stage, res *reservation, now time.Time) {
-	if s.asking || !s.needsPermit() || now.Before(s.askFrom) {
+	if s.asking || !s.needsPermit() {
 		return
 	}
 	p := s.e.queue.Permit
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -38,6 +38,7 @@
 	timed   map[*entry]struct{}
 	commits commits
 	desk    *permit.Desk
+	askers  askers
 	config  *job.Config
 	dirty   bool
 	// removed lists the ended records that the next commits take away.
--- a/permit/desk.go
+++ b/permit/desk.go
@@ -2,9 +2,23 @@
 
 import "time"
 
-// LongQuestion parts long questions from short ones: it is above what a question on a batch of
-// medium size costs and far below that on a large one.
-const LongQuestion = 300 * time.Millisecond
+// Kinds of questions by what they cost. A check asks for some ten to twenty milliseconds, a batch for
+// about a hundred, a roster for a second.
+const (
+	LongQuestion   = 300 * time.Millisecond
+	MediumQuestion = 50 * time.Millisecond
+)
+
+const (
+	// handAhead is how much work a VM may have when it gets a longer question: about the way of an
+	// answer, so that the service does not stand idle. More would wait there while questions that are
+	// more urgent come up; what is not handed over waits with its owner, in the order of urgency.
+	handAhead = 20 * time.Millisecond
+	// shortAhead is the same for short questions, which have nothing to wait for but each other.
+	shortAhead = 400 * time.Millisecond
+	// shortOnly is the part of the VMs that gets short questions alone.
+	shortOnly = 4
+)
 
 // Desk chooses the entry VM from which a question is put. The service answers one question at a time
 // for each VM, so that the choice decides how long it waits there. It belongs to one goroutine.
@@ -29,30 +43,46 @@
 }
 
 // Pick gives the VM that can answer a question of this cost first, and until when that takes; false
-// where there is none. Long questions are kept to the first half of the VMs: behind one of them a
-// check would wait longer than its objective allows.
+// where none may have it now. Long questions are kept to the first half of the VMs and medium ones off
+// the last quarter: behind one of them a check would wait longer than its objective allows.
 func (d *Desk) Pick(vms []string, cost time.Duration, now time.Time) (vm string, until time.Time, ok bool) {
-	if len(vms) == 0 {
+	best, start := d.first(vms, cost, now)
+	if best == "" {
 		return "", time.Time{}, false
 	}
-	if cost > LongQuestion {
+	until = start.Add(cost)
+	d.busy[best] = until
+	return best, until, true
+}
+
+// Free reports whether Pick would find a VM.
+func (d *Desk) Free(vms []string, cost time.Duration, now time.Time) bool {
+	best, _ := d.first(vms, cost, now)
+	return best != ""
+}
+
+// first gives the VM that is free first among those that may have a question, or none.
+func (d *Desk) first(vms []string, cost time.Duration, now time.Time) (best string, start time.Time) {
+	ahead := handAhead
+	switch {
+	case cost > LongQuestion:
 		vms = vms[:(len(vms)+1)/2]
+	case cost > MediumQuestion:
+		vms = vms[:len(vms)-len(vms)/shortOnly]
+	default:
+		ahead = shortAhead
 	}
-	best := -1
-	var start time.Time
-	for i, id := range vms {
+	for _, id := range vms {
 		at := d.busy[id]
 		if at.Before(now) {
 			at = now
 		}
 		// Among VMs that are equally free the later ones go first, which have no long questions.
-		if best < 0 || !at.After(start) {
-			best, start = i, at
+		if at.Sub(now) <= ahead && (best == "" || !at.After(start)) {
+			best, start = id, at
 		}
 	}
-	until = start.Add(cost)
-	d.busy[vms[best]] = until
-	return vms[best], until, true
+	return best, start
 }
 
 // Failed notes that a VM gave no answer.
