Trust a worker's refusal of a repeat for the repeat alone

Cause: a start had no answer within 150 ms and was repeated; the worker declined the repeat as unwell (or for want of room or a ticket) and 'did nothing', which the owner took for the whole order: the first try had begun the run, and the task was started elsewhere too. Ruled out: a take-over (both starts came from one tenure) and a lapse (3.7 s after the start). Change: after a try without an answer, only a fence or another lifetime is believed at once; else the next hold after the order is void tells.

--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -34,7 +34,8 @@
 			_, err := agent.Launch(ctx, order)
 			return err
 		})
-		if err != nil && !definite(err) && t.ctx.Err() == nil {
+		open := err != nil && !definite(err)
+		if open && t.ctx.Err() == nil {
 			// What is sent to a worker that is cut off stays charged there until the cut has healed or
 			// its lease has lapsed; the sooner it gets nothing new, the fewer callers wait for that.
 			t.post(func() { r.n.silentAt = time.Now() })
@@ -43,7 +44,7 @@
 				return err
 			})
 		}
-		t.post(func() { t.onLaunched(r, err) })
+		t.post(func() { t.onLaunched(r, err, open) })
 	})
 }
 
@@ -59,8 +60,9 @@
 	return errors.As(err, &refused) || errors.Is(err, worker.ErrReplaced) || errors.Is(err, worker.ErrUnwell)
 }
 
-// onLaunched takes in the answer to a start.
-func (t *term) onLaunched(r *run, err error) {
+// onLaunched takes in the last answer to a start; open says that an earlier try had none, and may have
+// been carried out whatever the worker says of this one.
+func (t *term) onLaunched(r *run, err error, open bool) {
 	if r.ended {
 		return
 	}
@@ -74,8 +76,11 @@
 		zap.Int64("run", r.number), zap.String("worker", r.n.id), zap.Error(err))
 	var refused *worker.Refusal
 	switch {
-	case errors.As(err, &refused):
+	case errors.As(err, &refused) && (!open || refused.Reason == worker.ReasonFenced):
 		t.onRefused(r, refused.Reason)
+	case open && definite(err) && !errors.Is(err, worker.ErrReplaced):
+		// A hold made after the order is void shows whether the earlier try began the run.
+		r.n.unwell = time.Now().Add(unwellFor)
 	case errors.Is(err, worker.ErrReplaced):
 		r.n.listed = false
 		t.gone(r.n, worker.EndingLapsed, "its lifetime is over")
--- a/dispatch/worker_test.go
+++ b/dispatch/worker_test.go
@@ -236,3 +236,31 @@
 	}
 	return n
 }
+
+// A worker carries a start out and its answer is lost; to the repeat it says that it is unwell and did
+// nothing. That holds for the repeat alone: the task runs, and must not be started elsewhere.
+func TestUnwellAfterLostAnswer(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(5*time.Second), "vm1")
+		ws := c.workers(2, 4)
+		v := c.owner()
+		time.Sleep(5 * time.Second)
+		for _, w := range ws {
+			w.Set(floor.Faults{Silent: true})
+		}
+		c.submit(v, c.work("check", job.Step{Tasks: 1}))
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(c.runs("check"), 1)
+		for _, w := range ws {
+			w.Set(floor.Faults{Unwell: true})
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, w := range ws {
+			w.Set(floor.Faults{})
+		}
+		c.until(v, "check", job.WorkCompleted, 20*time.Second)
+		is.Equal(c.runs("check"), 1)
+		c.judge()
+	})
+}
