Let the strongest entry VM own the cell

Change: the VMs tell their strength (processor, less where the link is thin); claims go by it, and a weak owner gives the cell up to one that has been there for two seconds and is stronger by half.

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -69,7 +69,7 @@
 		dispatch.Bounds(s.MostHold, s.StopWithin, s.KeepEnded),
 		dispatch.Logger(logger.Part(p.log, "dispatch")), dispatch.Metrics(service.Metrics()))
 	p.config = configuration.New(kv, platform.ConfigKey, platform.DecodeConfig, p.askConfig, logger.Part(p.log, "configuration"))
-	p.group = owner.New(kv, owner.Node{ID: s.ID, Zone: s.Zone, Address: s.Peers},
+	p.group = owner.New(kv, owner.Node{ID: s.ID, Zone: s.Zone, Address: s.Peers, Strength: strength(s)},
 		owner.Logger(logger.Part(p.log, "owner")), owner.Lead(p.dispatch.Lead))
 	p.front = front.New(front.Options{
 		Store: kv, Dispatcher: p.dispatch, Group: p.group, Peers: p.peers, Permits: ask,
@@ -84,6 +84,18 @@
 	return nil
 }
 
+// fullLink is the link in Mbit/s that does not bind: the holds and orders of 350 workers at 500 starts a
+// second take about a tenth of it.
+const fullLink = 100
+
+// strength is the VM's processor in thousandths of a core, less where its link is thin.
+func strength(s *platform.Settings) int {
+	if s.LinkMbps <= 0 || s.LinkMbps >= fullLink {
+		return s.Millicores
+	}
+	return s.Millicores * s.LinkMbps / fullLink
+}
+
 // listeners are the open ports.
 type listeners struct{ callers, ready, peers net.Listener }
 
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -78,7 +78,10 @@
 	return c
 }
 
-func (c *cell) boot(id string) *vm {
+func (c *cell) boot(id string) *vm { return c.bootStrong(id, 1) }
+
+// bootStrong starts a VM of some strength.
+func (c *cell) bootStrong(id string, strength int) *vm {
 	v := &vm{id: id, server: rpc.NewServer()}
 	kv := c.kv.Client(&v.store)
 	v.peers = rpc.NewPool(rpc.Dial(c.dial))
@@ -95,7 +98,7 @@
 				return rpc.Call[permit.Question, permit.Answer](ctx, v.peers.Get(from.Address), front.MethodAsk, q)
 			}),
 		dispatch.Bounds(mostHold, 200*time.Millisecond, 2*time.Minute))
-	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id}, owner.Logger(log), owner.Lead(v.disp.Lead))
+	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id, Strength: strength}, owner.Logger(log), owner.Lead(v.disp.Lead))
 	v.front = front.New(front.Options{
 		Store: kv, Dispatcher: v.disp, Group: v.group, Peers: v.peers, Permits: ask, StoreHeard: time.Now, Logger: log,
 	})
--- a/dispatch/path_test.go
+++ b/dispatch/path_test.go
@@ -156,3 +156,28 @@
 		c.judge()
 	})
 }
+
+// A weak VM owns the cell because it came first. When a strong one has been there for a while it gets
+// the cell, keeps it when more weak ones come, and nothing that runs is run again.
+func TestStrongVMOwns(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(6*time.Second), "a-weak")
+		c.workers(2, 4)
+		is.Equal(c.owner().id, "a-weak")
+		c.submit(c.owner(), c.work("roster", job.Step{Tasks: 8}))
+		time.Sleep(time.Second)
+		c.bootStrong("z-strong", 4)
+		c.boot("b-weak")
+		time.Sleep(4 * time.Second)
+		strong := c.owner()
+		is.Equal(strong.id, "z-strong")
+		c.until(strong, "roster", job.WorkCompleted, 20*time.Second)
+		is.Equal(c.runs("roster"), 8)
+		time.Sleep(10 * time.Second)
+		is.Equal(c.owner().id, "z-strong")
+		c.kill(strong)
+		is.True(c.owner().id != "z-strong")
+		c.judge()
+	})
+}
--- a/owner/claim.go
+++ b/owner/claim.go
@@ -22,6 +22,7 @@
 		case <-again.C:
 		}
 		g.tidy()
+		g.yield()
 		if g.vacant() {
 			g.pause(time.Duration(g.rank()) * claimStagger)
 		}
@@ -31,6 +32,31 @@
 	}
 }
 
+// yield gives the cell up to a much stronger VM that has been there for a while. At the start of a cell
+// the first VM to come owns it, and after a loss of the strong ones a weak one does.
+func (g *Group) yield() {
+	g.mu.Lock()
+	t, stronger := g.tenure, ""
+	for _, n := range g.nodes {
+		if n.Strength*strengthShare > g.self.Strength*(strengthShare+1) {
+			stronger = n.ID
+		}
+	}
+	if t == nil || stronger == "" {
+		g.outdone = time.Time{}
+		g.mu.Unlock()
+		return
+	}
+	if g.outdone.IsZero() {
+		g.outdone = time.Now()
+	}
+	due := time.Since(g.outdone) > yieldAfter
+	g.mu.Unlock()
+	if due {
+		g.endTenure("a stronger VM is there: " + stronger)
+	}
+}
+
 // tidy settles a key that names this VM while no tenure runs here. Without it a claim that the store
 // carried out late, or a key whose removal failed, would keep the cell without an owner for as long as
 // this VM renews its lease; and after a restart the cell would wait for the lease of the dead process.
@@ -64,11 +90,12 @@
 	return g.listed && g.owner == nil && g.tenure == nil && !g.leaving && g.holder.Valid()
 }
 
-// rank counts the nodes that go before this one.
+// rank counts the nodes that go before this one: stronger ones, and of equal strength those of lower
+// ID. A weak VM that owned a large cell could not keep up with its workers, and no work would start.
 func (g *Group) rank() int {
 	rank := 0
 	for _, n := range g.Nodes() {
-		if n.ID < g.self.ID {
+		if n.Strength > g.self.Strength || n.Strength == g.self.Strength && n.ID < g.self.ID {
 			rank++
 		}
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -38,6 +38,11 @@
 	claimStagger = 25 * time.Millisecond
 	// claimAgain is the pause after a claim without a definite answer.
 	claimAgain = 200 * time.Millisecond
+	// yieldAfter is how long a much stronger VM must have been there before it gets the cell, so that
+	// one that comes and goes does not disturb it.
+	yieldAfter = 2 * time.Second
+	// strengthShare says what much stronger means: by more than one part in so many.
+	strengthShare = 2
 	// callWithin bounds one call; the store's slowest answers stay below it.
 	callWithin = time.Second
 )
@@ -47,6 +52,8 @@
 	ID      string `msgpack:"i"`
 	Zone    string `msgpack:"z"`
 	Address string `msgpack:"a"`
+	// Strength orders the VMs that may own the cell; the strongest that is alive takes it.
+	Strength int `msgpack:"s"`
 }
 
 // Tenure is one time of owning the cell.
@@ -89,7 +96,8 @@
 	ownerAs  Node
 	listed   bool
 	leaving  bool
-	lost     int64 // the revision of an owner's key that was reported lost
+	outdone  time.Time // since when the owner here is outdone by a much stronger VM
+	lost     int64     // the revision of an owner's key that was reported lost
 	tenure   *Tenure
 	endTerm  context.CancelFunc
 	termDone chan struct{}
