--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -51,7 +51,7 @@
 	log := logger.NewTo("entry", out).With(zap.String("vm", settings.ID))
 	service := turmericgap.New(turmericgap.Name("entry"), turmericgap.Logger(log), turmericgap.OpsAddress(settings.Metrics),
 		turmericgap.ShutdownWithin(settings.ShutdownWithin*9/10))
-	err := wire(service, settings, path)
+	err := wire(service, settings, path, out.Dropped)
 	if err == nil {
 		err = service.Run()
 	}
--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -48,11 +48,13 @@
 	callers  *http.Server
 	ready    *http.Server
 	stopping atomic.Bool
+	// dropped counts the log lines that were not written.
+	dropped func() int64
 }
 
 // wire joins the parts.
-func wire(service *turmericgap.Service, s *platform.Settings, path string) error {
-	p := &parts{settings: s, log: service.Logger(), peers: rpc.NewPool(), server: rpc.NewServer()}
+func wire(service *turmericgap.Service, s *platform.Settings, path string, dropped func() int64) error {
+	p := &parts{dropped: dropped, settings: s, log: service.Logger(), peers: rpc.NewPool(), server: rpc.NewServer()}
 	p.metrics = service.Metrics()
 	p.reloadOn(path)
 	p.client = platform.NewClient(func(kind string) { p.metrics.Counter("platform.calls." + kind).Inc(1) })
@@ -138,7 +140,7 @@
 // report logs the counters from time to time.
 func (p *parts) report() {
 	for range time.Tick(reportEvery) {
-		p.log.Info("entry: counters", zap.Any("counters", p.metrics.Counters()))
+		p.log.Info("entry: counters", zap.Any("counters", p.metrics.Counters()), zap.Int64("linesDropped", p.dropped()))
 	}
 }
 
