Start services before batches, and count timed work from when it is due

Cause: a work's goal counted from its acceptance. Change: goals belong to occurrences; services go first.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -157,7 +157,7 @@
 		t.noteEnded(e.work.ID, Ended{State: e.state, At: time.Now(), Queue: e.work.Queue.Name})
 		t.log.Info("dispatch: work ended", zap.String("id", e.work.ID), zap.String("queue", e.work.Queue.Name),
 			zap.String("state", string(e.state)), zap.Duration("took", time.Since(e.work.Accepted)),
-			zap.Duration("beforeGoal", time.Until(e.goal)))
+			zap.Duration("beforeGoal", time.Until(e.work.Due(e.work.Count()-1).Add(e.objective))))
 	}
 	for _, f := range ch.done {
 		f()
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -23,8 +23,8 @@
 	started bool
 	// late says that the work's record is to be removed once its last run has ended.
 	settled bool
-	// goal is when the work should be done, lost when it is worth nothing any more.
-	goal, lost time.Time
+	// objective is how long after it is due an occurrence should be done.
+	objective time.Duration
 	// unwritten says that the work itself is not durable yet: the next commit with the entry writes it.
 	unwritten bool
 	// saving holds changes that wait for a commit, writing says that one with the entry is under way.
@@ -114,12 +114,16 @@
 	return e
 }
 
-// reckon works out the goal from the caller's estimates along the longest chain of steps.
+// reckon works out the objective from the caller's estimates along the longest chain of steps.
 func (e *entry) reckon() {
-	chain := e.longestChain()
-	objective := time.Duration(e.queue.Slack*float64(chain)) + e.queue.Target
-	e.goal = e.work.Accepted.Add(objective)
-	e.lost = e.work.Accepted.Add(lostAfter * objective)
+	e.objective = time.Duration(e.queue.Slack*float64(e.longestChain())) + e.queue.Target
+}
+
+// goal is when an occurrence should be done, lost when it is worth nothing any more.
+func (o *occurrence) goal(e *entry) time.Time { return e.work.Due(o.number).Add(e.objective) }
+
+func (o *occurrence) lost(e *entry) time.Time {
+	return e.work.Due(o.number).Add(lostAfter * e.objective)
 }
 
 // lostAfter times the objective is when late work is worth nothing.
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -120,7 +120,7 @@
 		return reservation{}, false
 	}
 	res, ok := t.soonest(s, nodes, now)
-	if !ok || res.at.Add(s.spec.Estimate).After(s.e.lost) {
+	if !ok || res.at.Add(s.spec.Estimate).After(s.occ.lost(s.e)) {
 		return res, false
 	}
 	t.reservations++
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -8,7 +8,7 @@
 
 // urgency orders stages: lower goes first.
 type urgency struct {
-	s *stage
+	s    *stage
 	hope hope
 	goal time.Time
 }
@@ -25,21 +25,27 @@
 	hopeNone
 )
 
-// urgencyOf tells what a stage can still earn if it started now.
+// urgencyOf tells what a stage can still earn if it started now. A service has no end to be in time for:
+// each moment without it counts, so that it goes first.
 func urgencyOf(s *stage, now time.Time) urgency {
 	e := s.e
-	u := urgency{s: s, goal: e.goal}
+	u := urgency{s: s, goal: s.occ.goal(e)}
 	left := now.Add(s.spec.Estimate / 2)
 	switch {
-	case left.After(e.lost):
+	case s.spec.Service:
+		u.goal = time.Time{}
+	case left.After(s.occ.lost(e)):
 		u.hope = hopeNone
-	case left.After(e.goal):
+	case left.After(u.goal):
 		u.hope = hopeLate
 	}
 	return u
 }
 
 func (u urgency) compare(o urgency) int {
+	if c := cmp.Compare(o.service(), u.service()); c != 0 {
+		return c
+	}
 	if c := cmp.Compare(u.hope, o.hope); c != 0 {
 		return c
 	}
@@ -51,3 +57,11 @@
 	}
 	return strings.Compare(u.s.e.work.ID, o.s.e.work.ID)
 }
+
+// service gives 1 for a stage whose tasks run until they are cancelled.
+func (u urgency) service() int {
+	if u.s.spec.Service {
+		return 1
+	}
+	return 0
+}
