--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -25,15 +25,12 @@
 	hopeNone
 )
 
-// urgencyOf tells what a stage can still earn if it started now. A service has no end to be in time for:
-// each moment without it counts, so that it goes first.
+// urgencyOf tells what a stage can still earn if it started now.
 func urgencyOf(s *stage, now time.Time) urgency {
 	e := s.e
 	u := urgency{s: s, goal: s.occ.goal(e)}
 	left := now.Add(s.spec.Estimate / 2)
 	switch {
-	case s.spec.Service:
-		u.goal = time.Time{}
 	case left.After(s.occ.lost(e)):
 		u.hope = hopeNone
 	case left.After(u.goal):
@@ -42,6 +39,7 @@
 	return u
 }
 
+// compare orders by urgency. A service goes first: each moment without it counts.
 func (u urgency) compare(o urgency) int {
 	if c := cmp.Compare(o.service(), u.service()); c != 0 {
 		return c
