--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -21,7 +21,7 @@
 	held int
 	// started says that a worker has confirmed a start; until then the work counts as waiting.
 	started bool
-	// late says that the work's record is to be removed once its last run has ended.
+	// settled says that the record of its end takes the place of the work with the next commit.
 	settled bool
 	// objective is how long after it is due an occurrence should be done.
 	objective time.Duration
@@ -99,7 +99,7 @@
 	stopping bool
 	haltedAt time.Time
 	ended    bool
-	// percent and movedAt tell when the run was last seen to get on.
+	// percent is how far the run was when it was last seen to get on, at movedAt.
 	percent int
 	movedAt time.Time
 }
--- a/dispatch/worker_test.go
+++ b/dispatch/worker_test.go
@@ -264,3 +264,28 @@
 		c.judge()
 	})
 }
+
+// A worker takes tasks and answers every call, and nothing on it gets on. Their callers must not wait for
+// ever: the tasks are stopped and go on elsewhere, those that are merely slow are left alone.
+func TestStillWorker(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(8*time.Second), "vm1")
+		ws := c.workers(2, 4)
+		v := c.owner()
+		time.Sleep(5 * time.Second)
+		ws[0].Set(floor.Faults{Still: true})
+		c.submit(v, c.work("check", job.Step{Tasks: 6, Estimate: time.Second}))
+		c.until(v, "check", job.WorkCompleted, 25*time.Second)
+		still := 0
+		for _, r := range c.floor.History() {
+			if r.How == worker.EndingStopped {
+				is.Equal(r.Worker, ws[0].Info().ID)
+				still++
+			}
+		}
+		is.True(still > 0)
+		is.Equal(c.runs("check"), 6+still)
+		c.judge()
+	})
+}
--- a/standin/floor/worker.go
+++ b/standin/floor/worker.go
@@ -37,6 +37,8 @@
 	LateLaunch time.Duration
 	// Unwell makes the worker decline calls.
 	Unwell bool
+	// Still makes new runs stand still for good, while the worker answers every call.
+	Still bool
 }
 
 // Worker is one lifetime of a worker.
@@ -195,6 +197,9 @@
 	r := &running{key: key, does: does, record: record}
 	w.runs[key] = r
 	w.check()
+	if w.faults.Still {
+		return nil
+	}
 	if does.Gang == 0 {
 		w.work(r)
 		return nil
@@ -342,11 +347,19 @@
 	defer w.floor.mu.Unlock()
 	h := &worker.Held{Clock: w.clock(), Ended: append([]worker.End(nil), w.ended[:min(len(w.ended), mostEnds)]...)}
 	for key, r := range w.runs {
-		h.Active = append(h.Active, worker.Active{Task: key.task, Run: key.run, Checkpoint: r.checkpoint, Percent: 1})
+		h.Active = append(h.Active, worker.Active{Task: key.task, Run: key.run, Checkpoint: r.checkpoint, Percent: r.percent()})
 	}
 	return h
 }
 
+// percent tells how far a run is.
+func (r *running) percent() int {
+	if !r.working || r.does.Runs == 0 {
+		return 0
+	}
+	return int(100 * time.Since(r.record.Begun) / r.does.Runs)
+}
+
 func (r *Run) name() string {
 	return fmt.Sprintf("%s.%d.%d.%d run %d on %s", r.Task.Work, r.Task.Occurrence, r.Task.Step, r.Task.Index, r.Number, r.Worker)
 }
