Start a gang again as soon as its end is proved

Ruled out: permits and room; nothing was asked. Change: where a member was listed as broken before anything was stopped by the owner, members on silent workers count as ended. Shown by TestGangAfterCrash, which fails without.

--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -103,6 +103,7 @@
 	default:
 	}
 	if !g.done && !g.broken {
+		g.proved = how == worker.EndingBroken
 		t.breakGang(s)
 	}
 	if g.members > 0 {
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -75,6 +75,9 @@
 	broken bool
 	failed bool
 	done   bool
+	// proved says that a worker listed a member as ended because another had, before anything was
+	// stopped by this owner: the run is over everywhere.
+	proved bool
 }
 
 // run is one start of a task; it holds capacity from its intent until its end is known.
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -147,3 +147,27 @@
 		c.judge()
 	})
 }
+
+// A worker with a member of a gang crashes and lists nothing any more. The other member ends as broken,
+// which shows that the run is over everywhere: the gang must be started again without waiting for the
+// lease of the silent worker.
+func TestGangAfterCrash(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, gangOf(2, 4*time.Second, worker.EndingDone), "vm1")
+		ws := c.workers(4, 4)
+		v := c.owner()
+		time.Sleep(5 * time.Second)
+		c.submit(v, c.work("gang", gangStep(2)))
+		time.Sleep(time.Second)
+		for _, w := range ws {
+			if w.Active() > 0 {
+				w.Crash(false)
+				break
+			}
+		}
+		c.until(v, "gang", job.WorkCompleted, 9*time.Second)
+		is.Equal(c.runs("gang"), 4)
+		c.judge()
+	})
+}
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -9,6 +9,7 @@
 // onTick does what depends on time alone.
 func (t *term) onTick(now time.Time) {
 	t.lapse(now)
+	t.overWithGang()
 	t.haltAgain(now)
 	t.leaveStill(now)
 	for e := range t.timed {
