Count the failure of a gang that is heard of late

Change: such a run is remembered, in the record too, until its worker lists it or its lease has surely lapsed; meanwhile it counts as an attempt that may be used up. Shown by TestFailureHeardLate, with and without a take-over, which fails without.

--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -51,6 +51,8 @@
 	// fails counts the failed runs of a gang; gang is the one under way.
 	fails int
 	gang  *gangRun
+	// unheard holds runs of the gang that are over and may still be listed as failed.
+	unheard []unheard
 	// ready says that the steps before it are done, since when its tasks wait.
 	ready bool
 	since time.Time
@@ -78,6 +80,8 @@
 	// proved says that a worker listed a member as ended because another had, before anything was
 	// stopped by this owner: the run is over everywhere.
 	proved bool
+	// unheard says that a worker could not tell how the run ended there.
+	unheard bool
 }
 
 // run is one start of a task; it holds capacity from its intent until its end is known.
@@ -179,6 +183,9 @@
 		or := occurrenceRecord{Number: o.number}
 		for _, s := range o.stages {
 			sr := stageRecord{Fails: s.fails, Failing: s.gang != nil && s.gang.failed, Tasks: make([]taskRecord, len(s.tasks))}
+			for _, u := range s.unheard {
+				sr.Unheard = append(sr.Unheard, unheardRecord{Run: u.number, Worker: u.worker})
+			}
 			for i := range s.tasks {
 				t := &s.tasks[i]
 				tr := taskRecord{Phase: t.phase, Run: t.number, Fails: t.fails, Checkpoint: t.checkpoint}
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -10,6 +10,9 @@
 	if s.gang != nil {
 		return // members of a broken run have not ended yet
 	}
+	if !s.attemptsLeft(now) {
+		return // a run that may have failed is not known to have lapsed
+	}
 	nodes := t.sorted(s, now, all)
 	slices.Reverse(nodes)
 	if plan := t.spread(s, nodes, now, func(n *node) bool { return s.permitted(n, now) }); plan != nil {
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -171,3 +171,39 @@
 		c.judge()
 	})
 }
+
+// A member of a gang fails on a worker that is cut off; the other member ends as broken, so that the run
+// is over, and the gang is started again before anybody has heard of the failure. When the cut heals the
+// worker lists it: it counts as an attempt, also after a take-over, and no start too many is made.
+func TestFailureHeardLate(t *testing.T) {
+	for _, kill := range []bool{false, true} {
+		t.Run(fmt.Sprint("owner dies ", kill), func(t *testing.T) {
+			play(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCell(t, gangOf(2, 2*time.Second, worker.EndingFailed), "vm1", "vm2")
+				ws := c.workers(6, 4)
+				v := c.owner()
+				time.Sleep(5 * time.Second)
+				c.submit(v, c.work("gang", gangStep(2)))
+				time.Sleep(time.Second)
+				for _, r := range c.floor.History() {
+					for _, w := range ws {
+						if r.Task.Index == 0 && r.Worker == w.Info().ID {
+							w.Set(floor.Faults{Cut: true})
+						}
+					}
+				}
+				time.Sleep(5 * time.Second)
+				if kill {
+					c.kill(v)
+				}
+				for _, w := range ws {
+					w.Set(floor.Faults{})
+				}
+				c.until(c.owner(), "gang", job.WorkFailed, 40*time.Second)
+				is.Equal(c.runs("gang"), 4)
+				c.judge()
+			})
+		})
+	}
+}
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -180,6 +180,8 @@
 		if r := n.runs[runKey{e.Task, e.Run}]; r != nil {
 			t.endRun(r, e.How, e.Checkpoint)
 			t.noteEnd(n, r.s.e)
+		} else {
+			t.hear(n, e)
 		}
 	}
 }
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -189,19 +189,3 @@
 		}
 	}
 }
-
-// overWithGang ends members of gangs on workers that are silent, where another member has shown that the
-// run is over. A worker that crashed lists nothing, and the gang would wait for its lease to lapse
-// although no member can be at work any more.
-func (t *term) overWithGang() {
-	for _, n := range t.nodes {
-		if n.misses < extendMisses {
-			continue
-		}
-		for _, r := range n.runs {
-			if g := r.s.gang; g != nil && g.proved && g.number == r.number {
-				t.endRun(r, worker.EndingBroken, "")
-			}
-		}
-	}
-}
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -48,9 +48,16 @@
 
 type stageRecord struct {
 	// Fails counts the failed runs of a gang; Failing says that a member of its present run has failed.
-	Fails   int          `msgpack:"f,omitempty"`
-	Failing bool         `msgpack:"g,omitempty"`
-	Tasks   []taskRecord `msgpack:"t"`
+	Fails   int  `msgpack:"f,omitempty"`
+	Failing bool `msgpack:"g,omitempty"`
+	// Unheard lists runs of a gang that are over and may still turn out to have failed.
+	Unheard []unheardRecord `msgpack:"u,omitempty"`
+	Tasks   []taskRecord    `msgpack:"t"`
+}
+
+type unheardRecord struct {
+	Run    int64  `msgpack:"r"`
+	Worker string `msgpack:"w"`
 }
 
 type taskRecord struct {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -130,6 +130,9 @@
 
 func (t *term) resumeStage(s *stage, sr *stageRecord) {
 	s.fails = sr.Fails
+	for _, u := range sr.Unheard {
+		s.unheard = append(s.unheard, unheard{u.Run, u.Worker, t.firstLapse()})
+	}
 	for i := range sr.Tasks {
 		if i >= len(s.tasks) {
 			return
