--- a/record/measure_test.go
+++ b/record/measure_test.go
@@ -69,10 +69,11 @@
 				tb.Fatal(err)
 			}
 		}
+		was := j.Stats().Snapshots // a snapshot may be over before the next line
 		if err := j.Snapshot(state); err != nil {
 			tb.Fatal(err)
 		}
-		for was := j.Stats().Snapshots; j.Stats().Snapshots == was; {
+		for j.Stats().Snapshots == was {
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
