Let workers that fail everything rest, and start a gang away from them

A gang's order of choice was the reverse of that of single tasks, doubt and distance included, so that a gang which had failed there was started there again at once, and a check with two attempts was shown as failed after 0.5 s. Single tasks came there too: a worker that fails at once always has room while the others are full. Change: gangs are ordered by doubt and distance like all, only then by room, the larger first. A worker on which three works in a row have failed rests for a second, up to four after further failures, and then gets one run at a time until one is done; a quarter of the workers may rest. Shown by TestGangLeavesFailingWorker and TestFailingWorkerRests, both red on the code before.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -44,6 +44,12 @@
 	if most := s.spec.MostPerWorker; most > 0 {
 		k = min(k, most-s.on(n))
 	}
+	if n.onTrial() {
+		k = min(k, 1)
+		if !n.tries(s) {
+			k = 0
+		}
+	}
 	return max(k, 0)
 }
 
@@ -83,8 +89,9 @@
 // all lets every worker into an order of choice.
 func all(*node) bool { return true }
 
-// sorted gives the usable workers that may run the stage, those with less room first, so that large
-// rooms stay whole; doubtful workers come last.
+// sorted gives the usable workers that may run the stage: doubtful workers and those away from its data
+// last, then those with less room first, so that large rooms stay whole. A gang takes the large rooms, so
+// that it needs few workers.
 func (t *term) sorted(s *stage, now time.Time, keep func(*node) bool) []*node {
 	var list []*node
 	for _, n := range t.candidates(s) {
@@ -99,6 +106,9 @@
 		if c := cmp.Compare(s.distance(a), s.distance(b)); c != 0 {
 			return c
 		}
+		if s.spec.Gang {
+			a, b = b, a
+		}
 		if c := cmp.Compare(a.room().Millicores, b.room().Millicores); c != 0 {
 			return c
 		}
@@ -110,7 +120,7 @@
 // doubt ranks workers by the trust that they deserve for this stage, 0 the best.
 func (s *stage) doubt(n *node) int {
 	d := 2 * s.avoid[n.id]
-	if n.fails > failsMost && n.fails > n.dones {
+	if n.doubtful() {
 		d++
 	}
 	return d
@@ -137,7 +147,3 @@
 	}
 	return false
 }
-
-// failsMost is how many failures, beside fewer good ends, make a worker doubtful. Work fails by its
-// own fault in up to one run of twenty.
-const failsMost = 2
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -199,21 +199,3 @@
 		s.tasks[i].checkpoint = checkpoint
 	}
 }
-
-// judge keeps the worker's record of failures.
-func (t *term) judge(r *run, how worker.Ending) {
-	n := r.n
-	switch how {
-	case worker.EndingDone:
-		n.dones++
-	case worker.EndingFailed:
-		n.fails++
-	default:
-	}
-	if n.dones+n.fails > judgeWindow {
-		n.dones, n.fails = n.dones/2, n.fails/2
-	}
-}
-
-// judgeWindow is how many ends of runs count before older ones fade; a worker sees about three a second.
-const judgeWindow = 16
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -14,7 +14,6 @@
 		return // a run that may have failed is not known to have lapsed
 	}
 	nodes := t.sorted(s, now, all)
-	slices.Reverse(nodes)
 	if plan := t.spread(s, nodes, now, func(n *node) bool { return s.permitted(n, now) }); plan != nil {
 		t.startGang(s, plan)
 		return
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -207,3 +207,32 @@
 		})
 	}
 }
+
+// A worker fails whatever it starts, and fast, so that it soon has more room than all others. A gang that
+// has failed there must be started elsewhere: its caller would be told that it cannot be done after two
+// runs on the one worker that fails.
+func TestGangLeavesFailingWorker(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, func(worker.Task, int64) floor.Behaviour {
+			return floor.Behaviour{Runs: time.Second, How: worker.EndingDone, Gang: 2, Attempts: 2, Needs: job.Resources{Millicores: 3000}}
+		}, "vm1")
+		ws := c.workers(4, 8)
+		ws[3].Set(floor.Faults{Fails: true}) // the first choice among equals
+		v := c.owner()
+		time.Sleep(5 * time.Second)
+		for i := range 4 {
+			id := fmt.Sprint("gang", i)
+			c.submit(v, c.work(id, gangStep(2)))
+			c.until(v, id, job.WorkCompleted, 10*time.Second)
+		}
+		failed := 0
+		for _, r := range c.floor.History() {
+			if r.How == worker.EndingFailed {
+				failed++
+			}
+		}
+		is.True(failed <= 4) // one for each gang at most
+		c.judge()
+	})
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -59,8 +59,7 @@
 	// leaseEnd is when all that ran there has surely ended if the worker stays silent.
 	leaseEnd time.Time
 	unwell   time.Time
-	// fails and dones count the ends of runs lately, halved as they grow.
-	fails, dones float64
+	trust
 }
 
 // clockNow estimates the worker's clock; it errs to the early side by the way of the last answer.
@@ -69,7 +68,7 @@
 // usable reports whether new runs may be placed on the worker.
 func (n *node) usable(now time.Time) bool {
 	return n.listed && n.synced && !n.listing.Leaving && n.strange == 0 && n.misses == 0 &&
-		now.After(n.unwell) && n.heard.After(n.silentAt) && (!n.holding || now.Before(n.due))
+		now.After(n.unwell) && n.heard.After(n.silentAt) && (!n.holding || now.Before(n.due)) && !n.rests(now)
 }
 
 // room gives the capacity for new runs.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -157,6 +157,9 @@
 	s.waiting--
 	e.held++
 	n.take(r)
+	if n.onTrial() {
+		n.trial = r
+	}
 	t.save(e, func() { t.launch(r) })
 	t.log.Info("dispatch: start decided", zap.String("id", e.work.ID), zap.Int("occurrence", s.occ.number), zap.Int("step", s.index),
 		zap.Int("task", index), zap.Int64("run", number), zap.String("worker", n.id), zap.Duration("waited", time.Since(s.since)),
--- a/dispatch/worker_test.go
+++ b/dispatch/worker_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -336,3 +337,41 @@
 		})
 	}
 }
+
+// One of four workers fails whatever it starts, at once, so that it always has room while the others are
+// full. Callers whose tasks wait must not pay for that room with their attempts: after a few failures the
+// worker rests, is tried again with one task at a time, and serves as before once a task is done there.
+func TestFailingWorkerRests(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(time.Second), "vm1")
+		ws := c.workers(4, 4)
+		ws[0].Set(floor.Faults{Fails: true})
+		v := c.owner()
+		time.Sleep(5 * time.Second)
+		for i := range 120 {
+			c.submit(v, c.work(fmt.Sprint("check", i), job.Step{Tasks: 1}))
+			time.Sleep(75 * time.Millisecond)
+		}
+		for i := range 120 {
+			c.until(v, fmt.Sprint("check", i), job.WorkCompleted, 20*time.Second)
+		}
+		failed := 0
+		for _, r := range c.floor.History() {
+			if r.How == worker.EndingFailed {
+				failed++
+			}
+		}
+		is.True(failed <= 8) // those before the first rest, and one for each trial
+		ws[0].Set(floor.Faults{})
+		time.Sleep(5 * time.Second)
+		c.submit(v, c.work("first", job.Step{Tasks: 16}))
+		time.Sleep(time.Second / 2)
+		is.Equal(ws[0].Active(), 1)
+		c.until(v, "first", job.WorkCompleted, 3*time.Second)
+		c.submit(v, c.work("second", job.Step{Tasks: 16}))
+		time.Sleep(time.Second / 2)
+		is.Equal(ws[0].Active(), 4)
+		c.judge()
+	})
+}
--- a/standin/floor/worker.go
+++ b/standin/floor/worker.go
@@ -39,8 +39,13 @@
 	Unwell bool
 	// Still makes new runs stand still for good, while the worker answers every call.
 	Still bool
+	// Fails makes all new runs fail at once.
+	Fails bool
 }
 
+// failsAfter is how long a run takes to fail on a worker that fails everything.
+const failsAfter = 30 * time.Millisecond
+
 // Worker is one lifetime of a worker.
 type Worker struct {
 	floor    *Floor
@@ -203,6 +208,11 @@
 	if w.faults.Still {
 		return nil
 	}
+	if w.faults.Fails {
+		r.does.Runs, r.does.How = failsAfter, worker.EndingFailed
+		w.work(r)
+		return nil
+	}
 	if does.Gang == 0 {
 		w.work(r)
 		return nil
