Write log lines in pieces of 4 KB at most

Cause: the owner gathered its lines for 100 ms and wrote up to 64 KB at once; a reader that takes 8 KB of a write at most showed some 31 lines of each and none of the others. Change: a write holds whole lines of 4 KB together, what a pipe takes in one piece. Shown by TestWritesAreSmallAndWhole, red before.

--- a/logger/bounded.go
+++ b/logger/bounded.go
@@ -1,7 +1,6 @@
 package logger
 
 import (
-	"bufio"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -17,14 +16,17 @@
 	// boundedPause is how long lines are gathered before they are written together. One write for
 	// many lines costs less than one for each.
 	boundedPause = 100 * time.Millisecond
-	boundedBytes = 64 << 10
+	// boundedBytes is the most that one write holds, in whole lines: what a pipe takes in one piece. Readers
+	// of larger writes were seen to lose all that comes after their first 8 KB.
+	boundedBytes = 4 << 10
 )
 
 // Bounded writes lines to an output without ever making the writer of a line wait.
 type Bounded struct {
 	lines   chan []byte
 	dropped atomic.Int64
-	out     *bufio.Writer
+	out     io.Writer
+	chunk   []byte
 	stop    chan struct{}
 	once    sync.Once
 	wg      sync.WaitGroup
@@ -32,7 +34,7 @@
 
 // NewBounded returns a Bounded that writes to out until it is closed.
 func NewBounded(out io.Writer) *Bounded {
-	b := &Bounded{lines: make(chan []byte, boundedRing), out: bufio.NewWriterSize(out, boundedBytes), stop: make(chan struct{})}
+	b := &Bounded{lines: make(chan []byte, boundedRing), out: out, chunk: make([]byte, 0, boundedBytes), stop: make(chan struct{})}
 	b.wg.Go(b.run)
 	return b
 }
@@ -66,7 +68,7 @@
 			b.gather()
 			return
 		case line := <-b.lines:
-			_, _ = b.out.Write(line)
+			b.put(line)
 			select {
 			case <-b.stop:
 			case <-time.After(boundedPause):
@@ -81,15 +83,31 @@
 	for {
 		select {
 		case line := <-b.lines:
-			_, _ = b.out.Write(line)
+			b.put(line)
 		default:
-			// An output that fails has nowhere to be reported to.
-			_ = b.out.Flush()
+			b.flush()
 			return
 		}
 	}
 }
 
+// put adds a line to the next write, after one with what it has no room for.
+func (b *Bounded) put(line []byte) {
+	if len(b.chunk)+len(line) > boundedBytes {
+		b.flush()
+	}
+	b.chunk = append(b.chunk, line...)
+}
+
+func (b *Bounded) flush() {
+	if len(b.chunk) == 0 {
+		return
+	}
+	// An output that fails has nowhere to be reported to.
+	_, _ = b.out.Write(b.chunk)
+	b.chunk = b.chunk[:0]
+}
+
 // NewTo returns the root logger of a program that writes JSON lines to out.
 func NewTo(program string, out zapcore.WriteSyncer) *zap.Logger {
 	c := zap.NewProductionEncoderConfig()
