Keep the room of a stage until its own turn

Cause: when the tickets for kept room came, the room was given back before the next pass, and stages that are more urgent took it; a late gang then asked again, with the same end. Change: the room is given back in the stage's own turn, after those before it were placed. Shown by TestKeptRoomIsForItsGang, red before.

--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -236,3 +236,49 @@
 		c.judge()
 	})
 }
+
+// A gang that is late already has room that is kept for it while it asks for tickets, and a burst of checks,
+// which are more urgent, waits for that very room. When the tickets come the gang must get it: were the
+// room given back first, the checks would take it, and the gang would ask again for as long as checks come.
+func TestKeptRoomIsForItsGang(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, func(task worker.Task, _ int64) floor.Behaviour {
+			switch task.Work {
+			case "gang":
+				return floor.Behaviour{Runs: 2 * time.Second, How: worker.EndingDone, Gang: 2, Needs: job.Resources{Millicores: 4000}}
+			case "before":
+				return floor.Behaviour{Runs: 5 * time.Second, How: worker.EndingDone, Needs: job.Resources{Millicores: 1000}}
+			}
+			return floor.Behaviour{Runs: time.Second, How: worker.EndingDone, Needs: job.Resources{Millicores: 1000}}
+		}, "vm1")
+		c.config.Queues[0].Priority, c.config.Queues[0].Target = 1, time.Millisecond
+		c.config.Queues[0].Permit = &job.PermitCost{Base: 600 * time.Millisecond, PerWorker: 10 * time.Millisecond, Valid: 1500 * time.Millisecond}
+		c.config.Queues = append(c.config.Queues, job.Queue{Name: "check", Pool: pool, Attempts: 2, Slack: 20, Target: time.Minute})
+		c.permits = func(q *permit.Question) ([]string, time.Duration) { return q.Workers, 620 * time.Millisecond }
+		c.workers(2, 4)
+		v := c.owner()
+		time.Sleep(5 * time.Second)
+		check := func(id string, tasks int) {
+			w := c.work(id, job.Step{Tasks: tasks, Estimate: time.Second})
+			w.Queue = c.config.Queues[1]
+			c.submit(v, w)
+		}
+		check("before", 8)
+		handed := time.Now()
+		c.submit(v, c.work("gang", job.Step{
+			Tasks: 2, Gang: true, Estimate: 2 * time.Second, Each: job.Resources{Millicores: 4000, MemoryMB: 100},
+		}))
+		time.Sleep(5200 * time.Millisecond)
+		for i := range 40 {
+			check(fmt.Sprint("check", i), 1)
+		}
+		c.until(v, "gang", job.WorkCompleted, 20*time.Second)
+		for _, r := range c.floor.History() {
+			if r.Task.Work == "gang" {
+				is.True(r.Begun.Sub(handed) < 6*time.Second)
+			}
+		}
+		c.judge()
+	})
+}
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -40,7 +40,7 @@
 	// askFrom is when a question may be put again after a failure.
 	askFrom   time.Time
 	askFailed int
-	// kept holds the capacity that is kept while a question is under way.
+	// kept holds the capacity that is kept while a question is under way, until the stage's turn after it.
 	kept []keptRoom
 }
 
@@ -207,8 +207,8 @@
 	now := time.Now()
 	s.asking = false
 	t.dirty = true
-	t.letGo(s)
 	if err != nil {
+		t.letGo(s)
 		t.desk.Failed(from.ID, now)
 		s.askFrom = now.Add(min(askAgain<<min(s.askFailed, 8), askAgainMost))
 		s.askFailed++
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -67,6 +67,9 @@
 		}
 		return
 	}
+	// Room that was kept for the stage is free for nobody before its own turn: what is more urgent would
+	// take it, and the stage ask in vain for as long as there is such work.
+	t.letGo(s)
 	if s.needsPermit() && s.answers == nil {
 		if t.mayAsk(s, now) {
 			t.firstQuestion(s, now)
