Put several questions for a gang at the same time, and fewer in vain

The policy service answers one question at a time for each VM; a gang put up to four of 100 names one after the other (5.1 to 7.5 s) and then asked ahead for tickets that lapsed before its room was there, once a second. Change: what a first question names is divided among VMs, each question spending as long on names as on being answered; a gang names workers with free room for its tasks, or a hundred; at most two questions ahead of room; long questions go to all VMs but twelve at most, in a small cell to half of them as before. Shown by TestGangAsksInParallel, red before (3 s).

--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -50,6 +50,9 @@
 				return plan
 			}
 		}
+		if s.asking > 0 {
+			return nil // a rack may be found once all that were asked for are known
+		}
 	}
 	return t.spreadOver(s, nodes, now, may)
 }
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -282,3 +283,43 @@
 		c.judge()
 	})
 }
+
+// A roster in a cell of 300 workers has to have its workers named in many questions, of which the service
+// answers one at a time for each VM. Put one after the other they would take most of the time that the
+// roster has; put from several VMs at once they take as long as one.
+func TestGangAsksInParallel(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		var vms []string
+		for i := range 16 {
+			vms = append(vms, fmt.Sprintf("vm%02d", i))
+		}
+		c := newCell(t, gangOf(40, time.Second, worker.EndingDone), vms...)
+		c.config.Queues[0].Permit = &job.PermitCost{Base: 700 * time.Millisecond, PerWorker: 10 * time.Millisecond, Valid: 1500 * time.Millisecond}
+		var mu sync.Mutex
+		named := make(map[string]int)
+		c.permits = func(q *permit.Question) ([]string, time.Duration) {
+			mu.Lock()
+			defer mu.Unlock()
+			var names []string
+			for _, id := range q.Workers {
+				named[id]++
+				if len(named)%4 == 0 {
+					names = append(names, id)
+				}
+			}
+			return names, 700*time.Millisecond + time.Duration(len(q.Workers))*10*time.Millisecond
+		}
+		c.workers(300, 4)
+		v := c.owner()
+		time.Sleep(time.Minute) // the owner hears of one worker after the other
+		begun := time.Now()
+		c.submit(v, c.work("gang", gangStep(40)))
+		c.until(v, "gang", job.WorkCompleted, 10*time.Second)
+		is.True(time.Since(begun) < 3*time.Second)
+		for _, times := range named {
+			is.Equal(times, 1)
+		}
+		c.judge()
+	})
+}
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/job"
 	"turmericgap/owner"
 	"turmericgap/permit"
 )
@@ -25,7 +26,7 @@
 	ticketMargin = 80 * time.Millisecond
 	// usualGrant is the share of workers that are expected to be allowed before any answer is known.
 	usualGrant = 0.4
-	// nameMore is how many times the workers that should just do are named, as some fill up meanwhile.
+	// nameMore is how many times the room that should just do is named, as some fills up meanwhile.
 	nameMore = 1.6
 	// namedLeast is the least number of workers that a first question names.
 	namedLeast = 24
@@ -36,10 +37,13 @@
 type permits struct {
 	// answers holds the ticket of each worker that is allowed, and an empty one for the others.
 	answers map[string]ticket
-	asking  bool
+	// asking counts the questions under way.
+	asking int
 	// askFrom is when a question may be put again after a failure.
 	askFrom   time.Time
 	askFailed int
+	// asksAhead counts the questions that were put before there was room.
+	asksAhead int
 	// kept holds the capacity that is kept while a question is under way, until the stage's turn after it.
 	kept []keptRoom
 }
@@ -95,20 +99,21 @@
 	s.kept = s.kept[:0]
 }
 
-// firstQuestion names the workers with the most room that were not named yet.
-func (t *term) firstQuestion(s *stage, now time.Time) {
+// candidate is a worker that was not named yet, and how many tasks of a stage it has room for.
+type candidate struct {
+	n    *node
+	fits int
+}
+
+// unnamed gives the workers that were not named yet, those near the data and with the most room first.
+func (t *term) unnamed(s *stage, now time.Time) []candidate {
 	need := s.charge()
-	type candidate struct {
-		n    *node
-		fits int
-	}
 	var list []candidate
 	for _, n := range t.nodes {
 		if _, known := s.answers[n.id]; known || !t.suits(s, n) || !n.listed || n.listing.Leaving {
 			continue
 		}
-		most := fits(n.listing.Has, need)
-		if most == 0 {
+		if fits(n.listing.Has, need) == 0 {
 			continue
 		}
 		c := candidate{n, fits(n.room(), need)}
@@ -117,9 +122,6 @@
 		}
 		list = append(list, c)
 	}
-	if len(list) == 0 {
-		return
-	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		if c := cmp.Compare(s.distance(a.n), s.distance(b.n)); c != 0 {
 			return c
@@ -129,36 +131,76 @@
 		}
 		return strings.Compare(a.n.id, b.n.id)
 	})
-	enough := t.nameCount(s, need, len(list))
-	names := make([]string, 0, enough)
-	for i := 0; i < enough; i++ {
-		names = append(names, list[i].n.id)
+	return list
+}
+
+// firstQuestion names workers that were not named yet, in several questions at the same time where one
+// would take longer: each entry VM has its own turn at the service. One question after the other kept a
+// gang in a cell of 350 workers waiting for five to seven seconds.
+func (t *term) firstQuestion(s *stage, now time.Time) {
+	list := t.unnamed(s, now)
+	list = list[:t.nameCount(s, list)]
+	each := questionSize(s.e.queue.Permit, len(list))
+	for len(list) > 0 {
+		part := list[:min(each, len(list))]
+		names := make([]string, 0, len(part))
+		for _, c := range part {
+			names = append(names, c.n.id)
+		}
+		if !t.question(s, names, now) {
+			return
+		}
+		list = list[len(part):]
 	}
-	t.question(s, names, now)
 }
 
-// nameCount is how many workers a first question names. More cost time at the service, fewer may not
-// be enough once some of them are refused or full.
-func (t *term) nameCount(s *stage, need resources, there int) int {
-	p := s.e.queue.Permit
-	perNode := 1
-	for _, n := range t.nodes {
-		perNode = max(perNode, fits(n.listing.Has, need)/2)
+// questionSize divides names evenly into questions each of which spends about as long on its names as on
+// being answered at all. Smaller ones would cost more time at the service than they save.
+func questionSize(p *job.PermitCost, names int) int {
+	most := permit.MaxWorkers
+	if p.PerWorker > 0 {
+		most = min(max(int(p.Base/p.PerWorker), namedLeast), permit.MaxWorkers)
+	}
+	if questions := (names + most - 1) / most; questions > 1 {
+		return (names + questions - 1) / questions
 	}
-	wanted := int(nameMore * float64(s.waiting) / float64(perNode) / t.grantShare(s.e.queue.Name))
-	if time.Duration(there)*p.PerWorker < p.Base {
+	return most
+}
+
+// nameCount is how many of the unnamed workers are named at once. More cost time at the service, fewer may
+// not be enough once some of them are refused or full.
+func (t *term) nameCount(s *stage, list []candidate) int {
+	p := s.e.queue.Permit
+	if time.Duration(len(list))*p.PerWorker < p.Base {
 		// Naming all costs less than asking twice.
-		wanted = there
+		return len(list)
+	}
+	room := nameMore * float64(s.waiting) / t.grantShare(s.e.queue.Name)
+	if !s.spec.Gang {
+		room /= float64(max(t.largest(s)/2, 1))
+		return min(max(int(room), namedLeast), len(list))
 	}
-	if s.spec.Gang {
-		wanted = max(wanted, there*gangNamed/100)
+	// All tasks of a gang need room at the same time, so that what is free now counts. Where it is not
+	// enough, the gang waits for room on workers that are full now, and must know some that it may have.
+	n, free := 0, 0.0
+	for n < len(list) && list[n].fits > 0 && free < room {
+		free += float64(list[n].fits)
+		n++
 	}
-	return min(max(wanted, namedLeast), there, permit.MaxWorkers)
+	if free < room {
+		n = max(n, permit.MaxWorkers)
+	}
+	return min(max(n, namedLeast), len(list))
 }
 
-// gangNamed is the share of workers, in percent, that a gang's first question names at least: all of
-// its tasks need room at the same time.
-const gangNamed = 60
+// largest is how many tasks of a stage fit the largest worker when it is empty.
+func (t *term) largest(s *stage) int {
+	most := 0
+	for _, n := range t.nodes {
+		most = max(most, fits(n.listing.Has, s.charge()))
+	}
+	return most
+}
 
 // askers is the entry VMs that may put questions, read once for each pass.
 type askers struct {
@@ -178,21 +220,22 @@
 // mayAsk reports whether a stage may put a question now. Where no VM is free for it, it waits for its
 // turn among all stages.
 func (t *term) mayAsk(s *stage, now time.Time) bool {
-	return !now.Before(s.askFrom) && t.desk.Free(t.askers.ids, s.e.queue.Permit.Base, now)
+	return s.asking == 0 && !now.Before(s.askFrom) && t.desk.Free(t.askers.ids, s.e.queue.Permit.Base, now)
 }
 
-// question puts a question to the service from the entry VM that can answer first.
-func (t *term) question(s *stage, names []string, now time.Time) {
+// question puts a question to the service from the entry VM that can answer first; false where none is
+// free for it.
+func (t *term) question(s *stage, names []string, now time.Time) bool {
 	p := s.e.queue.Permit
 	cost := p.Base + time.Duration(len(names))*p.PerWorker
 	vm, until, ok := t.desk.Pick(t.askers.ids, cost, now)
 	if !ok {
 		t.letGo(s)
-		return
+		return false
 	}
 	from := t.askers.nodes[slices.Index(t.askers.ids, vm)]
 	q := &permit.Question{Work: s.e.work.ID, Occurrence: s.occ.number, Step: s.index, Workers: names}
-	s.asking = true
+	s.asking++
 	t.o.Metrics.Counter("dispatch.questions").Inc(1)
 	t.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(t.ctx, time.Until(until)+askSlack)
@@ -200,12 +243,13 @@
 		a, err := t.o.Ask(ctx, from, q)
 		t.post(func() { t.onAnswer(s, from, q, now, a, err) })
 	})
+	return true
 }
 
 // onAnswer notes what the service allows.
 func (t *term) onAnswer(s *stage, from owner.Node, q *permit.Question, asked time.Time, a *permit.Answer, err error) {
 	now := time.Now()
-	s.asking = false
+	s.asking--
 	t.dirty = true
 	if err != nil {
 		t.letGo(s)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -61,10 +61,7 @@
 		delete(t.stages, s)
 		return
 	}
-	if s.asking {
-		if s.spec.Gang && s.gang == nil && len(s.kept) == 0 && s.answers != nil {
-			t.reserve(s, t.sorted(s, now, all), now)
-		}
+	if s.asking > 0 && len(s.kept) > 0 {
 		return
 	}
 	// Room that was kept for the stage is free for nobody before its own turn: what is more urgent would
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -17,6 +17,9 @@
 	// askLead is how much earlier than it takes a question is put, so that the tickets are there when
 	// the room is.
 	askLead = 100 * time.Millisecond
+	// mostAsksAhead bounds the questions that a gang puts before there is room. Where its room comes later
+	// than expected each of them is in vain, and takes time that other gangs need at the policy service.
+	mostAsksAhead = 2
 )
 
 // reservation is room that becomes free for a gang at a time.
@@ -162,7 +165,7 @@
 
 // askAhead puts the question for a reservation early enough that its tickets are there in time.
 func (t *term) askAhead(s *stage, res *reservation, now time.Time) {
-	if s.asking || !s.needsPermit() {
+	if s.asking > 0 || !s.needsPermit() || s.asksAhead >= mostAsksAhead {
 		return
 	}
 	p := s.e.queue.Permit
@@ -175,5 +178,6 @@
 	takes := p.Base + time.Duration(len(names))*p.PerWorker + askLead
 	if !valid && res.at.Sub(now) < takes {
 		t.question(s, names, now)
+		s.asksAhead++
 	}
 }
--- a/permit/desk.go
+++ b/permit/desk.go
@@ -16,8 +16,12 @@
 	handAhead = 20 * time.Millisecond
 	// shortAhead is the same for short questions, which have nothing to wait for but each other.
 	shortAhead = 400 * time.Millisecond
-	// shortOnly is the part of the VMs that gets short questions alone.
-	shortOnly = 4
+	// shortOnly is the part of the VMs, one of so many, that gets short questions alone, notLong that which
+	// gets no long ones; both at most, since what these questions take grows less than the cell.
+	shortOnly     = 4
+	shortOnlyMost = 6
+	notLong       = 2
+	notLongMost   = 12
 )
 
 // Desk chooses the entry VM from which a question is put. The service answers one question at a time
@@ -66,9 +70,9 @@
 	ahead := handAhead
 	switch {
 	case cost > LongQuestion:
-		vms = vms[:(len(vms)+1)/2]
+		vms = vms[:len(vms)-min(len(vms)/notLong, notLongMost)]
 	case cost > MediumQuestion:
-		vms = vms[:len(vms)-len(vms)/shortOnly]
+		vms = vms[:len(vms)-min(len(vms)/shortOnly, shortOnlyMost)]
 	default:
 		ahead = shortAhead
 	}
