Log the state of the cell once a second

Cause: a late roster could have waited for room, for the policy service or for a decision, and no line told which. Change: one line a second with room, kept and reserved room, runs, waiting steps, gangs and tasks, and the questions under way.

--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -41,6 +41,8 @@
 	askers  askers
 	config  *job.Config
 	dirty   bool
+	// reported is when the state of the cell was last logged.
+	reported time.Time
 	// removed lists the ended records that the next commits take away.
 	removed []string
 	// nextPass is when the next pass may be made, passWaits says that a timer will ask for it.
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -16,6 +16,10 @@
 		t.beginDue(e, now)
 	}
 	t.forgetEnded(now)
+	if now.Sub(t.reported) >= reportEvery {
+		t.reported = now
+		t.report(now)
+	}
 	t.dirty = t.dirty || len(t.stages) > 0
 }
 
