Leave alone what gangs wait for, and keep room for more of them in a large cell

Cause: room is kept for gangs within a pass, after the stages that are more urgent. Change: single tasks go beside what the last pass has kept as long as that does, and take it only then; room is kept for one gang for each 24 workers, two at least.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -40,7 +40,21 @@
 
 // roomFor counts the tasks of a stage that fit a worker now.
 func (t *term) roomFor(s *stage, n *node, now time.Time) int {
-	k := fits(n.roomUntil(now.Add(time.Duration(backfillSpare*float64(s.spec.Estimate)))), s.charge())
+	return t.limit(s, n, fits(n.roomUntil(s.until(now)), s.charge()))
+}
+
+// roomBeside counts those that fit beside the claims of gangs.
+func (t *term) roomBeside(s *stage, n *node, now time.Time) int {
+	return t.limit(s, n, fits(n.roomBeside(s.until(now)), s.charge()))
+}
+
+// until is when a task of the stage that starts now has surely ended, for the use of reserved room.
+func (s *stage) until(now time.Time) time.Time {
+	return now.Add(time.Duration(backfillSpare * float64(s.spec.Estimate)))
+}
+
+// limit bounds the tasks that fit a worker by what else the stage and the worker allow.
+func (t *term) limit(s *stage, n *node, k int) int {
 	if most := s.spec.MostPerWorker; most > 0 {
 		k = min(k, most-s.on(n))
 	}
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -323,3 +323,57 @@
 		c.judge()
 	})
 }
+
+// A gang may run on two of four workers, beside a long task on each. Checks, which are more urgent, come
+// without end and go to the fullest workers: each hole on the two would be filled at once, although the
+// other two have room for all of them. The checks must leave alone what the gang waits for.
+func TestChecksLeaveClaimedRoom(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, func(task worker.Task, _ int64) floor.Behaviour {
+			switch task.Work {
+			case "gang":
+				return floor.Behaviour{Runs: 2 * time.Second, How: worker.EndingDone, Gang: 2, Needs: job.Resources{Millicores: 3000}}
+			case "long":
+				return floor.Behaviour{Runs: time.Minute, How: worker.EndingDone, Needs: job.Resources{Millicores: 1000}}
+			}
+			return floor.Behaviour{Runs: time.Second, How: worker.EndingDone, Needs: job.Resources{Millicores: 1000}}
+		}, "vm1")
+		c.config.Queues[0].Priority, c.config.Queues[0].Target = 1, 20*time.Second
+		c.config.Queues[0].Permit = &job.PermitCost{Base: 200 * time.Millisecond, PerWorker: 10 * time.Millisecond, Valid: 1500 * time.Millisecond}
+		c.config.Queues = append(c.config.Queues, job.Queue{Name: "check", Pool: pool, Attempts: 2, Slack: 4, Target: time.Second})
+		c.permits = func(*permit.Question) ([]string, time.Duration) {
+			return []string{"w00", "w01"}, 240 * time.Millisecond
+		}
+		c.workers(4, 4)
+		v := c.owner()
+		time.Sleep(5 * time.Second)
+		check := func(i int) {
+			w := c.work(fmt.Sprint("check", i), job.Step{Tasks: 1, Estimate: time.Second})
+			w.Queue = c.config.Queues[1]
+			c.submit(v, w)
+		}
+		c.submit(v, c.work("long", job.Step{Tasks: 2, MostPerWorker: 1, Estimate: time.Minute}))
+		time.Sleep(time.Second)
+		for i := range 10 {
+			check(i)
+		}
+		handed := time.Now()
+		c.submit(v, c.work("gang", job.Step{
+			Tasks: 2, Gang: true, Estimate: 2 * time.Second, Each: job.Resources{Millicores: 3000, MemoryMB: 100},
+		}))
+		for i := range 160 { // seven of sixteen cores
+			check(100 + i)
+			time.Sleep(140 * time.Millisecond)
+		}
+		begun := time.Time{}
+		for _, r := range c.floor.History() {
+			if r.Task.Work == "gang" {
+				begun = r.Begun
+			}
+		}
+		is.True(!begun.IsZero())
+		is.True(begun.Sub(handed) < 3*time.Second)
+		c.judge()
+	})
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -35,7 +35,11 @@
 	// is expected to start.
 	reserved      job.Resources
 	reservedUntil time.Time
-	runs          map[runKey]*run
+	// claimed is what the pass before has kept, until claimedUntil. What is more urgent than those gangs
+	// leaves it alone as long as there is room elsewhere.
+	claimed      job.Resources
+	claimedUntil time.Time
+	runs         map[runKey]*run
 	// strange counts runs on the worker that this term does not know; their size is unknown, so that
 	// nothing new is placed beside them.
 	strange int
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -87,19 +87,26 @@
 // placeTasks starts single tasks wherever there is room. The order of choice is made once: the worker
 // that got a task has less room than before and stays the first choice until it is full.
 func (t *term) placeTasks(s *stage, now time.Time) {
-	nodes := t.withRoom(s, now)
+	t.placeWhere(s, now, t.roomBeside)
+	if s.waiting > 0 {
+		t.placeWhere(s, now, t.roomFor)
+	}
+	if s.waiting > 0 {
+		t.renew(s, now)
+	}
+}
+
+// placeWhere starts single tasks on workers with such room.
+func (t *term) placeWhere(s *stage, now time.Time, room func(*stage, *node, time.Time) int) {
+	nodes := t.sorted(s, now, func(n *node) bool { return s.permitted(n, now) && room(s, n, now) > 0 })
 	for i := range s.tasks {
-		if s.waiting == 0 {
-			return
-		}
 		if s.tasks[i].phase != phaseWaiting {
 			continue
 		}
-		for len(nodes) > 0 && (!s.permitted(nodes[0], now) || t.roomFor(s, nodes[0], now) == 0) {
+		for len(nodes) > 0 && room(s, nodes[0], now) == 0 {
 			nodes = nodes[1:]
 		}
 		if len(nodes) == 0 {
-			t.renew(s, now)
 			return
 		}
 		t.start(s, i, nodes[0], t.nextRun(s.e))
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// mostReservations bounds the gangs for which room is kept at a time. More of them would leave the
-	// cell idle for gangs whose turn is far off.
-	mostReservations = 2
+	// workersPerReservation bounds the gangs for which room is kept at a time, leastReservations in a small
+	// cell. More of them would leave the cell idle for gangs whose turn is far off.
+	workersPerReservation = 24
+	leastReservations     = 2
 	// overdueShare of its estimate is what a run that has outlived it is expected to take still.
 	overdueShare = 0.25
 	// backfillSpare multiplies the estimate of a task that is to end before a reservation's time.
@@ -119,7 +120,7 @@
 // reserve keeps room for a gang that does not fit yet, until the next pass. Without it small tasks that
 // come later fill each hole at once, and a gang starves although its turn has come.
 func (t *term) reserve(s *stage, nodes []*node, now time.Time) (reservation, bool) {
-	if t.reservations >= mostReservations || urgencyOf(s, now).hope != hopeInTime {
+	if t.reservations >= max(len(t.nodes)/workersPerReservation, leastReservations) || urgencyOf(s, now).hope != hopeInTime {
 		return reservation{}, false
 	}
 	res, ok := t.soonest(s, nodes, now)
@@ -150,6 +151,7 @@
 func (t *term) clearReservations() {
 	t.reservations = 0
 	for _, n := range t.nodes {
+		n.claimed, n.claimedUntil = n.reserved, n.reservedUntil
 		n.reserved, n.reservedUntil = resources{}, time.Time{}
 	}
 }
@@ -163,6 +165,17 @@
 	return n.room()
 }
 
+// roomBeside gives the room for such a task beside what the pass before has kept for gangs. Gangs that are
+// less urgent have not kept theirs yet in this pass: without their claims each small task that comes would
+// take a hole that they wait for, although others would do.
+func (n *node) roomBeside(end time.Time) resources {
+	room := n.roomUntil(end)
+	if !n.claimedUntil.IsZero() && end.Before(n.claimedUntil) {
+		return room
+	}
+	return room.Minus(n.claimed)
+}
+
 // askAhead puts the question for a reservation early enough that its tickets are there in time.
 func (t *term) askAhead(s *stage, res *reservation, now time.Time) {
 	if s.asking > 0 || !s.needsPermit() || s.asksAhead >= mostAsksAhead {
