Allow for the call for permits in a work's objective

What could still be in time was counted as late, went behind all else, and no room was kept for it. Shown by TestObjectiveAllowsForPermits, red before.

--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -121,7 +121,11 @@
 	return e
 }
 
-// reckon works out the objective from the caller's estimates along the longest chain of steps.
+// permitNames is how many workers the call for permits names that each step's objective allows for.
+const permitNames = 30
+
+// reckon works out the objective from the caller's estimates along the longest chain of steps, each with
+// its call for permits.
 func (e *entry) reckon() {
 	e.objective = time.Duration(e.queue.Slack*float64(e.longestChain())) + e.queue.Target
 }
@@ -138,13 +142,16 @@
 
 func (e *entry) longestChain() time.Duration {
 	ends := make([]time.Duration, len(e.work.Steps))
-	var longest time.Duration
+	var longest, permits time.Duration
+	if p := e.queue.Permit; p != nil {
+		permits = p.Base + permitNames*p.PerWorker
+	}
 	for i := range e.work.Steps {
 		s := &e.work.Steps[i]
 		for _, before := range s.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		ends[i] += s.Estimate
+		ends[i] += permits + s.Estimate
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/dispatch/urgency_test.go
+++ b/dispatch/urgency_test.go
@@ -48,3 +48,16 @@
 		is.Equal(u.s.e.work.ID, order[i])
 	}
 }
+
+// A roster of two steps asks the policy service before each. Its callers allow for that; an owner that did
+// not would count it as late while it can still be in time, and let others go first.
+func TestObjectiveAllowsForPermits(t *testing.T) {
+	is := is.New(t)
+	w := &job.Work{
+		ID: "roster", Steps: []job.Step{{Tasks: 1, Estimate: 2 * time.Second}, {Tasks: 1, Estimate: 3 * time.Second, After: []int{0}}},
+		Queue: job.Queue{Slack: 2, Target: time.Second},
+	}
+	is.Equal(newEntry(w).objective, 11*time.Second)
+	w.Queue.Permit = &job.PermitCost{Base: 700 * time.Millisecond, PerWorker: 10 * time.Millisecond}
+	is.Equal(newEntry(w).objective, 15*time.Second)
+}
