Let works that are small beside the others of their queue go first

Cause: by the order of their goals, works that are more than the cell can take are each started shortly before they are late, and most of them end late. Change: within a hope and a priority the turn of a work comes a tenth of its objective to two objectives after it is due, in the proportion of its size to the mean of its queue. A large work's turn comes all the same.

--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -23,6 +23,8 @@
 	started bool
 	// settled says that the record of its end takes the place of the work with the next commit.
 	settled bool
+	// size is what the work takes, in core-seconds.
+	size float64
 	// objective is how long after it is due an occurrence should be done.
 	objective time.Duration
 	// unwritten says that the work itself is not durable yet: the next commit with the entry writes it.
@@ -116,7 +118,7 @@
 }
 
 func newEntry(w *job.Work) *entry {
-	e := &entry{work: w, queue: &w.Queue, state: job.WorkQueued, shown: job.WorkQueued}
+	e := &entry{work: w, queue: &w.Queue, state: job.WorkQueued, shown: job.WorkQueued, size: size(w)}
 	e.reckon()
 	return e
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -47,7 +47,7 @@
 	t.readAskers()
 	order := make([]urgency, 0, len(t.stages))
 	for s := range t.stages {
-		order = append(order, urgencyOf(s, now))
+		order = append(order, t.urgencyOf(s, now))
 	}
 	slices.SortFunc(order, urgency.compare)
 	for i := range order {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -100,6 +100,7 @@
 	}
 	e.shown = e.visible()
 	t.entries[w.ID] = e
+	t.sizes.note(e)
 	for i := range p.Live {
 		t.resumeOccurrence(e, &p.Live[i])
 	}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -120,7 +120,7 @@
 // reserve keeps room for a gang that does not fit yet, until the next pass. Without it small tasks that
 // come later fill each hole at once, and a gang starves although its turn has come.
 func (t *term) reserve(s *stage, nodes []*node, now time.Time) (reservation, bool) {
-	if t.reservations >= max(len(t.nodes)/workersPerReservation, leastReservations) || urgencyOf(s, now).hope != hopeInTime {
+	if t.reservations >= max(len(t.nodes)/workersPerReservation, leastReservations) || t.urgencyOf(s, now).hope != hopeInTime {
 		return reservation{}, false
 	}
 	res, ok := t.soonest(s, nodes, now)
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -52,6 +52,7 @@
 	reservations int
 	// grants is the share of named workers that each queue is allowed.
 	grants map[string]float64
+	sizes  sizes
 }
 
 func newTerm(ctx context.Context, o *Options, tenure *owner.Tenure) *term {
@@ -59,7 +60,7 @@
 		o: o, log: o.Logger.With(zap.Int64("fence", tenure.Fence)), tenure: tenure, since: time.Now(),
 		events: make(chan func(), eventRing), entries: make(map[string]*entry), ended: make(map[string]Ended),
 		nodes: make(map[string]*node), stages: make(map[*stage]struct{}), timed: make(map[*entry]struct{}),
-		desk: permit.NewDesk(), grants: make(map[string]float64),
+		desk: permit.NewDesk(), grants: make(map[string]float64), sizes: make(sizes),
 	}
 	t.commits.name()
 	t.ctx, t.end = context.WithCancel(ctx)
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -10,7 +10,8 @@
 type urgency struct {
 	s    *stage
 	hope hope
-	goal time.Time
+	// turn orders works of like hope and priority.
+	turn time.Time
 }
 
 // hope tells what a work can still earn.
@@ -26,14 +27,15 @@
 )
 
 // urgencyOf tells what a stage can still earn if it started now.
-func urgencyOf(s *stage, now time.Time) urgency {
+func (t *term) urgencyOf(s *stage, now time.Time) urgency {
 	e := s.e
-	u := urgency{s: s, goal: s.occ.goal(e)}
+	goal := s.occ.goal(e)
+	u := urgency{s: s, turn: e.work.Due(s.occ.number).Add(time.Duration(t.sizes.patience(e) * float64(e.objective)))}
 	left := now.Add(s.spec.Estimate / 2)
 	switch {
 	case left.After(s.occ.lost(e)):
 		u.hope = hopeNone
-	case left.After(u.goal):
+	case left.After(goal):
 		u.hope = hopeLate
 	}
 	return u
@@ -50,7 +52,7 @@
 	if c := cmp.Compare(u.s.e.queue.Priority, o.s.e.queue.Priority); c != 0 {
 		return c
 	}
-	if c := u.goal.Compare(o.goal); c != 0 {
+	if c := u.turn.Compare(o.turn); c != 0 {
 		return c
 	}
 	return strings.Compare(u.s.e.work.ID, o.s.e.work.ID)
