Let the operators' ordered rules stand before the queues on the platform

Cause: the program for the platform did not know the product's rules; the queues of the configuration decided alone, and nobody could refuse, bound, raise or spread work but by changing those. Ruled out: a rule for each queue (decisions/0007); a key and a watch of their own (a call each two seconds for each VM). Actions without effect on works of steps are named by a log line. Shown by TestRulesRefuse, TestRulesGovern (also across a take-over) and TestRulesOnPlatform.

--- a/cmd/ctl/main.go
+++ b/cmd/ctl/main.go
@@ -29,6 +29,7 @@
 	Gate      string `long:"gate" env:"TURMERICGAP_GATE" default:"127.0.0.1:7801" description:"callers' address of a gate, IP number and port"`
 	Scheduler string `long:"scheduler" env:"TURMERICGAP_SCHEDULER" default:"127.0.0.1:7010" description:"rpc address of any scheduler, IP number and port"`
 	Store     string `long:"store" env:"TURMERICGAP_STORE" default:"http://127.0.0.1:7100" description:"endpoint of the platform's key-value service"`
+	StoreKind string `long:"store-kind" env:"TURMERICGAP_STORE_KIND" default:"etcd" description:"how that service is spoken to: etcd, or platform with IP number and port as its endpoint"`
 	JSON      bool   `long:"json" description:"print JSON"`
 	Seconds   int    `long:"seconds" default:"10" description:"time limit of the command"`
 }
--- a/cmd/ctl/main_test.go
+++ b/cmd/ctl/main_test.go
@@ -10,8 +10,13 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
+	"turmericgap/configuration"
+	"turmericgap/job"
 	"turmericgap/operate"
+	"turmericgap/owner"
+	"turmericgap/platform"
 	"turmericgap/rpc"
 	standin "turmericgap/standin/store"
 	"turmericgap/store"
@@ -100,3 +105,23 @@
 		})
 	}
 }
+
+// An operator edits the rules of a cell on the users' platform, where no scheduler of the other kind is: the
+// edit must reach the platform's store under the key that the entry VMs follow, and a second one with the
+// same base must be refused.
+func TestRulesOnPlatform(t *testing.T) {
+	standIn := platform.NewStandin()
+	web := httptest.NewServer(standIn.StoreHandler())
+	t.Cleanup(web.Close)
+	c := &cell{I: is.New(t), dir: t.TempDir()}
+	c.flags = []string{"--store-kind", "platform", "--store", web.Listener.Addr().String(), "--scheduler", "127.0.0.1:1", "--seconds", "3"}
+	const raw = `{"rules":[{"id":"a","then":[{"kind":"refuse","with":{"reason":"month end"}}]}]}`
+	c.Equal(c.set(0, raw), 0)
+	c.Equal(c.set(0, raw), exitConflict)
+	res, err := standIn.Keys.Store().Range(t.Context(), store.Range{Key: owner.RulesKey})
+	c.NoErr(err)
+	c.Equal(len(res.Pairs), 1)
+	rules := configuration.NewRules(zap.NewNop())
+	rules.Take(res.Pairs[0].Value)
+	c.Equal(rules.Decide(&job.Work{}).Refuse, "month end")
+}
--- a/cmd/ctl/rules.go
+++ b/cmd/ctl/rules.go
@@ -13,6 +13,7 @@
 	"turmericgap/finding"
 	"turmericgap/job"
 	"turmericgap/operate"
+	_ "turmericgap/platform" // The key-value service of the users' platform.
 	"turmericgap/rule"
 	"turmericgap/rule/standard"
 	"turmericgap/store"
@@ -39,7 +40,7 @@
 	return context.WithTimeout(context.Background(), time.Duration(c.Seconds)*time.Second)
 }
 
-func (c *common) openStore() (*store.Store, error) { return store.Open("etcd", c.Store) }
+func (c *common) openStore() (*store.Store, error) { return store.Open(c.StoreKind, c.Store) }
 
 // storeError says what to do about a store that does not answer.
 func (c *common) storeError(err error) error {
--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -21,6 +21,7 @@
 	"turmericgap/permit"
 	"turmericgap/platform"
 	"turmericgap/rpc"
+	_ "turmericgap/rule/standard" // Registers the actions of rules.
 )
 
 const (
@@ -42,6 +43,7 @@
 	peers    *rpc.Pool
 	server   *rpc.Server
 	config   *configuration.Keeper
+	rules    *configuration.Rules
 	group    *owner.Group
 	dispatch *dispatch.Dispatcher
 	front    *front.Front
@@ -64,18 +66,19 @@
 	}
 	kv := p.client.Store(s.Store)
 	ask := p.client.Permits(s.Permits)
+	p.rules = configuration.NewRules(logger.Part(p.log, "configuration"))
 	p.dispatch = dispatch.New(
 		dispatch.Store(kv), dispatch.Workers(platform.WorkersPrefix, platform.DecodeWorker, p.client.Agent),
-		dispatch.Config(func() *job.Config { return p.config.Current() }),
+		dispatch.Config(func() *job.Config { return p.config.Current() }), dispatch.Rules(p.rules.Current),
 		dispatch.Permits(func() []owner.Node { return p.group.Nodes() }, p.askFrom(ask)),
 		dispatch.Bounds(s.MostHold, s.StopWithin, s.KeepEnded),
 		dispatch.Logger(logger.Part(p.log, "dispatch")), dispatch.Metrics(service.Metrics()))
 	p.config = configuration.New(kv, platform.ConfigKey, platform.DecodeConfig, p.askConfig, logger.Part(p.log, "configuration"))
 	p.group = owner.New(kv, owner.Node{ID: s.ID, Zone: s.Zone, Address: s.Peers, Strength: strength(s)},
-		owner.Logger(logger.Part(p.log, "owner")), owner.Lead(p.dispatch.Lead))
+		owner.Logger(logger.Part(p.log, "owner")), owner.Lead(p.dispatch.Lead), owner.Rules(p.rules.Take))
 	p.front = front.New(front.Options{
 		Store: kv, Dispatcher: p.dispatch, Group: p.group, Peers: p.peers, Permits: ask,
-		StoreHeard: p.config.Heard, Logger: logger.Part(p.log, "front"), Metrics: service.Metrics(),
+		Decide: p.rules.Decide, StoreHeard: p.config.Heard, Logger: logger.Part(p.log, "front"), Metrics: service.Metrics(),
 	})
 	p.config.Start()
 	p.group.Start()
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"turmericgap/configuration"
 	"turmericgap/dispatch"
 	"turmericgap/front"
 	"turmericgap/job"
@@ -86,9 +87,10 @@
 	kv := c.kv.Client(&v.store)
 	v.peers = rpc.NewPool(rpc.Dial(c.dial))
 	log := zap.NewNop()
+	rules := configuration.NewRules(log)
 	ask := func(ctx context.Context, q *permit.Question) (*permit.Answer, error) { return c.answer(ctx, q) }
 	v.disp = dispatch.New(
-		dispatch.Store(kv), dispatch.Config(func() *job.Config { return c.config }), dispatch.Logger(log),
+		dispatch.Store(kv), dispatch.Config(func() *job.Config { return c.config }), dispatch.Rules(rules.Current), dispatch.Logger(log),
 		dispatch.Workers(workersPrefix, decodeWorker, func(i worker.Info) *worker.Agent { return c.agent(v, i) }),
 		dispatch.Permits(func() []owner.Node { return v.group.Nodes() },
 			func(ctx context.Context, from owner.Node, q *permit.Question) (*permit.Answer, error) {
@@ -98,9 +100,9 @@
 				return rpc.Call[permit.Question, permit.Answer](ctx, v.peers.Get(from.Address), front.MethodAsk, q)
 			}),
 		dispatch.Bounds(mostHold, 200*time.Millisecond, 2*time.Minute))
-	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id, Strength: strength}, owner.Logger(log), owner.Lead(v.disp.Lead))
+	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id, Strength: strength}, owner.Logger(log), owner.Lead(v.disp.Lead), owner.Rules(rules.Take))
 	v.front = front.New(front.Options{
-		Store: kv, Dispatcher: v.disp, Group: v.group, Peers: v.peers, Permits: ask, StoreHeard: time.Now, Logger: log,
+		Store: kv, Dispatcher: v.disp, Group: v.group, Peers: v.peers, Permits: ask, Decide: rules.Decide, StoreHeard: time.Now, Logger: log,
 	})
 	v.front.Register(v.server)
 	c.mu.Lock()
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -120,7 +120,7 @@
 		if c := cmp.Compare(s.distance(a), s.distance(b)); c != 0 {
 			return c
 		}
-		if s.spec.Gang {
+		if s.emptiestFirst() {
 			a, b = b, a
 		}
 		if c := cmp.Compare(a.room().Millicores, b.room().Millicores); c != 0 {
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"turmericgap/job"
+	"turmericgap/rule"
 	"turmericgap/worker"
 )
 
@@ -12,6 +13,8 @@
 	work *job.Work
 	// queue is the newest configuration of its queue.
 	queue *job.Queue
+	// effect is what the operators' rules decide for it.
+	effect rule.Effect
 	// state is what has been decided, shown what is durable and may be told.
 	state, shown job.WorkState
 	runs         int64
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -13,6 +13,9 @@
 	if !s.attemptsLeft(now) {
 		return // a run that may have failed is not known to have lapsed
 	}
+	if !t.mayRun(s.e, len(s.tasks)) {
+		return
+	}
 	nodes := t.sorted(s, now, all)
 	if plan := t.spread(s, nodes, now, func(n *node) bool { return s.permitted(n, now) }); plan != nil {
 		t.startGang(s, plan)
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -10,6 +10,7 @@
 	"turmericgap/metric"
 	"turmericgap/owner"
 	"turmericgap/permit"
+	"turmericgap/rule"
 	"turmericgap/store"
 	"turmericgap/worker"
 )
@@ -24,6 +25,8 @@
 	Agent func(worker.Info) *worker.Agent
 	// Config gives the newest configuration that this process knows, or nil.
 	Config func() *job.Config
+	// Rules gives the operators' rules in force, or nil.
+	Rules func() *rule.List
 	// Nodes lists the entry VMs that may put questions to the policy service, Ask puts one from such a VM.
 	Nodes   func() []owner.Node
 	Ask     func(ctx context.Context, from owner.Node, q *permit.Question) (*permit.Answer, error)
@@ -107,6 +110,9 @@
 // Config sets where the configuration in force is read.
 func Config(f func() *job.Config) Option { return func(o *Options) { o.Config = f } }
 
+// Rules sets where the operators' rules in force are read.
+func Rules(f func() *rule.List) Option { return func(o *Options) { o.Rules = f } }
+
 // Permits sets which entry VMs put questions to the policy service, and how.
 func Permits(nodes func() []owner.Node, ask func(context.Context, owner.Node, *permit.Question) (*permit.Answer, error)) Option {
 	return func(o *Options) { o.Nodes, o.Ask = nodes, ask }
@@ -126,7 +132,7 @@
 func newOptions(opts []Option) *Options {
 	o := &Options{
 		Logger: zap.NewNop(), MostHold: DefaultMostHold, StopWithin: DefaultStopWithin, KeepEnded: DefaultKeepEnded,
-		Config: func() *job.Config { return nil }, Nodes: func() []owner.Node { return nil },
+		Config: func() *job.Config { return nil }, Rules: func() *rule.List { return nil }, Nodes: func() []owner.Node { return nil },
 	}
 	for _, f := range opts {
 		f(o)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -44,6 +44,7 @@
 		t.o.Metrics.Histogram("dispatch.passMicros").Update(took.Microseconds())
 	}()
 	t.clearReservations()
+	t.readLimits()
 	t.readAskers()
 	order := make([]urgency, 0, len(t.stages))
 	for s := range t.stages {
@@ -91,7 +92,7 @@
 	if s.waiting > 0 {
 		t.placeWhere(s, now, t.roomFor)
 	}
-	if s.waiting > 0 {
+	if s.waiting > 0 && t.mayRun(s.e, 1) {
 		t.renew(s, now)
 	}
 }
@@ -103,6 +104,9 @@
 		if s.tasks[i].phase != phaseWaiting {
 			continue
 		}
+		if !t.mayRun(s.e, 1) {
+			return
+		}
 		for len(nodes) > 0 && room(s, nodes[0], now) == 0 {
 			nodes = nodes[1:]
 		}
@@ -164,6 +168,7 @@
 	s.waiting--
 	e.held++
 	n.take(r)
+	t.underRule[e.effect.Rule]--
 	if n.onTrial() {
 		n.trial = r
 	}
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -44,7 +44,7 @@
 	for i := range marks {
 		t.commits.resume(marks[i].Key, marks[i].ModRevision)
 	}
-	t.config = t.o.Config()
+	t.config, t.rules = t.o.Config(), t.o.Rules()
 	t.restore(works, states)
 	t.wg.Go(t.readEnded)
 	t.followAll()
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -10,6 +10,7 @@
 	"turmericgap/job"
 	"turmericgap/owner"
 	"turmericgap/permit"
+	"turmericgap/rule"
 	"turmericgap/worker"
 )
 
@@ -40,6 +41,7 @@
 	desk    *permit.Desk
 	askers  askers
 	config  *job.Config
+	rules   *rule.List
 	dirty   bool
 	// reported is when the state of the cell was last logged.
 	reported time.Time
@@ -53,6 +55,8 @@
 	// grants is the share of named workers that each queue is allowed.
 	grants map[string]float64
 	sizes  sizes
+	// underRule is how many more tasks may run under each rule that bounds them, in the present pass.
+	underRule map[string]int
 }
 
 func newTerm(ctx context.Context, o *Options, tenure *owner.Tenure) *term {
@@ -60,7 +64,7 @@
 		o: o, log: o.Logger.With(zap.Int64("fence", tenure.Fence)), tenure: tenure, since: time.Now(),
 		events: make(chan func(), eventRing), entries: make(map[string]*entry), ended: make(map[string]Ended),
 		nodes: make(map[string]*node), stages: make(map[*stage]struct{}), timed: make(map[*entry]struct{}),
-		desk: permit.NewDesk(), grants: make(map[string]float64), sizes: make(sizes),
+		desk: permit.NewDesk(), grants: make(map[string]float64), sizes: make(sizes), underRule: make(map[string]int),
 	}
 	t.commits.name()
 	t.ctx, t.end = context.WithCancel(ctx)
@@ -143,30 +147,33 @@
 	t.wg.Wait()
 }
 
-// syncConfig takes over a newer configuration.
+// syncConfig takes over a newer configuration and newer rules.
 func (t *term) syncConfig() {
-	c := t.o.Config()
-	if c == t.config || c == nil {
+	c, rules := t.o.Config(), t.o.Rules()
+	if c == nil {
+		c = t.config
+	}
+	if c == t.config && rules == t.rules {
 		return
 	}
-	t.config = c
+	t.config, t.rules = c, rules
 	for _, e := range t.entries {
 		t.adopt(e)
 	}
 	t.dirty = true
-	t.log.Info("dispatch: configuration taken over", zap.Int64("version", c.Version))
+	t.log.Info("dispatch: configuration taken over", zap.Int64("version", t.configVersion()), zap.Int64("rules", t.rulesVersion()))
 }
 
 // adopt gives an entry the newest configuration of its queue. A queue that was removed goes on under
 // its last one, since what was accepted must end.
 func (t *term) adopt(e *entry) {
-	if t.config == nil {
-		return
-	}
-	if q := t.config.Named(e.work.Queue.Name); q != nil {
-		e.queue = q
-		e.reckon()
+	if t.config != nil {
+		if q := t.config.Named(e.work.Queue.Name); q != nil {
+			e.queue = q
+			e.reckon()
+		}
 	}
+	t.govern(e)
 }
 
 // followAll starts the goroutines that hear of workers and accepted work.
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -49,7 +49,7 @@
 	if c := cmp.Compare(u.hope, o.hope); c != 0 {
 		return c
 	}
-	if c := cmp.Compare(u.s.e.queue.Priority, o.s.e.queue.Priority); c != 0 {
+	if c := cmp.Compare(u.s.e.priority(), o.s.e.priority()); c != 0 {
 		return c
 	}
 	if c := u.turn.Compare(o.turn); c != 0 {
--- a/front/front.go
+++ b/front/front.go
@@ -13,6 +13,7 @@
 	"turmericgap/metric"
 	"turmericgap/owner"
 	"turmericgap/rpc"
+	"turmericgap/rule"
 )
 
 // Front answers callers on one entry VM.
@@ -33,6 +34,9 @@
 	if o.Metrics == nil {
 		o.Metrics = metric.New()
 	}
+	if o.Decide == nil {
+		o.Decide = func(*job.Work) rule.Effect { return rule.Effect{} }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Front{o: o, cancel: cancel}
 	f.accept = newAcceptor(ctx, &f.o)
@@ -53,6 +57,9 @@
 // itself, which fails where the owner has done so.
 func (f *Front) Submit(ctx context.Context, w *job.Work) error {
 	begun := time.Now()
+	if e := f.o.Decide(w); e.Refuse != "" {
+		return f.refuse(ctx, w, &e)
+	}
 	err := f.submit(ctx, w, begun)
 	switch fault := rpc.AsFault(err); {
 	case err == nil:
--- a/front/options.go
+++ b/front/options.go
@@ -6,10 +6,12 @@
 	"go.uber.org/zap"
 
 	"turmericgap/dispatch"
+	"turmericgap/job"
 	"turmericgap/metric"
 	"turmericgap/owner"
 	"turmericgap/permit"
 	"turmericgap/rpc"
+	"turmericgap/rule"
 	"turmericgap/store"
 )
 
@@ -60,6 +62,8 @@
 	Peers      *rpc.Pool
 	// Permits puts a question to the policy service from this VM.
 	Permits permit.Ask
+	// Decide gives what the operators' rules decide for a work; nil decides nothing.
+	Decide func(w *job.Work) rule.Effect
 	// StoreHeard gives when the store last answered.
 	StoreHeard func() time.Time
 	Logger     *zap.Logger
--- a/member/table.go
+++ b/member/table.go
@@ -12,7 +12,7 @@
 
 // Keys of the store.
 const (
-	CellPrefix    = "/turmericgap/cell/"
+	CellPrefix    = "turmericgap/cell/"
 	TablePrefix   = CellPrefix + "table/"
 	PresentPrefix = CellPrefix + "member/"
 	journalPrefix = "/turmericgap/journal/"
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -23,6 +23,10 @@
 	nodePrefix = root + "node/"
 )
 
+// RulesKey is the key of the operators' rules, which lies beside the group's own so that one watch tells
+// of all.
+const RulesKey = root + "rules"
+
 // Defaults.
 const (
 	// DefaultTTL is how long a dead owner keeps the cell from being taken over; the store grants no
@@ -80,6 +84,7 @@
 	self  Node
 	log   *zap.Logger
 	lead  func(ctx context.Context, t *Tenure)
+	rules func(raw []byte)
 	ttl   time.Duration
 	renew time.Duration
 
@@ -112,6 +117,9 @@
 // Lead sets what the owner does; its context ends with the tenure, and the next tenure waits for it.
 func Lead(f func(ctx context.Context, t *Tenure)) Option { return func(g *Group) { g.lead = f } }
 
+// Rules sets what gets the operators' rules as they are stored. It must not call the group.
+func Rules(take func(raw []byte)) Option { return func(g *Group) { g.rules = take } }
+
 // TTL sets the lease and the pause between its renewals.
 func TTL(ttl, renew time.Duration) Option {
 	return func(g *Group) { g.ttl, g.renew = ttl, renew }
@@ -122,6 +130,7 @@
 	g := &Group{
 		store: kv, self: self, log: zap.NewNop(), ttl: DefaultTTL, renew: DefaultRenew,
 		lead:  func(ctx context.Context, _ *Tenure) { <-ctx.Done() },
+		rules: func([]byte) {},
 		nodes: make(map[string]Node), wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
@@ -293,6 +302,8 @@
 		g.owner = &e.Pair
 		g.ownerAs = g.decode(e.Pair)
 		g.log.Info("owner: the cell is owned", zap.String("by", g.ownerAs.ID), zap.Int64("fence", e.Pair.ModRevision))
+	case key == RulesKey && !e.Deleted:
+		g.rules(e.Pair.Value)
 	case strings.HasPrefix(key, nodePrefix) && e.Deleted:
 		delete(g.nodes, strings.TrimPrefix(key, nodePrefix))
 	case strings.HasPrefix(key, nodePrefix):
--- a/rule/request.go
+++ b/rule/request.go
@@ -60,6 +60,30 @@
 	r.at(now)
 }
 
+// ForWork fills the request with a work as it stood when it was accepted. Its class is its queue, its size
+// that of the largest task, its run time that of all steps.
+func (r *Request) ForWork(w *job.Work) {
+	*r = Request{
+		Class: w.Queue.Name, Kind: string(job.Batch), Urgent: w.Queue.Priority == 0, Repeatable: true,
+		Service: w.Queue.Pool, SecondsToDeadline: NoDeadline,
+	}
+	var runs time.Duration
+	var each job.Resources
+	for i := range w.Steps {
+		s := &w.Steps[i]
+		r.Tasks += s.Tasks
+		r.Gang = r.Gang || s.Gang
+		if s.Service {
+			r.Kind = string(job.Service)
+		}
+		each = each.Max(s.Each)
+		runs += s.Estimate
+	}
+	r.Each = Each{each.Millicores, each.MemoryMB, each.Accelerators}
+	r.RunSeconds = int64(runs / time.Second)
+	r.at(w.Accepted)
+}
+
 // ForCheck fills the request with a check of a service as it stands at now.
 func (r *Request) ForCheck(now time.Time, service, method, team, zone string, session bool) {
 	*r = Request{
--- a/rule/rule.go
+++ b/rule/rule.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"turmericgap/finding"
+	"turmericgap/job"
 )
 
 // Limits of a document.
@@ -144,3 +145,17 @@
 	}
 	return nil
 }
+
+// DecideWork gives the effect of the first rule that holds for a work; that of no rule, and of no list,
+// leaves everything at its default.
+func (l *List) DecideWork(w *job.Work) Effect {
+	if l == nil {
+		return Effect{}
+	}
+	var r Request
+	r.ForWork(w)
+	if e := l.Decide(&r); e != nil {
+		return *e
+	}
+	return Effect{}
+}
