Add a soak: real processes, links that fail, signals, by a seed

The program for the platform runs as separate processes beside our stand-ins; a seed draws works and faults (kills, stops, freezes, SIGHUP; links to the store, the policy service and workers silent, deaf, reset, slow; workers that crash, fail all, decline, carry orders out late; configuration), in series and overlapping. Judged by what callers and workers saw: shown states against what ran, refusals against what ran, room, attempts, two runs at once, processes that end by themselves.

--- /dev/null
+++ b/soak/work.go
@@ -0,0 +1,74 @@
+package soak
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"turmericgap/job"
+	"turmericgap/standin/floor"
+	"turmericgap/worker"
+)
+
+func hash(parts ...any) uint32 {
+	h := fnv.New32a()
+	fmt.Fprint(h, parts...)
+	return h.Sum32()
+}
+
+// draw makes a work of one of the queues: checks of one or two tasks, gangs, batches of two steps.
+func (c *Cell) draw(r *rand.Rand, n int) *job.Work {
+	w := &job.Work{ID: fmt.Sprintf("%016x", r.Uint64()), Spec: fmt.Sprint("soak ", n)}
+	step := func(tasks int, cores int64) job.Step {
+		return job.Step{Tasks: tasks, Estimate: time.Second, Each: job.Resources{Millicores: cores * 1000, MemoryMB: 500}}
+	}
+	switch k := r.IntN(10); {
+	case k < 6:
+		w.Queue = c.queues[0]
+		w.Steps = []job.Step{step(1+r.IntN(2), 1)}
+	case k < 8:
+		w.Queue = c.queues[1]
+		gang := step(2+r.IntN(4), 2)
+		gang.Gang = true
+		w.Steps = []job.Step{gang}
+	default:
+		w.Queue = c.queues[2]
+		first, second := step(1+r.IntN(4), 1), step(1+r.IntN(4), 1)
+		first.Checkpoints, second.After = true, []int{0}
+		w.Steps = []job.Step{first, second}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.works[w.ID] = w
+	return w
+}
+
+func (c *Cell) work(id string) *job.Work {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.works[id]
+}
+
+// behave tells what a run does: it works for 0.2 to 1.2 s, and the first run of one task in twelve fails.
+func (c *Cell) behave(t worker.Task, run int64) floor.Behaviour {
+	w := c.work(t.Work)
+	if w == nil {
+		c.find("a task that nobody handed in was started: " + fmt.Sprint(t))
+		return floor.Behaviour{Runs: time.Second, How: worker.EndingDone}
+	}
+	s := &w.Steps[t.Step]
+	h := hash(t.Work, t.Step, t.Index)
+	b := floor.Behaviour{
+		Runs: 200*time.Millisecond + time.Duration(h%1000)*time.Millisecond, How: worker.EndingDone,
+		Needs: s.Each, Attempts: w.Queue.Attempts,
+	}
+	if s.Gang {
+		b.Gang = s.Tasks
+		b.Runs = 500 * time.Millisecond
+	}
+	if run == 1 && h%12 == 0 {
+		b.How = worker.EndingFailed
+	}
+	return b
+}
