Remember every worker that may list the failure of a gang

Cause: where a gang's run is proved to be over and several of its workers are silent, only the first of them met was remembered as one that may list a failure. When another one listed it after the cut had healed, the failure was dropped and taken note of, and the gang got a run after its last attempt. Ruled out: the count of attempts in a take-over (Failing is kept with the run), limits and turns (they start nothing that attempts forbid). Change: each silent worker is remembered; a run counts once however many may tell of it.

--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -85,8 +85,6 @@
 	// proved says that a worker listed a member as ended because another had, before anything was
 	// stopped by this owner: the run is over everywhere.
 	proved bool
-	// unheard says that a worker could not tell how the run ended there.
-	unheard bool
 }
 
 // run is one start of a task; it holds capacity from its intent until its end is known.
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -209,6 +209,39 @@
 	}
 }
 
+// Two workers with members of a gang are cut off, and a member on one of them fails; the third ends as broken,
+// and the gang is started again. Whichever of the two lists the failure when the cut heals, it counts: were
+// only one of them remembered, the gang would be started a third time after two failures.
+func TestFailureHeardLateOfEither(t *testing.T) {
+	for try := range 8 { // which of the two is met first differs from run to run
+		t.Run(fmt.Sprint(try), func(t *testing.T) {
+			play(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCell(t, gangOf(3, 2*time.Second, worker.EndingFailed), "vm1")
+				ws := c.workers(6, 4)
+				v := c.owner()
+				time.Sleep(5 * time.Second)
+				c.submit(v, c.work("gang", gangStep(3)))
+				time.Sleep(time.Second)
+				for _, r := range c.floor.History() {
+					for _, w := range ws {
+						if r.Task.Index < 2 && r.Worker == w.Info().ID {
+							w.Set(floor.Faults{Cut: true})
+						}
+					}
+				}
+				time.Sleep(5 * time.Second)
+				for _, w := range ws {
+					w.Set(floor.Faults{})
+				}
+				c.until(v, "gang", job.WorkFailed, 40*time.Second)
+				is.Equal(c.runs("gang"), 6)
+				c.judge()
+			})
+		})
+	}
+}
+
 // A worker fails whatever it starts, and fast, so that it soon has more room than all others. A gang that
 // has failed there must be started elsewhere: its caller would be told that it cannot be done after two
 // runs on the one worker that fails.
--- a/dispatch/unheard.go
+++ b/dispatch/unheard.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,7 +28,28 @@
 		}
 	}
 	s.unheard = kept
-	return s.spec.Service || s.fails+len(s.unheard) < s.e.queue.Attempts
+	return s.spec.Service || s.fails+s.unheardRuns() < s.e.queue.Attempts
+}
+
+// unheardRuns counts the runs that may still turn out to have failed, each once however many workers may
+// tell of it.
+func (s *stage) unheardRuns() int {
+	n := 0
+	for i, u := range s.unheard {
+		if !slices.ContainsFunc(s.unheard[:i], func(o unheard) bool { return o.number == u.number }) {
+			n++
+		}
+	}
+	return n
+}
+
+// cannotHear notes that a worker cannot say how a run of the gang ended there. Any of several such workers
+// may list the failure, so that each is remembered.
+func (s *stage) cannotHear(number int64, n *node) {
+	u := unheard{number, n.id, n.leaseEnd}
+	if !slices.ContainsFunc(s.unheard, func(o unheard) bool { return o.number == number && o.worker == n.id }) {
+		s.unheard = append(s.unheard, u)
+	}
 }
 
 // overWithGang ends members of gangs on workers that are silent, where another member has shown that the
@@ -43,10 +65,7 @@
 			if g == nil || !g.proved || g.number != r.number {
 				continue
 			}
-			if !g.unheard {
-				g.unheard = true
-				r.s.unheard = append(r.s.unheard, unheard{r.number, n.id, n.leaseEnd})
-			}
+			r.s.cannotHear(r.number, n)
 			t.endRun(r, worker.EndingBroken, "")
 		}
 	}
@@ -63,11 +82,11 @@
 			continue
 		}
 		s := o.stages[e.Task.Step]
-		for i, u := range s.unheard {
+		for _, u := range s.unheard {
 			if u.number != e.Run || u.worker != n.id || e.How != worker.EndingFailed {
 				continue
 			}
-			s.unheard = append(s.unheard[:i], s.unheard[i+1:]...)
+			s.unheard = slices.DeleteFunc(s.unheard, func(o unheard) bool { return o.number == e.Run })
 			s.fails++
 			t.log.Info("dispatch: a failure was heard of late", zap.String("id", e.Task.Work), zap.Int("step", e.Task.Step),
 				zap.Int64("run", e.Run), zap.String("worker", n.id), zap.Int("fails", s.fails))
