--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINT_VERSION := v2.15.0
 LINT := $(TOOLS)/golangci-lint
 
-.PHONY: build demo test fmt check lint tools fuzz
+.PHONY: build demo platform-demo soak test fmt check lint tools fuzz
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -12,6 +12,15 @@
 demo: build
 	./script/demo.sh
 
+# The program for the users' platform, as four processes beside stand-ins, under kills, freezes and cuts.
+platform-demo: build
+	$(BIN)/soak --seconds 20 --seed 7 --table
+
+# Fresh seeds, by hand; a seed that fails is kept as a case of soak/soak_test.go.
+SOAK_SEEDS := 10
+soak: build
+	$(BIN)/soak --seed $$(date +%s) --seeds $(SOAK_SEEDS)
+
 test: check build
 	go test -race -count=1 $$(go list ./... | grep -v /policy$$)
 	@# One goroutine decides in policy, so the race detector would only make its long replays longer.
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -21,6 +21,7 @@
 	VMs     int    `long:"vms" default:"4" description:"entry VMs"`
 	Workers int    `long:"workers" default:"9" description:"workers"`
 	Rate    int    `long:"rate" default:"8" description:"works a second"`
+	Table   bool   `long:"table" description:"print how each queue was served, and what struck"`
 	Calm    bool   `long:"calm" description:"no faults"`
 	Dir     string `long:"dir" default:"run/soak" description:"where settings and logs go, a folder for each seed"`
 	Net     int    `long:"net" default:"5120" description:"second and third part of the loopback addresses, 256 to 65535; two runs at a time need two"`
@@ -42,6 +43,9 @@
 			os.Exit(1)
 		}
 		fmt.Print(rep)
+		if o.Table {
+			fmt.Print(rep.Table())
+		}
 		found += len(rep.Findings)
 	}
 	if found > 0 {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,8 @@
 	// accepted, refused and open say how it was answered: open means that no answer was final.
 	accepted, refused, open bool
 	state                   job.WorkState
+	// took is the time from the first try to a final state.
+	took time.Duration
 }
 
 func newCallers(c *Cell) *callers {
@@ -83,6 +86,7 @@
 
 // serve hands one work in, and follows it if it may have been accepted.
 func (s *callers) serve(c *call, r *rand.Rand) {
+	begun := time.Now()
 	for range tries {
 		err := s.caller.Submit(s.cell.o.Context, s.any(r), c.work)
 		var refused *platform.RefusedError
@@ -117,6 +121,7 @@
 			s.complete(c)
 		}
 		if c.state.Final() {
+			c.took = time.Since(begun)
 			return
 		}
 		time.Sleep(pollPause)
@@ -136,7 +141,8 @@
 	for i := range c.work.Steps {
 		for k := range c.work.Steps[i].Tasks {
 			t := worker.Task{Work: c.work.ID, Step: i, Index: k}
-			if !done[t] && !(c.work.Steps[i].Gang && gangs[i]) {
+			one := done[t] || c.work.Steps[i].Gang && gangs[i] // one member's end stands for all
+			if !one {
 				s.cell.find(fmt.Sprint("shown as completed with a task that is not done: ", t))
 			}
 		}
@@ -187,6 +193,27 @@
 	}
 }
 
+// served tells how the works of a queue were served.
+func (s *callers) served(queue string) Queue {
+	q := Queue{Name: queue}
+	var took []time.Duration
+	for _, c := range s.calls {
+		if c.work.Queue.Name != queue {
+			continue
+		}
+		q.Works++
+		if c.state == job.WorkCompleted {
+			q.Completed++
+			took = append(took, c.took)
+		}
+	}
+	slices.Sort(took)
+	if n := len(took); n > 0 {
+		q.Median, q.Worst = took[n/2], took[n-1]
+	}
+	return q
+}
+
 // judge fills the report.
 func (s *callers) judge(rep *Report) {
 	s.mu.Lock()
@@ -201,7 +228,8 @@
 		switch {
 		case c.accepted:
 			rep.Accepted++
-			if c.state != job.WorkCompleted && !(c.state == job.WorkFailed && usedUp(c.work, history)) {
+			rightly := c.state == job.WorkCompleted || c.state == job.WorkFailed && usedUp(c.work, history)
+			if !rightly {
 				s.cell.find(fmt.Sprintf("%s (%s) was accepted and is shown as %q in the end", c.work.ID, c.work.Queue.Name, c.state))
 			}
 		case c.open:
@@ -213,6 +241,9 @@
 			}
 		}
 	}
+	for i := range s.cell.queues {
+		rep.Queues = append(rep.Queues, s.served(s.cell.queues[i].Name))
+	}
 	s.cell.mu.Lock()
 	defer s.cell.mu.Unlock()
 	rep.Findings = append(s.cell.found, s.cell.floor.Judge()...)
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -166,7 +166,7 @@
 
 func (c *Cell) addWorker(i int) error {
 	w := &slot{cell: c, name: fmt.Sprintf("w%02d", i)}
-	none := http.Handler(http.NotFoundHandler())
+	none := http.NotFoundHandler()
 	w.handler.Store(&none)
 	at, err := c.serve(c.address(100+i, portStandin), http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		(*w.handler.Load()).ServeHTTP(rw, r)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -33,10 +33,33 @@
 	Handed, Accepted, Refused, Open int
 	// Runs counts what the workers have begun.
 	Runs int
+	// Queues tells how each queue was served.
+	Queues []Queue
 	// Faults lists what was done when, Findings what was wrong.
 	Faults, Findings []string
 }
 
+// Queue is how the works of one queue were served.
+type Queue struct {
+	Name             string
+	Works, Completed int
+	// Median and Worst are the times from the first try to the state that a caller saw in the end.
+	Median, Worst time.Duration
+}
+
+// Table gives how the queues were served, and what struck meanwhile, for people.
+func (r *Report) Table() string {
+	var b strings.Builder
+	for _, f := range r.Faults {
+		fmt.Fprintln(&b, "fault:", f)
+	}
+	fmt.Fprintf(&b, "%-8s %6s %10s %12s %12s\n", "queue", "works", "completed", "median", "worst")
+	for _, q := range r.Queues {
+		fmt.Fprintf(&b, "%-8s %6d %10d %12v %12v\n", q.Name, q.Works, q.Completed, q.Median.Round(time.Millisecond), q.Worst.Round(time.Millisecond))
+	}
+	return b.String()
+}
+
 // String gives the report for people.
 func (r *Report) String() string {
 	var b strings.Builder
