--- a/soak/process.go
+++ b/soak/process.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -31,6 +32,10 @@
 // start runs the program until the Process is closed.
 func (p *Process) start() {
 	p.wg.Go(func() {
+		// The process ends with this thread, and so with the soak however that ends. Without it the processes
+		// of a soak that is killed would live on and keep its addresses.
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
 		for p.once() {
 			time.Sleep(restartPause)
 		}
@@ -42,6 +47,7 @@
 	cmd := exec.Command(p.program)
 	cmd.Env = append(os.Environ(), "TURMERICGAP_CONFIG="+p.settings)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
