Carry out waves of upkeep

Cause: the contract 'upkeep' is in force on both sites, and a wave that operators asked for was missed. Change: the owner follows the waves, reads the list of VMs while one is open, clears as many VMs as may be away, stops what saves its progress or lasts (as far as it may be away) in the second half of a VM's time, and orders the upkeep. Since the platform may not compare fences, the store confirms the ownership before each order, which is sent only if that is at most 300 ms old by CLOCK_BOOTTIME; a new owner waits LeaseMs. Orders without an answer are repeated; only a VM whose order was answered counts as begun. Ruled out: counting what ran on a VM as over once its order is answered: an answer to a repeated order says nothing of the worker that is there now (TestWaveOfUpkeep, 'answers are lost', found that).

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"turmericgap"
 	"turmericgap/configuration"
@@ -71,6 +73,7 @@
 		dispatch.Store(kv), dispatch.Workers(platform.WorkersPrefix, platform.DecodeWorker, p.client.Agent),
 		dispatch.Config(func() *job.Config { return p.config.Current() }), dispatch.Rules(p.rules.Current),
 		dispatch.Permits(func() []owner.Node { return p.group.Nodes() }, p.askFrom(ask)),
+		dispatch.Upkeep(waves(p.client, s)),
 		dispatch.Bounds(s.MostHold, s.StopWithin, s.KeepEnded),
 		dispatch.Logger(logger.Part(p.log, "dispatch")), dispatch.Metrics(service.Metrics()))
 	p.config = configuration.New(kv, platform.ConfigKey, platform.DecodeConfig, p.askConfig, logger.Part(p.log, "configuration"))
@@ -89,6 +92,26 @@
 	return nil
 }
 
+// waves tells the dispatcher of the waves of upkeep that operators may ask for, or nil.
+func waves(client *platform.Client, s *platform.Settings) *dispatch.Waves {
+	if !s.Waves {
+		return nil
+	}
+	return &dispatch.Waves{
+		Prefix: platform.WavesPrefix, Decode: platform.DecodeWave, Status: platform.WaveStatus, Cloud: client.Cloud(s.Cloud),
+		Self: s.ID, Lease: s.HolderLease, Away: s.UpkeepTakes, SinceBoot: sinceBoot,
+	}
+}
+
+// sinceBoot is a clock that goes on while the VM is suspended, which Go's own clock does not.
+func sinceBoot() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return time.Duration(math.MaxInt64) // no order counts as fresh
+	}
+	return time.Duration(now.Nano())
+}
+
 // fullLink is the link in Mbit/s that does not bind: the holds and orders of 350 workers at 500 starts a
 // second take about a tenth of it.
 const fullLink = 100
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -43,6 +43,9 @@
 	// permits gives the answer of the policy service; nil allows every worker at once.
 	permits func(q *permit.Question) ([]string, time.Duration)
 
+	// cloud carries out upkeep, if there is one.
+	cloud *cloud
+
 	mu  sync.Mutex
 	vms map[string]*vm
 }
@@ -89,7 +92,12 @@
 	log := zap.NewNop()
 	rules := configuration.NewRules(log)
 	ask := func(ctx context.Context, q *permit.Question) (*permit.Answer, error) { return c.answer(ctx, q) }
+	var waves *dispatch.Waves
+	if c.cloud != nil {
+		waves = c.cloud.waves(id)
+	}
 	v.disp = dispatch.New(
+		dispatch.Upkeep(waves),
 		dispatch.Store(kv), dispatch.Config(func() *job.Config { return c.config }), dispatch.Rules(rules.Current), dispatch.Logger(log),
 		dispatch.Workers(workersPrefix, decodeWorker, func(i worker.Info) *worker.Agent { return c.agent(v, i) }),
 		dispatch.Permits(func() []owner.Node { return v.group.Nodes() },
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -63,6 +63,8 @@
 	// leaseEnd is when all that ran there has surely ended if the worker stays silent.
 	leaseEnd time.Time
 	unwell   time.Time
+	// clearing says that the VM under the worker is to have its upkeep: nothing new is placed there.
+	clearing bool
 	trust
 }
 
@@ -72,7 +74,7 @@
 // usable reports whether new runs may be placed on the worker.
 func (n *node) usable(now time.Time) bool {
 	return n.listed && n.synced && !n.listing.Leaving && n.strange == 0 && n.misses == 0 &&
-		now.After(n.unwell) && n.heard.After(n.silentAt) && (!n.holding || now.Before(n.due)) && !n.rests(now)
+		now.After(n.unwell) && n.heard.After(n.silentAt) && (!n.holding || now.Before(n.due)) && !n.rests(now) && !n.clearing
 }
 
 // room gives the capacity for new runs.
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -32,6 +32,8 @@
 	Ask     func(ctx context.Context, from owner.Node, q *permit.Question) (*permit.Answer, error)
 	Logger  *zap.Logger
 	Metrics *metric.Registry
+	// Waves says where waves of upkeep lie and how they are answered; nil leaves them alone.
+	Waves *Waves
 	// MostHold is the longest lease that a worker grants, StopWithin how long it takes to end a run.
 	MostHold, StopWithin time.Duration
 	// KeepEnded is how long the state of ended work is kept.
@@ -118,6 +120,9 @@
 	return func(o *Options) { o.Nodes, o.Ask = nodes, ask }
 }
 
+// Upkeep sets where waves of upkeep come from and who carries them out.
+func Upkeep(w *Waves) Option { return func(o *Options) { o.Waves = w } }
+
 // Logger sets where decisions are logged.
 func Logger(l *zap.Logger) Option { return func(o *Options) { o.Logger = l } }
 
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -16,6 +16,8 @@
 	workPrefix  = root + "work/"
 	statePrefix = root + "state/"
 	endedPrefix = root + "ended/"
+	// wavePrefix holds, for each wave of upkeep, which of its VMs have begun theirs.
+	wavePrefix = root + "wave/"
 	// commitPrefix holds a key for each lane of commits, which every commit of the lane rewrites and
 	// compares.
 	commitPrefix = root + "commit/"
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -55,6 +55,7 @@
 	// grants is the share of named workers that each queue is allowed.
 	grants map[string]float64
 	sizes  sizes
+	upkeep upkeep
 	// underRule is how many more tasks may run under each rule that bounds them, in the present pass.
 	underRule map[string]int
 }
@@ -180,6 +181,9 @@
 func (t *term) followAll() {
 	t.followWorkers()
 	t.followWorks()
+	if t.o.Waves != nil {
+		t.followWaves()
+	}
 }
 
 func (t *term) listing(key string, raw []byte) (worker.Listing, bool) {
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -16,6 +16,7 @@
 		t.beginDue(e, now)
 	}
 	t.forgetEnded(now)
+	t.keepUp(now)
 	if now.Sub(t.reported) >= reportEvery {
 		t.reported = now
 		t.report(now)
--- /dev/null
+++ b/dispatch/upkeep_test.go
@@ -0,0 +1,238 @@
+package dispatch_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"turmericgap/dispatch"
+	"turmericgap/job"
+	"turmericgap/maintenance"
+	"turmericgap/standin/floor"
+	"turmericgap/store"
+	"turmericgap/worker"
+)
+
+const (
+	wavesPrefix = "waves/"
+	holderLease = 3 * time.Second
+	upkeepTakes = 2 * time.Second
+)
+
+var errCloudSilent = errors.New("no answer")
+
+// cloud is the platform's service for VMs: each order ends what runs on a VM, which comes back with another
+// worker. It notes what no order may do.
+type cloud struct {
+	c  *cell
+	mu sync.Mutex
+	// vms holds the VMs, workers the present worker of each, done those that have had their upkeep.
+	vms     map[string]*maintenance.VM
+	workers map[string]*floor.Worker
+	done    map[string]bool
+	lives   int
+	// loses drops the answers of the next orders, which are carried out.
+	loses  int
+	most   int
+	away   int
+	faults []string
+	holder string
+	last   time.Time
+	fence  int64
+}
+
+func newCloud(c *cell, ws []*floor.Worker, most int) *cloud {
+	k := &cloud{c: c, vms: make(map[string]*maintenance.VM), workers: make(map[string]*floor.Worker), done: make(map[string]bool), most: most}
+	for i, w := range ws {
+		id := fmt.Sprint("host", i)
+		k.vms[id] = &maintenance.VM{ID: id, Pool: pool, State: maintenance.Up, Worker: w.Info().ID}
+		k.workers[id] = w
+	}
+	return k
+}
+
+func (k *cloud) waves(self string) *dispatch.Waves {
+	return &dispatch.Waves{
+		Prefix: wavesPrefix, Self: self, Lease: holderLease, Away: upkeepTakes,
+		Decode: func(_ string, raw []byte) (w maintenance.Wave, err error) { return w, json.Unmarshal(raw, &w) },
+		Status: func(n int64, completed bool) (string, []byte) {
+			return fmt.Sprint("wavestatus/", n), fmt.Append(nil, completed)
+		},
+		Cloud:     maintenance.Cloud{List: k.list, Upkeep: k.upkeep},
+		SinceBoot: func() time.Duration { return time.Since(time.Time{}) },
+	}
+}
+
+func (k *cloud) list(context.Context) ([]maintenance.VM, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []maintenance.VM
+	for _, vm := range k.vms {
+		out = append(out, *vm)
+	}
+	return out, nil
+}
+
+func (k *cloud) upkeep(ctx context.Context, o maintenance.Order) error {
+	lost, err := k.carryOut(o)
+	if lost {
+		<-ctx.Done()
+		return errCloudSilent
+	}
+	return err
+}
+
+// carryOut does what an order says; lost says that its answer never arrives.
+func (k *cloud) carryOut(o maintenance.Order) (lost bool, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if o.Fence < k.fence {
+		k.faults = append(k.faults, "an order with a lower fence after a higher one")
+	}
+	if k.holder != "" && k.holder != o.Holder && now.Sub(k.last) < holderLease {
+		k.faults = append(k.faults, "two holders take turns within a lease")
+	}
+	k.holder, k.last, k.fence = o.Holder, now, o.Fence
+	vm := k.vms[o.VM]
+	if k.done[o.VM] {
+		return false, nil
+	}
+	if vm.State != maintenance.Up {
+		return false, maintenance.ErrBusy
+	}
+	if k.away++; k.away > k.most {
+		k.faults = append(k.faults, "too many VMs are away")
+	}
+	k.done[o.VM] = true
+	vm.State, vm.Worker = maintenance.Upkeep, ""
+	old := k.workers[o.VM]
+	old.Crash(true)
+	time.AfterFunc(upkeepTakes, func() { k.back(vm, old) })
+	k.loses--
+	return k.loses >= 0, nil
+}
+
+// served counts the VMs that have had their upkeep.
+func (k *cloud) served() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.done)
+}
+
+// back lets a VM come back with another worker.
+func (k *cloud) back(vm *maintenance.VM, old *floor.Worker) {
+	k.c.put(store.Op{Delete: true, Key: workersPrefix + old.Info().ID})
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.away--
+	k.lives++
+	w := k.c.worker(fmt.Sprintf("%s-%d", vm.ID, k.lives), 4)
+	k.workers[vm.ID] = w
+	vm.State, vm.Worker = maintenance.Up, w.Info().ID
+}
+
+func (c *cell) wave(w maintenance.Wave) {
+	raw, err := json.Marshal(&w)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.put(store.Op{Key: fmt.Sprint(wavesPrefix, w.Number), Value: raw})
+}
+
+// completed reports whether a wave is said to be completed.
+func (c *cell) completed(number int) bool {
+	res, err := c.kv.Store().Range(c.t.Context(), store.Range{Key: fmt.Sprint("wavestatus/", number)})
+	return err == nil && len(res.Pairs) == 1 && string(res.Pairs[0].Value) == "true"
+}
+
+// Operators ask for the upkeep of all VMs, one at a time, while batches run. Each is emptied first, so that no
+// work is lost; the wave is in time and is said to be completed when the last VM has begun. That holds also
+// where the owner dies in the middle, whose successor must wait for a lease before its own orders, and where
+// answers to orders are lost: the same order again changes nothing.
+func TestWaveOfUpkeep(t *testing.T) {
+	cases := []struct {
+		name  string
+		kill  bool
+		loses int
+	}{{"calm", false, 0}, {"the owner dies", true, 0}, {"answers are lost", false, 2}}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			play(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCell(t, runsFor(1500*time.Millisecond))
+				ws := c.workers(4, 4)
+				k := newCloud(c, ws, 1)
+				k.loses = one.loses
+				c.cloud = k
+				kill := one.kill
+				c.boot("vm1")
+				c.boot("vm2")
+				v := c.owner()
+				time.Sleep(3 * time.Second)
+				c.wave(maintenance.Wave{Number: 7, VMs: []string{"host0", "host1", "host2", "host3", "gone"}, Within: 40 * time.Second, Most: 1})
+				begun := time.Now()
+				for i := 0; !c.completed(7); i++ {
+					is.True(time.Since(begun) < 40*time.Second)
+					if !v.dead.Load() {
+						_ = c.try(v, c.work(fmt.Sprint("batch", i), job.Step{Tasks: 2}))
+					}
+					time.Sleep(500 * time.Millisecond)
+					if kill && k.served() == 2 {
+						kill = false
+						c.kill(v)
+						v = c.owner()
+					}
+				}
+				is.Equal(k.served(), 4)
+				is.Equal(k.faults, nil)
+				time.Sleep(20 * time.Second)
+				for _, r := range c.floor.History() {
+					is.True(r.How == worker.EndingDone)
+				}
+				c.judge()
+			})
+		})
+	}
+}
+
+// A service runs on two VMs and may miss one task at a time. Both VMs are to have their upkeep, two at once as
+// far as the wave is concerned: the second must wait until the first task is at work elsewhere.
+func TestUpkeepLeavesServices(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, func(worker.Task, int64) floor.Behaviour {
+			return floor.Behaviour{Runs: time.Hour, How: worker.EndingDone, Lasts: true, Needs: job.Resources{Millicores: 1000}}
+		})
+		ws := c.workers(2, 4)
+		k := newCloud(c, ws, 2)
+		c.cloud = k
+		c.worker("spare", 4)
+		c.boot("vm1")
+		v := c.owner()
+		time.Sleep(3 * time.Second)
+		c.submit(v, c.work("desk", job.Step{Tasks: 2, Service: true, MostPerWorker: 1, MostAway: 1}))
+		time.Sleep(2 * time.Second)
+		c.wave(maintenance.Wave{Number: 1, VMs: []string{"host0", "host1"}, Within: 20 * time.Second, Most: 2})
+		begun := time.Now()
+		for !c.completed(1) {
+			is.True(time.Since(begun) < 30*time.Second)
+			at := 0
+			for _, r := range c.floor.History() {
+				if r.Ended.IsZero() {
+					at++
+				}
+			}
+			is.True(at >= 1)
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(k.faults, nil)
+		c.judge()
+	})
+}
--- a/standin/floor/floor.go
+++ b/standin/floor/floor.go
@@ -19,6 +19,8 @@
 	Gang int
 	// Attempts is how often it may fail; zero stands for no bound.
 	Attempts int
+	// Lasts says that it is at work as long as it runs.
+	Lasts bool
 }
 
 // Floor is all workers of a cell.
--- a/standin/floor/worker.go
+++ b/standin/floor/worker.go
@@ -367,6 +367,9 @@
 
 // percent tells how far a run is.
 func (r *running) percent() int {
+	if r.does.Lasts {
+		return 100
+	}
 	if !r.working || r.does.Runs == 0 {
 		return 0
 	}
