--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -3,17 +3,12 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"turmericgap/maintenance"
-	"turmericgap/store"
-	"turmericgap/store/follow"
 )
 
 // Waves tells where waves of upkeep lie in the store, how one is read and answered, and who carries it out.
@@ -56,105 +51,6 @@
 	asked, listed time.Time
 }
 
-// wave is an open wave.
-type wave struct {
-	maintenance.Wave
-	// since is when this owner first heard of it.
-	since time.Time
-	// begun holds the VMs whose upkeep has begun.
-	begun map[string]bool
-	// orderedAt is when this owner's order for a VM was answered.
-	orderedAt map[string]time.Time
-	// clearing holds those that are being emptied, since when.
-	clearing map[string]time.Time
-	// ordered holds those whose order is under way.
-	ordered map[string]bool
-	// known says that what former owners have recorded was read, told that its end is recorded.
-	known, told bool
-}
-
-// waveRecord is the durable form of how far a wave is.
-type waveRecord struct {
-	Begun map[string]bool `msgpack:"b"`
-}
-
-// followWaves hears of waves.
-func (t *term) followWaves() {
-	take := func(pairs []store.Pair) {
-		for i := range pairs {
-			w, err := t.o.Waves.Decode(pairs[i].Key, pairs[i].Value)
-			if err != nil {
-				t.log.Error("dispatch: a wave of upkeep cannot be read", zap.String("key", pairs[i].Key), zap.Error(err))
-				continue
-			}
-			t.post(func() { t.openWave(w) })
-		}
-	}
-	f := &follow.Follower{
-		Store: t.o.Store, Prefix: t.o.Waves.Prefix, Pause: watchPause, Logger: t.log,
-		Reset: func(pairs []store.Pair, _ int64) { take(pairs) },
-		Change: func(events []store.Event, _ int64) {
-			for i := range events {
-				if !events[i].Deleted {
-					take([]store.Pair{events[i].Pair})
-				}
-			}
-		},
-	}
-	t.wg.Go(func() { f.Run(t.ctx) })
-}
-
-// openWave begins a wave, or goes on with one that a former owner began.
-func (t *term) openWave(m maintenance.Wave) {
-	if t.upkeep.waves == nil {
-		t.upkeep.waves = make(map[int64]*wave)
-	}
-	if t.upkeep.waves[m.Number] != nil {
-		return
-	}
-	w := &wave{
-		Wave: m, since: time.Now(), begun: make(map[string]bool), clearing: make(map[string]time.Time), ordered: make(map[string]bool),
-		orderedAt: make(map[string]time.Time),
-	}
-	t.upkeep.waves[m.Number] = w
-	t.log.Info("dispatch: wave of upkeep", zap.Int64("wave", m.Number), zap.Int("vms", len(m.VMs)), zap.Duration("within", m.Within), zap.Int("most", m.Most))
-	t.wg.Go(func() { t.readWave(w) })
-}
-
-func (w *wave) key() string { return wavePrefix + strconv.FormatInt(w.Number, 10) }
-
-// readWave reads what former owners have recorded of a wave, and whether they have completed it.
-func (t *term) readWave(w *wave) {
-	statusKey, completed := t.o.Waves.Status(w.Number, true)
-	for t.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(t.ctx, storeWithin)
-		record, err := t.o.Store.Range(ctx, store.Range{Key: w.key()})
-		status, err2 := t.o.Store.Range(ctx, store.Range{Key: statusKey})
-		cancel()
-		if err := errors.Join(err, err2); err != nil {
-			t.log.Info("dispatch: the record of a wave is read again", zap.Int64("wave", w.Number), zap.Error(err))
-			time.Sleep(commitAgainMost)
-			continue
-		}
-		var r waveRecord
-		if len(record.Pairs) > 0 {
-			if err := msgpack.Unmarshal(record.Pairs[0].Value, &r); err != nil {
-				t.log.Error("dispatch: the record of a wave cannot be read", zap.Int64("wave", w.Number), zap.Error(err))
-			}
-		}
-		told := len(status.Pairs) > 0 && string(status.Pairs[0].Value) == string(completed)
-		t.post(func() {
-			maps.Copy(w.begun, r.Begun)
-			w.known, w.told = true, told
-			if len(status.Pairs) == 0 {
-				key, value := t.o.Waves.Status(w.Number, false)
-				t.record(w, key, value)
-			}
-		})
-		return
-	}
-}
-
 // keepUp gets on with the open waves.
 func (t *term) keepUp(now time.Time) {
 	open := false
@@ -337,20 +233,6 @@
 
 var errNotFresh = errors.New("the store took too long to confirm the ownership")
 
-// confirm writes a record under the condition that this VM owns the cell.
-func (t *term) confirm(key string, value []byte) error {
-	ctx, cancel := context.WithTimeout(t.ctx, storeWithin)
-	defer cancel()
-	res, err := t.o.Store.Txn(ctx, store.Txn{Compares: []store.Compare{t.tenure.Compare()}, Then: []store.Op{{Key: key, Value: value}}})
-	switch {
-	case err != nil:
-		return err
-	case !res.Succeeded:
-		return errTermClosed
-	}
-	return nil
-}
-
 func (t *term) onOrdered(w *wave, vm maintenance.VM, err error) {
 	delete(w.ordered, vm.ID)
 	t.log.Info("dispatch: upkeep ordered", zap.Int64("wave", w.Number), zap.String("vm", vm.ID), zap.String("worker", vm.Worker), zap.Error(err))
@@ -370,19 +252,6 @@
 	}
 }
 
-// recordWave makes durable which VMs have begun. A successor that does not know of one clears it again and
-// repeats the order, which changes nothing where it was done.
-func (t *term) recordWave(w *wave) { t.record(w, w.key(), encode(&waveRecord{Begun: w.begun})) }
-
-// record writes something of a wave that may be behind for a while.
-func (t *term) record(w *wave, key string, value []byte) {
-	t.wg.Go(func() {
-		if err := t.confirm(key, value); err != nil {
-			t.log.Info("dispatch: the record of a wave is behind", zap.Int64("wave", w.Number), zap.String("key", key), zap.Error(err))
-		}
-	})
-}
-
 // complete tells the operators that every VM of a wave that is still there has begun its upkeep.
 func (t *term) complete(w *wave) {
 	w.told = true
