Keep a worker with ends that are not durable, also when its entry goes

A task ends at 21.6 and cannot be made durable. At 24.86 the worker's entry goes and comes back; the owner had forgotten the worker, which held nothing any more, met it as a new one, heard its three ends again, found no runs for them and nothing to wait for, and told it that they were taken note of. The commit was refused, as the owner's key had lapsed. The next tenure found the task as started and the worker without a word of it, and started it again. Ruled out: orders carried out late (each start is void after 1.5 s), a stale state at the take-over. Change: a worker is forgotten only when none of its ends waits to become durable. Shown by TestEndIsNotNotedBeforeItIsDurable, red before.

--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -142,6 +142,7 @@
 			return
 		}
 		n.observed = n.seen
+		t.retire(n)
 		if n.idle() {
 			t.proceed(n, holdWait)
 		}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -181,9 +181,11 @@
 	t.retire(n)
 }
 
-// retire forgets a worker that is not listed and holds nothing.
+// retire forgets a worker that is not listed and holds nothing. One with ends that are not durable yet is kept:
+// if its entry came back it would be met as a new one, tell of those ends again, and be told that they were
+// taken note of, since nothing of its own waits to be saved.
 func (t *term) retire(n *node) {
-	if n.listed || len(n.runs) > 0 {
+	if n.listed || len(n.runs) > 0 || n.unsaved > 0 {
 		return
 	}
 	if n.stop != nil {
--- /dev/null
+++ b/dispatch/observed_test.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"turmericgap/job"
+	"turmericgap/owner"
+	"turmericgap/store"
+	"turmericgap/worker"
+)
+
+// A task ends while the store does not answer its owner, and meanwhile its worker's entry goes and comes back,
+// as entries do that lapse in an outage. The worker must not be told that the end was taken note of before
+// it is durable: the next owner, which finds the task as started and the worker without any word of it,
+// would start it again, and a batch would be done twice.
+func TestEndIsNotNotedBeforeItIsDurable(t *testing.T) {
+	for _, relisted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			silent := &worker.Agent{Hold: func(ctx context.Context, _ *worker.Hold) (*worker.Held, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}}
+			listing := worker.Listing{Info: worker.Info{ID: "w", Has: job.Resources{Millicores: 4000, MemoryMB: 100}}}
+			o := newOptions([]Option{Workers("workers/", func(string, []byte) (worker.Listing, error) { return listing, nil },
+				func(worker.Info) *worker.Agent { return silent })})
+			term := newTerm(t.Context(), o, &owner.Tenure{Fence: 1, Confirmed: func(time.Duration) bool { return true }})
+			defer term.close()
+			term.setWorker(listing)
+			term.add(&job.Work{ID: "batch", Queue: job.Queue{Attempts: 1}, Steps: []job.Step{{Tasks: 1}}, Accepted: time.Now()})
+			s := term.entries["batch"].live[0].stages[0]
+			term.start(s, 0, term.nodes["w"], 1)
+			ended := []worker.End{{Number: 1, Task: s.tasks[0].run.task(), Run: 1, How: worker.EndingDone}}
+			term.onHold(term.nodes["w"], &worker.Held{Clock: time.Second, Ended: ended}, nil)
+			is.Equal(term.entries["batch"].state, job.WorkCompleted)
+			if relisted {
+				term.changeWorkers([]store.Event{{Pair: store.Pair{Key: "workers/w"}, Deleted: true}})
+				term.setWorker(listing)
+				term.onHold(term.nodes["w"], &worker.Held{Clock: 2 * time.Second, Ended: ended}, nil)
+			}
+			is.Equal(term.nodes["w"].observed, int64(0))
+			for _, waiting := range term.commits.queue {
+				for _, effect := range waiting.effects {
+					effect()
+				}
+			}
+			is.Equal(term.nodes["w"].observed, int64(1))
+		})
+	}
+}
