Give safeguards that no test held a test that fails without them

Nine of eighteen were held by no test: the lease wait before orders of upkeep, the confirmed and fresh ownership, the repeat of an order without an answer, what a returning VM is counted as, tasks that may not be away, the bound of resting workers, fresh tasks for trials, a gang's run counted once, one rack after all answers. Seven have one now; the count of VMs that return and MaxUnavailable still survive in dispatch's tests and come next.

--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -231,6 +231,7 @@
 					}
 				}
 				time.Sleep(5 * time.Second)
+				is.Equal(c.runs("gang"), 6) // a run that two workers may tell of counts once
 				for _, w := range ws {
 					w.Set(floor.Faults{})
 				}
--- a/dispatch/upkeep_test.go
+++ b/dispatch/upkeep_test.go
@@ -37,18 +37,24 @@
 	workers map[string]*floor.Worker
 	done    map[string]bool
 	lives   int
-	// loses drops the answers of the next orders, which are carried out.
-	loses  int
-	most   int
-	away   int
-	faults []string
-	holder string
-	last   time.Time
-	fence  int64
+	// loses drops the answers of the next orders, which are carried out; drops loses the next orders.
+	loses, drops int
+	// slowList is how long a list is under way after it was made, slowOrder an order before it is carried out.
+	slowList, slowOrder time.Duration
+	// suspends is how much each look at the clock that counts suspends is later than the one before.
+	suspends time.Duration
+	looks    time.Duration
+	most     int
+	away     int
+	faults   []string
+	began    time.Time
+	holder   string
+	last     time.Time
+	fence    int64
 }
 
 func newCloud(c *cell, ws []*floor.Worker, most int) *cloud {
-	k := &cloud{c: c, vms: make(map[string]*maintenance.VM), workers: make(map[string]*floor.Worker), done: make(map[string]bool), most: most}
+	k := &cloud{c: c, vms: make(map[string]*maintenance.VM), workers: make(map[string]*floor.Worker), done: make(map[string]bool), most: most, began: time.Now()}
 	for i, w := range ws {
 		id := fmt.Sprint("host", i)
 		k.vms[id] = &maintenance.VM{ID: id, Pool: pool, State: maintenance.Up, Worker: w.Info().ID}
@@ -65,21 +71,35 @@
 			return fmt.Sprint("wavestatus/", n), fmt.Append(nil, completed)
 		},
 		Cloud:     maintenance.Cloud{List: k.list, Upkeep: k.upkeep},
-		SinceBoot: func() time.Duration { return time.Since(time.Time{}) },
+		SinceBoot: k.sinceBoot,
 	}
 }
 
+func (k *cloud) sinceBoot() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.looks += k.suspends
+	return time.Since(k.began) + k.looks
+}
+
 func (k *cloud) list(context.Context) ([]maintenance.VM, error) {
+	out := k.present()
+	time.Sleep(k.slowList)
+	return out, nil
+}
+
+func (k *cloud) present() []maintenance.VM {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var out []maintenance.VM
 	for _, vm := range k.vms {
 		out = append(out, *vm)
 	}
-	return out, nil
+	return out
 }
 
 func (k *cloud) upkeep(ctx context.Context, o maintenance.Order) error {
+	time.Sleep(k.slowOrder)
 	lost, err := k.carryOut(o)
 	if lost {
 		<-ctx.Done()
@@ -92,6 +112,9 @@
 func (k *cloud) carryOut(o maintenance.Order) (lost bool, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.drops--; k.drops >= 0 {
+		return true, nil
+	}
 	now := time.Now()
 	if o.Fence < k.fence {
 		k.faults = append(k.faults, "an order with a lower fence after a higher one")
@@ -158,10 +181,17 @@
 // answers to orders are lost: the same order again changes nothing.
 func TestWaveOfUpkeep(t *testing.T) {
 	cases := []struct {
-		name  string
-		kill  bool
-		loses int
-	}{{"calm", false, 0}, {"the owner dies", true, 0}, {"answers are lost", false, 2}}
+		name         string
+		kill         bool
+		loses, drops int
+		slow         time.Duration
+	}{
+		{name: "calm"},
+		{name: "the owner dies", kill: true},
+		{name: "answers are lost", loses: 2},
+		{name: "orders are lost", drops: 2},
+		{name: "the platform is slow", slow: 900 * time.Millisecond},
+	}
 	for _, one := range cases {
 		t.Run(one.name, func(t *testing.T) {
 			play(t, func(t *testing.T) {
@@ -169,7 +199,8 @@
 				c := newCell(t, runsFor(1500*time.Millisecond))
 				ws := c.workers(4, 4)
 				k := newCloud(c, ws, 1)
-				k.loses = one.loses
+				k.loses, k.drops = one.loses, one.drops
+				k.slowOrder, k.slowList = one.slow, one.slow/3
 				c.cloud = k
 				kill := one.kill
 				c.boot("vm1")
@@ -213,12 +244,13 @@
 		ws := c.workers(2, 4)
 		k := newCloud(c, ws, 2)
 		c.cloud = k
-		c.worker("spare", 4)
 		c.boot("vm1")
 		v := c.owner()
 		time.Sleep(3 * time.Second)
 		c.submit(v, c.work("desk", job.Step{Tasks: 2, Service: true, MostPerWorker: 1, MostAway: 1}))
 		time.Sleep(2 * time.Second)
+		c.worker("spare", 4)
+		time.Sleep(time.Second)
 		c.wave(maintenance.Wave{Number: 1, VMs: []string{"host0", "host1"}, Within: 20 * time.Second, Most: 2})
 		begun := time.Now()
 		for !c.completed(1) {
@@ -236,3 +268,81 @@
 		c.judge()
 	})
 }
+
+// idleWave is a cell of four idle VMs and a wave that allows two of them at a time.
+func idleWave(t *testing.T, vms ...string) (*cell, *cloud) {
+	c := newCell(t, runsFor(time.Second))
+	k := newCloud(c, c.workers(4, 4), 2)
+	c.cloud = k
+	for _, id := range vms {
+		c.boot(id)
+	}
+	c.owner()
+	time.Sleep(4 * time.Second)
+	return c, k
+}
+
+func (c *cell) wholeWave() {
+	c.wave(maintenance.Wave{Number: 1, VMs: []string{"host0", "host1", "host2", "host3"}, Within: 40 * time.Second, Most: 2})
+}
+
+// An owner dies just after an order, and two VMs that could go at once are left. Orders of the dead owner may
+// still be under way for the platform's lease, and the platform compares no fences: the next owner must give
+// none before that time has passed.
+func TestNewOwnerWaitsBeforeUpkeep(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c, k := idleWave(t, "vm1", "vm2")
+		c.wholeWave()
+		for k.served() < 1 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.kill(c.owner())
+		for begun := time.Now(); !c.completed(1); time.Sleep(100 * time.Millisecond) {
+			is.True(time.Since(begun) < 30*time.Second)
+		}
+		is.Equal(k.served(), 4)
+		is.Equal(k.faults, nil)
+	})
+}
+
+// An owner is cut off from the store and from all workers, so that it hears of no successor, and still reaches
+// the platform's service for VMs. It must not order upkeep on its own word: the next owner does so, and a VM
+// would go down for two of them, or more VMs than the wave allows.
+func TestCutOwnerOrdersNoUpkeep(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c, k := idleWave(t, "vm1", "vm2")
+		cut := c.owner()
+		c.wholeWave()
+		for k.served() < 1 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		cut.store.Cut(true)
+		cut.deaf.Store(true)
+		for begun := time.Now(); k.served() < 4; time.Sleep(100 * time.Millisecond) {
+			is.True(time.Since(begun) < 30*time.Second)
+		}
+		time.Sleep(5 * time.Second)
+		is.Equal(k.faults, nil)
+	})
+}
+
+// The VM of the owner is suspended each time between the store's word that it owns the cell and its order. Its
+// own steady clock does not show that. The word is old when it wakes: no order may be sent.
+func TestNoUpkeepAfterSuspend(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c, k := idleWave(t, "vm1")
+		k.suspends = time.Second
+		c.wholeWave()
+		time.Sleep(10 * time.Second)
+		is.Equal(k.served(), 0)
+		k.mu.Lock()
+		k.suspends = 0
+		k.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		is.Equal(k.served(), 4)
+		is.True(c.completed(1))
+	})
+}
