--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -51,13 +51,9 @@
 	k.heard.Store(time.Now().UnixNano())
 	k.follow = &follow.Follower{
 		Store: kv, Prefix: key, Logger: log,
-		Reset: func(pairs []store.Pair, _ int64) { k.takePairs(pairs) },
-		Change: func(events []store.Event, _ int64) {
-			for i := range events {
-				k.takePairs([]store.Pair{events[i].Pair})
-			}
-		},
-		Alive: k.alive,
+		Reset:  func(pairs []store.Pair, _ int64) { k.takePairs(pairs) },
+		Change: func(events []store.Event, _ int64) { k.takePairs(follow.Written(events)) },
+		Alive:  k.alive,
 	}
 	return k
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -76,25 +76,31 @@
 // Accept makes a work durable; a repeat of an ID is the same work. CodeNotOwner means that nothing was
 // done, any other error that the work may be accepted.
 func (d *Dispatcher) Accept(ctx context.Context, w *job.Work) error {
+	taken, err := d.durably(ctx, func(t *term) (bool, chan struct{}) { return t.accept(w) })
+	if err == nil && !taken {
+		return &rpc.Fault{Code: rpc.CodeNotOwner, Reason: "this entry VM cannot accept work just now", RetryAfter: retryOwner}
+	}
+	return err
+}
+
+// durably decides something on the loop and waits until that is durable, or tells that it was not taken.
+func (d *Dispatcher) durably(ctx context.Context, decide func(*term) (taken bool, done chan struct{})) (bool, error) {
 	t, err := d.current()
 	if err != nil {
-		return err
+		return false, err
 	}
 	type outcome struct {
 		taken bool
 		done  chan struct{}
 	}
 	o, err := ask(ctx, t, func() outcome {
-		taken, done := t.accept(w)
+		taken, done := decide(t)
 		return outcome{taken, done}
 	})
-	if err != nil {
-		return err
-	}
-	if !o.taken {
-		return &rpc.Fault{Code: rpc.CodeNotOwner, Reason: "this entry VM cannot accept work just now", RetryAfter: retryOwner}
+	if err != nil || !o.taken {
+		return false, err
 	}
-	return t.settled(ctx, o.done)
+	return true, t.settled(ctx, o.done)
 }
 
 // settled waits until what was decided is durable.
@@ -128,25 +134,11 @@
 // Cancel ends a work; it returns once that is durable. It is CodeNotFound where the owner does not
 // hold the work.
 func (d *Dispatcher) Cancel(ctx context.Context, id string) error {
-	t, err := d.current()
-	if err != nil {
-		return err
-	}
-	type outcome struct {
-		known bool
-		done  chan struct{}
-	}
-	o, err := ask(ctx, t, func() outcome {
-		known, done := t.cancel(id)
-		return outcome{known, done}
-	})
-	if err != nil {
-		return err
-	}
-	if !o.known {
+	known, err := d.durably(ctx, func(t *term) (bool, chan struct{}) { return t.cancel(id) })
+	if err == nil && !known {
 		return &rpc.Fault{Code: rpc.CodeNotFound, Reason: "no such work"}
 	}
-	return t.settled(ctx, o.done)
+	return err
 }
 
 // Waiting counts the accepted works of a queue of which no task has started.
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -223,17 +223,16 @@
 			}
 		})
 	}
+	t.followWritten(workPrefix, take)
+}
+
+// followWritten hears of the keys below a prefix that are there or are written.
+func (t *term) followWritten(prefix string, take func([]store.Pair)) {
 	f := &follow.Follower{
-		Store: t.o.Store, Prefix: workPrefix, Pause: watchPause, Logger: t.log,
+		Store: t.o.Store, Prefix: prefix, Pause: watchPause, Logger: t.log,
 		Reset: func(pairs []store.Pair, _ int64) { take(pairs) },
 		Change: func(events []store.Event, _ int64) {
-			var pairs []store.Pair
-			for i := range events {
-				if !events[i].Deleted {
-					pairs = append(pairs, events[i].Pair)
-				}
-			}
-			if len(pairs) > 0 {
+			if pairs := follow.Written(events); len(pairs) > 0 {
 				take(pairs)
 			}
 		},
--- a/dispatch/wave.go
+++ b/dispatch/wave.go
@@ -1,8 +1,8 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
-	"errors"
 	"maps"
 	"strconv"
 	"time"
@@ -12,7 +12,7 @@
 
 	"turmericgap/maintenance"
 	"turmericgap/store"
-	"turmericgap/store/follow"
+	"turmericgap/store/retry"
 )
 
 // wave is an open wave.
@@ -49,18 +49,7 @@
 			t.post(func() { t.openWave(w) })
 		}
 	}
-	f := &follow.Follower{
-		Store: t.o.Store, Prefix: t.o.Waves.Prefix, Pause: watchPause, Logger: t.log,
-		Reset: func(pairs []store.Pair, _ int64) { take(pairs) },
-		Change: func(events []store.Event, _ int64) {
-			for i := range events {
-				if !events[i].Deleted {
-					take([]store.Pair{events[i].Pair})
-				}
-			}
-		},
-	}
-	t.wg.Go(func() { f.Run(t.ctx) })
+	t.followWritten(t.o.Waves.Prefix, take)
 }
 
 // openWave begins a wave, or goes on with one that a former owner began.
@@ -84,34 +73,42 @@
 
 // readWave reads what former owners have recorded of a wave, and whether they have completed it.
 func (t *term) readWave(w *wave) {
+	record, err := t.readKey(w.key())
+	if err != nil {
+		return // the term has ended
+	}
 	statusKey, completed := t.o.Waves.Status(w.Number, true)
-	for t.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(t.ctx, storeWithin)
-		record, err := t.o.Store.Range(ctx, store.Range{Key: w.key()})
-		status, err2 := t.o.Store.Range(ctx, store.Range{Key: statusKey})
-		cancel()
-		if err := errors.Join(err, err2); err != nil {
-			t.log.Info("dispatch: the record of a wave is read again", zap.Int64("wave", w.Number), zap.Error(err))
-			time.Sleep(commitAgainMost)
-			continue
+	status, err := t.readKey(statusKey)
+	if err != nil {
+		return
+	}
+	var r waveRecord
+	if record != nil {
+		if err := msgpack.Unmarshal(record, &r); err != nil {
+			t.log.Error("dispatch: the record of a wave cannot be read", zap.Int64("wave", w.Number), zap.Error(err))
 		}
-		var r waveRecord
-		if len(record.Pairs) > 0 {
-			if err := msgpack.Unmarshal(record.Pairs[0].Value, &r); err != nil {
-				t.log.Error("dispatch: the record of a wave cannot be read", zap.Int64("wave", w.Number), zap.Error(err))
-			}
+	}
+	t.post(func() {
+		maps.Copy(w.begun, r.Begun)
+		w.known, w.told = true, bytes.Equal(status, completed)
+		if status == nil {
+			key, value := t.o.Waves.Status(w.Number, false)
+			t.record(w, key, value)
 		}
-		told := len(status.Pairs) > 0 && string(status.Pairs[0].Value) == string(completed)
-		t.post(func() {
-			maps.Copy(w.begun, r.Begun)
-			w.known, w.told = true, told
-			if len(status.Pairs) == 0 {
-				key, value := t.o.Waves.Status(w.Number, false)
-				t.record(w, key, value)
-			}
-		})
-		return
+	})
+}
+
+// readKey reads a key until the store answers, nil where there is none; an error means that the term has ended.
+func (t *term) readKey(key string) ([]byte, error) {
+	res, err := retry.Read(t.ctx, func(ctx context.Context) (store.RangeResult, error) {
+		ctx, cancel := context.WithTimeout(ctx, storeWithin)
+		defer cancel()
+		return t.o.Store.Range(ctx, store.Range{Key: key})
+	}, retry.Between(commitAgain, commitAgainMost))
+	if err != nil || len(res.Pairs) == 0 {
+		return nil, err
 	}
+	return res.Pairs[0].Value, nil
 }
 
 // recordWave makes durable which VMs have begun. A successor that does not know of one clears it again and
--- a/store/follow/follow.go
+++ b/store/follow/follow.go
@@ -89,3 +89,14 @@
 	f.Reset(res.Pairs, res.Revision)
 	return res.Revision, nil
 }
+
+// Written gives the keys that were written by some changes, without those that were deleted.
+func Written(events []store.Event) []store.Pair {
+	var out []store.Pair
+	for i := range events {
+		if !events[i].Deleted {
+			out = append(out, events[i].Pair)
+		}
+	}
+	return out
+}
