--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -249,6 +249,14 @@
 	return &job.Work{ID: id, Queue: c.config.Queues[0], Spec: "spec of " + id, Steps: []job.Step{s}, Accepted: time.Now()}
 }
 
+// hand submits a work of one step to the queue of that name.
+func (c *cell) hand(v *vm, queue, id string, s job.Step) {
+	c.t.Helper()
+	w := c.work(id, s)
+	w.Queue = *c.config.Named(queue)
+	c.submit(v, w)
+}
+
 func (c *cell) submit(v *vm, w *job.Work) {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -126,9 +126,7 @@
 		time.Sleep(5 * time.Second)
 		var handed time.Time
 		for i := range 150 {
-			w := c.work(fmt.Sprint("small", i), job.Step{Tasks: 1, Estimate: 3 * time.Second})
-			w.Queue = c.config.Queues[1]
-			c.submit(v, w)
+			c.hand(v, "batch", fmt.Sprint("small", i), job.Step{Tasks: 1, Estimate: 3 * time.Second})
 			if i == 50 {
 				handed = time.Now()
 				c.submit(v, c.work("gang", job.Step{
@@ -294,11 +292,7 @@
 		c.workers(2, 4)
 		v := c.owner()
 		time.Sleep(5 * time.Second)
-		check := func(id string, tasks int) {
-			w := c.work(id, job.Step{Tasks: tasks, Estimate: time.Second})
-			w.Queue = c.config.Queues[1]
-			c.submit(v, w)
-		}
+		check := func(id string, tasks int) { c.hand(v, "check", id, job.Step{Tasks: tasks, Estimate: time.Second}) }
 		check("before", 8)
 		handed := time.Now()
 		c.submit(v, c.work("gang", job.Step{
@@ -382,11 +376,7 @@
 		c.workers(4, 4)
 		v := c.owner()
 		time.Sleep(5 * time.Second)
-		check := func(i int) {
-			w := c.work(fmt.Sprint("check", i), job.Step{Tasks: 1, Estimate: time.Second})
-			w.Queue = c.config.Queues[1]
-			c.submit(v, w)
-		}
+		check := func(i int) { c.hand(v, "check", fmt.Sprint("check", i), job.Step{Tasks: 1, Estimate: time.Second}) }
 		c.submit(v, c.work("long", job.Step{Tasks: 2, MostPerWorker: 1, Estimate: time.Minute}))
 		time.Sleep(time.Second)
 		for i := range 10 {
--- a/dispatch/govern_test.go
+++ b/dispatch/govern_test.go
@@ -76,13 +76,7 @@
 		v := c.owner()
 		time.Sleep(5 * time.Second)
 		hand := func(queue, id string, tasks int) {
-			w := c.work(id, job.Step{Tasks: tasks, Estimate: 2 * time.Second})
-			for i := range c.config.Queues {
-				if c.config.Queues[i].Name == queue {
-					w.Queue = c.config.Queues[i]
-				}
-			}
-			c.submit(v, w)
+			c.hand(v, queue, id, job.Step{Tasks: tasks, Estimate: 2 * time.Second})
 		}
 		c.rules(1, `[{"id":"sweeps","when":"class == \"sweep\"","then":[{"kind":"limit","with":{"mostRunning":3}}]},
 			{"id":"batches","when":"class in [\"sweep\", \"batch\"]","then":[{"kind":"queue","with":{"priority":4}}]}]`)
