Take an entry of a worker that cannot be read for no worker

A known worker whose entry turns unreadable gets nothing new; its runs, lease and ends go on. The log tells so once.

--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -24,9 +24,12 @@
 	listing worker.Listing
 	// listed says that the worker's entry is in the store now.
 	listed bool
-	agent  *worker.Agent
-	stop   context.CancelFunc
-	orders chan holdOrder
+	// unreadable says that the entry is there and cannot be read: it names no worker for new tasks, and
+	// what was proved of the worker before holds on.
+	unreadable bool
+	agent      *worker.Agent
+	stop       context.CancelFunc
+	orders     chan holdOrder
 	// free is the capacity less what is charged; held is the part of free kept for a stage that waits
 	// for its permits.
 	free job.Resources
@@ -73,7 +76,7 @@
 
 // usable reports whether new runs may be placed on the worker.
 func (n *node) usable(now time.Time) bool {
-	return n.listed && n.synced && !n.listing.Leaving && n.strange == 0 && n.misses == 0 &&
+	return n.listed && !n.unreadable && n.synced && !n.listing.Leaving && n.strange == 0 && n.misses == 0 &&
 		now.After(n.unwell) && n.heard.After(n.silentAt) && (!n.holding || now.Before(n.due)) && !n.rests(now) && !n.clearing
 }
 
@@ -108,23 +111,28 @@
 func (t *term) resetWorkers(pairs []store.Pair) {
 	present := make(map[string]bool, len(pairs))
 	for i := range pairs {
-		if l, ok := t.listing(pairs[i].Key, pairs[i].Value); ok {
-			present[l.ID] = true
-			t.setWorker(l)
-		}
+		present[workID(pairs[i].Key, t.o.WorkersPrefix)] = true
+		t.takeListing(pairs[i].Key, pairs[i].Value)
 	}
 	for id, n := range t.nodes {
 		if n.listed && !present[id] {
 			t.unlist(n)
 		}
 	}
+	for id := range t.unreadable {
+		if !present[id] {
+			delete(t.unreadable, id)
+		}
+	}
 }
 
 func (t *term) changeWorkers(events []store.Event) {
 	for i := range events {
 		e := &events[i]
 		if e.Deleted {
-			if n := t.nodes[workID(e.Pair.Key, t.o.WorkersPrefix)]; n != nil {
+			id := workID(e.Pair.Key, t.o.WorkersPrefix)
+			delete(t.unreadable, id)
+			if n := t.nodes[id]; n != nil {
 				left := n.hasLeft(time.Now())
 				t.unlist(n)
 				if left {
@@ -133,10 +141,34 @@
 			}
 			continue
 		}
-		if l, ok := t.listing(e.Pair.Key, e.Pair.Value); ok {
-			t.setWorker(l)
+		t.takeListing(e.Pair.Key, e.Pair.Value)
+	}
+}
+
+// takeListing takes in an entry of a worker, which another writer may have written. One that cannot be
+// read names no worker, so that nothing new starts on a worker that was known; its runs, its lease and
+// the ends that it lists are facts that the entry does not change. The log tells of it once, not each
+// time that the entry is written.
+func (t *term) takeListing(key string, raw []byte) {
+	id := workID(key, t.o.WorkersPrefix)
+	l, err := t.o.DecodeWorker(key, raw)
+	n := t.nodes[id]
+	if err != nil {
+		if !t.unreadable[id] {
+			t.log.Warn("dispatch: worker's entry cannot be read", zap.String("key", key), zap.Bool("known", n != nil), zap.Error(err))
+		}
+		t.unreadable[id] = true
+		if n != nil {
+			n.unreadable = true
 		}
+		return
+	}
+	if t.unreadable[id] {
+		t.log.Info("dispatch: worker's entry can be read again", zap.String("key", key))
+		delete(t.unreadable, id)
 	}
+	t.setWorker(l)
+	t.nodes[l.ID].unreadable = false
 }
 
 // leftWithin is how old the last entry of a leaving worker may be when it is removed. Entries of silent
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -11,7 +11,6 @@
 	"turmericgap/owner"
 	"turmericgap/permit"
 	"turmericgap/rule"
-	"turmericgap/worker"
 )
 
 // term is one tenure, from the reading of the cell's state to its end.
@@ -33,6 +32,8 @@
 	// endedOrder holds the ended works by their end, oldest first.
 	endedOrder []string
 	nodes      map[string]*node
+	// unreadable holds the IDs of workers whose entries cannot be read.
+	unreadable map[string]bool
 	// stages holds those with waiting tasks whose turn has come.
 	stages map[*stage]struct{}
 	// timed holds the entries with occurrences that are not due yet.
@@ -64,7 +65,7 @@
 	t := &term{
 		o: o, log: o.Logger.With(zap.Int64("fence", tenure.Fence)), tenure: tenure, since: time.Now(),
 		events: make(chan func(), eventRing), entries: make(map[string]*entry), ended: make(map[string]Ended),
-		nodes: make(map[string]*node), stages: make(map[*stage]struct{}), timed: make(map[*entry]struct{}),
+		nodes: make(map[string]*node), unreadable: make(map[string]bool), stages: make(map[*stage]struct{}), timed: make(map[*entry]struct{}),
 		desk: permit.NewDesk(), grants: make(map[string]float64), sizes: make(sizes), underRule: make(map[string]int),
 	}
 	t.commits.name()
@@ -185,12 +186,3 @@
 		t.followWaves()
 	}
 }
-
-func (t *term) listing(key string, raw []byte) (worker.Listing, bool) {
-	l, err := t.o.DecodeWorker(key, raw)
-	if err != nil {
-		t.log.Warn("dispatch: a worker's entry cannot be read", zap.String("key", key), zap.Error(err))
-		return l, false
-	}
-	return l, true
-}
--- a/dispatch/worker_test.go
+++ b/dispatch/worker_test.go
@@ -375,3 +375,34 @@
 		c.judge()
 	})
 }
+
+// Another writer spoils the entry of a worker on which tasks run, and adds one that names no worker. The
+// tasks end where they are and once, new ones go to the other worker, and the spoiled one is used again
+// when its own entry is back.
+func TestEntryThatCannotBeRead(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(3*time.Second), "vm1")
+		ws := c.workers(2, 4)
+		v := c.owner()
+		c.submit(v, c.work("first", job.Step{Tasks: 8}))
+		time.Sleep(time.Second)
+		is.Equal(ws[0].Active(), 4)
+		spoiled := []byte{0xc1, 0xff}
+		c.put(store.Op{Key: workersPrefix + ws[0].Info().ID, Value: spoiled})
+		c.put(store.Op{Key: workersPrefix + "nobody", Value: spoiled})
+		time.Sleep(time.Second)
+		c.submit(v, c.work("second", job.Step{Tasks: 4}))
+		c.until(v, "second", job.WorkCompleted, 10*time.Second)
+		c.until(v, "first", job.WorkCompleted, time.Second)
+		is.Equal(c.runs("first")+c.runs("second"), 12)
+		for _, r := range c.floor.History() {
+			is.True(r.Task.Work == "first" || r.Worker == ws[1].Info().ID)
+		}
+		c.list(worker.Listing{Info: ws[0].Info(), Pool: pool, Labels: []string{"a", "r1"}})
+		time.Sleep(time.Second)
+		c.submit(v, c.work("third", job.Step{Tasks: 8}))
+		c.until(v, "third", job.WorkCompleted, 5*time.Second)
+		c.judge()
+	})
+}
