Ask a worker beside a hold that should have told of an end

Cause: a hold whose answer is lost, or that a worker carries out late, was given up only after 1.5 s, and all ends on its worker stayed unheard meanwhile. Change: the end of each run is reckoned from its percent or its estimate; where one is overdue by 0.1 s under a hold without an answer, the worker is asked once beside it. Older answers are told by the clock.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -320,3 +321,22 @@
 	var f *rpc.Fault
 	return errors.As(err, &f) && f.Code == rpc.CodeNotFound
 }
+
+// endedAt reads when each work ended.
+func (c *cell) endedAt() map[string]time.Time {
+	c.t.Helper()
+	const prefix = "turmericgap/ended/"
+	res, err := c.kv.Store().Range(c.t.Context(), store.Range{Key: prefix, End: store.PrefixEnd(prefix)})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	at := make(map[string]time.Time, len(res.Pairs))
+	for i := range res.Pairs {
+		var end dispatch.Ended
+		if err := msgpack.Unmarshal(res.Pairs[i].Value, &end); err != nil {
+			c.t.Fatal(err)
+		}
+		at[strings.TrimPrefix(res.Pairs[i].Key, prefix)] = end.At
+	}
+	return at
+}
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -74,7 +74,7 @@
 		h.Until = n.clockNow(now) + t.o.MostHold
 		n.leaseEnd = now.Add(pause + t.leaseSpan())
 	}
-	n.holding, n.due = true, now.Add(pause+wait+holdLate)
+	n.holding, n.holdSent, n.due = true, now.Add(pause), now.Add(pause+wait+holdLate)
 	n.orders <- holdOrder{hold: h, pause: pause}
 }
 
@@ -91,10 +91,8 @@
 			zap.Int("ended", len(held.Ended)), zap.Int("misses", n.misses))
 		t.dirty = true
 	}
-	n.misses, n.heard = 0, now
-	n.clock, n.clockAt = held.Clock, now
-	t.onEnds(n, held.Ended)
-	t.onActive(n, held)
+	n.misses = 0
+	t.takeIn(n, held, now)
 	n.synced = true
 	if n.seen == n.observed {
 		t.next(n, holdWait, 0)
@@ -117,6 +115,17 @@
 	})
 }
 
+// takeIn takes in what a worker tells, unless it has told of later meanwhile, beside the hold.
+func (t *term) takeIn(n *node, held *worker.Held, now time.Time) {
+	if held.Clock < n.clock {
+		return
+	}
+	n.heard = now
+	n.clock, n.clockAt = held.Clock, now
+	t.onEnds(n, held.Ended)
+	t.onActive(n, held)
+}
+
 // proceed sends the hold that waited for ends to become durable.
 func (t *term) proceed(n *node, wait time.Duration) {
 	n.waiting++
@@ -222,7 +231,7 @@
 // seeRun notes what a worker tells of a run.
 func (t *term) seeRun(r *run, a *worker.Active, now time.Time) {
 	r.confirm()
-	r.recovered = false
+	r.recovered, r.seen = false, true
 	if a.Percent != r.percent || r.movedAt.IsZero() {
 		r.percent, r.movedAt = a.Percent, now
 	}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -62,7 +62,9 @@
 	// holding says that a hold is under way, waiting numbers the waits for durable ends.
 	holding bool
 	waiting int
-	misses  int
+	// holdSent is when the latest hold was sent, askedBeside when the worker was asked beside one.
+	holdSent, askedBeside time.Time
+	misses                int
 	// leaseEnd is when all that ran there has surely ended if the worker stays silent.
 	leaseEnd time.Time
 	unwell   time.Time
--- /dev/null
+++ b/dispatch/overdue.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"turmericgap/worker"
+)
+
+const (
+	// overdueAfter is how long an end may be overdue before its worker is asked beside a hold that has no
+	// answer: several times the way of an answer.
+	overdueAfter = 100 * time.Millisecond
+	// askedBesideLeast is the pause between two such questions; a task that takes longer than it should
+	// costs no more than one of them.
+	askedBesideLeast = 400 * time.Millisecond
+	// askedBesideWithin bounds such a question.
+	askedBesideWithin = 300 * time.Millisecond
+	// percentLeast is how far a run must be for its end to be reckoned from that, within a tenth.
+	percentLeast = 10
+)
+
+// askOverdue asks the workers whose hold should have told of an end by now. A hold whose answer is lost, or
+// that is carried out late, is given up only after its whole wait, and all ends on its worker stay unheard
+// meanwhile: where one hold of twenty was lost, one check of eight was late for that.
+func (t *term) askOverdue(now time.Time) {
+	for _, n := range t.nodes {
+		if n.holding && n.synced && n.misses == 0 && now.Sub(n.askedBeside) > askedBesideLeast && n.overdue(now) {
+			n.askedBeside = now
+			t.askBeside(n)
+		}
+	}
+}
+
+// overdue reports whether a run on the worker should have ended for a while, and the hold that would have
+// told so was sent before.
+func (n *node) overdue(now time.Time) bool {
+	for _, r := range n.runs {
+		if end := r.expectedEnd(); !end.IsZero() && end.After(n.holdSent) && now.Sub(end) > overdueAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// expectedEnd is when a run should end, reckoned from how far it was when last seen, or from its estimate if
+// it was not; zero where nothing can be said.
+func (r *run) expectedEnd() time.Time {
+	spec := r.s.spec
+	if r.begun.IsZero() || r.stopping || spec.Service || spec.Gang || !r.confirmed {
+		return time.Time{}
+	}
+	if r.recovered || r.percent < percentLeast {
+		if spec.Estimate == 0 || r.seen {
+			return time.Time{}
+		}
+		return r.begun.Add(spec.Estimate)
+	}
+	took := r.movedAt.Sub(r.begun)
+	return r.begun.Add(took * 100 / time.Duration(r.percent))
+}
+
+// askBeside asks a worker for its runs and ends without waiting, beside the hold that is under way.
+func (t *term) askBeside(n *node) {
+	agent, hold := n.agent, &worker.Hold{Fence: t.tenure.Fence, Observed: n.observed}
+	t.o.Metrics.Counter("dispatch.askedBeside").Inc(1)
+	t.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, askedBesideWithin)
+		defer cancel()
+		held, err := agent.Hold(ctx, hold)
+		if err != nil {
+			return // the hold that is under way tells what became of the worker
+		}
+		t.post(func() {
+			if !n.stopped(t) {
+				t.takeIn(n, held, time.Now())
+			}
+		})
+	})
+}
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -11,6 +11,7 @@
 	t.lapse(now)
 	t.overWithGang()
 	t.haltAgain(now)
+	t.askOverdue(now)
 	t.leaveStill(now)
 	for e := range t.timed {
 		t.beginDue(e, now)
