Let an entry VM that the store declines ask the others who owns the cell

A silent owner rests by its ID, so that its successor is asked at once. TestRepeatAfterOpenOutcome cuts its VM off from the others as its comment says: it relied on the VM's knowing no owner, and is as strict as before.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -63,7 +63,9 @@
 	peers  *rpc.Pool
 	// deaf cuts its connections to workers.
 	deaf atomic.Bool
-	dead atomic.Bool
+	// apart cuts its new connections to other VMs.
+	apart atomic.Bool
+	dead  atomic.Bool
 }
 
 func newCell(t *testing.T, behave func(worker.Task, int64) floor.Behaviour, vms ...string) *cell {
@@ -90,7 +92,12 @@
 func (c *cell) bootStrong(id string, strength int) *vm {
 	v := &vm{id: id, server: rpc.NewServer()}
 	monitor, kv := health.New(c.kv.Client(&v.store))
-	v.peers = rpc.NewPool(rpc.Dial(c.dial))
+	v.peers = rpc.NewPool(rpc.Dial(func(ctx context.Context, address string) (net.Conn, error) {
+		if v.apart.Load() {
+			return nil, errors.New("connection refused")
+		}
+		return c.dial(ctx, address)
+	}))
 	log := zap.NewNop()
 	rules := configuration.NewRules(log)
 	ask := func(ctx context.Context, q *permit.Question) (*permit.Answer, error) { return c.answer(ctx, q) }
@@ -112,7 +119,7 @@
 		dispatch.Bounds(mostHold, 200*time.Millisecond, 2*time.Minute))
 	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id, Strength: strength}, owner.Logger(log), owner.Lead(v.disp.Lead), owner.Rules(rules.Take))
 	v.front = front.New(front.Options{
-		Store: kv, Dispatcher: v.disp, Group: v.group, Peers: v.peers, Permits: ask, Decide: rules.Decide, StoreHeard: monitor.Heard, StoreSilent: monitor.Silent, Logger: log,
+		Store: kv, Dispatcher: v.disp, Group: v.group, Peers: v.peers, Permits: ask, Decide: rules.Decide, StoreHeard: monitor.Heard, StoreFailing: monitor.Failing, StoreSilent: monitor.Silent, Logger: log,
 	})
 	v.front.Register(v.server)
 	c.mu.Lock()
--- a/dispatch/store_test.go
+++ b/dispatch/store_test.go
@@ -112,6 +112,7 @@
 		c.workers(1, 4)
 		first := c.owner()
 		time.Sleep(time.Second)
+		first.apart.Store(true)
 		first.store.Cut(true)
 		code := func() rpc.Code {
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
--- a/front/front.go
+++ b/front/front.go
@@ -22,8 +22,10 @@
 	accept *acceptor
 	cancel context.CancelFunc
 	open   openIDs
-	// silent is until when an owner that did not answer is not asked for states, in nanoseconds.
-	silent atomic.Int64
+	// located is what other VMs have told of the owner.
+	located located
+	// silent is the last owner that did not answer.
+	silent atomic.Pointer[silence]
 }
 
 // New returns a Front that takes submissions at once.
@@ -100,32 +102,38 @@
 	if f.o.Dispatcher.Leads() {
 		return f.o.Dispatcher.Accept(ctx, w)
 	}
-	peer, err := f.owner()
+	peer, err := f.owner(ctx)
 	if err != nil {
 		return err
 	}
-	if err := f.rested(); err != nil {
+	if err := f.rested(&peer); err != nil {
 		return err
 	}
 	_, err = rpc.Call[submitRequest, none](ctx, f.o.Peers.Get(peer.Address), methodAccept, &submitRequest{Work: *w})
-	f.heard(err)
+	f.heard(&peer, err)
 	return err
 }
 
+// silence is until when an owner that did not answer is left alone.
+type silence struct {
+	owner string
+	until time.Time
+}
+
 // rested refuses to ask an owner that did not answer lately. Each caller of a VM that is cut off from
 // the owner would wait for it in vain before the store is asked.
-func (f *Front) rested() error {
-	until := time.Unix(0, f.silent.Load())
-	if time.Now().Before(until) {
-		return rpc.Refused(time.Until(until), "the owner of the cell did not answer lately")
+func (f *Front) rested(peer *owner.Node) error {
+	s := f.silent.Load()
+	if s != nil && s.owner == peer.ID && time.Now().Before(s.until) {
+		return rpc.Refused(time.Until(s.until), "the owner of the cell did not answer lately")
 	}
 	return nil
 }
 
 // heard notes a call to the owner without an answer.
-func (f *Front) heard(err error) {
+func (f *Front) heard(peer *owner.Node, err error) {
 	if err != nil && rpc.AsFault(err) == nil {
-		f.silent.Store(time.Now().Add(ownerRest).UnixNano())
+		f.silent.Store(&silence{peer.ID, time.Now().Add(ownerRest)})
 	}
 }
 
@@ -136,7 +144,7 @@
 	if fault == nil || fault.Code != rpc.CodeRefused || f.o.Dispatcher.Leads() {
 		return cause
 	}
-	peer, ok := f.o.Group.Owner()
+	peer, ok := f.locate(ctx)
 	if !ok || peer.ID == f.o.Group.Self().ID {
 		return cause
 	}
@@ -160,7 +168,7 @@
 		f.logOffer(w, f.o.Dispatcher.Offer(ctx, []job.Work{*w}))
 		return
 	}
-	peer, ok := f.o.Group.Owner()
+	peer, _, ok := f.o.Group.Owned()
 	if !ok {
 		return
 	}
@@ -198,23 +206,23 @@
 	if f.o.Dispatcher.Leads() {
 		return f.o.Dispatcher.Status(ctx, id)
 	}
-	peer, err := f.owner()
+	peer, err := f.owner(ctx)
 	if err != nil {
 		return "", err
 	}
-	if err := f.rested(); err != nil {
+	if err := f.rested(&peer); err != nil {
 		return "", err
 	}
 	out, err := rpc.Call[idRequest, statusReply](ctx, f.o.Peers.Get(peer.Address), methodStatus, &idRequest{ID: id})
-	f.heard(err)
+	f.heard(&peer, err)
 	if err != nil {
 		return "", err
 	}
 	return out.State, nil
 }
 
-func (f *Front) owner() (owner.Node, error) {
-	peer, ok := f.o.Group.Owner()
+func (f *Front) owner(ctx context.Context) (owner.Node, error) {
+	peer, ok := f.locate(ctx)
 	if !ok || peer.ID == f.o.Group.Self().ID {
 		return peer, rpc.Refused(retryOwner, "the cell has no owner just now")
 	}
@@ -259,7 +267,7 @@
 	if f.o.Dispatcher.Leads() {
 		return f.o.Dispatcher.Cancel(ctx, id)
 	}
-	peer, err := f.owner()
+	peer, err := f.owner(ctx)
 	if err != nil {
 		return err
 	}
@@ -277,7 +285,7 @@
 	if f.o.Dispatcher.Leads() {
 		return f.o.Dispatcher.Waiting(ctx, queue)
 	}
-	peer, err := f.owner()
+	peer, err := f.owner(ctx)
 	if err != nil {
 		return 0, err
 	}
--- a/front/options.go
+++ b/front/options.go
@@ -62,10 +62,11 @@
 	Permits permit.Ask
 	// Decide gives what the operators' rules decide for a work; nil decides nothing.
 	Decide func(w *job.Work) rule.Effect
-	// StoreHeard gives when the store last answered, StoreSilent since when calls have no outcome, and
-	// whether it is so now.
-	StoreHeard  func() time.Time
-	StoreSilent func() (since time.Time, silent bool)
-	Logger      *zap.Logger
-	Metrics     *metric.Registry
+	// StoreHeard gives when the store last answered. StoreFailing tells since when it gives no answers of
+	// use, StoreSilent since when calls have an open outcome, and both whether it is so now.
+	StoreHeard   func() time.Time
+	StoreFailing func() (since time.Time, failing bool)
+	StoreSilent  func() (since time.Time, silent bool)
+	Logger       *zap.Logger
+	Metrics      *metric.Registry
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -17,6 +17,7 @@
 	methodStatus  = "Front.Status"
 	methodCancel  = "Front.Cancel"
 	methodWaiting = "Front.Waiting"
+	methodOwner   = "Front.Owner"
 	// MethodAsk puts a question to the policy service from the callee's VM.
 	MethodAsk = "Front.Ask"
 )
@@ -73,6 +74,7 @@
 		n, err := f.o.Dispatcher.Waiting(ctx, in.Queue)
 		return &waitingReply{Waiting: n}, err
 	})
+	rpc.Handle(s, methodOwner, f.serveOwner)
 	rpc.Handle(s, MethodAsk, func(ctx context.Context, in *permit.Question) (*permit.Answer, error) {
 		return f.o.Permits(ctx, in)
 	})
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -155,11 +155,14 @@
 // Self gives this VM's entry.
 func (g *Group) Self() Node { return g.self }
 
-// Owner gives the last known owner of the cell.
-func (g *Group) Owner() (Node, bool) {
+// Owned gives the last known owner of the cell and its fencing token.
+func (g *Group) Owned() (node Node, fence int64, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ownerAs, g.owner != nil
+	if g.owner == nil {
+		return Node{}, 0, false
+	}
+	return g.ownerAs, g.owner.ModRevision, true
 }
 
 // Nodes gives the live entry VMs by ID.
