Replace an owner that is dead, declined or slow sooner than its lease lapses

Change: the first VM of each zone pings the owner, and takes the cell over when it is silent for 0.3 s and half of the others reach it neither; the store decides, by the condition on the owner's key. An owner that the store declines while it answers others, or that lags and finds a VM twice as fast, hands the cell over. rpc.Client.Close ends a connection that is being opened.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -92,12 +92,13 @@
 func (c *cell) bootStrong(id string, strength int) *vm {
 	v := &vm{id: id, server: rpc.NewServer()}
 	monitor, kv := health.New(c.kv.Client(&v.store))
-	v.peers = rpc.NewPool(rpc.Dial(func(ctx context.Context, address string) (net.Conn, error) {
+	dial := rpc.Dial(func(ctx context.Context, address string) (net.Conn, error) {
 		if v.apart.Load() {
 			return nil, errors.New("connection refused")
 		}
 		return c.dial(ctx, address)
-	}))
+	})
+	v.peers = rpc.NewPool(dial)
 	log := zap.NewNop()
 	rules := configuration.NewRules(log)
 	ask := func(ctx context.Context, q *permit.Question) (*permit.Answer, error) { return c.answer(ctx, q) }
@@ -117,11 +118,13 @@
 				return rpc.Call[permit.Question, permit.Answer](ctx, v.peers.Get(from.Address), front.MethodAsk, q)
 			}),
 		dispatch.Bounds(mostHold, 200*time.Millisecond, 2*time.Minute))
-	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id, Strength: strength}, owner.Logger(log), owner.Lead(v.disp.Lead), owner.Rules(rules.Take))
+	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id, Strength: strength}, owner.Logger(log), owner.Lead(v.disp.Lead), owner.Rules(rules.Take),
+		owner.Failing(monitor.Failing), owner.Peers(func(address string) *rpc.Client { return rpc.NewClient(address, dial) }))
 	v.front = front.New(front.Options{
 		Store: kv, Dispatcher: v.disp, Group: v.group, Peers: v.peers, Permits: ask, Decide: rules.Decide, StoreHeard: monitor.Heard, StoreFailing: monitor.Failing, StoreSilent: monitor.Silent, Logger: log,
 	})
 	v.front.Register(v.server)
+	v.group.Register(v.server)
 	c.mu.Lock()
 	c.vms[id] = v
 	c.mu.Unlock()
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -46,6 +46,7 @@
 	config  *job.Config
 	rules   *rule.List
 	dirty   bool
+	lag     lag
 	// reported is when the state of the cell was last logged.
 	reported time.Time
 	// removed lists the ended records that the next commits take away.
@@ -86,7 +87,8 @@
 		case f := <-t.events:
 			f()
 			t.drain()
-		case <-tick.C:
+		case at := <-tick.C:
+			t.lag.take(time.Since(at))
 			t.onTick(time.Now())
 		}
 		t.syncConfig()
--- a/owner/claim.go
+++ b/owner/claim.go
@@ -23,6 +23,7 @@
 		}
 		g.tidy()
 		g.yield()
+		g.relieve()
 		if g.vacant() {
 			g.pause(time.Duration(g.rank()) * claimStagger)
 		}
@@ -90,12 +91,19 @@
 	return g.listed && g.owner == nil && g.tenure == nil && !g.leaving && g.holder.Valid()
 }
 
+// mayClaim reports whether this VM may take the cell from another owner.
+func (g *Group) mayClaim() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tenure == nil && !g.leaving && g.holder.Valid()
+}
+
 // rank counts the nodes that go before this one: stronger ones, and of equal strength those of lower
 // ID. A weak VM that owned a large cell could not keep up with its workers, and no work would start.
 func (g *Group) rank() int {
 	rank := 0
 	for _, n := range g.Nodes() {
-		if n.Strength > g.self.Strength || n.Strength == g.self.Strength && n.ID < g.self.ID {
+		if n.before(&g.self) {
 			rank++
 		}
 	}
@@ -104,11 +112,11 @@
 
 // try writes the owner's key, whose last change must be the given one, zero for none. An answer that is lost is no failure: the watch then shows the key
 // as ours, and the tenure begins with what the store says of it.
-func (g *Group) try(last int64) {
+func (g *Group) try(last int64) (taken bool) {
 	raw, err := msgpack.Marshal(&g.self)
 	if err != nil {
 		g.log.Error("owner: entry cannot be encoded", zap.Error(err))
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, callWithin)
 	defer cancel()
@@ -120,11 +128,12 @@
 	if err != nil {
 		g.log.Warn("owner: claim without an answer", zap.Error(err))
 		g.settle(ctx, leaseID)
-		return
+		return false
 	}
 	if res.Succeeded {
 		g.begin(res.Revision)
 	}
+	return res.Succeeded
 }
 
 // settle reads the owner's key after a claim whose answer was lost. A key under this VM's present
@@ -164,23 +173,33 @@
 // endTenure ends the tenure, waits for what runs in it, and gives up the key.
 func (g *Group) endTenure(why string) {
 	g.mu.Lock()
-	t, cancel, done := g.tenure, g.endTerm, g.termDone
+	t := g.tenure
 	g.mu.Unlock()
-	if t == nil {
-		return
+	if t != nil && g.stopTenure(t, why) {
+		g.release(t)
+		g.poke()
+	}
+}
+
+// stopTenure ends a tenure and waits for what runs in it; false means that it had ended before.
+func (g *Group) stopTenure(t *Tenure, why string) bool {
+	g.mu.Lock()
+	current, cancel, done := g.tenure == t, g.endTerm, g.termDone
+	g.mu.Unlock()
+	if !current {
+		return false
 	}
 	cancel()
 	<-done
 	g.mu.Lock()
 	if g.tenure != t {
 		g.mu.Unlock()
-		return
+		return false
 	}
 	g.tenure, g.lost = nil, max(g.lost, t.Revision)
 	g.mu.Unlock()
 	g.log.Info("owner: this VM no longer owns the cell", zap.Int64("fence", t.Fence), zap.String("reason", why))
-	g.release(t)
-	g.poke()
+	return true
 }
 
 // release removes the key so that another VM need not wait for the lease to lapse.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/lease"
+	"turmericgap/rpc"
 	"turmericgap/store"
 	"turmericgap/store/follow"
 	"turmericgap/store/retry"
@@ -87,6 +88,16 @@
 	rules func(raw []byte)
 	ttl   time.Duration
 	renew time.Duration
+	// client opens a connection of its own to another VM.
+	client func(address string) *rpc.Client
+	// failing tells since when the store gives this VM no answers, overloaded that its work lags.
+	failing    func() (since time.Time, failing bool)
+	overloaded func() bool
+	// paceWork is timed to see how fast this VM works, pacedAt says when last; searched is when another VM
+	// was last looked for. Each belongs to one goroutine.
+	paceWork []byte
+	pacedAt  time.Time
+	searched time.Time
 
 	holder *lease.Holder
 	ctx    context.Context
@@ -103,6 +114,7 @@
 	leaving  bool
 	outdone  time.Time // since when the owner here is outdone by a much stronger VM
 	lost     int64     // the revision of an owner's key that was reported lost
+	pace     time.Duration
 	tenure   *Tenure
 	endTerm  context.CancelFunc
 	termDone chan struct{}
@@ -120,6 +132,19 @@
 // Rules sets what gets the operators' rules as they are stored. It must not call the group.
 func Rules(take func(raw []byte)) Option { return func(g *Group) { g.rules = take } }
 
+// Peers sets how connections to other VMs are opened.
+func Peers(client func(address string) *rpc.Client) Option {
+	return func(g *Group) { g.client = client }
+}
+
+// Failing sets what tells that the store gives this VM no answers.
+func Failing(f func() (since time.Time, failing bool)) Option {
+	return func(g *Group) { g.failing = f }
+}
+
+// Overloaded sets what tells that this VM cannot keep up with the cell that it owns.
+func Overloaded(f func() bool) Option { return func(g *Group) { g.overloaded = f } }
+
 // TTL sets the lease and the pause between its renewals.
 func TTL(ttl, renew time.Duration) Option {
 	return func(g *Group) { g.ttl, g.renew = ttl, renew }
@@ -129,9 +154,12 @@
 func New(kv *store.Store, self Node, opts ...Option) *Group {
 	g := &Group{
 		store: kv, self: self, log: zap.NewNop(), ttl: DefaultTTL, renew: DefaultRenew,
-		lead:  func(ctx context.Context, _ *Tenure) { <-ctx.Done() },
-		rules: func([]byte) {},
-		nodes: make(map[string]Node), wake: make(chan struct{}, 1),
+		lead:    func(ctx context.Context, _ *Tenure) { <-ctx.Done() },
+		rules:   func([]byte) {},
+		client:  func(address string) *rpc.Client { return rpc.NewClient(address) },
+		failing: func() (time.Time, bool) { return time.Time{}, false }, overloaded: func() bool { return false },
+		paceWork: make([]byte, paceBytes),
+		nodes:    make(map[string]Node), wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(g)
@@ -150,6 +178,7 @@
 	g.wg.Go(g.follow)
 	g.wg.Go(g.claim)
 	g.wg.Go(g.enter)
+	g.wg.Go(g.succeed)
 }
 
 // Self gives this VM's entry.
--- /dev/null
+++ b/owner/succession.go
@@ -0,0 +1,208 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/rpc"
+)
+
+const (
+	// pingEvery is the pause between two pings of the owner by a candidate, pingWithin how long each may
+	// take: a hundred times the way between zones.
+	pingEvery  = 100 * time.Millisecond
+	pingWithin = 100 * time.Millisecond
+	// pingsMost is how many pings in a row have no answer before the other VMs are asked.
+	pingsMost = 3
+	// agreeWithin bounds that question: a ping by each of them and the way there.
+	agreeWithin = pingWithin + 50*time.Millisecond
+)
+
+// Methods between the VMs.
+const (
+	methodPing  = "Owner.Ping"
+	methodReach = "Owner.Reach"
+	methodTake  = "Owner.Take"
+)
+
+type none struct{}
+
+// pong is what a VM tells of itself.
+type pong struct {
+	// Leads says that the VM owns the cell under the token Fence.
+	Fence int64 `msgpack:"f"`
+	// Served says that the store answers it.
+	Served bool `msgpack:"s"`
+	// Pace is how long it takes for a fixed piece of work.
+	Pace time.Duration `msgpack:"p"`
+}
+
+type reachRequest struct {
+	Node Node `msgpack:"n"`
+}
+
+type reachReply struct {
+	Reached bool `msgpack:"r"`
+}
+
+type takeRequest struct {
+	Fence int64 `msgpack:"f"`
+}
+
+type takeReply struct {
+	Taken bool `msgpack:"t"`
+}
+
+// Register lets other VMs ping this one, ask it whom it reaches, and hand the cell over to it.
+func (g *Group) Register(s *rpc.Server) {
+	rpc.Handle(s, methodPing, func(context.Context, *none) (*pong, error) { return g.pong(), nil })
+	rpc.Handle(s, methodReach, func(ctx context.Context, in *reachRequest) (*reachReply, error) {
+		client := g.client(in.Node.Address)
+		defer client.Close()
+		_, err := ping(ctx, client)
+		return &reachReply{Reached: err == nil}, nil
+	})
+	rpc.Handle(s, methodTake, func(_ context.Context, in *takeRequest) (*takeReply, error) {
+		return &takeReply{Taken: g.served() && g.mayClaim() && g.try(in.Fence)}, nil
+	})
+}
+
+func (g *Group) pong() *pong {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := &pong{Served: g.served(), Pace: g.pace}
+	if g.tenure != nil {
+		p.Fence = g.tenure.Fence
+	}
+	return p
+}
+
+// served reports whether the store answers this VM.
+func (g *Group) served() bool {
+	_, failing := g.failing()
+	return !failing
+}
+
+func ping(ctx context.Context, c *rpc.Client) (*pong, error) {
+	ctx, cancel := context.WithTimeout(ctx, pingWithin)
+	defer cancel()
+	return rpc.Call[none, pong](ctx, c, methodPing, &none{})
+}
+
+// succeed takes the cell over from an owner that is dead, frozen or cut off, as soon as most VMs agree that
+// it is silent. Its lease alone would keep the cell standing for another second, in which no check is in time.
+// The key is replaced under the condition that it has not changed: an owner that lives after all is refused
+// by the store and fenced by the workers, as after a lapse.
+func (g *Group) succeed() {
+	tick := time.NewTicker(pingEvery)
+	defer tick.Stop()
+	var watched watched
+	defer watched.close()
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		g.takePace()
+		node, fence, ok := g.Owned()
+		if !ok || !g.candidate(node) {
+			watched.close()
+			continue
+		}
+		if watched.pings(g, node, fence) && g.served() && g.mayClaim() && g.agreed(node) {
+			g.log.Info("owner: most VMs agree that the owner is silent", zap.String("owner", node.ID), zap.Int64("fence", fence))
+			g.try(fence)
+			watched.close()
+		}
+	}
+}
+
+// watched is the owner that a candidate pings.
+type watched struct {
+	fence  int64
+	client *rpc.Client
+	misses int
+}
+
+func (w *watched) close() {
+	if w.client != nil {
+		w.client.Close()
+	}
+	*w = watched{}
+}
+
+// pings sends one ping, and reports whether the owner has been silent for long enough. Each miss gives the
+// connection up, since it may be that alone which has gone silent.
+func (w *watched) pings(g *Group, node Node, fence int64) (silent bool) {
+	if w.fence != fence {
+		w.close()
+		w.fence = fence
+	}
+	if w.client == nil {
+		w.client = g.client(node.Address)
+	}
+	_, err := ping(g.ctx, w.client)
+	if err == nil {
+		w.misses = 0
+		return false
+	}
+	w.client.Close()
+	w.client = nil
+	if w.misses++; errors.Is(err, syscall.ECONNREFUSED) {
+		w.misses = pingsMost // nobody listens there
+	}
+	return w.misses >= pingsMost
+}
+
+// candidate reports whether this VM is the one of its zone that watches an owner: the first in the order of
+// claims. One for each zone is enough, and costs the owner few pings in a large cell.
+func (g *Group) candidate(of Node) bool {
+	if of.ID == g.self.ID {
+		return false
+	}
+	for _, n := range g.Nodes() {
+		if n.Zone == g.self.Zone && n.ID != of.ID && n.ID != g.self.ID && n.before(&g.self) {
+			return false
+		}
+	}
+	return true
+}
+
+// before reports whether a node goes before another in claims.
+func (n *Node) before(o *Node) bool {
+	return n.Strength > o.Strength || n.Strength == o.Strength && n.ID < o.ID
+}
+
+// agreed asks all other VMs whether they reach the owner. It takes at least one, and half of them, that do not:
+// a VM that is cut off from the rest would else take the cell away from an owner that serves everybody.
+func (g *Group) agreed(on Node) bool {
+	ctx, cancel := context.WithTimeout(g.ctx, agreeWithin)
+	defer cancel()
+	others := slices.DeleteFunc(g.Nodes(), func(n Node) bool { return n.ID == g.self.ID || n.ID == on.ID })
+	type vote struct{ reached, known bool }
+	votes := make(chan vote, len(others))
+	for i := range others {
+		go func() {
+			client := g.client(others[i].Address)
+			defer client.Close()
+			reply, err := rpc.Call[reachRequest, reachReply](ctx, client, methodReach, &reachRequest{Node: on})
+			votes <- vote{known: err == nil, reached: err == nil && reply.Reached}
+		}()
+	}
+	silent := 0
+	for range others {
+		switch v := <-votes; {
+		case v.reached:
+			return false
+		case v.known:
+			silent++
+		}
+	}
+	return silent > 0 && 2*silent >= len(others)
+}
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -28,6 +28,7 @@
 // dialing is a connection being opened, for which any number of calls may wait.
 type dialing struct {
 	done chan struct{}
+	stop context.CancelFunc
 	conn *link
 	err  error
 }
@@ -53,9 +54,10 @@
 	}
 	d := c.dialing
 	if d == nil {
-		d = &dialing{done: make(chan struct{})}
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		d = &dialing{done: make(chan struct{}), stop: cancel}
 		c.dialing = d
-		go c.open(d)
+		go c.open(ctx, d)
 	}
 	c.mu.Unlock()
 	select {
@@ -67,9 +69,8 @@
 }
 
 // open dials on behalf of all calls that wait.
-func (c *Client) open(d *dialing) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
+func (c *Client) open(ctx context.Context, d *dialing) {
+	defer d.stop()
 	conn, err := c.dial(ctx, c.address)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -109,12 +110,15 @@
 	}
 }
 
-// Close ends the connection.
+// Close ends the connection, and the opening of one.
 func (c *Client) Close() {
 	c.mu.Lock()
-	conn := c.conn
+	conn, d := c.conn, c.dialing
 	c.conn, c.dialing = nil, nil
 	c.mu.Unlock()
+	if d != nil {
+		d.stop()
+	}
 	if conn != nil {
 		conn.Close()
 	}
