Ask workers when their news is of use

Change: heartbeat.Pause, without input or output: a worker rests up to 0.4 s unless work waits for room or the end of a work's last task is near, reckoned from its percent; the rest ends as soon as work waits for room.

--- /dev/null
+++ b/dispatch/ask.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"turmericgap/heartbeat"
+)
+
+// ask sends the next hold to a worker that has answered, when its news will be of use.
+func (t *term) ask(n *node) {
+	now := time.Now()
+	select {
+	case <-n.hurry: // meant for a pause that was over
+	default:
+	}
+	t.next(n, holdWait, heartbeat.Pause(now, t.roomWanted, n.heartbeats(now)))
+}
+
+// heartbeats tells what the worker's runs mean to those who wait.
+func (n *node) heartbeats(now time.Time) []heartbeat.Run {
+	list := make([]heartbeat.Run, 0, len(n.runs))
+	for _, r := range n.runs {
+		if r.ended || r.s.spec.Service {
+			continue
+		}
+		last := r.stopping || r.last(now)
+		list = append(list, heartbeat.Run{Ends: r.endsAt(), Last: last})
+	}
+	return list
+}
+
+// endsAt is when a run is expected to end: as it got on when it was last seen, else by its estimate, which may
+// be twice too long.
+func (r *run) endsAt() time.Time {
+	if r.begun.IsZero() || r.stopping {
+		return time.Time{}
+	}
+	if !r.recovered && r.percent >= percentLeast {
+		return r.begun.Add(r.movedAt.Sub(r.begun) * 100 / time.Duration(r.percent))
+	}
+	return r.begun.Add(r.s.spec.Estimate / 2)
+}
+
+// last reports whether its caller or the next step waits for a run: it is the one of its stage that is expected
+// to end last. One end stands for all members of a gang, so that the first of them is asked.
+func (r *run) last(now time.Time) bool {
+	s := r.s
+	if s.waiting > 0 {
+		return false
+	}
+	if s.spec.Gang {
+		return r.index == 0
+	}
+	ends := r.endsAt()
+	for i := range s.tasks {
+		o := s.tasks[i].run
+		if o == nil || o == r || o.ended {
+			continue
+		}
+		if other := o.endsAt(); other.After(ends) || other.Equal(ends) && i > r.index {
+			return false
+		}
+	}
+	return true
+}
+
+// pause waits before a hold is sent, until the pause is over or the worker's news is wanted at once; false
+// means that ctx has ended.
+func (n *node) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-n.hurry:
+	}
+	return true
+}
+
+// hurryUp ends the pauses of all workers, as work has come to wait for room.
+func (t *term) hurryUp() {
+	for _, n := range t.nodes {
+		select {
+		case n.hurry <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// wantRoom notes whether work waits for room, which ends of tasks would give.
+func (t *term) wantRoom() {
+	wanted := false
+	for s := range t.stages {
+		if s.waiting > 0 && s.asking == 0 && !s.e.state.Final() {
+			wanted = true
+			break
+		}
+	}
+	if wanted && !t.roomWanted {
+		t.hurryUp()
+	}
+	t.roomWanted = wanted
+}
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"turmericgap/store/retry"
 	"turmericgap/worker"
 )
 
@@ -50,7 +49,7 @@
 		case <-ctx.Done():
 			return
 		case order := <-n.orders:
-			if order.pause > 0 && !retry.Sleep(ctx, order.pause) {
+			if order.pause > 0 && !n.pause(ctx, order.pause) {
 				return
 			}
 			call, cancel := context.WithTimeout(ctx, order.hold.Wait+holdSlack)
@@ -94,13 +93,9 @@
 	n.misses = 0
 	t.takeIn(n, held, now)
 	n.synced = true
-	if n.seen == n.observed {
-		t.next(n, holdWait, 0)
-		return
-	}
 	if n.unsaved == 0 {
 		n.observed = n.seen
-		t.next(n, holdWait, 0)
+		t.ask(n)
 		return
 	}
 	// The worker is told of the ends once they are durable; the lease must not wait for a slow store.
@@ -109,7 +104,7 @@
 	time.AfterFunc(observeWithin, func() {
 		t.post(func() {
 			if n.waiting == waiting {
-				t.proceed(n, 0)
+				t.proceed(n)
 			}
 		})
 	})
@@ -127,10 +122,10 @@
 }
 
 // proceed sends the hold that waited for ends to become durable.
-func (t *term) proceed(n *node, wait time.Duration) {
+func (t *term) proceed(n *node) {
 	n.waiting++
 	if !n.stopped(t) && n.idle() {
-		t.next(n, wait, 0)
+		t.next(n, 0, 0)
 	}
 }
 
@@ -152,8 +147,9 @@
 		}
 		n.observed = n.seen
 		t.retire(n)
-		if n.idle() {
-			t.proceed(n, holdWait)
+		if n.idle() && !n.stopped(t) {
+			n.waiting++
+			t.ask(n)
 		}
 	})
 }
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -30,6 +30,8 @@
 	agent      *worker.Agent
 	stop       context.CancelFunc
 	orders     chan holdOrder
+	// hurry ends the pause before a hold.
+	hurry chan struct{}
 	// free is the capacity less what is charged; held is the part of free kept for a stage that waits
 	// for its permits.
 	free job.Resources
@@ -188,7 +190,7 @@
 func (t *term) nodeFor(id string) *node {
 	n := t.nodes[id]
 	if n == nil {
-		n = &node{id: id, runs: make(map[runKey]*run), orders: make(chan holdOrder, 1)}
+		n = &node{id: id, runs: make(map[runKey]*run), orders: make(chan holdOrder, 1), hurry: make(chan struct{}, 1)}
 		t.nodes[id] = n
 	}
 	return n
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -54,6 +54,7 @@
 	for i := range order {
 		t.placeStage(order[i].s, now)
 	}
+	t.wantRoom()
 }
 
 // placeStage starts what it can of one stage.
--- /dev/null
+++ b/heartbeat/doc.go
@@ -0,0 +1,2 @@
+// Package heartbeat decides when a worker is asked next for its runs and ends. It does no input or output.
+package heartbeat
