Give large works an early turn while their class is served too seldom

Works that are large for their queue wait up to two objectives for their turn, and in an overload that lasts they are late by then, time and again. Change: aging, without input or output, takes over what dispatch/size.go had learned, and learns how often each class of sizes is served; a class of large ones below its share gets its turn early until it is served again.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -193,6 +193,9 @@
 	}
 	for _, e := range ch.closed {
 		delete(t.entries, e.work.ID)
+		if e.state == job.WorkCompleted {
+			t.judgeSize(e, true)
+		}
 		t.noteEnded(e.work.ID, Ended{State: e.state, At: time.Now(), Queue: e.work.Queue.Name})
 		t.log.Info("dispatch: work ended", zap.String("id", e.work.ID), zap.String("queue", e.work.Queue.Name),
 			zap.String("state", string(e.state)), zap.Duration("took", time.Since(e.work.Accepted)),
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -28,6 +28,8 @@
 	settled bool
 	// size is what the work takes, in core-seconds.
 	size float64
+	// sizeJudged says that it has counted as served or not.
+	sizeJudged bool
 	// objective is how long after it is due an occurrence should be done.
 	objective time.Duration
 	// unwritten says that the work itself is not durable yet: the next commit with the entry writes it.
--- a/dispatch/size.go
+++ b/dispatch/size.go
@@ -1,19 +1,13 @@
 package dispatch
 
-import "turmericgap/job"
+import (
+	"time"
 
-const (
-	// acceleratorCores is how many cores an accelerator counts as in the size of a work.
-	acceleratorCores = 8
-	// sizeWeight is the weight of the newest work in the mean size of its queue's works.
-	sizeWeight = 0.05
-	// patienceLeast and patienceMost bound how many objectives after it is due a work's turn comes.
-	patienceLeast = 0.1
-	patienceMost  = 2
+	"turmericgap/job"
 )
 
-// sizes learns how large the works of each queue are.
-type sizes map[string]float64
+// acceleratorCores is how many cores an accelerator counts as in the size of a work.
+const acceleratorCores = 8
 
 // size is what a work takes, in core-seconds by its caller's estimates.
 func size(w *job.Work) float64 {
@@ -26,24 +20,20 @@
 	return sum
 }
 
-// note takes in a work that was accepted.
-func (z sizes) note(e *entry) {
-	name := e.work.Queue.Name
-	mean, known := z[name]
-	if !known {
-		z[name] = e.size
+// judgeSize tells once whether a work was done before it was worth nothing.
+func (t *term) judgeSize(e *entry, served bool) {
+	if e.sizeJudged {
 		return
 	}
-	z[name] = mean + sizeWeight*(e.size-mean)
+	e.sizeJudged = true
+	t.sizes.Served(e.work.Queue.Name, e.size, served)
 }
 
-// patience is how long a work may wait for its turn, in objectives: less for one that is small beside the
-// others of its queue. When there is more work than room most callers are served if the small works go
-// first; a large one's turn comes all the same once it has waited.
-func (z sizes) patience(e *entry) float64 {
-	mean := z[e.work.Queue.Name]
-	if mean <= 0 {
-		return 1
+// judgeLost notes the works that are worth nothing any more.
+func (t *term) judgeLost(now time.Time) {
+	for _, e := range t.entries {
+		if !e.sizeJudged && e.work.Occurrences == 0 && !e.state.Final() && now.After(e.work.Due(0).Add(lostAfter*e.objective)) {
+			t.judgeSize(e, false)
+		}
 	}
-	return min(max(e.size/mean, patienceLeast), patienceMost)
 }
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -21,6 +21,7 @@
 	t.keepUp(now)
 	if now.Sub(t.reported) >= reportEvery {
 		t.reported = now
+		t.judgeLost(now)
 		t.report(now)
 	}
 	t.dirty = t.dirty || len(t.stages) > 0
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -30,7 +30,7 @@
 func (t *term) urgencyOf(s *stage, now time.Time) urgency {
 	e := s.e
 	goal := s.occ.goal(e)
-	u := urgency{s: s, turn: e.work.Due(s.occ.number).Add(time.Duration(t.sizes.patience(e) * float64(e.objective)))}
+	u := urgency{s: s, turn: e.work.Due(s.occ.number).Add(time.Duration(t.sizes.Wait(e.work.Queue.Name, e.size) * float64(e.objective)))}
 	left := now.Add(s.spec.Estimate / 2)
 	switch {
 	case left.After(s.occ.lost(e)):
--- a/dispatch/urgency_test.go
+++ b/dispatch/urgency_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"turmericgap/aging"
 	"turmericgap/job"
 )
 
@@ -41,7 +42,7 @@
 		work("hopeless", time.Minute, 0), work("late", 6*time.Second, 0), work("batch", 0, 2),
 		work("roster", -time.Second, 1), timed, work("check", 0, 0), service,
 	} {
-		found = append(found, (&term{}).urgencyOf(stageOf(w), now))
+		found = append(found, (&term{sizes: aging.New()}).urgencyOf(stageOf(w), now))
 	}
 	slices.SortFunc(found, urgency.compare)
 	for i, u := range found {
