End the pause before a question only on workers that work waits for

Hypothesis: pauses save less than they could, since some gang waits for room most of the time, and every worker counted as wanted then. Change: a worker counts as wanted if room is kept there for a waiting gang, or a step without kept room may run there.

--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -14,7 +14,7 @@
 	case <-n.hurry: // meant for a pause that was over
 	default:
 	}
-	t.next(n, holdWait, heartbeat.Pause(now, t.roomWanted, n.heartbeats(now)))
+	t.next(n, holdWait, heartbeat.Pause(now, n.wanted, n.heartbeats(now)))
 }
 
 // heartbeats tells what the worker's runs mean to those who wait.
@@ -79,27 +79,61 @@
 	return true
 }
 
-// hurryUp ends the pauses of all workers, as work has come to wait for room.
-func (t *term) hurryUp() {
+// wantRoom notes on which workers the end of a task would give room that work waits for, and ends the pauses
+// of those on which it has just come to.
+func (t *term) wantRoom() {
 	for _, n := range t.nodes {
-		select {
-		case n.hurry <- struct{}{}:
-		default:
+		n.wasWanted, n.wanted = n.wanted, false
+	}
+	left := len(t.nodes)
+	for s := range t.stages {
+		if left == 0 {
+			break
+		}
+		if s.waiting > 0 && s.asking == 0 && !s.e.state.Final() {
+			left -= t.wantRoomFor(s)
+		}
+	}
+	for _, n := range t.nodes {
+		if n.wanted && !n.wasWanted {
+			n.hurryUp()
 		}
 	}
 }
 
-// wantRoom notes whether work waits for room, which ends of tasks would give.
-func (t *term) wantRoom() {
-	wanted := false
-	for s := range t.stages {
-		if s.waiting > 0 && s.asking == 0 && !s.e.state.Final() {
-			wanted = true
-			break
+// wantRoomFor marks the workers that a stage waits for: those on which room is kept for it, else all that it
+// may run on. It gives how many were not marked before.
+func (t *term) wantRoomFor(s *stage) int {
+	marked := 0
+	mark := func(n *node) {
+		if !n.wanted {
+			n.wanted = true
+			marked++
 		}
 	}
-	if wanted && !t.roomWanted {
-		t.hurryUp()
+	switch {
+	case len(s.reservedOn) > 0:
+		for _, k := range s.reservedOn {
+			mark(k.n)
+		}
+	case !s.needsPermit():
+		for _, n := range t.nodes {
+			mark(n)
+		}
+	default:
+		for id, a := range s.answers {
+			if n := t.nodes[id]; n != nil && a.allowed {
+				mark(n)
+			}
+		}
+	}
+	return marked
+}
+
+// hurryUp ends the pause of a worker.
+func (n *node) hurryUp() {
+	select {
+	case n.hurry <- struct{}{}:
+	default:
 	}
-	t.roomWanted = wanted
 }
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -68,6 +68,8 @@
 	ready bool
 	since time.Time
 	permits
+	// reservedOn is where room was kept for the gang in the latest pass.
+	reservedOn []keptRoom
 	// avoid holds workers on which a task of the stage has failed.
 	avoid map[string]int
 }
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -30,8 +30,10 @@
 	agent      *worker.Agent
 	stop       context.CancelFunc
 	orders     chan holdOrder
-	// hurry ends the pause before a hold.
-	hurry chan struct{}
+	// wanted says that work waits for room here, wasWanted that it did after the pass before; hurry ends the
+	// pause before a hold.
+	wanted, wasWanted bool
+	hurry             chan struct{}
 	// free is the capacity less what is charged; held is the part of free kept for a stage that waits
 	// for its permits.
 	free job.Resources
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -59,6 +59,7 @@
 
 // placeStage starts what it can of one stage.
 func (t *term) placeStage(s *stage, now time.Time) {
+	s.reservedOn = nil
 	if s.waiting == 0 || s.e.state.Final() {
 		delete(t.stages, s)
 		return
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -128,6 +128,7 @@
 		return res, false
 	}
 	t.reservations++
+	s.reservedOn = res.plan
 	for _, p := range res.plan {
 		want := s.charge().Times(p.tasks)
 		p.n.reserved = p.n.reserved.Plus(lesser(want, p.n.room()))
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -48,8 +48,6 @@
 	rules   *rule.List
 	dirty   bool
 	lag     lag
-	// roomWanted says that work waited for room after the latest pass.
-	roomWanted bool
 	// reported is when the state of the cell was last logged.
 	reported time.Time
 	// removed lists the ended records that the next commits take away.
