--- a/dispatch/accept_test.go
+++ b/dispatch/accept_test.go
@@ -28,7 +28,12 @@
 		for i := range 40 {
 			id := fmt.Sprintf("check%02d", i)
 			handed[id] = time.Now()
-			go c.submit(v, c.work(id, job.Step{Tasks: 2, Estimate: 800 * time.Millisecond}))
+			w := c.work(id, job.Step{Tasks: 2, Estimate: 800 * time.Millisecond})
+			go func() {
+				if err := v.front.Submit(t.Context(), w); err != nil {
+					t.Errorf("submit %s: %v", id, err)
+				}
+			}()
 			time.Sleep(50 * time.Millisecond)
 		}
 		time.Sleep(4 * time.Second)
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -95,7 +95,8 @@
 }
 
 // succeed takes the cell over from an owner that is dead, frozen or cut off, as soon as most VMs agree that
-// it is silent. Its lease alone would keep the cell standing for another second, in which no check is in time.
+// it is silent: 0.5 s after it died. Its lease alone would keep the cell standing for 1.2 s, in which no check
+// is in time.
 // The key is replaced under the condition that it has not changed: an owner that lives after all is refused
 // by the store and fenced by the workers, as after a lapse.
 func (g *Group) succeed() {
