Refuse at once what no worker can ever run

Cause: a step that asks for a label that no worker has, for more than the largest worker holds, or a gang for more than all together hold, was accepted and waited for ever, and its caller with it. Change: admission, without input or output, tells why a work is hopeless; the owner refuses it while its list of workers has been whole for five seconds, without a Retry-After, since no time is known to be better. The VM that was asked looks first whether the work is accepted already, as for a rule's refusal, which now shares it. Ruled out: judging by what is free now; by a pool without workers, whose workers may be about to come. Shown: TestHopeless (table), TestHopelessWorkIsRefused.

--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,48 @@
+package admission
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"turmericgap/job"
+)
+
+// Work that no worker can ever run is told so at once, with the reason; work that has to wait for room is not.
+func TestHopeless(t *testing.T) {
+	has := job.Resources{Millicores: 16000, MemoryMB: 64000}
+	workers := []Worker{
+		{Pool: "desk", Labels: []string{"a", "r1"}, Has: has},
+		{Pool: "desk", Labels: []string{"b", "r2"}, Has: has},
+		{Pool: "other", Labels: []string{"gpu", "r3"}, Has: job.Resources{Millicores: 64000, MemoryMB: 64000, Accelerators: 4}},
+	}
+	each := func(cores int64) job.Resources { return job.Resources{Millicores: cores * 1000, MemoryMB: 100} }
+	for name, c := range map[string]struct {
+		pool string
+		step job.Step
+		says string
+	}{
+		"fits":                       {"desk", job.Step{Tasks: 100, Each: each(16)}, ""},
+		"label is there":             {"desk", job.Step{Tasks: 1, Each: each(1), Label: "b"}, ""},
+		"label is nowhere":           {"desk", job.Step{Tasks: 1, Each: each(1), Label: "z"}, `label "z"`},
+		"label is in another pool":   {"desk", job.Step{Tasks: 1, Each: each(1), Label: "gpu"}, `label "gpu"`},
+		"too large":                  {"desk", job.Step{Tasks: 1, Each: each(17)}, "large enough"},
+		"needs accelerators":         {"desk", job.Step{Tasks: 1, Each: job.Resources{Accelerators: 1}}, "large enough"},
+		"gang just fits":             {"desk", job.Step{Tasks: 4, Each: each(8), Gang: true}, ""},
+		"gang is too large":          {"desk", job.Step{Tasks: 5, Each: each(8), Gang: true}, "4 of its 5"},
+		"gang is too many apart":     {"desk", job.Step{Tasks: 4, Each: each(1), Gang: true, MostPerWorker: 1}, "2 of its 4"},
+		"tasks apart, one by one":    {"desk", job.Step{Tasks: 4, Each: each(1), MostPerWorker: 1}, ""},
+		"filler needs no processors": {"desk", job.Step{Tasks: 1, Each: each(100), Filler: true}, ""},
+		"pool without workers":       {"new", job.Step{Tasks: 1, Each: each(1), Label: "z"}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			reason := Hopeless(c.pool, []job.Step{{Tasks: 1}, c.step}, slices.Values(workers))
+			is.Equal(reason == "", c.says == "")
+			is.True(strings.Contains(reason, c.says))
+			is.Equal(reason != "", strings.HasPrefix(reason, "step 1: "))
+		})
+	}
+}
--- a/decisions_test.go
+++ b/decisions_test.go
@@ -12,7 +12,7 @@
 )
 
 // decisions lists the packages that decide without input or output, so that a load can be replayed on them.
-var decisions = []string{"aging", "heartbeat"}
+var decisions = []string{"admission", "aging", "heartbeat"}
 
 // barred are imports, and functions of the clock, that a decision must not use.
 var (
--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/admission"
 	"turmericgap/job"
 	"turmericgap/rpc"
 )
@@ -40,6 +41,10 @@
 			done <- errStoreFailing
 			return true, done
 		}
+		if reason := t.hopeless(w); reason != "" {
+			done <- rpc.Refused(0, "%s", reason)
+			return true, done
+		}
 		t.add(w)
 		e = t.entries[w.ID]
 		e.unwritten = true
@@ -53,6 +58,24 @@
 	return true, done
 }
 
+// knowsWorkers is how long the list of workers must have been whole before an owner says that none can run a
+// work: a new owner's list may come late, and entries that lapsed in an outage are back two seconds after it.
+const knowsWorkers = 5 * time.Second
+
+// hopeless tells why a work can never start, empty if it can.
+func (t *term) hopeless(w *job.Work) string {
+	if _, failing := t.o.StoreFailing(); failing || time.Since(t.since) < knowsWorkers || time.Since(t.unlistedAt) < knowsWorkers {
+		return ""
+	}
+	return admission.Hopeless(w.Queue.Pool, w.Steps, func(yield func(admission.Worker) bool) {
+		for _, n := range t.nodes {
+			if !yield(admission.Worker{Pool: n.listing.Pool, Labels: n.listing.Labels, Has: n.listing.Has}) {
+				return
+			}
+		}
+	})
+}
+
 // errStoreFailing tells a caller that its work was not sent to a store that does not answer.
 var errStoreFailing = rpc.Refused(retryStore, "the store does not answer the owner of the cell")
 
--- a/dispatch/accept_test.go
+++ b/dispatch/accept_test.go
@@ -9,6 +9,9 @@
 
 	"turmericgap/job"
 	"turmericgap/permit"
+	"turmericgap/rpc"
+	"turmericgap/store"
+	"turmericgap/worker"
 )
 
 // The store takes 160 ms for an answer while checks come that need a permit, which takes 18 ms. If a check is
@@ -48,3 +51,36 @@
 		c.judge()
 	})
 }
+
+// A caller asks for a label that no worker has. Accepted, its work would wait for ever; it is refused at once,
+// by every VM, without a time to come again, and a worker that comes with the label later is used.
+func TestHopelessWorkIsRefused(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(time.Second), "vm1", "vm2")
+		c.workers(2, 4)
+		first := c.owner()
+		time.Sleep(6 * time.Second)
+		step := job.Step{Tasks: 1, Label: "gpu"}
+		for i, v := range []*vm{c.vms["vm1"], c.vms["vm2"]} {
+			begun := time.Now()
+			fault := rpc.AsFault(v.front.Submit(t.Context(), c.work(fmt.Sprint("never", i), step)))
+			is.True(fault != nil)
+			is.Equal(fault.Code, rpc.CodeRefused)
+			is.Equal(fault.RetryAfter, time.Duration(0))
+			is.True(time.Since(begun) < 100*time.Millisecond)
+		}
+		info := worker.Info{ID: "w09", Address: "w09", Zone: "kochi-hall", Has: job.Resources{Millicores: 4000, MemoryMB: 64000}}
+		c.floor.Add(info)
+		c.list(worker.Listing{Info: info, Pool: pool, Labels: []string{"gpu", "r2"}})
+		time.Sleep(time.Second)
+		c.submit(first, c.work("now", step))
+		c.until(first, "now", job.WorkCompleted, 5*time.Second)
+		// The entry of the one worker with the label may only have lapsed: its work waits.
+		c.put(store.Op{Delete: true, Key: workersPrefix + "w09"})
+		time.Sleep(time.Second)
+		c.submit(first, c.work("waits", step))
+		is.Equal(c.runs("never0")+c.runs("never1")+c.runs("waits"), 0)
+		c.judge()
+	})
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -215,6 +215,7 @@
 // unlist notes that the worker's entry has gone. What runs there goes on as long as the worker answers.
 func (t *term) unlist(n *node) {
 	n.listed = false
+	t.unlistedAt = time.Now()
 	t.log.Info("dispatch: worker no longer listed", zap.String("worker", n.id), zap.Int("runs", len(n.runs)))
 	t.retire(n)
 }
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -35,6 +35,8 @@
 	nodes      map[string]*node
 	// unreadable holds the IDs of workers whose entries cannot be read.
 	unreadable map[string]bool
+	// unlistedAt is when the entry of a worker was last missing.
+	unlistedAt time.Time
 	// stages holds those with waiting tasks whose turn has come.
 	stages map[*stage]struct{}
 	// timed holds the entries with occurrences that are not due yet.
--- a/front/front.go
+++ b/front/front.go
@@ -81,6 +81,9 @@
 	if err == nil {
 		return nil
 	}
+	if isHopeless(err) {
+		return f.refuseUnknown(ctx, w, err)
+	}
 	created, err := f.accept.submit(ctx, &submission{work: w, begun: begun, open: !notDone(err)})
 	if err != nil {
 		return f.submitElsewhere(ctx, w, err)
@@ -91,6 +94,12 @@
 	return nil
 }
 
+// isHopeless reports whether the owner of the cell says that trying again is no use.
+func isHopeless(err error) bool {
+	fault := rpc.AsFault(err)
+	return fault != nil && fault.Code == rpc.CodeRefused && fault.RetryAfter == 0
+}
+
 // notDone reports whether an error of a call to the owner says that nothing was done.
 func notDone(err error) bool {
 	fault := rpc.AsFault(err)
