--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -65,7 +65,9 @@
 	deaf atomic.Bool
 	// apart cuts its new connections to other VMs.
 	apart atomic.Bool
-	dead  atomic.Bool
+	// slow makes its work take ten times as long, so that it cannot keep up.
+	slow atomic.Bool
+	dead atomic.Bool
 }
 
 func newCell(t *testing.T, behave func(worker.Task, int64) floor.Behaviour, vms ...string) *cell {
@@ -119,7 +121,7 @@
 			}),
 		dispatch.Bounds(mostHold, 200*time.Millisecond, 2*time.Minute))
 	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id, Strength: strength}, owner.Logger(log), owner.Lead(v.disp.Lead), owner.Rules(rules.Take),
-		owner.Failing(monitor.Failing), owner.Peers(func(address string) *rpc.Client { return rpc.NewClient(address, dial) }))
+		owner.Failing(monitor.Failing), owner.Overloaded(v.slow.Load), owner.Pace(v.pace), owner.Peers(func(address string) *rpc.Client { return rpc.NewClient(address, dial) }))
 	v.front = front.New(front.Options{
 		Store: kv, Dispatcher: v.disp, Group: v.group, Peers: v.peers, Permits: ask, Decide: rules.Decide, StoreHeard: monitor.Heard, StoreFailing: monitor.Failing, StoreSilent: monitor.Silent, Logger: log,
 	})
@@ -132,6 +134,14 @@
 	return v
 }
 
+// pace is how long a fixed piece of work takes on the VM.
+func (v *vm) pace() time.Duration {
+	if v.slow.Load() {
+		return time.Millisecond
+	}
+	return 100 * time.Microsecond
+}
+
 func decodeWorker(_ string, raw []byte) (l worker.Listing, err error) {
 	return l, msgpack.Unmarshal(raw, &l)
 }
--- a/dispatch/succession_test.go
+++ b/dispatch/succession_test.go
@@ -48,6 +48,31 @@
 	}
 }
 
+// The VM that owns the cell turns slow. It answers pings and keeps its lease, but every start and end waits for
+// its loop: it hands the cell over to a VM that is faster, and keeps it where all are slow.
+func TestSlowOwnerHandsOver(t *testing.T) {
+	for name, all := range map[string]bool{"one VM is slow": false, "all are slow": true} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCell(t, runsFor(3*time.Second), "vm1", "vm2", "vm3")
+				c.workers(2, 4)
+				first := c.owner()
+				c.submit(first, c.work("roster", job.Step{Tasks: 8}))
+				time.Sleep(time.Second)
+				for _, v := range c.vms {
+					v.slow.Store(all || v == first)
+				}
+				time.Sleep(3 * time.Second)
+				is.Equal(first.disp.Leads(), all)
+				c.until(c.owner(), "roster", job.WorkCompleted, 10*time.Second)
+				is.Equal(c.runs("roster"), 8)
+				c.judge()
+			})
+		})
+	}
+}
+
 // A VM is cut off from all others, and reaches the store. It must not take the cell from an owner that
 // serves the rest: its callers alone would be served.
 func TestLonelyVMTakesNothing(t *testing.T) {
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -37,8 +37,7 @@
 		return
 	}
 	g.pacedAt = time.Now()
-	crc32.ChecksumIEEE(g.paceWork)
-	took := time.Since(g.pacedAt)
+	took := g.measure()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.pace == 0 {
@@ -47,6 +46,16 @@
 	g.pace += time.Duration(paceWeight * float64(took-g.pace))
 }
 
+// timeWork returns what times a fixed piece of work.
+func timeWork() func() time.Duration {
+	work := make([]byte, paceBytes)
+	return func() time.Duration {
+		begun := time.Now()
+		crc32.ChecksumIEEE(work)
+		return time.Since(begun)
+	}
+}
+
 // strained tells why this owner should hand the cell over, if another VM does better.
 func (g *Group) strained() (why string, slow bool) {
 	if since, failing := g.failing(); failing && time.Since(since) > strainMost {
--- a/owner/options.go
+++ b/owner/options.go
@@ -34,6 +34,9 @@
 // Overloaded sets what tells that this VM cannot keep up with the cell that it owns.
 func Overloaded(f func() bool) Option { return func(g *Group) { g.overloaded = f } }
 
+// Pace sets what times a fixed piece of work on this VM.
+func Pace(f func() time.Duration) Option { return func(g *Group) { g.measure = f } }
+
 // TTL sets the lease and the pause between its renewals.
 func TTL(ttl, renew time.Duration) Option {
 	return func(g *Group) { g.ttl, g.renew = ttl, renew }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -93,9 +93,9 @@
 	// failing tells since when the store gives this VM no answers, overloaded that its work lags.
 	failing    func() (since time.Time, failing bool)
 	overloaded func() bool
-	// paceWork is timed to see how fast this VM works, pacedAt says when last; searched is when another VM
-	// was last looked for. Each belongs to one goroutine.
-	paceWork []byte
+	// measure times a piece of work to see how fast this VM works, pacedAt says when last; searched is when
+	// another VM was last looked for. Each belongs to one goroutine.
+	measure  func() time.Duration
 	pacedAt  time.Time
 	searched time.Time
 
@@ -128,8 +128,8 @@
 		rules:   func([]byte) {},
 		client:  func(address string) *rpc.Client { return rpc.NewClient(address) },
 		failing: func() (time.Time, bool) { return time.Time{}, false }, overloaded: func() bool { return false },
-		paceWork: make([]byte, paceBytes),
-		nodes:    make(map[string]Node), wake: make(chan struct{}, 1),
+		measure: timeWork(),
+		nodes:   make(map[string]Node), wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(g)
