--- a/owner/succession.go
+++ b/owner/succession.go
@@ -34,7 +34,7 @@
 
 // pong is what a VM tells of itself.
 type pong struct {
-	// Leads says that the VM owns the cell under the token Fence.
+	// Fence is the token under which the VM owns the cell, zero if it does not.
 	Fence int64 `msgpack:"f"`
 	// Served says that the store answers it.
 	Served bool `msgpack:"s"`
