Reckon the end of a run from its percent in one place

heartbeats and overdue ends had the formula twice, and two functions took a time that they did not use. Behaviour stays; tests of dispatch and the linter are green.

--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -14,17 +14,17 @@
 	case <-n.hurry: // meant for a pause that was over
 	default:
 	}
-	t.next(n, holdWait, heartbeat.Pause(now, n.wanted, n.heartbeats(now)))
+	t.next(n, holdWait, heartbeat.Pause(now, n.wanted, n.heartbeats()))
 }
 
 // heartbeats tells what the worker's runs mean to those who wait.
-func (n *node) heartbeats(now time.Time) []heartbeat.Run {
+func (n *node) heartbeats() []heartbeat.Run {
 	list := make([]heartbeat.Run, 0, len(n.runs))
 	for _, r := range n.runs {
 		if r.ended || r.s.spec.Service {
 			continue
 		}
-		last := r.stopping || r.last(now)
+		last := r.stopping || r.last()
 		list = append(list, heartbeat.Run{Ends: r.endsAt(), Last: last})
 	}
 	return list
@@ -36,15 +36,15 @@
 	if r.begun.IsZero() || r.stopping {
 		return time.Time{}
 	}
-	if !r.recovered && r.percent >= percentLeast {
-		return r.begun.Add(r.movedAt.Sub(r.begun) * 100 / time.Duration(r.percent))
+	if end, ok := r.endByPercent(); ok {
+		return end
 	}
 	return r.begun.Add(r.s.spec.Estimate / 2)
 }
 
 // last reports whether its caller or the next step waits for a run: it is the one of its stage that is expected
 // to end last. One end stands for all members of a gang, so that the first of them is asked.
-func (r *run) last(now time.Time) bool {
+func (r *run) last() bool {
 	s := r.s
 	if s.waiting > 0 {
 		return false
--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -54,14 +54,22 @@
 	if r.begun.IsZero() || r.stopping || spec.Service || spec.Gang || !r.confirmed {
 		return time.Time{}
 	}
+	if end, ok := r.endByPercent(); ok {
+		return end
+	}
+	if spec.Estimate == 0 {
+		return time.Time{}
+	}
+	return r.begun.Add(spec.Estimate)
+}
+
+// endByPercent is when a run should end if it gets on as it did until it was last seen; false where it was not
+// seen far enough, or its start is a former owner's.
+func (r *run) endByPercent() (time.Time, bool) {
 	if r.recovered || r.percent < percentLeast {
-		if spec.Estimate == 0 {
-			return time.Time{}
-		}
-		return r.begun.Add(spec.Estimate)
+		return time.Time{}, false
 	}
-	took := r.movedAt.Sub(r.begun)
-	return r.begun.Add(took * 100 / time.Duration(r.percent))
+	return r.begun.Add(r.movedAt.Sub(r.begun) * 100 / time.Duration(r.percent)), true
 }
 
 // askBeside asks a worker for its runs and ends without waiting, beside the hold that is under way.
