Log how large a work is, what became of its class, and what gangs wait for

Our lines told neither the size of a work nor its class, so that a class of sizes that is hardly served could not be seen before a caller counted it, and not at all whether it waited for its turn, for permits or for room.

Added: 'work taken' with size, class and objective, the class in 'work ended', 'work is worth nothing any more', and once a second for each queue and class what became of its works, how many wait and what its gangs wait for.

--- a/aging/aging.go
+++ b/aging/aging.go
@@ -27,17 +27,23 @@
 	fairWait = 0.3
 )
 
-// class is a class of sizes.
-type class int
+// Class is a class of sizes.
+type Class int
 
 const (
-	classUsual class = iota
-	// classLarge is the fifth below the largest tenth, classLargest that tenth.
-	classLarge
-	classLargest
-	classes
+	// Usual is the seven smallest tenths of a queue's works.
+	Usual Class = iota
+	// Large is the fifth below the largest tenth.
+	Large
+	// Largest is the largest tenth.
+	Largest
+	// Classes counts the classes.
+	Classes
 )
 
+// String names the class in logs.
+func (c Class) String() string { return [Classes]string{"usual", "large", "largest"}[c] }
+
 // Sizes learns how large the works of each queue are, and which of them are served.
 type Sizes struct {
 	queues map[string]*queue
@@ -49,7 +55,7 @@
 	next   int
 	// largeFrom and largestFrom are where the classes begin.
 	largeFrom, largestFrom float64
-	served                 [classes]float64
+	served                 [Classes]float64
 	all                    float64
 }
 
@@ -60,7 +66,7 @@
 func (z *Sizes) Note(name string, size float64) {
 	q := z.queues[name]
 	if q == nil {
-		q = &queue{mean: size, all: 1, served: [classes]float64{1, 1, 1}}
+		q = &queue{mean: size, all: 1, served: [Classes]float64{1, 1, 1}}
 		z.queues[name] = q
 	}
 	q.mean += meanWeight * (size - q.mean)
@@ -80,14 +86,22 @@
 	q.largeFrom, q.largestFrom = at(largeShare), at(largestShare)
 }
 
-func (q *queue) class(size float64) class {
+func (q *queue) class(size float64) Class {
 	switch {
 	case len(q.recent) < knownSizes || size < q.largeFrom:
-		return classUsual
+		return Usual
 	case size < q.largestFrom:
-		return classLarge
+		return Large
+	}
+	return Largest
+}
+
+// Class gives the class of a work of that size; while few works are known it is Usual.
+func (z *Sizes) Class(name string, size float64) Class {
+	if q := z.queues[name]; q != nil {
+		return q.class(size)
 	}
-	return classLargest
+	return Usual
 }
 
 // Served takes in whether a work of that size was done before it was worth nothing.
@@ -117,7 +131,7 @@
 		return 1
 	}
 	wait := min(max(size/q.mean, waitLeast), waitMost)
-	if c := q.class(size); c != classUsual && q.served[c] < fairShare*q.all {
+	if c := q.class(size); c != Usual && q.served[c] < fairShare*q.all {
 		return min(wait, fairWait)
 	}
 	return wait
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -193,13 +193,11 @@
 	}
 	for _, e := range ch.closed {
 		delete(t.entries, e.work.ID)
-		if e.state == job.WorkCompleted {
-			t.judgeSize(e, true)
-		}
+		t.judgeEnded(e, time.Now())
 		t.noteEnded(e.work.ID, Ended{State: e.state, At: time.Now(), Queue: e.work.Queue.Name})
 		t.log.Info("dispatch: work ended", zap.String("id", e.work.ID), zap.String("queue", e.work.Queue.Name),
 			zap.String("state", string(e.state)), zap.Duration("took", time.Since(e.work.Accepted)),
-			zap.Duration("beforeGoal", time.Until(e.work.Due(e.work.Count()-1).Add(e.objective))))
+			zap.Stringer("class", e.class), zap.Duration("beforeGoal", time.Until(e.lastGoal())))
 	}
 	for _, e := range ch.created {
 		e.waiters = nil
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"turmericgap/aging"
 	"turmericgap/job"
 	"turmericgap/rule"
 	"turmericgap/worker"
@@ -26,8 +27,9 @@
 	started bool
 	// settled says that the record of its end takes the place of the work with the next commit.
 	settled bool
-	// size is what the work takes, in core-seconds.
-	size float64
+	// size is what the work takes, in core-seconds, class how that compares with its queue's works.
+	size  float64
+	class aging.Class
 	// sizeJudged says that it has counted as served or not.
 	sizeJudged bool
 	// objective is how long after it is due an occurrence should be done.
@@ -68,6 +70,8 @@
 	ready bool
 	since time.Time
 	permits
+	// waits is why a gang did not start in the latest pass.
+	waits gangWait
 	// reservedOn is where room was kept for the gang in the latest pass.
 	reservedOn []keptRoom
 	// avoid holds workers on which a task of the stage has failed.
@@ -144,6 +148,9 @@
 // goal is when an occurrence should be done, lost when it is worth nothing any more.
 func (o *occurrence) goal(e *entry) time.Time { return e.work.Due(o.number).Add(e.objective) }
 
+// lastGoal is when the last occurrence of a work should be done.
+func (e *entry) lastGoal() time.Time { return e.work.Due(e.work.Count() - 1).Add(e.objective) }
+
 func (o *occurrence) lost(e *entry) time.Time {
 	return e.work.Due(o.number).Add(lostAfter * e.objective)
 }
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -5,15 +5,30 @@
 	"time"
 )
 
+// gangWait is why a gang waits, in the words of the log.
+type gangWait string
+
+const (
+	gangWaitsForAnswer  gangWait = "answer"  // of the policy service
+	gangWaitsForService gangWait = "service" // no VM is free to ask the policy service
+	gangWaitsForRest    gangWait = "rest"    // the last run has not ended everywhere
+	gangWaitsForRule    gangWait = "rule"    // as many tasks run as its rule allows
+	gangWaitsReserved   gangWait = "reserved"
+	gangWaitsForRoom    gangWait = "room" // and none is kept for it
+)
+
 // placeGang starts all tasks of a gang together, or keeps their room while it asks for tickets.
 func (t *term) placeGang(s *stage, now time.Time) {
 	if s.gang != nil {
+		s.waits = gangWaitsForRest
 		return // members of a broken run have not ended yet
 	}
 	if !s.attemptsLeft(now) {
+		s.waits = gangWaitsForRest
 		return // a run that may have failed is not known to have lapsed
 	}
 	if !t.mayRun(s.e, len(s.tasks)) {
+		s.waits = gangWaitsForRule
 		return
 	}
 	nodes := t.sorted(s, now, all)
@@ -22,6 +37,10 @@
 		return
 	}
 	if s.needsPermit() && !t.mayAsk(s, now) {
+		s.waits = gangWaitsForService
+		if s.asking > 0 {
+			s.waits = gangWaitsForAnswer
+		}
 		t.reserve(s, nodes, now)
 		return
 	}
@@ -29,10 +48,13 @@
 	switch {
 	case plan != nil:
 	case s.needsPermit() && t.unasked(s, now):
+		s.waits = gangWaitsForAnswer
 		t.firstQuestion(s, now)
 		return
 	default:
+		s.waits = gangWaitsForRoom
 		if res, ok := t.reserve(s, nodes, now); ok {
+			s.waits = gangWaitsReserved
 			t.askAhead(s, &res, now)
 		}
 		return
@@ -42,6 +64,7 @@
 		names = append(names, p.n.id)
 		s.keep(p.n, p.tasks)
 	}
+	s.waits = gangWaitsForAnswer
 	t.question(s, names, now)
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -65,15 +65,20 @@
 		return
 	}
 	if s.asking > 0 && len(s.kept) > 0 {
+		s.waits = gangWaitsForAnswer
 		return
 	}
 	// Room that was kept for the stage is free for nobody before its own turn: what is more urgent would
 	// take it, and the stage ask in vain for as long as there is such work.
 	t.letGo(s)
 	if s.needsPermit() && s.answers == nil {
+		s.waits = gangWaitsForService
 		if t.mayAsk(s, now) {
 			t.firstQuestion(s, now)
 		}
+		if s.asking > 0 {
+			s.waits = gangWaitsForAnswer
+		}
 		return
 	}
 	if s.spec.Gang {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -100,7 +100,7 @@
 	}
 	e.shown = e.visible()
 	t.entries[w.ID] = e
-	t.sizes.Note(e.work.Queue.Name, e.size)
+	t.noteSize(e)
 	for i := range p.Live {
 		t.resumeOccurrence(e, &p.Live[i])
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -38,4 +38,44 @@
 		zap.Int64("reservedMillicores", reserved), zap.Int("works", len(t.entries)), zap.Int("runs", runs),
 		zap.Int("waitingSteps", len(t.stages)), zap.Int("waitingGangs", gangs), zap.Int("waitingTasks", waiting),
 		zap.Int("questions", asking))
+	t.reportSizes(now)
+}
+
+// reportSizes logs for each queue and class of sizes what became of its works under this owner, how many wait, how
+// many of them can still be in time, and what gangs wait for. A class that is served less often than its queue shows
+// here long before callers count it, and whether for want of its turn, of permits or of room.
+func (t *term) reportSizes(now time.Time) {
+	type waiting struct {
+		steps, inTime int
+		gangs         map[gangWait]int
+	}
+	found := make(map[sizeClass]*waiting)
+	for s := range t.stages {
+		key := sizeClass{s.e.work.Queue.Name, s.e.class}
+		w := found[key]
+		if w == nil {
+			w = &waiting{gangs: make(map[gangWait]int)}
+			found[key] = w
+		}
+		w.steps++
+		if t.urgencyOf(s, now).hope == hopeInTime {
+			w.inTime++
+		}
+		if s.spec.Gang {
+			w.gangs[s.waits]++
+		}
+	}
+	for key, became := range t.fates {
+		fields := []zap.Field{zap.String("queue", key.queue), zap.Stringer("class", key.class)}
+		for _, f := range []fate{fateTaken, fateInTime, fateLate, fateLost, fateFailed, fateCancelled} {
+			fields = append(fields, zap.Int(string(f), became[f]))
+		}
+		if w := found[key]; w != nil {
+			fields = append(fields, zap.Int("waitingSteps", w.steps), zap.Int("waitingInTime", w.inTime))
+			for why, n := range w.gangs {
+				fields = append(fields, zap.Int("gangsWaitFor."+string(why), n))
+			}
+		}
+		t.log.Info("dispatch: works by size", fields...)
+	}
 }
--- a/dispatch/size.go
+++ b/dispatch/size.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	"turmericgap/aging"
 	"turmericgap/job"
 )
 
@@ -20,20 +23,83 @@
 	return sum
 }
 
-// judgeSize tells once whether a work was done before it was worth nothing.
-func (t *term) judgeSize(e *entry, served bool) {
+// fate is what became of a work, in the words of the log.
+type fate string
+
+const (
+	fateTaken     fate = "taken"
+	fateInTime    fate = "inTime"
+	fateLate      fate = "late"
+	fateLost      fate = "lost" // worth nothing any more before it was done
+	fateFailed    fate = "failed"
+	fateCancelled fate = "cancelled"
+)
+
+// sizeClass is the works of one class of sizes in one queue.
+type sizeClass struct {
+	queue string
+	class aging.Class
+}
+
+// fates counts what became of the works of each class under this owner.
+type fates map[sizeClass]map[fate]int
+
+func (f fates) count(e *entry, what fate) {
+	key := sizeClass{e.work.Queue.Name, e.class}
+	if f[key] == nil {
+		f[key] = make(map[fate]int)
+	}
+	f[key][what]++
+}
+
+// noteSize takes in how large a work is that the term did not know.
+func (t *term) noteSize(e *entry) {
+	name := e.work.Queue.Name
+	t.sizes.Note(name, e.size)
+	e.class = t.sizes.Class(name, e.size)
+	t.fates.count(e, fateTaken)
+	t.log.Info("dispatch: work taken", zap.String("id", e.work.ID), zap.String("queue", name), zap.Float64("coreSeconds", e.size),
+		zap.Stringer("class", e.class), zap.Int("steps", len(e.work.Steps)), zap.Int("tasks", e.work.Steps[0].Tasks),
+		zap.Duration("objective", e.objective), zap.Duration("age", time.Since(e.work.Accepted)))
+}
+
+// judgeSize tells once what became of a work.
+func (t *term) judgeSize(e *entry, what fate) {
 	if e.sizeJudged {
 		return
 	}
 	e.sizeJudged = true
-	t.sizes.Served(e.work.Queue.Name, e.size, served)
+	t.fates.count(e, what)
+	switch what {
+	case fateInTime, fateLate:
+		t.sizes.Served(e.work.Queue.Name, e.size, true)
+	case fateLost:
+		t.sizes.Served(e.work.Queue.Name, e.size, false)
+	default:
+	}
+}
+
+// judgeEnded takes in how a work has ended.
+func (t *term) judgeEnded(e *entry, now time.Time) {
+	switch {
+	case e.state == job.WorkCancelled:
+		t.judgeSize(e, fateCancelled)
+	case e.state == job.WorkFailed:
+		t.judgeSize(e, fateFailed)
+	case now.After(e.lastGoal()):
+		t.judgeSize(e, fateLate)
+	default:
+		t.judgeSize(e, fateInTime)
+	}
 }
 
 // judgeLost notes the works that are worth nothing any more.
 func (t *term) judgeLost(now time.Time) {
 	for _, e := range t.entries {
 		if !e.sizeJudged && e.work.Occurrences == 0 && !e.state.Final() && now.After(e.work.Due(0).Add(lostAfter*e.objective)) {
-			t.judgeSize(e, false)
+			t.log.Info("dispatch: work is worth nothing any more", zap.String("id", e.work.ID),
+				zap.Stringer("class", e.class), zap.Bool("started", e.started))
+			t.judgeSize(e, fateLost)
 		}
 	}
 }
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -21,7 +21,7 @@
 	e := newEntry(w)
 	t.adopt(e)
 	t.entries[w.ID] = e
-	t.sizes.Note(e.work.Queue.Name, e.size)
+	t.noteSize(e)
 	if w.Occurrences > 0 {
 		t.timed[e] = struct{}{}
 		t.beginDue(e, time.Now())
