Show that a gang counts as able to be in time for too long

Of rosters that began in time by our reckoning many ended late: what is left was taken to be half of the estimate of the step that waits, without the question to the policy service (1.2 s) and without the steps after it. A gang of two steps, of 2 and 3 s, whose objective is 15 s counts as able to be in time until 14 s after it was handed in; 7 s are needed. In an overload the turns go to such works, and newer ones that could be in time wait.

The test fails on the code as it is and is listed as known red.

--- /dev/null
+++ b/dispatch/hope_test.go
@@ -0,0 +1,45 @@
+//go:build knownred
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"turmericgap/aging"
+	"turmericgap/job"
+)
+
+// A gang has its question to the policy service and its second step before it. Counted as able to be in time until
+// half of its first step is left, it has its turn and ends late, and a newer one that could be in time waits.
+func TestHopeCountsAllThatIsLeft(t *testing.T) {
+	gang := &job.Work{
+		Queue: job.Queue{Slack: 2, Target: time.Second, Permit: &job.PermitCost{Base: 700 * time.Millisecond, PerWorker: 10 * time.Millisecond}},
+		Steps: []job.Step{{Tasks: 4, Gang: true, Estimate: 2 * time.Second}, {Tasks: 4, Gang: true, Estimate: 3 * time.Second, After: []int{0}}},
+	}
+	single := &job.Work{Queue: job.Queue{Slack: 2, Target: time.Second}, Steps: []job.Step{{Tasks: 4, Estimate: 2 * time.Second}}}
+	for name, c := range map[string]struct {
+		work *job.Work
+		step int
+		age  time.Duration
+		want hope
+	}{
+		"a gang, 15 s, of which 7 are needed":   {gang, 0, 7900 * time.Millisecond, hopeInTime},
+		"the gang is too old":                   {gang, 0, 8100 * time.Millisecond, hopeLate},
+		"its second step needs 4 s":             {gang, 1, 10900 * time.Millisecond, hopeInTime},
+		"its second step is too old":            {gang, 1, 11100 * time.Millisecond, hopeLate},
+		"nothing is left for it in 45 s":        {gang, 0, 38100 * time.Millisecond, hopeNone},
+		"a task may be half of its estimate":    {single, 0, 3900 * time.Millisecond, hopeInTime},
+		"a task that is too old for half of it": {single, 0, 4100 * time.Millisecond, hopeLate},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			w := *c.work
+			w.Accepted = now.Add(-c.age)
+			s := stageOf(&w).occ.stages[c.step]
+			is.New(t).Equal((&term{sizes: aging.New()}).urgencyOf(s, now).hope, c.want)
+		})
+	}
+}
