Count works by class of sizes and by what became of them

The log tells it each second by queue and owner; the counters tell it for a VM's whole life, so that an operator sees a class fall behind the others without reading logs.

--- a/dispatch/size.go
+++ b/dispatch/size.go
@@ -44,12 +44,14 @@
 // fates counts what became of the works of each class under this owner.
 type fates map[sizeClass]map[fate]int
 
-func (f fates) count(e *entry, what fate) {
+// became counts what became of a work, for the log by queue and for the metrics by class alone.
+func (t *term) became(e *entry, what fate) {
 	key := sizeClass{e.work.Queue.Name, e.class}
-	if f[key] == nil {
-		f[key] = make(map[fate]int)
+	if t.fates[key] == nil {
+		t.fates[key] = make(map[fate]int)
 	}
-	f[key][what]++
+	t.fates[key][what]++
+	t.o.Metrics.Counter("dispatch.works." + e.class.String() + "." + string(what)).Inc(1)
 }
 
 // noteSize takes in how large a work is that the term did not know.
@@ -57,7 +59,7 @@
 	name := e.work.Queue.Name
 	t.sizes.Note(name, e.size)
 	e.class = t.sizes.Class(name, e.size)
-	t.fates.count(e, fateTaken)
+	t.became(e, fateTaken)
 	t.log.Info("dispatch: work taken", zap.String("id", e.work.ID), zap.String("queue", name), zap.Float64("coreSeconds", e.size),
 		zap.Stringer("class", e.class), zap.Int("steps", len(e.work.Steps)), zap.Int("tasks", e.work.Steps[0].Tasks),
 		zap.Duration("objective", e.objective), zap.Duration("age", time.Since(e.work.Accepted)))
@@ -69,7 +71,7 @@
 		return
 	}
 	e.sizeJudged = true
-	t.fates.count(e, what)
+	t.became(e, what)
 }
 
 // judgeEnded takes in how a work has ended.
