--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -25,7 +25,8 @@
 	t.judge(r, how)
 	t.log.Info("dispatch: run ended", zap.String("id", e.work.ID), zap.Int("occurrence", r.s.occ.number),
 		zap.Int("step", r.s.index), zap.Int("task", r.index), zap.Int64("run", r.number), zap.String("worker", r.n.id),
-		zap.String("how", string(how)), zap.Duration("after", time.Since(r.begun)))
+		zap.String("how", string(how)), zap.Duration("after", time.Since(r.begun)),
+		zap.Duration("recorded", between(r.decided, r.begun)), zap.Duration("ordered", between(r.begun, r.confirmedAt)))
 	switch {
 	case r.s.gang != nil && r.s.gang.number == r.number:
 		t.endMember(r, how)
@@ -35,6 +36,14 @@
 	t.settle(e)
 }
 
+// between is the time from one moment to another, zero where one of them is not known.
+func between(from, to time.Time) time.Duration {
+	if from.IsZero() || to.IsZero() {
+		return 0
+	}
+	return to.Sub(from)
+}
+
 // neverRan takes in that a run surely has not begun and never will.
 func (t *term) neverRan(r *run, reason string) {
 	if r.ended {
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -111,8 +111,9 @@
 	number int64
 	n      *node
 	need   job.Resources
-	// begun is when the start was sent.
-	begun time.Time
+	// decided is when the start was decided, begun when it was sent, confirmedAt when the worker was known to have
+	// the run; zero where that was under a former owner.
+	decided, begun, confirmedAt time.Time
 	// until is when the order to start is void, on the worker's clock; zero if none was sent.
 	until time.Duration
 	// confirmed says that the worker has the run.
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -238,6 +238,9 @@
 
 // confirm notes that the worker has the run.
 func (r *run) confirm() {
+	if !r.confirmed {
+		r.confirmedAt = time.Now()
+	}
 	r.confirmed, r.doubt = true, false
 	r.s.e.started = true
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -175,7 +175,7 @@
 func (t *term) start(s *stage, index int, n *node, number int64) {
 	e, k := s.e, &s.tasks[index]
 	t.begin(s.occ)
-	r := &run{s: s, index: index, number: number, n: n, need: s.charge()}
+	r := &run{s: s, index: index, number: number, n: n, need: s.charge(), decided: time.Now()}
 	k.phase, k.run, k.number = phaseStarted, r, number
 	s.waiting--
 	e.held++
--- a/dispatch/size.go
+++ b/dispatch/size.go
@@ -60,7 +60,7 @@
 	t.sizes.Note(name, e.size)
 	e.class = t.sizes.Class(name, e.size)
 	t.became(e, fateTaken)
-	t.log.Info("dispatch: work taken", zap.String("id", e.work.ID), zap.String("queue", name), zap.Float64("coreSeconds", e.size),
+	t.log.Info("dispatch: work taken", zap.String("id", e.work.ID), zap.String("queue", name), zap.String("zone", e.work.Zone), zap.Float64("coreSeconds", e.size),
 		zap.Stringer("class", e.class), zap.Int("steps", len(e.work.Steps)), zap.Int("tasks", e.work.Steps[0].Tasks),
 		zap.Duration("objective", e.objective), zap.Duration("age", time.Since(e.work.Accepted)))
 }
