--- a/cmd/ctl/cell.go
+++ b/cmd/ctl/cell.go
@@ -25,6 +25,7 @@
 		{"members", "show the processes of the cell", "Shows the member tables of all zones, and who owns each zone.", &members{cell: c}},
 		{"workers", "list workers", "Lists the workers of the VM list with what their tasks are charged.", &workers{cell: c}},
 		{"targets", "list targets", "Lists the targets of the VM list.", &targets{cell: c}},
+		{"day", "report a day from logs", "Reads the JSON log lines of entry VMs, in any order, and reports what became of works by queue, zone and size, how long they spent in each stage of their path, what they waited for, what was refused and why, owners and outages, and the works that were lost or slowest. Lines that cannot be read are reported after it, with exit code 2.", &dayReport{cell: c}},
 		{"zones", "show the zones", "Shows owner, queues, packing, ejections and last failed jobs of each zone.", &zones{cell: c}},
 	}
 }
--- /dev/null
+++ b/day/print.go
@@ -0,0 +1,205 @@
+package day
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+	"unicode"
+)
+
+const (
+	// tabPadding is the least space between two columns.
+	tabPadding = 2
+	clock      = "15:04:05.000"
+)
+
+// printer writes a report as text and keeps the first error.
+type printer struct {
+	w   *tabwriter.Writer
+	err error
+}
+
+func (p *printer) row(cells ...string) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintln(p.w, plain(strings.Join(cells, "\t")))
+	}
+}
+
+// plain leaves out control characters, which a terminal would obey.
+func plain(s string) string {
+	return strings.Map(func(r rune) rune {
+		if r != '\t' && unicode.IsControl(r) {
+			return -1
+		}
+		return r
+	}, s)
+}
+
+// head ends the table before it and begins the next one.
+func (p *printer) head(title string, columns ...string) {
+	if p.err == nil {
+		p.err = p.w.Flush()
+	}
+	p.row("")
+	p.row(title)
+	if p.err == nil {
+		p.err = p.w.Flush()
+	}
+	p.row(columns...)
+}
+
+// Print writes the report as text.
+func (r *Report) Print(out io.Writer) error {
+	p := &printer{w: tabwriter.NewWriter(out, 0, 0, tabPadding, ' ', 0)}
+	p.row(fmt.Sprintf("%s to %s, %d lines, %d others, %d unreadable, %d of works beyond the bound",
+		r.From.Format(time.RFC3339), r.Until.Format(time.RFC3339), r.Lines, r.Others, r.Unreadable, r.LeftOut))
+	r.printGroups(p)
+	r.printStages(p)
+	r.printWaits(p)
+	r.printWindows(p)
+	r.printBands(p)
+	p.head("Refused", "COUNT", "METHOD", "STATUS", "FIRST", "LAST", "FREE", "REASON")
+	for i := range r.Refusals {
+		f := &r.Refusals[i]
+		p.row(fmt.Sprint(f.Count), f.Method, fmt.Sprint(f.Status), f.First.Format(clock), f.Last.Format(clock), fmt.Sprintf("%.2f", f.Free), f.Reason)
+	}
+	printPaths(p, "Lost, the largest first", r.Lost)
+	printPaths(p, "Slowest", r.Slowest)
+	if p.err == nil {
+		p.err = p.w.Flush()
+	}
+	return p.err
+}
+
+// of names what a group holds beside its queue.
+func (g *Group) of() string {
+	switch {
+	case g.Class != "":
+		return "size " + g.Class
+	case g.Zone != "":
+		return "zone " + g.Zone
+	}
+	return "all"
+}
+
+// shareCell is a dash where nothing was owed.
+func shareCell(owed int, served float64) string {
+	if owed == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", served)
+}
+
+func (r *Report) printGroups(p *printer) {
+	p.head("What became of works", "QUEUE", "OF", "WORKS", "SERVED", "IN TIME", "LATE", "LOST", "FAILED", "CANCELLED", "OPEN")
+	for i := range r.Groups {
+		g := &r.Groups[i]
+		cells := []string{g.Queue, g.of(), fmt.Sprint(g.Works), shareCell(g.Owed, g.Served)}
+		for _, f := range []Fate{InTime, Late, Lost, Failed, Cancelled, Open} {
+			cells = append(cells, fmt.Sprint(g.Fates[f]))
+		}
+		p.row(cells...)
+	}
+}
+
+func (r *Report) printStages(p *printer) {
+	columns := []string{"QUEUE", "WORKS"}
+	for _, s := range Stages {
+		columns = append(columns, strings.ToUpper(string(s)))
+	}
+	p.head("Time in each stage, ms, mean and 0.9 quantile", columns...)
+	for i := range r.Groups {
+		g := &r.Groups[i]
+		cells := []string{g.Queue, g.of()}
+		for _, s := range Stages {
+			cell := "-"
+			for _, t := range g.Stages {
+				if t.Stage == s {
+					cell = fmt.Sprintf("%.0f %.0f", t.Mean, t.P90)
+				}
+			}
+			cells = append(cells, cell)
+		}
+		p.row(cells...)
+	}
+}
+
+// waitWords are what gangs wait for, in the order of their path.
+var waitWords = []string{"service", "answer", "room", "reserved", "rest", "rule"}
+
+func waitCells(seconds map[string]int) []string {
+	cells := make([]string, 0, len(waitWords))
+	for _, w := range waitWords {
+		cells = append(cells, fmt.Sprint(seconds[w]))
+	}
+	return cells
+}
+
+func waitColumns() []string {
+	columns := make([]string, 0, len(waitWords))
+	for _, w := range waitWords {
+		columns = append(columns, strings.ToUpper(w))
+	}
+	return columns
+}
+
+func (r *Report) printWaits(p *printer) {
+	p.head("What gangs waited for, gang-seconds", append([]string{"QUEUE", "WORKS"}, waitColumns()...)...)
+	for i := range r.Groups {
+		if g := &r.Groups[i]; len(g.GangSeconds) > 0 {
+			p.row(append([]string{g.Queue, g.of()}, waitCells(g.GangSeconds)...)...)
+		}
+	}
+}
+
+// printWindows tells of whole queues alone; JSON has the windows of all groups.
+func (r *Report) printWindows(p *printer) {
+	for i := range r.Groups {
+		g := &r.Groups[i]
+		if g.Zone != "" || g.Class != "" {
+			continue
+		}
+		p.head("Queue "+g.Queue+" by when works were accepted", append([]string{"SECOND", "WORKS", "SERVED", "TURN", "PERMITS", "ROOM"}, waitColumns()...)...)
+		for _, w := range g.Windows {
+			cells := []string{fmt.Sprintf("%.0f", w.After.Seconds()), fmt.Sprint(w.Works), shareCell(w.Owed, w.Served)}
+			for _, s := range []Stage{StageTurn, StagePermits, StageRoom} {
+				cells = append(cells, fmt.Sprintf("%.0f", w.Stages[s]))
+			}
+			p.row(append(cells, waitCells(w.GangSeconds)...)...)
+		}
+	}
+}
+
+func (r *Report) printBands(p *printer) {
+	p.head("Owners of the cell", "FROM", "UNTIL", "VM", "FENCE", "ENDED BY")
+	for _, t := range r.Tenures {
+		until := "-"
+		if !t.Until.IsZero() {
+			until = t.Until.Format(clock)
+		}
+		p.row(t.From.Format(clock), until, t.VM, fmt.Sprint(t.Fence), t.Reason)
+	}
+	p.head("Calls of the store without an answer", "FROM", "UNTIL", "CALLS")
+	for _, o := range r.Outages {
+		p.row(o.From.Format(clock), o.Until.Format(clock), fmt.Sprint(o.Calls))
+	}
+}
+
+func printPaths(p *printer, title string, list []Path) {
+	p.head(title, "ID", "QUEUE", "ZONE", "CLASS", "CORE-SECONDS", "TOOK MS", "STAGES")
+	for i := range list {
+		n := &list[i]
+		var stages []string
+		for _, s := range Stages {
+			if t, ok := n.Stages[s]; ok {
+				stages = append(stages, fmt.Sprintf("%s %.0f", s, t))
+			}
+		}
+		p.row(n.ID, n.Queue, n.Zone, n.Class, fmt.Sprintf("%.0f", n.CoreSeconds), fmt.Sprintf("%.0f", n.Took), strings.Join(stages, ", "))
+		for _, l := range n.Lines {
+			p.row("  " + l)
+		}
+	}
+}
--- /dev/null
+++ b/day/report.go
@@ -0,0 +1,336 @@
+package day
+
+import (
+	"cmp"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"turmericgap/finding"
+)
+
+// Report is what a day was like. Times are as in the log, durations in milliseconds.
+type Report struct {
+	From  time.Time `json:"from"`
+	Until time.Time `json:"until"`
+	// Lines were read, Others are no log lines, Unreadable should be and cannot be read; LeftOut are lines of works
+	// beyond the bound.
+	Lines      int          `json:"lines"`
+	Others     int          `json:"others"`
+	Unreadable int          `json:"unreadable"`
+	LeftOut    int          `json:"leftOut"`
+	Findings   finding.List `json:"findings,omitempty"`
+	// Groups hold the works of each queue, and those of each zone and class of sizes of it.
+	Groups   []Group   `json:"groups"`
+	Tenures  []Tenure  `json:"tenures"`
+	Outages  []Outage  `json:"outages"`
+	Refusals []Refusal `json:"refusals"`
+	// Lost are the largest works that were lost, Slowest those that were done and took longest.
+	Lost    []Path `json:"lost"`
+	Slowest []Path `json:"slowest"`
+}
+
+// Group is works of one queue; Zone or Class is empty where it holds all of them.
+type Group struct {
+	Queue string       `json:"queue"`
+	Zone  string       `json:"zone,omitempty"`
+	Class string       `json:"class,omitempty"`
+	Works int          `json:"works"`
+	Fates map[Fate]int `json:"fates"`
+	// Owed are those that ended or were lost, but for the cancelled; Served is the share of them that was done.
+	Owed   int         `json:"owed"`
+	Served float64     `json:"served"`
+	Stages []StageTime `json:"stages"`
+	// GangSeconds is for how long its gangs waited for what, summed over the gangs.
+	GangSeconds map[string]int `json:"gangSeconds,omitempty"`
+	Windows     []Window       `json:"windows"`
+}
+
+// StageTime is how long works spent in a stage.
+type StageTime struct {
+	Stage Stage   `json:"stage"`
+	Works int     `json:"works"`
+	Mean  float64 `json:"mean"`
+	P90   float64 `json:"p90"`
+}
+
+// Window is the works of a group that were accepted within two seconds, After so long after the first line.
+type Window struct {
+	After       time.Duration     `json:"afterNanos"`
+	Works       int               `json:"works"`
+	Owed        int               `json:"owed"`
+	Served      float64           `json:"served"`
+	Stages      map[Stage]float64 `json:"stages"`
+	GangSeconds map[string]int    `json:"gangSeconds,omitempty"`
+}
+
+// Tenure is a time in which a VM owned the cell; Until is zero where no line tells of its end.
+type Tenure struct {
+	VM     string    `json:"vm"`
+	Fence  int64     `json:"fence"`
+	From   time.Time `json:"from"`
+	Until  time.Time `json:"until,omitzero"`
+	Reason string    `json:"reason,omitempty"`
+}
+
+// Outage is a time in which calls of the store had no answer.
+type Outage struct {
+	From  time.Time `json:"from"`
+	Until time.Time `json:"until"`
+	Calls int       `json:"calls"`
+}
+
+// Refusal is the callers who were refused for one reason; Free is the mean share of the cell that was free then.
+type Refusal struct {
+	Method string    `json:"method"`
+	Status int       `json:"status"`
+	Reason string    `json:"reason"`
+	Count  int       `json:"count"`
+	First  time.Time `json:"first"`
+	Last   time.Time `json:"last"`
+	Free   float64   `json:"free"`
+	// bySecond counts them by the second.
+	bySecond map[int64]int
+}
+
+// Path is a work that a report names, and how long it spent in each stage.
+type Path struct {
+	ID          string            `json:"id"`
+	Queue       string            `json:"queue"`
+	Zone        string            `json:"zone"`
+	Class       string            `json:"class"`
+	CoreSeconds float64           `json:"coreSeconds"`
+	Took        float64           `json:"took"`
+	Stages      map[Stage]float64 `json:"stages"`
+	// Lines are its log lines, where the log was read again for them.
+	Lines []string `json:"lines,omitempty"`
+}
+
+// outageGap parts two outages.
+const outageGap = 2 * time.Second
+
+// Report gives what was read so far.
+func (d *Day) Report() *Report {
+	r := &Report{
+		From: d.from, Until: d.until, Lines: d.lines, Others: d.others, Unreadable: d.bad, LeftOut: d.leftOut, Findings: d.Findings(),
+		Outages: d.outages(), Refusals: d.refused(),
+	}
+	for _, t := range d.tenures {
+		r.Tenures = append(r.Tenures, *t)
+	}
+	slices.SortFunc(r.Tenures, func(a, b Tenure) int { return cmp.Or(a.From.Compare(b.From), cmp.Compare(a.Fence, b.Fence)) })
+	works := d.known()
+	for _, key := range keys(works) {
+		r.Groups = append(r.Groups, d.group(key, works))
+	}
+	r.Lost, r.Slowest = d.named(works)
+	return r
+}
+
+// known gives the works of which a line told the queue, by their acceptance.
+func (d *Day) known() []*work {
+	var list []*work
+	for _, w := range d.works {
+		if w.queue != "" {
+			list = append(list, w)
+		}
+	}
+	slices.SortFunc(list, func(a, b *work) int { return cmp.Or(a.accepted.Compare(b.accepted), cmp.Compare(a.id, b.id)) })
+	return list
+}
+
+// groupKey names a group; an empty part stands for all.
+type groupKey struct{ queue, zone, class string }
+
+func (k groupKey) holds(w *work) bool {
+	return w.queue == k.queue && (k.zone == "" || w.zone == k.zone) && (k.class == "" || w.class == k.class)
+}
+
+// keys gives the groups of works: those of a queue, of each of its classes, of each of its zones.
+func keys(works []*work) []groupKey {
+	found := make(map[groupKey]bool)
+	for _, w := range works {
+		found[groupKey{queue: w.queue}] = true
+		found[groupKey{queue: w.queue, class: w.class}] = true
+		found[groupKey{queue: w.queue, zone: w.zone}] = true
+	}
+	var list []groupKey
+	for k := range found {
+		list = append(list, k)
+	}
+	slices.SortFunc(list, func(a, b groupKey) int {
+		return cmp.Or(cmp.Compare(a.queue, b.queue), cmp.Compare(a.zone, b.zone), cmp.Compare(a.class, b.class))
+	})
+	return list
+}
+
+func (d *Day) group(key groupKey, works []*work) Group {
+	g := Group{Queue: key.queue, Zone: key.zone, Class: key.class, Fates: make(map[Fate]int), GangSeconds: make(map[string]int)}
+	times := make(map[Stage][]float64)
+	windows := make(map[int][]*work)
+	for _, w := range works {
+		if !key.holds(w) {
+			continue
+		}
+		g.Works++
+		g.Fates[w.fate()]++
+		for s, t := range w.stages() {
+			times[s] = append(times[s], t)
+		}
+		windows[d.window(w.accepted)] = append(windows[d.window(w.accepted)], w)
+	}
+	g.Owed, g.Served = served(g.Fates)
+	for _, s := range Stages {
+		if ts := times[s]; len(ts) > 0 {
+			slices.Sort(ts)
+			g.Stages = append(g.Stages, StageTime{s, len(ts), stat.Mean(ts, nil), stat.Quantile(0.9, stat.Empirical, ts, nil)})
+		}
+	}
+	waits := d.gangSeconds(key)
+	for i := range d.window(d.until) + 1 {
+		if len(windows[i]) > 0 || len(waits[i]) > 0 {
+			g.Windows = append(g.Windows, window(i, windows[i], waits[i]))
+		}
+		for why, n := range waits[i] {
+			g.GangSeconds[why] += n
+		}
+	}
+	return g
+}
+
+// window gives the number of the window of a moment; what was accepted before the first line counts to the first.
+func (d *Day) window(at time.Time) int { return max(int(at.Sub(d.from)/windowLength), 0) }
+
+func window(i int, works []*work, waits map[string]int) Window {
+	out := Window{After: time.Duration(i) * windowLength, Works: len(works), Stages: make(map[Stage]float64), GangSeconds: waits}
+	fates := make(map[Fate]int)
+	counts := make(map[Stage]int)
+	for _, w := range works {
+		fates[w.fate()]++
+		for s, t := range w.stages() {
+			out.Stages[s] += t
+			counts[s]++
+		}
+	}
+	for s, n := range counts {
+		out.Stages[s] /= float64(n)
+	}
+	out.Owed, out.Served = served(fates)
+	return out
+}
+
+// served gives how many works were owed, and the share of them that was done; 0 where none was owed.
+func served(fates map[Fate]int) (owed int, share float64) {
+	done := fates[InTime] + fates[Late]
+	owed = done + fates[Lost] + fates[Failed]
+	if owed == 0 {
+		return 0, 0
+	}
+	return owed, float64(done) / float64(owed)
+}
+
+// gangSeconds sums by window what the gangs of a group waited for; zones are not told apart by these lines.
+func (d *Day) gangSeconds(key groupKey) map[int]map[string]int {
+	out := make(map[int]map[string]int)
+	if key.zone != "" {
+		return out
+	}
+	for _, w := range d.waits {
+		if w.queue != key.queue || key.class != "" && w.class != key.class {
+			continue
+		}
+		i := d.window(w.at)
+		if out[i] == nil {
+			out[i] = make(map[string]int)
+		}
+		out[i][w.why] += w.gangs
+	}
+	return out
+}
+
+func (d *Day) outages() []Outage {
+	var out []Outage
+	for _, second := range slices.Sorted(maps.Keys(d.failures)) {
+		o := *d.failures[second]
+		if n := len(out); n > 0 && o.From.Sub(out[n-1].Until) <= outageGap {
+			out[n-1].Until = o.Until
+			out[n-1].Calls += o.Calls
+			continue
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+func (d *Day) refused() []Refusal {
+	free := slices.SortedFunc(slices.Values(d.free), func(a, b freeAt) int { return a.at.Compare(b.at) })
+	var out []Refusal
+	for _, r := range d.refusals {
+		sum := 0.0
+		for second, n := range r.bySecond {
+			sum += float64(n) * freeThen(free, time.Unix(second, 0))
+		}
+		r.Free = sum / float64(r.Count)
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(a, b Refusal) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Method, b.Method), cmp.Compare(a.Status, b.Status))
+	})
+	return out
+}
+
+// freeThen gives the share that was free by the first line at or after a moment, or the last line.
+func freeThen(free []freeAt, at time.Time) float64 {
+	if len(free) == 0 {
+		return 0
+	}
+	i, _ := slices.BinarySearchFunc(free, at, func(f freeAt, t time.Time) int { return f.at.Compare(t) })
+	return free[min(i, len(free)-1)].share
+}
+
+// named gives the largest works that were lost, and those that were done and took longest.
+func (d *Day) named(works []*work) (lost, slowest []Path) {
+	for _, w := range works {
+		n := Path{ID: w.id, Queue: w.queue, Zone: w.zone, Class: w.class, CoreSeconds: w.size, Stages: w.stages()}
+		switch w.fate() {
+		case Lost:
+			lost = append(lost, n)
+		case InTime, Late:
+			n.Took = float64(w.shown.Sub(w.accepted)) / float64(time.Millisecond)
+			slowest = append(slowest, n)
+		default:
+		}
+	}
+	slices.SortStableFunc(lost, func(a, b Path) int { return cmp.Compare(b.CoreSeconds, a.CoreSeconds) })
+	slices.SortStableFunc(slowest, func(a, b Path) int { return cmp.Compare(b.Took, a.Took) })
+	return lost[:min(len(lost), d.o.Named)], slowest[:min(len(slowest), d.o.Named)]
+}
+
+// mostNamedLines bounds the lines that are kept of a named work.
+const mostNamedLines = 200
+
+// Attach reads a log again and keeps the lines of the works that the report names.
+func (r *Report) Attach(log io.Reader) error {
+	byID := make(map[string]*Path)
+	for i := range r.Lost {
+		byID[r.Lost[i].ID] = &r.Lost[i]
+	}
+	for i := range r.Slowest {
+		byID[r.Slowest[i].ID] = &r.Slowest[i]
+	}
+	return eachLine(log, func(_ int, raw []byte, tooLong bool) {
+		if tooLong {
+			return
+		}
+		l, ok, err := parse(raw)
+		if err != nil || !ok {
+			return
+		}
+		if n := byID[l.ID]; n != nil && len(n.Lines) < mostNamedLines {
+			n.Lines = append(n.Lines, trimmed(raw))
+		}
+	})
+}
--- /dev/null
+++ b/day/work.go
@@ -0,0 +1,137 @@
+package day
+
+import "time"
+
+// Fate is what became of a work.
+type Fate string
+
+// The fates.
+const (
+	InTime    Fate = "inTime"
+	Late      Fate = "late"
+	Lost      Fate = "lost" // not done within three objectives
+	Failed    Fate = "failed"
+	Cancelled Fate = "cancelled"
+	Open      Fate = "open" // not ended when the log ends
+)
+
+// Stage is a part of a work's path.
+type Stage string
+
+// The stages, in the order of a work's path.
+const (
+	StageTurn     Stage = "turn"     // from its acceptance until its first question is put
+	StagePermits  Stage = "permits"  // until that is answered
+	StageRoom     Stage = "room"     // until its first start is decided; from its acceptance where it needs no permits
+	StageRecorded Stage = "recorded" // until the intent of a start is durable, mean over its runs
+	StageOrdered  Stage = "ordered"  // until the worker has answered the order, mean over its runs
+	StageRun      Stage = "run"      // from its first start until its last end is heard or it is shown, later steps included
+	StageShown    Stage = "shown"    // until its end is durable and shown
+)
+
+// Stages lists all stages.
+var Stages = []Stage{StageTurn, StagePermits, StageRoom, StageRecorded, StageOrdered, StageRun, StageShown}
+
+// work is what the lines tell of one work.
+type work struct {
+	id, queue, zone, class string
+	// size is in core-seconds, objective in milliseconds.
+	size, objective float64
+	// taken is when the line that told of its class was written: the first owner's counts.
+	taken time.Time
+	// accepted, asked, permitted, started and ended are the first or last moment of their kind, shown is when its
+	// end was shown; zero where no line tells.
+	accepted, asked, permitted, started, ended, shown time.Time
+	state                                             string
+	beforeGoal                                        float64
+	lost                                              bool
+	// recorded and ordered are sums over its runs, in milliseconds.
+	recorded, ordered float64
+	runs              int
+}
+
+func earliest(at *time.Time, t time.Time) {
+	if at.IsZero() || t.Before(*at) {
+		*at = t
+	}
+}
+
+func latest(at *time.Time, t time.Time) {
+	if t.After(*at) {
+		*at = t
+	}
+}
+
+// take takes in a line about the work.
+func (w *work) take(l *line) {
+	switch l.Msg {
+	case "dispatch: work taken":
+		earliest(&w.accepted, l.since(l.Age))
+		if w.taken.IsZero() || l.Time.Before(w.taken) {
+			w.taken, w.queue, w.zone, w.class, w.size, w.objective = l.Time, l.Queue, l.Zone, l.Class, l.CoreSeconds, l.Objective
+		}
+	case "dispatch: permits":
+		earliest(&w.asked, l.since(l.Took))
+		earliest(&w.permitted, l.Time)
+	case "dispatch: start decided":
+		earliest(&w.started, l.Time)
+	case "dispatch: run ended":
+		latest(&w.ended, l.Time)
+		w.recorded += l.Recorded
+		w.ordered += l.Ordered
+		w.runs++
+	case "dispatch: work is worth nothing any more":
+		w.lost = true
+	case "dispatch: work ended":
+		w.state, w.shown, w.beforeGoal = l.State, l.Time, l.BeforeGoal
+	}
+}
+
+// lostAfter objectives after it was due a work is worth nothing any more.
+const lostAfter = 3
+
+// fate tells what became of the work. An end wins over a loss, which may be told of a work that was cancelled.
+func (w *work) fate() Fate {
+	switch {
+	case w.state == "cancelled":
+		return Cancelled
+	case w.state == "failed":
+		return Failed
+	case w.lost || w.beforeGoal < -(lostAfter-1)*w.objective:
+		return Lost
+	case w.shown.IsZero():
+		return Open
+	case w.beforeGoal < 0:
+		return Late
+	}
+	return InTime
+}
+
+// stages gives how long the work spent in each stage that the lines tell of, in milliseconds.
+func (w *work) stages() map[Stage]float64 {
+	out := make(map[Stage]float64, len(Stages))
+	between := func(s Stage, from, to time.Time) {
+		if !from.IsZero() && !to.IsZero() && !to.Before(from) {
+			out[s] = float64(to.Sub(from)) / float64(time.Millisecond)
+		}
+	}
+	between(StageTurn, w.accepted, w.asked)
+	between(StagePermits, w.asked, w.permitted)
+	ready := w.permitted
+	if ready.IsZero() {
+		ready = w.accepted
+	}
+	between(StageRoom, ready, w.started)
+	if w.runs > 0 {
+		out[StageRecorded] = w.recorded / float64(w.runs)
+		out[StageOrdered] = w.ordered / float64(w.runs)
+	}
+	// The ends of a gang's other members are heard after the one that its work is shown by.
+	ended := w.ended
+	if !w.shown.IsZero() && ended.After(w.shown) {
+		ended = w.shown
+	}
+	between(StageRun, w.started, ended)
+	between(StageShown, ended, w.shown)
+	return out
+}
