--- a/cell/trace_test.go
+++ b/cell/trace_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -26,6 +24,7 @@
 	"turmericgap/route"
 	"turmericgap/rpc"
 	"turmericgap/scheduler"
+	"turmericgap/standin/golden"
 	standintarget "turmericgap/standin/target"
 	standin "turmericgap/standin/worker"
 	"turmericgap/store"
@@ -33,8 +32,6 @@
 	"turmericgap/worker"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 // A check and a job leave one span for each hop, each below the one that caused it, and all below
 // the caller's own span. The golden file holds their names and parents.
 func TestTrace(t *testing.T) {
@@ -58,14 +55,7 @@
 	for _, trace := range []string{"0af7651916cd43dd8448eb211c80319c", "1af7651916cd43dd8448eb211c80319c"} {
 		printTree(&out, spans.GetSpans(), trace, "b7ad6b7169203331", 0)
 	}
-	const path = "testdata/trace.golden"
-	if *update {
-		_ = os.WriteFile(path, []byte(out.String()), 0o600)
-	}
-	want, err := os.ReadFile(path)
-	if err != nil || string(want) != out.String() {
-		t.Errorf("%v; got\n%swant\n%s", err, out.String(), want)
-	}
+	golden.Equal(t, "testdata/trace.golden", []byte(out.String()))
 }
 
 func request(g *gate.Gate, method, path, body, trace string) *httptest.ResponseRecorder {
--- /dev/null
+++ b/cmd/ctl/explain.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"turmericgap/finding"
+	"turmericgap/job"
+	_ "turmericgap/platform" // The key-value service of the users' platform.
+	"turmericgap/rule"
+	_ "turmericgap/store/etcd" // The platform's key-value service.
+)
+
+type rulesExplain struct {
+	cell  *common
+	Rules string       `long:"rules" description:"a rule document instead of the rules in force"`
+	Args  fileArgument `positional-args:"yes" required:"yes"`
+}
+
+// explained is what an explanation prints as JSON.
+type explained struct {
+	rule.Explanation
+	// Rule is the one that decided.
+	Rule *rule.Rule `json:"rule,omitempty"`
+}
+
+// Execute judges the submission.
+func (x *rulesExplain) Execute([]string) error {
+	raw, err := readFile(x.Args.File)
+	if err != nil {
+		return err
+	}
+	var spec job.Submission
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&spec); err != nil {
+		return finding.List{{Place: x.Args.File, Reason: err.Error()}}
+	}
+	if l := spec.Check(); len(l) > 0 {
+		return l
+	}
+	list, err := x.list()
+	if err != nil {
+		return err
+	}
+	var r rule.Request
+	r.ForJob(time.Now(), &spec)
+	out := explained{Explanation: list.Explain(&r)}
+	for _, each := range list.Document().Rules {
+		if each.ID == out.Decided {
+			out.Rule = &each
+		}
+	}
+	if x.cell.JSON {
+		return printJSON(&out)
+	}
+	printExplanation(&out.Explanation)
+	if out.Rule != nil {
+		fmt.Println("  it does " + compact(out.Rule.Then))
+	}
+	return nil
+}
+
+func (x *rulesExplain) list() (*rule.List, error) {
+	if x.Rules != "" {
+		raw, err := readFile(x.Rules)
+		if err != nil {
+			return nil, err
+		}
+		return rule.Parse(raw)
+	}
+	ctx, cancel := x.cell.context()
+	defer cancel()
+	_, e, err := x.cell.current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return rule.Parse(e.Rules)
+}
+
+func printExplanation(x *rule.Explanation) {
+	fmt.Printf("rules, version %d:\n", x.Version)
+	for _, v := range x.Asked {
+		switch {
+		case v.Holds:
+			fmt.Printf("  %s holds and decides\n", v.Rule)
+		case v.Values != "":
+			fmt.Printf("  %s does not hold: %s, but %s\n", v.Rule, v.Failed, v.Values)
+		default:
+			fmt.Printf("  %s does not hold: %s\n", v.Rule, v.Failed)
+		}
+	}
+	if x.Decided == "" {
+		fmt.Println("  no rule holds; everything is at its default")
+	}
+}
--- a/cmd/ctl/manual_test.go
+++ b/cmd/ctl/manual_test.go
@@ -2,22 +2,15 @@
 
 import (
 	"bytes"
-	"os"
 	"testing"
 
-	"github.com/matryer/is"
+	"turmericgap/standin/golden"
 )
 
 const manualFile = "../../docs/ctl.md"
 
 func TestManual(t *testing.T) {
-	is := is.New(t)
 	var got bytes.Buffer
 	writeManual(&got, newParser(&common{}))
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		is.NoErr(os.WriteFile(manualFile, got.Bytes(), 0o644))
-	}
-	want, err := os.ReadFile(manualFile)
-	is.NoErr(err)
-	is.Equal(string(want), got.String())
+	golden.Equal(t, manualFile, got.Bytes())
 }
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -3,37 +3,18 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 
+	"turmericgap/standin/golden"
+
 	"github.com/matryer/is"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 const logFile = "testdata/day.log"
 
-func golden(t *testing.T, name string, got []byte) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(path, got, 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got, want) {
-		t.Errorf("%s differs; got:\n%s", path, got)
-	}
-}
-
 func readLog(t *testing.T, opts ...Option) *Report {
 	t.Helper()
 	raw, err := os.ReadFile(logFile)
@@ -56,10 +37,10 @@
 	r := readLog(t)
 	var text bytes.Buffer
 	is.NoErr(r.Print(&text))
-	golden(t, "day.txt", text.Bytes())
+	golden.Equal(t, "testdata/day.txt", text.Bytes())
 	raw, err := json.MarshalIndent(r, "", "  ")
 	is.NoErr(err)
-	golden(t, "day.json", append(raw, '\n'))
+	golden.Equal(t, "testdata/day.json", append(raw, '\n'))
 }
 
 // Each VM has a log of its own, and nobody merges them. A work's lines then come in any order: the report is the same.
--- /dev/null
+++ b/day/group.go
@@ -0,0 +1,152 @@
+package day
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Group is works of one queue; Zone or Class is empty where it holds all of them.
+type Group struct {
+	Queue string       `json:"queue"`
+	Zone  string       `json:"zone,omitempty"`
+	Class string       `json:"class,omitempty"`
+	Works int          `json:"works"`
+	Fates map[Fate]int `json:"fates"`
+	// Owed are those that ended or were lost, but for the cancelled; Served is the share of them that was done.
+	Owed   int         `json:"owed"`
+	Served float64     `json:"served"`
+	Stages []StageTime `json:"stages"`
+	// GangSeconds is for how long its gangs waited for what, summed over the gangs.
+	GangSeconds map[string]int `json:"gangSeconds,omitempty"`
+	Windows     []Window       `json:"windows"`
+}
+
+// StageTime is how long works spent in a stage.
+type StageTime struct {
+	Stage Stage   `json:"stage"`
+	Works int     `json:"works"`
+	Mean  float64 `json:"mean"`
+	P90   float64 `json:"p90"`
+}
+
+// Window is the works of a group that were accepted within two seconds, After so long after the first line.
+type Window struct {
+	After       time.Duration     `json:"afterNanos"`
+	Works       int               `json:"works"`
+	Owed        int               `json:"owed"`
+	Served      float64           `json:"served"`
+	Stages      map[Stage]float64 `json:"stages"`
+	GangSeconds map[string]int    `json:"gangSeconds,omitempty"`
+}
+
+// groupKey names a group; an empty part stands for all.
+type groupKey struct{ queue, zone, class string }
+
+func (k groupKey) holds(w *work) bool {
+	return w.queue == k.queue && (k.zone == "" || w.zone == k.zone) && (k.class == "" || w.class == k.class)
+}
+
+// keys gives the groups of works: those of a queue, of each of its classes, of each of its zones.
+func keys(works []*work) []groupKey {
+	found := make(map[groupKey]bool)
+	for _, w := range works {
+		found[groupKey{queue: w.queue}] = true
+		found[groupKey{queue: w.queue, class: w.class}] = true
+		found[groupKey{queue: w.queue, zone: w.zone}] = true
+	}
+	var list []groupKey
+	for k := range found {
+		list = append(list, k)
+	}
+	slices.SortFunc(list, func(a, b groupKey) int {
+		return cmp.Or(cmp.Compare(a.queue, b.queue), cmp.Compare(a.zone, b.zone), cmp.Compare(a.class, b.class))
+	})
+	return list
+}
+
+func (d *Day) group(key groupKey, works []*work) Group {
+	g := Group{Queue: key.queue, Zone: key.zone, Class: key.class, Fates: make(map[Fate]int), GangSeconds: make(map[string]int)}
+	times := make(map[Stage][]float64)
+	windows := make(map[int][]*work)
+	for _, w := range works {
+		if !key.holds(w) {
+			continue
+		}
+		g.Works++
+		g.Fates[w.fate()]++
+		for s, t := range w.stages() {
+			times[s] = append(times[s], t)
+		}
+		windows[d.window(w.accepted)] = append(windows[d.window(w.accepted)], w)
+	}
+	g.Owed, g.Served = served(g.Fates)
+	for _, s := range Stages {
+		if ts := times[s]; len(ts) > 0 {
+			slices.Sort(ts)
+			g.Stages = append(g.Stages, StageTime{s, len(ts), stat.Mean(ts, nil), stat.Quantile(0.9, stat.Empirical, ts, nil)})
+		}
+	}
+	waits := d.gangSeconds(key)
+	for i := range d.window(d.until) + 1 {
+		if len(windows[i]) > 0 || len(waits[i]) > 0 {
+			g.Windows = append(g.Windows, window(i, windows[i], waits[i]))
+		}
+		for why, n := range waits[i] {
+			g.GangSeconds[why] += n
+		}
+	}
+	return g
+}
+
+// window gives the number of the window of a moment; what was accepted before the first line counts to the first.
+func (d *Day) window(at time.Time) int { return max(int(at.Sub(d.from)/windowLength), 0) }
+
+func window(i int, works []*work, waits map[string]int) Window {
+	out := Window{After: time.Duration(i) * windowLength, Works: len(works), Stages: make(map[Stage]float64), GangSeconds: waits}
+	fates := make(map[Fate]int)
+	counts := make(map[Stage]int)
+	for _, w := range works {
+		fates[w.fate()]++
+		for s, t := range w.stages() {
+			out.Stages[s] += t
+			counts[s]++
+		}
+	}
+	for s, n := range counts {
+		out.Stages[s] /= float64(n)
+	}
+	out.Owed, out.Served = served(fates)
+	return out
+}
+
+// served gives how many works were owed, and the share of them that was done; 0 where none was owed.
+func served(fates map[Fate]int) (owed int, share float64) {
+	done := fates[InTime] + fates[Late]
+	owed = done + fates[Lost] + fates[Failed]
+	if owed == 0 {
+		return 0, 0
+	}
+	return owed, float64(done) / float64(owed)
+}
+
+// gangSeconds sums by window what the gangs of a group waited for; zones are not told apart by these lines.
+func (d *Day) gangSeconds(key groupKey) map[int]map[string]int {
+	out := make(map[int]map[string]int)
+	if key.zone != "" {
+		return out
+	}
+	for _, w := range d.waits {
+		if w.queue != key.queue || key.class != "" && w.class != key.class {
+			continue
+		}
+		i := d.window(w.at)
+		if out[i] == nil {
+			out[i] = make(map[string]int)
+		}
+		out[i][w.why] += w.gangs
+	}
+	return out
+}
--- a/gate/api_test.go
+++ b/gate/api_test.go
@@ -5,11 +5,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -25,10 +23,9 @@
 	"turmericgap/job"
 	"turmericgap/rpc"
 	"turmericgap/session"
+	"turmericgap/standin/golden"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 // owner answers for the owner of jobs; the job's key or id names what it does.
 func owner(_ context.Context, id string) (*job.Status, error) {
 	switch id {
@@ -138,13 +135,7 @@
 			}
 			fmt.Fprintf(&got, "## %s\n%d Retry-After=%s\n%s\n\n", c.name, w.Code, w.Header().Get("Retry-After"), &indented)
 		}
-		const path = "testdata/api.golden"
-		if *update {
-			is.New(t).NoErr(os.WriteFile(path, got.Bytes(), 0o600))
-		}
-		want, err := os.ReadFile(path)
-		is.New(t).NoErr(err)
-		is.New(t).Equal(got.String(), string(want))
+		golden.Equal(t, "testdata/api.golden", got.Bytes())
 	})
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,17 +2,15 @@
 
 import (
 	"fmt"
-	"os"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
-
 	"turmericgap/job"
 	"turmericgap/planner"
 	"turmericgap/rule/standard"
+	"turmericgap/standin/golden"
 )
 
 func ours(l *Load) Policy {
@@ -20,23 +18,17 @@
 }
 
 // A change of the decisions shows as a change of these figures, beside those of the baselines on
-// the same load. UPDATE_GOLDEN=1 writes them anew.
+// the same load.
 func TestMeasure(t *testing.T) {
 	for _, l := range []*Load{Kayal(1), Padan(1), TwoYear(1, 10)} {
 		t.Run(l.Name, func(t *testing.T) {
-			is := is.New(t)
 			var got strings.Builder
 			for _, p := range []Policy{FirstFit(), RandomOfTwo(1), ours(l)} {
 				got.WriteString(Replay(l, p).String())
 			}
 			t.Log(got.String())
 			path := "testdata/" + strings.ReplaceAll(l.Name, " ", "-") + ".txt"
-			if os.Getenv("UPDATE_GOLDEN") != "" {
-				is.NoErr(os.WriteFile(path, []byte(got.String()), 0o644))
-			}
-			want, err := os.ReadFile(path)
-			is.NoErr(err)
-			is.Equal(string(want), got.String())
+			golden.Equal(t, path, []byte(got.String()))
 		})
 	}
 }
--- a/rule/standard/standard_test.go
+++ b/rule/standard/standard_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,22 +10,11 @@
 
 	"turmericgap/job"
 	"turmericgap/rule"
+	"turmericgap/standin/golden"
 )
 
 var now = time.Date(2027, 3, 5, 4, 30, 0, 0, time.UTC)
 
-func golden(t *testing.T, name string, got []byte) {
-	t.Helper()
-	is := is.New(t)
-	path := "testdata/" + name
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		is.NoErr(os.WriteFile(path, got, 0o644))
-	}
-	want, err := os.ReadFile(path)
-	is.NoErr(err)
-	is.Equal(string(want), string(got))
-}
-
 func TestExplain(t *testing.T) {
 	for _, class := range []string{"roster", "certificate", "booking", "matching", "sweep", "balance", "other"} {
 		t.Run(class, func(t *testing.T) {
@@ -35,7 +23,7 @@
 			r.ForJob(now, &job.Submission{Class: class, Kind: job.Batch, Tasks: 4, Each: job.Resources{Millicores: 1}})
 			got, err := json.MarshalIndent(List().Explain(&r), "", "  ")
 			is.NoErr(err)
-			golden(t, "explain-"+class+".json", append(got, '\n'))
+			golden.Equal(t, "testdata/explain-"+class+".json", append(got, '\n'))
 		})
 	}
 }
@@ -51,7 +39,7 @@
 		{"id":"b","when":"now() > 0","then":[{"kind":"refuse"},{"kind":"retry","with":{"retrys":1}}]},
 		{"id":"c","then":[{"kind":"limit","with":{"mostRunning":1}},{"kind":"limit","with":{"mostRunning":2}}]}]}`))
 	is.True(err != nil)
-	golden(t, "findings.txt", []byte(err.Error()+"\n"))
+	golden.Equal(t, "testdata/findings.txt", []byte(err.Error()+"\n"))
 }
 
 // Conditions decided as plain Go must mean what expr's machine says.
--- a/status/status_test.go
+++ b/status/status_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +17,7 @@
 	"turmericgap/operate"
 	"turmericgap/planner"
 	"turmericgap/scheduler"
+	"turmericgap/standin/golden"
 	"turmericgap/view"
 	"turmericgap/worker"
 )
@@ -81,12 +81,7 @@
 			var got bytes.Buffer
 			is.NoErr(New("scheduler-0", tc.cell).Write(&got))
 			path := "testdata/" + tc.name + ".html"
-			if os.Getenv("UPDATE_GOLDEN") != "" {
-				is.NoErr(os.WriteFile(path, got.Bytes(), 0o644))
-			}
-			want, err := os.ReadFile(path)
-			is.NoErr(err)
-			is.Equal(string(want), got.String())
+			golden.Equal(t, path, got.Bytes())
 		})
 	}
 }
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -2,18 +2,17 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"math"
 	"os"
 	"path/filepath"
 	"testing"
 
+	"turmericgap/standin/golden"
+
 	"github.com/matryer/is"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // plays gives one play for each seed of a day.
 func plays(day string, worth ...float64) []Play {
 	var out []Play
@@ -40,7 +39,7 @@
 	is.Equal(c.Unpaired, []string{"old site storm seed 5"})
 	var out bytes.Buffer
 	is.NoErr(c.Print(&out))
-	golden(t, "comparison.golden", out.Bytes())
+	golden.Equal(t, "testdata/comparison.golden", out.Bytes())
 	plot := filepath.Join(t.TempDir(), "plot.svg")
 	is.NoErr(c.Plot(plot))
 	raw, err := os.ReadFile(plot)
@@ -56,20 +55,3 @@
 	is.Equal(one.Worth.Half, 0.0)
 	is.Equal(one.Worth.Needs, 0)
 }
-
-func golden(t *testing.T, name string, got []byte) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(path, got, 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got, want) {
-		t.Fatalf("got\n%s\nwant\n%s", got, want)
-	}
-}
