--- a/cmd/ctl/edition.go
+++ b/cmd/ctl/edition.go
@@ -7,9 +7,7 @@
 	"time"
 
 	"turmericgap/operate"
-	_ "turmericgap/platform" // The key-value service of the users' platform.
 	"turmericgap/rule"
-	_ "turmericgap/store/etcd" // The platform's key-value service.
 	"turmericgap/view"
 )
 
--- a/cmd/ctl/explain.go
+++ b/cmd/ctl/explain.go
@@ -8,9 +8,7 @@
 
 	"turmericgap/finding"
 	"turmericgap/job"
-	_ "turmericgap/platform" // The key-value service of the users' platform.
 	"turmericgap/rule"
-	_ "turmericgap/store/etcd" // The platform's key-value service.
 )
 
 type rulesExplain struct {
