--- a/aging/aging_test.go
+++ b/aging/aging_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // sizes has seen a queue's works of 1 to 10, many times.
@@ -107,3 +108,37 @@
 	got := begin(z, 100, small, large)
 	is.True(got[large] >= 45 && got[large] <= 55)
 }
+
+// Works of one class wait all the time, those of the others come and go as they like. Whatever they do, the class
+// has its share of the turns, but for those that each of the others may be ahead by.
+func TestWaitingClassAlwaysHasItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		z := New()
+		for _, size := range rapid.SliceOfN(rapid.Float64Range(1, 1000), 30, 200).Draw(t, "sizes") {
+			z.Note("rosters", size)
+		}
+		waits := Class(rapid.IntRange(0, int(Classes)-1).Draw(t, "class"))
+		const turns = 200
+		got := 0
+		for range turns {
+			waiting := []Class{waits}
+			for c := range Classes {
+				if c != waits && rapid.Bool().Draw(t, "waits") {
+					waiting = append(waiting, c)
+				}
+			}
+			c := waiting[z.Share("rosters", waiting)[0]]
+			z.Begun("rosters", c)
+			if c == waits {
+				got++
+			}
+		}
+		q, all := z.queues["rosters"], 0.0
+		for c := range Classes {
+			all += 1 / q.turn(c)
+		}
+		if want := turns / q.turn(waits) / all; float64(got) < want-float64(Classes) {
+			t.Fatalf("%v had %d of %d turns, its share is %.1f", waits, got, turns, want)
+		}
+	})
+}
