--- a/day/group.go
+++ b/day/group.go
@@ -34,7 +34,7 @@
 
 // Window is the works of a group that were accepted within two seconds, After so long after the first line.
 type Window struct {
-	After       time.Duration     `json:"afterNanos"`
+	After       float64           `json:"after"`
 	Works       int               `json:"works"`
 	Owed        int               `json:"owed"`
 	Served      float64           `json:"served"`
@@ -105,7 +105,7 @@
 func (d *Day) window(at time.Time) int { return max(int(at.Sub(d.from)/windowLength), 0) }
 
 func window(i int, works []*work, waits map[string]int) Window {
-	out := Window{After: time.Duration(i) * windowLength, Works: len(works), Stages: make(map[Stage]float64), GangSeconds: waits}
+	out := Window{After: millis(time.Duration(i) * windowLength), Works: len(works), Stages: make(map[Stage]float64), GangSeconds: waits}
 	fates := make(map[Fate]int)
 	counts := make(map[Stage]int)
 	for _, w := range works {
--- a/day/page.go
+++ b/day/page.go
@@ -98,7 +98,7 @@
 		c := curve{name: g.of()}
 		for _, w := range g.Windows {
 			if w.Owed > 0 {
-				c.points = append(c.points, plotter.XY{X: w.After.Seconds(), Y: w.Served})
+				c.points = append(c.points, plotter.XY{X: w.After / 1000, Y: w.Served})
 			}
 		}
 		out = append(out, c)
@@ -114,7 +114,7 @@
 		}
 		c := curve{name: word}
 		for _, w := range g.Windows {
-			c.points = append(c.points, plotter.XY{X: w.After.Seconds(), Y: float64(w.GangSeconds[word])})
+			c.points = append(c.points, plotter.XY{X: w.After / 1000, Y: float64(w.GangSeconds[word])})
 		}
 		out = append(out, c)
 	}
@@ -127,7 +127,7 @@
 		c := curve{name: string(s)}
 		for _, w := range g.Windows {
 			if t, ok := w.Stages[s]; ok {
-				c.points = append(c.points, plotter.XY{X: w.After.Seconds(), Y: t})
+				c.points = append(c.points, plotter.XY{X: w.After / 1000, Y: t})
 			}
 		}
 		out = append(out, c)
--- a/day/print.go
+++ b/day/print.go
@@ -163,7 +163,7 @@
 		}
 		p.head("Queue "+g.Queue+" by when works were accepted", append([]string{"SECOND", "WORKS", "SERVED", "TURN", "PERMITS", "ROOM"}, waitColumns()...)...)
 		for _, w := range g.Windows {
-			cells := []string{fmt.Sprintf("%.0f", w.After.Seconds()), fmt.Sprint(w.Works), shareCell(w.Owed, w.Served)}
+			cells := []string{fmt.Sprintf("%.0f", w.After/1000), fmt.Sprint(w.Works), shareCell(w.Owed, w.Served)}
 			for _, s := range []Stage{StageTurn, StagePermits, StageRoom} {
 				cells = append(cells, fmt.Sprintf("%.0f", w.Stages[s]))
 			}
--- a/day/report.go
+++ b/day/report.go
@@ -154,7 +154,7 @@
 		case Lost:
 			lost = append(lost, n)
 		case InTime, Late:
-			n.Took = float64(w.shown.Sub(w.accepted)) / float64(time.Millisecond)
+			n.Took = millis(w.shown.Sub(w.accepted))
 			slowest = append(slowest, n)
 		default:
 		}
--- a/day/work.go
+++ b/day/work.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// millis gives a duration as reports have it.
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // lostAfter objectives after it was due a work is worth nothing any more.
 const lostAfter = 3
 
@@ -112,7 +115,7 @@
 	out := make(map[Stage]float64, len(Stages))
 	between := func(s Stage, from, to time.Time) {
 		if !from.IsZero() && !to.IsZero() && !to.Before(from) {
-			out[s] = float64(to.Sub(from)) / float64(time.Millisecond)
+			out[s] = millis(to.Sub(from))
 		}
 	}
 	between(StageTurn, w.accepted, w.asked)
