--- a/day/day.go
+++ b/day/day.go
@@ -23,8 +23,9 @@
 	mostLine = 1 << 20
 	// mostFindings bounds the lines that are named as unreadable; the others are counted.
 	mostFindings = 20
-	// mostReasons bounds the reasons of refusals that are told apart.
-	mostReasons = 64
+	// mostReasons bounds the reasons of refusals that are told apart, otherReasons stands for the rest.
+	mostReasons  = 64
+	otherReasons = "others"
 	// windowLength is the length of the windows of a report.
 	windowLength = 2 * time.Second
 )
@@ -211,24 +212,26 @@
 	if l.Status < refusedFrom {
 		return
 	}
-	reason := digits.ReplaceAllString(l.Error, "N")
-	key := fmt.Sprintf("%s %d %s", l.Method, l.Status, reason)
-	r := d.refusals[key]
-	if r == nil {
-		if len(d.refusals) >= mostReasons {
-			key, reason = "others", "others"
-		}
-		if r = d.refusals[key]; r == nil {
-			r = &Refusal{Method: l.Method, Status: l.Status, Reason: reason, bySecond: make(map[int64]int)}
-			d.refusals[key] = r
-		}
-	}
+	r := d.refusal(l.Method, l.Status, digits.ReplaceAllString(l.Error, "N"))
 	r.Count++
 	earliest(&r.First, l.Time)
 	latest(&r.Last, l.Time)
 	r.bySecond[l.Time.Unix()]++
 }
 
+// refusal gives the refusals for one reason. Those for reasons beyond the bound are together, without the method
+// and status that they do not share.
+func (d *Day) refusal(method string, status int, reason string) *Refusal {
+	key := fmt.Sprintf("%s %d %s", method, status, reason)
+	if d.refusals[key] == nil && len(d.refusals) >= mostReasons {
+		key, method, status, reason = otherReasons, "", 0, otherReasons
+	}
+	if d.refusals[key] == nil {
+		d.refusals[key] = &Refusal{Method: method, Status: status, Reason: reason, bySecond: make(map[int64]int)}
+	}
+	return d.refusals[key]
+}
+
 func (d *Day) failed(at time.Time) {
 	o := d.failures[at.Unix()]
 	if o == nil {
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"slices"
 	"strings"
@@ -98,6 +99,26 @@
 	is.True(len(r.Slowest) <= 1)
 }
 
+// A fault gives each caller a reason of its own. Those beyond the bound are counted together, and none of them is
+// said to have another's method or status.
+func TestReasonsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var log strings.Builder
+	const more = 5
+	for i := range mostReasons + more {
+		word := strings.Repeat("x", i+1)
+		fmt.Fprintf(&log, `{"time":"2026-10-07T22:55:00Z","msg":"entry: answered","method":"POST","status":503,"error":"%s"}`+"\n", word)
+	}
+	d := New()
+	is.NoErr(d.Read(strings.NewReader(log.String()), "log"))
+	refusals := d.Report().Refusals
+	is.Equal(len(refusals), mostReasons+1)
+	is.Equal(refusals[0].Reason, otherReasons)
+	is.Equal(refusals[0].Count, more)
+	is.Equal(refusals[0].Method, "")
+	is.Equal(refusals[0].Status, 0)
+}
+
 // A caller chooses the names of queues, and a page shows them.
 func TestPageEscapes(t *testing.T) {
 	is := is.New(t)
--- a/day/group.go
+++ b/day/group.go
@@ -50,7 +50,7 @@
 }
 
 // keys gives the groups of works: those of a queue, of each of its classes, of each of its zones.
-func keys(works []*work) []groupKey {
+func keys(works []outcome) []groupKey {
 	found := make(map[groupKey]bool)
 	for _, w := range works {
 		found[groupKey{queue: w.queue}] = true
@@ -67,17 +67,17 @@
 	return list
 }
 
-func (d *Day) group(key groupKey, works []*work) Group {
+func (d *Day) group(key groupKey, works []outcome) Group {
 	g := Group{Queue: key.queue, Zone: key.zone, Class: key.class, Fates: make(map[Fate]int), GangSeconds: make(map[string]int)}
 	times := make(map[Stage][]float64)
-	windows := make(map[int][]*work)
+	windows := make(map[int][]outcome)
 	for _, w := range works {
-		if !key.holds(w) {
+		if !key.holds(w.work) {
 			continue
 		}
 		g.Works++
-		g.Fates[w.fate()]++
-		for s, t := range w.stages() {
+		g.Fates[w.fate]++
+		for s, t := range w.stages {
 			times[s] = append(times[s], t)
 		}
 		windows[d.window(w.accepted)] = append(windows[d.window(w.accepted)], w)
@@ -104,13 +104,13 @@
 // window gives the number of the window of a moment; what was accepted before the first line counts to the first.
 func (d *Day) window(at time.Time) int { return max(int(at.Sub(d.from)/windowLength), 0) }
 
-func window(i int, works []*work, waits map[string]int) Window {
+func window(i int, works []outcome, waits map[string]int) Window {
 	out := Window{After: millis(time.Duration(i) * windowLength), Works: len(works), Stages: make(map[Stage]float64), GangSeconds: waits}
 	fates := make(map[Fate]int)
 	counts := make(map[Stage]int)
 	for _, w := range works {
-		fates[w.fate()]++
-		for s, t := range w.stages() {
+		fates[w.fate]++
+		for s, t := range w.stages {
 			out.Stages[s] += t
 			counts[s]++
 		}
--- a/day/page.go
+++ b/day/page.go
@@ -36,6 +36,13 @@
 	color.RGBA{R: 0x33, G: 0x33, B: 0x33, A: 0xff},
 }
 
+// content is what a page shows.
+type content struct {
+	Report   *Report
+	Sections []section
+	Text     string
+}
+
 // section is what a page shows of a queue.
 type section struct {
 	Queue string
@@ -58,7 +65,7 @@
 			sections = append(sections, s)
 		}
 	}
-	return eris.Wrap(page.Execute(out, map[string]any{"Report": r, "Sections": sections, "Text": text.String()}), "write the page of a day")
+	return eris.Wrap(page.Execute(out, &content{r, sections, text.String()}), "write the page of a day")
 }
 
 // curve is one line of a plot.
--- a/day/report.go
+++ b/day/report.go
@@ -95,14 +95,14 @@
 }
 
 // known gives the works of which a line told the queue, by their acceptance.
-func (d *Day) known() []*work {
-	var list []*work
+func (d *Day) known() []outcome {
+	var list []outcome
 	for _, w := range d.works {
 		if w.queue != "" {
-			list = append(list, w)
+			list = append(list, outcome{w, w.became(), w.times()})
 		}
 	}
-	slices.SortFunc(list, func(a, b *work) int { return cmp.Or(a.accepted.Compare(b.accepted), cmp.Compare(a.id, b.id)) })
+	slices.SortFunc(list, func(a, b outcome) int { return cmp.Or(a.accepted.Compare(b.accepted), cmp.Compare(a.id, b.id)) })
 	return list
 }
 
@@ -125,8 +125,9 @@
 	var out []Refusal
 	for _, r := range d.refusals {
 		sum := 0.0
-		for second, n := range r.bySecond {
-			sum += float64(n) * freeThen(free, time.Unix(second, 0))
+		// In the same order each time: sums of floating point numbers depend on it.
+		for _, second := range slices.Sorted(maps.Keys(r.bySecond)) {
+			sum += float64(r.bySecond[second]) * freeThen(free, time.Unix(second, 0))
 		}
 		r.Free = sum / float64(r.Count)
 		out = append(out, *r)
@@ -147,10 +148,10 @@
 }
 
 // named gives the largest works that were lost, and those that were done and took longest.
-func (d *Day) named(works []*work) (lost, slowest []Path) {
+func (d *Day) named(works []outcome) (lost, slowest []Path) {
 	for _, w := range works {
-		n := Path{ID: w.id, Queue: w.queue, Zone: w.zone, Class: w.class, CoreSeconds: w.size, Stages: w.stages()}
-		switch w.fate() {
+		n := Path{ID: w.id, Queue: w.queue, Zone: w.zone, Class: w.class, CoreSeconds: w.size, Stages: w.stages}
+		switch w.fate {
 		case Lost:
 			lost = append(lost, n)
 		case InTime, Late:
--- a/day/work.go
+++ b/day/work.go
@@ -93,8 +93,8 @@
 // lostAfter objectives after it was due a work is worth nothing any more.
 const lostAfter = 3
 
-// fate tells what became of the work. An end wins over a loss, which may be told of a work that was cancelled.
-func (w *work) fate() Fate {
+// became tells what became of the work. An end wins over a loss, which may be told of a work that was cancelled.
+func (w *work) became() Fate {
 	switch {
 	case w.state == "cancelled":
 		return Cancelled
@@ -110,8 +110,8 @@
 	return InTime
 }
 
-// stages gives how long the work spent in each stage that the lines tell of, in milliseconds.
-func (w *work) stages() map[Stage]float64 {
+// times gives how long the work spent in each stage that the lines tell of, in milliseconds.
+func (w *work) times() map[Stage]float64 {
 	out := make(map[Stage]float64, len(Stages))
 	between := func(s Stage, from, to time.Time) {
 		if !from.IsZero() && !to.IsZero() && !to.Before(from) {
@@ -138,3 +138,10 @@
 	between(StageShown, ended, w.shown)
 	return out
 }
+
+// outcome is a work with what became of it and how long it spent in each stage, which every group asks for.
+type outcome struct {
+	*work
+	fate   Fate
+	stages map[Stage]float64
+}
