--- /dev/null
+++ b/dispatch/replay_test.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"bytes"
+	"container/heap"
+	"context"
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"turmericgap/job"
+	"turmericgap/owner"
+	"turmericgap/permit"
+	"turmericgap/worker"
+)
+
+// replay plays a load through the decisions of an owner, without store, workers or connections: what is durable
+// and what a worker confirms happens at once. Each answer and end has a moment of its own, so that the same load
+// gives the same decisions each time. It runs under the test's clock.
+type replay struct {
+	term *term
+	// ticker stands for the term's own ticks.
+	ticker *time.Ticker
+	due    moments
+	// runs gives how long a task works.
+	runs map[string]time.Duration
+	// began is when the load began; the decisions are listed from there.
+	began     time.Time
+	decisions bytes.Buffer
+	// ended counts the works that are done.
+	ended int
+}
+
+// moment is something that happens at a time.
+type moment struct {
+	at time.Time
+	do func()
+}
+
+// moments is a heap of them.
+type moments []moment
+
+func (m moments) Len() int           { return len(m) }
+func (m moments) Less(i, j int) bool { return m[i].at.Before(m[j].at) }
+func (m moments) Swap(i, j int)      { m[i], m[j] = m[j], m[i] }
+func (m *moments) Push(x any)        { *m = append(*m, x.(moment)) }
+func (m *moments) Pop() any {
+	last := (*m)[len(*m)-1]
+	*m = (*m)[:len(*m)-1]
+	return last
+}
+
+// newReplay has so many VMs that may ask, and the answers of a policy service.
+func newReplay(ctx context.Context, vms int, answer func(*permit.Question) ([]string, time.Duration), opts ...Option) *replay {
+	var nodes []owner.Node
+	for i := range vms {
+		nodes = append(nodes, owner.Node{ID: fmt.Sprintf("vm%03d", i)})
+	}
+	ask := func(ctx context.Context, _ owner.Node, q *permit.Question) (*permit.Answer, error) {
+		names, takes := answer(q)
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(takes + apart(q.Work, q.Step, q.Workers[0])):
+		}
+		a := &permit.Answer{Valid: 1500 * time.Millisecond}
+		for _, id := range names {
+			a.Grants = append(a.Grants, permit.Grant{Worker: id, Ticket: "t-" + id})
+		}
+		return a, nil
+	}
+	opts = append(opts, Permits(func() []owner.Node { return nodes }, ask))
+	tenure := &owner.Tenure{Fence: 1, Confirmed: func(time.Duration) bool { return true }}
+	r := &replay{term: newTerm(ctx, newOptions(opts), tenure), runs: make(map[string]time.Duration), began: time.Now()}
+	r.term.endedRead = true
+	return r
+}
+
+// apart is a short time that differs from event to event.
+func apart(parts ...any) time.Duration {
+	h := fnv.New32a()
+	fmt.Fprint(h, parts...)
+	return time.Duration(h.Sum32()%999_983) * time.Nanosecond
+}
+
+// worker adds a worker that answers all calls.
+func (r *replay) worker(id, zone, rack string, has job.Resources) *node {
+	t := r.term
+	n := t.nodeFor(id)
+	n.listing = worker.Listing{Info: worker.Info{ID: id, Zone: zone, Rack: rack, Has: has}, Pool: "p"}
+	n.listed, n.synced, n.free = true, true, has
+	n.agent = &worker.Agent{
+		Launch: func(context.Context, *worker.Launch) (time.Duration, error) { return 0, nil },
+		Halt:   func(context.Context, *worker.Halt) (time.Duration, error) { return 0, nil },
+	}
+	return n
+}
+
+// after has f done at a time after the load began.
+func (r *replay) after(d time.Duration, f func()) {
+	heap.Push(&r.due, moment{r.began.Add(d), f})
+}
+
+// hand hands in a work whose tasks work so long.
+func (r *replay) hand(d time.Duration, w *job.Work, runs time.Duration) {
+	r.runs[w.ID] = runs
+	r.after(d, func() {
+		w.Accepted = time.Now()
+		r.term.add(w)
+	})
+}
+
+// play runs the load until a time after it began.
+func (r *replay) play(until time.Duration) {
+	r.ticker = time.NewTicker(tickEvery)
+	defer r.ticker.Stop()
+	r.hear()
+	r.after(until, func() {})
+	for end := r.began.Add(until); time.Now().Before(end); {
+		next := time.NewTimer(time.Until(r.due[0].at))
+		select {
+		case f := <-r.term.events:
+			f()
+			r.term.drain()
+		case <-r.ticker.C:
+			r.hear()
+			r.term.dirty = r.term.dirty || len(r.term.stages) > 0
+		case <-next.C:
+			heap.Pop(&r.due).(moment).do()
+		}
+		next.Stop()
+		if now := time.Now(); r.term.dirty && r.term.placeDue(now) {
+			r.term.place(now)
+		}
+		r.settle()
+	}
+	r.term.close()
+}
+
+// hear lets all workers have answered just now.
+func (r *replay) hear() {
+	for _, n := range r.term.nodes {
+		n.heard, n.clockAt = time.Now(), time.Now()
+	}
+}
+
+// settle makes durable what was decided, and has the runs that began end in time.
+func (r *replay) settle() {
+	t := r.term
+	for len(t.commits.queue) > 0 {
+		s := t.commits.queue[0]
+		t.commits.queue = t.commits.queue[1:]
+		s.e.saving = nil
+		for _, o := range s.e.live {
+			for _, st := range o.stages {
+				r.follow(st)
+			}
+		}
+		for _, f := range s.effects {
+			f()
+		}
+		if s.e.over() && !s.e.settled {
+			s.e.settled = true
+			delete(t.entries, s.e.work.ID)
+			r.ended++
+		}
+	}
+}
+
+// follow has the runs of a stage that were decided just now end in time.
+func (r *replay) follow(s *stage) {
+	for i := range s.tasks {
+		k := s.tasks[i].run
+		if k == nil || k.ended || !k.begun.IsZero() || k.stopping {
+			continue
+		}
+		task := k.task()
+		now := time.Since(r.began)
+		fmt.Fprintf(&r.decisions, "%9.3f ms %s.%d.%d run %d on %s\n", float64(now.Microseconds())/1000, task.Work, task.Step, task.Index, k.number, k.n.id)
+		r.after(now+r.runs[task.Work]+apart(task, k.number), func() { r.term.endRun(k, worker.EndingDone, "") })
+	}
+}
