Show that a busy owner is taken for dead and the cell handed round

Fails: TestBusyOwnerKeepsTheCell. Any VM that owns the cell answers its peers 350 ms late; the first owner is replaced within half a second.

Hypothesis: what is taken for silence is a processor that has hundreds of calls to make before it comes to the ping.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -67,6 +67,8 @@
 	apart atomic.Bool
 	// slow makes its work take ten times as long, so that it cannot keep up.
 	slow atomic.Bool
+	// busy is how late it answers other VMs while it owns the cell.
+	busy atomic.Int64
 	dead atomic.Bool
 }
 
@@ -156,10 +158,27 @@
 		return nil, ctx.Err()
 	}
 	near, far := net.Pipe()
-	go v.server.ServeConn(far)
+	go v.server.ServeConn(&busyConn{far, v})
 	return near, nil
 }
 
+// busyConn is a connection to a VM that may be too busy to read from it at once.
+type busyConn struct {
+	net.Conn
+	vm *vm
+}
+
+func (b *busyConn) Read(p []byte) (int, error) {
+	n, err := b.Conn.Read(p)
+	if err != nil || !b.vm.disp.Leads() {
+		return n, err
+	}
+	for read := time.Now(); time.Since(read) < time.Duration(b.vm.busy.Load()) && !b.vm.dead.Load(); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return n, err
+}
+
 // agent gives a VM's calls to a worker; a VM that is deaf towards workers gets no answers.
 func (c *cell) agent(v *vm, i worker.Info) *worker.Agent {
 	a := c.floor.Client(i)
--- a/dispatch/succession_test.go
+++ b/dispatch/succession_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"turmericgap/job"
+	"turmericgap/owner"
 )
 
 // The owner is lost in one of several ways. Nothing starts and no end is heard until another VM owns the
@@ -73,6 +74,50 @@
 	}
 }
 
+// Work comes in a burst, and whichever VM owns the cell has so much to do that its answers to the other VMs take
+// longer than they usually wait for one. It serves the cell all the same. Were it taken for dead, the next owner
+// would have the same load and all workers to meet besides, and be taken for dead as well, once in each second.
+func TestBusyOwnerKeepsTheCell(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(2*time.Second), "vm1", "vm2", "vm3", "vm4", "vm5")
+		c.workers(3, 4)
+		first := c.owner()
+		time.Sleep(time.Second)
+		for _, v := range c.vms {
+			v.busy.Store(int64(350 * time.Millisecond))
+		}
+		c.submit(first, c.work("roster", job.Step{Tasks: 8}))
+		for range 40 {
+			time.Sleep(500 * time.Millisecond)
+			is.True(first.disp.Leads())
+		}
+		is.Equal(c.runs("roster"), 8)
+		c.judge()
+	})
+}
+
+// The process of the owner stands still: connections to it are opened, and nothing answers on them. Another VM owns
+// the cell before the lease alone would let it.
+func TestFrozenOwnerIsReplaced(t *testing.T) {
+	play(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(2*time.Second), "vm1", "vm2", "vm3", "vm4")
+		c.workers(3, 4)
+		first := c.owner()
+		time.Sleep(time.Second)
+		first.busy.Store(int64(time.Hour))
+		first.store.Cut(true)
+		frozen := time.Now()
+		c.successor(first)
+		took := time.Since(frozen)
+		t.Logf("owned again after %v", took)
+		is.True(took < owner.DefaultTTL)
+		first.busy.Store(0)
+		first.store.Cut(false)
+	})
+}
+
 // A VM is cut off from all others, and reaches the store. It must not take the cell from an owner that
 // serves the rest: its callers alone would be served.
 func TestLonelyVMTakesNothing(t *testing.T) {
