Tell a busy owner from a dead one, and keep the cell where no VM would do better

Cause: three pings of 100 ms without an answer made an owner count as silent; on a VM of 0.192 core a burst of 768 starts takes longer than that. Five candidates then had each of 96 VMs open a connection to it, and the next owner, with 540 workers to meet, was silent for the same reason: a change of owner every 0.7 s.

Change: a connection must open within 100 ms, which the VM's system sees to; the answer to a ping may then take 100, 200 and 400 ms. So an owner that cannot be reached is replaced as before (0.3 s), one whose process stands still in 0.7 s. A large cell asks three VMs of each zone, not all. The pace of a VM is the least of three measurements, since its own load makes one longer, and a slow owner hands over after 3 s at the earliest.

Ruled out: asking the store when the owner last renewed (it cannot be read there); more patience for all (an owner that is dead would be replaced later).

Not in it: handing on what the owner has learned. TestBusyOwnerKeepsTheCell's VMs delay their answers now, not their reads: a request comes in several of these.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -86,6 +86,7 @@
 		for _, v := range c.vms {
 			c.kill(v)
 		}
+		time.Sleep(time.Second) // calls between the VMs that were under way
 	})
 	return c
 }
@@ -162,21 +163,20 @@
 	return near, nil
 }
 
-// busyConn is a connection to a VM that may be too busy to read from it at once.
+// busyStep is how often a busy VM looks whether it still is.
+const busyStep = 10 * time.Millisecond
+
+// busyConn is a connection to a VM that may be too busy to answer at once.
 type busyConn struct {
 	net.Conn
 	vm *vm
 }
 
-func (b *busyConn) Read(p []byte) (int, error) {
-	n, err := b.Conn.Read(p)
-	if err != nil || !b.vm.disp.Leads() {
-		return n, err
-	}
-	for read := time.Now(); time.Since(read) < time.Duration(b.vm.busy.Load()) && !b.vm.dead.Load(); {
-		time.Sleep(10 * time.Millisecond)
+func (b *busyConn) Write(p []byte) (int, error) {
+	for asked := time.Now(); b.vm.disp.Leads() && time.Since(asked) < time.Duration(b.vm.busy.Load()) && !b.vm.dead.Load(); {
+		time.Sleep(busyStep)
 	}
-	return n, err
+	return b.Conn.Write(p)
 }
 
 // agent gives a VM's calls to a worker; a VM that is deaf towards workers gets no answers.
--- a/owner/claim.go
+++ b/owner/claim.go
@@ -161,7 +161,7 @@
 		Lost: func() { go g.endTenure("reported lost") },
 	}
 	done := make(chan struct{})
-	g.tenure, g.endTerm, g.termDone = t, cancel, done
+	g.tenure, g.tenureSince, g.endTerm, g.termDone = t, time.Now(), cancel, done
 	g.mu.Unlock()
 	g.log.Info("owner: this VM owns the cell", zap.Int64("fence", revision))
 	g.wg.Go(func() {
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -20,16 +20,41 @@
 	strainAgain = time.Second
 	// takeWithin bounds the take-over by another VM: a ping and an answer of a slow store.
 	takeWithin = 500 * time.Millisecond
-	// paceEvery is the pause between two measurements of this VM's pace.
-	paceEvery = time.Second
+	// paceEvery is the pause between two measurements of this VM's pace, paceWindow how many of them count.
+	paceEvery  = 500 * time.Millisecond
+	paceWindow = 3
 	// paceBytes is the piece of work that is timed, some tens of microseconds.
 	paceBytes = 256 << 10
 	// paceShare says how much faster another VM must be, in one part of so many.
 	paceShare = 2
-	// paceWeight is the weight of the newest measurement.
-	paceWeight = 0.5
+	// keepLeast is how long a VM owns the cell at least before it hands it over for slowness. A new owner lags at
+	// first, with all workers to meet.
+	keepLeast = 3 * time.Second
 )
 
+// paces are the latest measurements of a VM's pace.
+type paces struct {
+	took [paceWindow]time.Duration
+	next int
+}
+
+func (p *paces) add(took time.Duration) {
+	p.took[p.next] = took
+	p.next = (p.next + 1) % paceWindow
+}
+
+// least is the pace of the VM itself: what else runs there makes a measurement longer, and never shorter. Zero is
+// not measured yet.
+func (p *paces) least() time.Duration {
+	least := p.took[0]
+	for _, took := range p.took {
+		if took > 0 {
+			least = min(least, took)
+		}
+	}
+	return least
+}
+
 // takePace measures how fast this VM works. A VM whose processor has turned slow answers pings and keeps its
 // lease, but cannot keep up with the cell's work.
 func (g *Group) takePace() {
@@ -40,10 +65,7 @@
 	took := g.measure()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.pace == 0 {
-		g.pace = took
-	}
-	g.pace += time.Duration(paceWeight * float64(took-g.pace))
+	g.paces.add(took)
 }
 
 // timeWork returns what times a fixed piece of work.
@@ -69,12 +91,15 @@
 
 // relieve hands the cell over while this owner is alive but the store declines it, or it has turned slow. The
 // lease alone would keep the cell standing until it lapses in the first case, and for good in the second.
+//
+// A VM that lags because the cell's work is too much for any of its kind keeps the cell: each change of the owner
+// costs the new one all that the old one has learned, and it lags the more.
 func (g *Group) relieve() {
 	why, slow := g.strained()
 	g.mu.Lock()
-	t := g.tenure
+	t, since := g.tenure, g.tenureSince
 	g.mu.Unlock()
-	if why == "" || t == nil || time.Since(g.searched) < strainAgain {
+	if why == "" || t == nil || time.Since(g.searched) < strainAgain || slow && time.Since(since) < keepLeast {
 		return
 	}
 	g.searched = time.Now()
@@ -99,13 +124,13 @@
 		node Node
 		pace time.Duration
 	}
-	others := slices.DeleteFunc(g.Nodes(), func(n Node) bool { return n.ID == g.self.ID || n.Strength < g.self.Strength })
+	others := voters(slices.DeleteFunc(slices.Clone(g.Nodes()), func(n Node) bool { return n.Strength < g.self.Strength }), g.self.ID)
 	replies := make(chan *found, len(others))
 	for _, n := range others {
 		go func() {
 			client := g.client(n.Address)
 			defer client.Close()
-			p, err := ping(g.ctx, client)
+			p, err := ping(g.ctx, client, pingWithin)
 			if err != nil || !p.Served {
 				replies <- nil
 				return
@@ -114,7 +139,7 @@
 		}()
 	}
 	g.mu.Lock()
-	own := g.pace
+	own := g.paces.least()
 	g.mu.Unlock()
 	var list []found
 	for range others {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -106,18 +107,21 @@
 	// wake is sent to when anything that a claim depends on has changed.
 	wake chan struct{}
 
-	mu       sync.Mutex
-	nodes    map[string]Node
-	owner    *store.Pair
-	ownerAs  Node
-	listed   bool
-	leaving  bool
-	outdone  time.Time // since when the owner here is outdone by a much stronger VM
-	lost     int64     // the revision of an owner's key that was reported lost
-	pace     time.Duration
-	tenure   *Tenure
-	endTerm  context.CancelFunc
-	termDone chan struct{}
+	mu      sync.Mutex
+	nodes   map[string]Node
+	byID    []Node // the nodes in order; nil when they have changed
+	owner   *store.Pair
+	ownerAs Node
+	listed  bool
+	leaving bool
+	outdone time.Time // since when the owner here is outdone by a much stronger VM
+	lost    int64     // the revision of an owner's key that was reported lost
+	paces   paces
+	tenure  *Tenure
+	// tenureSince is when the tenure began.
+	tenureSince time.Time
+	endTerm     context.CancelFunc
+	termDone    chan struct{}
 }
 
 // New returns a group that joins when it is started.
@@ -164,16 +168,14 @@
 	return g.ownerAs, g.owner.ModRevision, true
 }
 
-// Nodes gives the live entry VMs by ID.
+// Nodes gives the live entry VMs by ID, the same list until they change; it is not to be written to.
 func (g *Group) Nodes() []Node {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := make([]Node, 0, len(g.nodes))
-	for _, n := range g.nodes {
-		out = append(out, n)
+	if g.byID == nil {
+		g.byID = slices.SortedFunc(maps.Values(g.nodes), func(a, b Node) int { return strings.Compare(a.ID, b.ID) })
 	}
-	slices.SortFunc(out, func(a, b Node) int { return strings.Compare(a.ID, b.ID) })
-	return out
+	return g.byID
 }
 
 // Resign ends the tenure in order and takes this VM out of the list, so that another one takes over at
@@ -274,6 +276,7 @@
 	}
 	g.mu.Lock()
 	clear(g.nodes)
+	g.byID = nil
 	g.owner, g.ownerAs, g.listed = nil, Node{}, true
 	g.mu.Unlock()
 	g.apply(events, revision)
@@ -308,9 +311,11 @@
 		g.rules(e.Pair.Value)
 	case strings.HasPrefix(key, nodePrefix) && e.Deleted:
 		delete(g.nodes, strings.TrimPrefix(key, nodePrefix))
+		g.byID = nil
 	case strings.HasPrefix(key, nodePrefix):
 		n := g.decode(e.Pair)
 		g.nodes[n.ID] = n
+		g.byID = nil
 	}
 }
 
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"syscall"
 	"time"
@@ -13,14 +14,24 @@
 )
 
 const (
-	// pingEvery is the pause between two pings of the owner by a candidate, pingWithin how long each may
-	// take: a hundred times the way between zones.
-	pingEvery  = 100 * time.Millisecond
+	// pingEvery is the pause between two pings of the owner by a candidate.
+	pingEvery = 100 * time.Millisecond
+	// reachWithin is how long the opening of a connection may take: a hundred times the way between zones. The
+	// system of a VM opens it, however busy the program there is.
+	reachWithin = 100 * time.Millisecond
+	// pingWithin is how long the answer to a first ping may take, twice as long after each that had none.
 	pingWithin = 100 * time.Millisecond
-	// pingsMost is how many pings in a row have no answer before the other VMs are asked.
+	// pingsMost is how many pings in a row have no answer before the other VMs are asked: 0.3 s after an owner
+	// that cannot be reached any more, 0.7 s after one to which connections are opened still.
 	pingsMost = 3
-	// agreeWithin bounds that question: a ping by each of them and the way there.
-	agreeWithin = pingWithin + 50*time.Millisecond
+	// voteWithin is how long the answer to the ping of a VM that is asked may take.
+	voteWithin = pingWithin << (pingsMost - 1)
+	// agreeWithin bounds that question: a connection and a ping by each of them, and the way there.
+	agreeWithin = reachWithin + voteWithin + 50*time.Millisecond
+	// askAll is up to how many VMs are all asked, votersOfZone how many of each availability zone in a larger
+	// cell. If each VM of a large cell called an owner that may only be busy, that alone would keep it busy.
+	askAll       = 16
+	votersOfZone = 3
 )
 
 // Methods between the VMs.
@@ -64,7 +75,7 @@
 	rpc.Handle(s, methodReach, func(ctx context.Context, in *reachRequest) (*reachReply, error) {
 		client := g.client(in.Node.Address)
 		defer client.Close()
-		_, err := ping(ctx, client)
+		_, err := ping(ctx, client, voteWithin)
 		return &reachReply{Reached: err == nil}, nil
 	})
 	rpc.Handle(s, methodTake, func(_ context.Context, in *takeRequest) (*takeReply, error) {
@@ -75,7 +86,7 @@
 func (g *Group) pong() *pong {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := &pong{Served: g.served(), Pace: g.pace}
+	p := &pong{Served: g.served(), Pace: g.paces.least()}
 	if g.tenure != nil {
 		p.Fence = g.tenure.Fence
 	}
@@ -88,15 +99,24 @@
 	return !failing
 }
 
-func ping(ctx context.Context, c *rpc.Client) (*pong, error) {
-	ctx, cancel := context.WithTimeout(ctx, pingWithin)
+// ping waits for an answer no longer than within, after the connection is open.
+func ping(ctx context.Context, c *rpc.Client, within time.Duration) (*pong, error) {
+	if err := connect(ctx, c); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	return rpc.Call[none, pong](ctx, c, methodPing, &none{})
 }
 
+func connect(ctx context.Context, c *rpc.Client) error {
+	ctx, cancel := context.WithTimeout(ctx, reachWithin)
+	defer cancel()
+	return c.Connect(ctx)
+}
+
 // succeed takes the cell over from an owner that is dead, frozen or cut off, as soon as most VMs agree that
-// it is silent: 0.5 s after it died. Its lease alone would keep the cell standing for 1.2 s, in which no check
-// is in time.
+// it is silent. Its lease alone would keep the cell standing for 1.2 s, in which no check is in time.
 // The key is replaced under the condition that it has not changed: an owner that lives after all is refused
 // by the store and fenced by the workers, as after a lapse.
 func (g *Group) succeed() {
@@ -140,6 +160,11 @@
 
 // pings sends one ping, and reports whether the owner has been silent for long enough. Each miss gives the
 // connection up, since it may be that alone which has gone silent.
+//
+// An owner that has hundreds of calls to make answers late. Taken for dead, it would be replaced by one that has
+// the same to do and all workers to meet besides, which would be taken for dead in turn: the cell would have a new
+// owner each second, and none would start anything. So each ping waits for twice as long as the one before. A VM
+// that is dead or cut off opens no connection, and is told from a busy one by that.
 func (w *watched) pings(g *Group, node Node, fence int64) (silent bool) {
 	if w.fence != fence {
 		w.close()
@@ -148,7 +173,7 @@
 	if w.client == nil {
 		w.client = g.client(node.Address)
 	}
-	_, err := ping(g.ctx, w.client)
+	_, err := ping(g.ctx, w.client, pingWithin<<min(w.misses, pingsMost-1))
 	if err == nil {
 		w.misses = 0
 		return false
@@ -180,12 +205,27 @@
 	return n.Strength > o.Strength || n.Strength == o.Strength && n.ID < o.ID
 }
 
-// agreed asks all other VMs whether they reach the owner. It takes at least one, and half of them, that do not:
+// voters chooses who is asked, as many of each availability zone: a zone that is cut off alone is then never half
+// of them. Without without, the VMs that the question is about and by.
+func voters(nodes []Node, without ...string) []Node {
+	others := slices.DeleteFunc(slices.Clone(nodes), func(n Node) bool { return slices.Contains(without, n.ID) })
+	if len(others) <= askAll {
+		return others
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	taken := make(map[string]int)
+	return slices.DeleteFunc(others, func(n Node) bool {
+		taken[n.Zone]++
+		return taken[n.Zone] > votersOfZone
+	})
+}
+
+// agreed asks other VMs whether they reach the owner. It takes at least one, and half of them, that do not:
 // a VM that is cut off from the rest would else take the cell away from an owner that serves everybody.
 func (g *Group) agreed(on Node) bool {
 	ctx, cancel := context.WithTimeout(g.ctx, agreeWithin)
 	defer cancel()
-	others := slices.DeleteFunc(g.Nodes(), func(n Node) bool { return n.ID == g.self.ID || n.ID == on.ID })
+	others := voters(g.Nodes(), on.ID, g.self.ID)
 	type vote struct{ reached, known bool }
 	votes := make(chan vote, len(others))
 	for i := range others {
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -45,6 +45,12 @@
 // Address gives the peer's address.
 func (c *Client) Address() string { return c.address }
 
+// Connect opens the connection unless it is open. An error means that the peer could not be reached within ctx.
+func (c *Client) Connect(ctx context.Context) error {
+	_, err := c.get(ctx)
+	return err
+}
+
 // get gives the connection, and waits for one to be opened no longer than ctx.
 func (c *Client) get(ctx context.Context) (*link, error) {
 	c.mu.Lock()
