Show that passes over many workers and steps keep everything from starting

Hypothesis: looks at all workers (unnamed, largest, unasked, the list that the VMs that may ask are picked from) make the pass long, not the decisions.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -109,6 +109,7 @@
 func (t *term) sorted(s *stage, now time.Time, keep func(*node) bool) []*node {
 	var list []*node
 	for _, n := range t.candidates(s) {
+		t.looks++
 		if n.usable(now) && t.suits(s, n) && !s.disturbs(n) && keep(n) {
 			list = append(list, n)
 		}
--- a/dispatch/naming.go
+++ b/dispatch/naming.go
@@ -29,6 +29,7 @@
 func (t *term) unnamed(s *stage, now time.Time) []candidate {
 	need := s.charge()
 	var list []candidate
+	t.looks += len(t.nodes)
 	for _, n := range t.nodes {
 		if _, known := s.answers[n.id]; known || !t.suits(s, n) || !n.listed || n.listing.Leaving {
 			continue
@@ -119,6 +120,7 @@
 // largest is how many tasks of a stage fit the largest worker when it is empty.
 func (t *term) largest(s *stage) int {
 	most := 0
+	t.looks += len(t.nodes)
 	for _, n := range t.nodes {
 		most = max(most, fits(n.listing.Has, s.charge()))
 	}
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -36,6 +36,8 @@
 	Metrics *metric.Registry
 	// Waves says where waves of upkeep lie and how they are answered; nil leaves them alone.
 	Waves *Waves
+	// Spend is told after each pass at how many workers it looked; tests let that take time. Nil takes none.
+	Spend func(looks int)
 	// MostHold is the longest lease that a worker grants, StopWithin how long it takes to end a run.
 	MostHold, StopWithin time.Duration
 	// KeepEnded is how long the state of ended work is kept.
@@ -141,6 +143,9 @@
 	return func(o *Options) { o.MostHold, o.StopWithin, o.KeepEnded = mostHold, stopWithin, keepEnded }
 }
 
+// Spend sets what is told after each pass at how many workers it looked.
+func Spend(f func(looks int)) Option { return func(o *Options) { o.Spend = f } }
+
 func newOptions(opts []Option) *Options {
 	o := &Options{
 		Logger: zap.NewNop(), MostHold: DefaultMostHold, StopWithin: DefaultStopWithin, KeepEnded: DefaultKeepEnded,
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -36,7 +36,11 @@
 // place starts what can start, in the order of urgency, and puts questions to the policy service.
 func (t *term) place(now time.Time) {
 	t.dirty = false
+	t.looks = 0
 	defer func() {
+		if t.o.Spend != nil {
+			t.o.Spend(t.looks)
+		}
 		took := time.Since(now)
 		if took > placeLong {
 			t.nextPass = now.Add((placeRest + 1) * took)
@@ -159,6 +163,7 @@
 func (t *term) unasked(s *stage, now time.Time) bool {
 	need := s.charge()
 	for _, n := range t.nodes {
+		t.looks++
 		if _, known := s.answers[n.id]; !known && n.usable(now) && t.suits(s, n) && fits(n.room(), need) > 0 {
 			return true
 		}
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -59,6 +59,8 @@
 	passWaits bool
 	// reservations counts those of the present pass.
 	reservations int
+	// looks counts the workers that the present pass has looked at for its stages.
+	looks int
 	// grants is the share of named workers that each queue is allowed.
 	grants map[string]float64
 	sizes  *aging.Sizes
