--- a/dispatch/large_test.go
+++ b/dispatch/large_test.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"turmericgap/job"
+	"turmericgap/worker"
 )
 
 // lookTakes is what a look at one worker takes on a VM of a fifth of a core.
@@ -55,3 +58,44 @@
 		})
 	}
 }
+
+// One work starts 400 tasks at the same moment, and later all of them are stopped. Made all at once, these calls would
+// take a weak VM's processor for longer than other VMs wait for its answers, and it would be taken for dead. Workers that
+// do not answer must not hold up the calls to those that do.
+func TestCallsToWorkersAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newReplay(t.Context(), 1, allow)
+		r.cell(30)
+		var under, most, silent, begun atomic.Int64
+		call := func(ctx context.Context, answers bool) (time.Duration, error) {
+			begun.Add(1)
+			most.Store(max(most.Load(), under.Add(1)))
+			defer under.Add(-1)
+			if !answers {
+				silent.Add(1)
+				<-ctx.Done()
+				return 0, ctx.Err()
+			}
+			time.Sleep(3 * time.Millisecond)
+			return 0, nil
+		}
+		for i, n := range r.term.roll {
+			n.agent.Launch = func(ctx context.Context, _ *worker.Launch) (time.Duration, error) { return call(ctx, i%10 > 0) }
+		}
+		w := &job.Work{ID: "wide", Queue: job.Queue{Name: "wide", Pool: "p", Attempts: 2, Slack: 2, Target: time.Second}, Steps: []job.Step{
+			{Tasks: 400, Estimate: 10 * time.Second, Each: job.Resources{Millicores: 1000, MemoryMB: 10}},
+		}}
+		r.hand(0, w, 10*time.Second)
+		r.play(800 * time.Millisecond)
+		answered, wanted := int(begun.Load()-silent.Load()), 0
+		for i, n := range r.term.roll {
+			if i%10 > 0 {
+				wanted += len(n.runs)
+			}
+		}
+		t.Logf("%d calls under way at a time, %d answered, %d without an answer", most.Load(), answered, silent.Load())
+		is.True(most.Load() <= 100)
+		is.Equal(answered, wanted)
+	})
+}
