--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -52,9 +52,7 @@
 			if order.pause > 0 && !n.pause(ctx, order.pause) {
 				return
 			}
-			call, cancel := context.WithTimeout(ctx, order.hold.Wait+holdSlack)
-			held, err := n.agent.Hold(call, &order.hold)
-			cancel()
+			held, err := t.hold(ctx, n, &order.hold)
 			if ctx.Err() != nil {
 				return
 			}
@@ -63,6 +61,20 @@
 	}
 }
 
+// hold sends a hold; one that is answered at once waits for its turn, one that waits at the worker does not keep it.
+func (t *term) hold(ctx context.Context, n *node, h *worker.Hold) (held *worker.Held, err error) {
+	if h.Wait == 0 {
+		err = t.call(ctx, holdSlack, func(ctx context.Context) error {
+			held, err = n.agent.Hold(ctx, h)
+			return err
+		})
+		return held, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.Wait+holdSlack)
+	defer cancel()
+	return n.agent.Hold(ctx, h)
+}
+
 // next sends the following hold. It extends the lease unless the worker has been silent or this
 // owner's own tenure was not confirmed for too long.
 func (t *term) next(n *node, wait, pause time.Duration) {
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -52,6 +52,7 @@
 	unsent  []*entry
 	commits commits
 	desk    *permit.Desk
+	turns   turns
 	askers  askers
 	config  *job.Config
 	rules   *rule.List
@@ -80,7 +81,7 @@
 		o: o, log: o.Logger.With(zap.Int64("fence", tenure.Fence)), tenure: tenure, since: time.Now(),
 		events: make(chan func(), eventRing), entries: make(map[string]*entry), ended: make(map[string]Ended),
 		nodes: make(map[string]*node), unreadable: make(map[string]bool), stages: make(map[*stage]struct{}), timed: make(map[*entry]struct{}),
-		pass: newPass(), shapes: make(map[resources]struct{}), desk: permit.NewDesk(), grants: make(map[string]float64), sizes: aging.New(), tallies: make(map[sizeClass]*tally), underRule: make(map[string]int),
+		pass: newPass(), shapes: make(map[resources]struct{}), desk: permit.NewDesk(), turns: newTurns(), grants: make(map[string]float64), sizes: aging.New(), tallies: make(map[sizeClass]*tally), underRule: make(map[string]int),
 	}
 	t.commits.name()
 	t.ctx, t.end = context.WithCancel(ctx)
--- /dev/null
+++ b/dispatch/turns.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// turnsAtOnce is how many calls to workers are begun and not answered at a time: what a weak VM makes in the
+	// time that others wait for its answer to a ping.
+	turnsAtOnce = 32
+	// turnMost is how long a call without an answer keeps its turn, many times the way of an answer. Workers that are
+	// cut off would else hold up the calls to all others.
+	turnMost = 30 * time.Millisecond
+)
+
+// turns lets few calls to workers begin at a time. A burst of starts, or the first calls of a new owner to all
+// workers, would keep the processor for so long that other VMs take this one for dead.
+type turns chan struct{}
+
+func newTurns() turns { return make(turns, turnsAtOnce) }
+
+// take waits for a turn, which ends with done or after turnMost; false means that ctx has ended.
+func (c turns) take(ctx context.Context) (done func(), ok bool) {
+	select {
+	case c <- struct{}{}:
+	case <-ctx.Done():
+		return nil, false
+	}
+	give := sync.OnceFunc(func() { <-c })
+	timer := time.AfterFunc(turnMost, give)
+	return func() {
+		timer.Stop()
+		give()
+	}, true
+}
+
+// call makes a call to a worker in its turn.
+func (t *term) call(ctx context.Context, within time.Duration, do func(context.Context) error) error {
+	done, ok := t.turns.take(ctx)
+	if !ok {
+		return ctx.Err()
+	}
+	defer done()
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	return do(ctx)
+}
