Turn away what the owner of the cell has no time to decide

Cause: nothing bounded the work that an owner takes.

Change: a pass goes on for 20 ms at most and is continued after what has come meanwhile; how long events and changes wait is the owner's measure of being behind, by the least in half a second; beyond 100 ms it turns away as large a part of each kind of new work as it is late, with a Retry-After that grows with that and is spread. While it lags, it waits longer before it counts workers and VMs as silent.

--- a/cmd/regress/main_test.go
+++ b/cmd/regress/main_test.go
@@ -45,7 +45,7 @@
 		"good":          {[]string{"--against", last, "--keep", filepath.Join(dir, "kept.json"), good}, 0, nil},
 		"worse":         {[]string{"--against", last, good, bad}, exitWorse, nil},
 		"nothing":       {nil, exitFindings, []string{"required"}},
-		"unknown flag":  {[]string{"--aginst", last, good}, exitFindings, []string{"aginst"}},
+		"unknown flag":  {[]string{"--nosuch", last, good}, exitFindings, []string{"nosuch"}},
 		"all is told":   {[]string{"--against", filepath.Join(dir, "none"), hunt, cut, good}, exitFindings, []string{"of a hunt", "did not finish", "none"}},
 		"kept and read": {[]string{"--against", last, good}, 0, nil},
 	} {
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -48,6 +48,8 @@
 	// permits gives the answer of the policy service; nil allows every worker at once.
 	permits func(q *permit.Question) ([]string, time.Duration)
 
+	// spend lets what the owner looks at take time; nil takes none.
+	spend func(looks int)
 	// own is how many workers a VM reaches by itself; zero stands for all, without relays.
 	own int
 	// cloud carries out upkeep, if there is one.
@@ -132,7 +134,7 @@
 		Client: func(address string) *rpc.Client { return rpc.NewClient(address, dial) },
 	})
 	v.disp = dispatch.New(
-		dispatch.Upkeep(waves),
+		dispatch.Upkeep(waves), dispatch.Spend(c.spend),
 		dispatch.Store(kv), dispatch.StoreFailing(monitor.Failing), dispatch.Config(func() *job.Config { return c.config }), dispatch.Rules(rules.Current), dispatch.Logger(log),
 		dispatch.Workers(workersPrefix, decodeWorker, v.relays.Agent),
 		dispatch.Permits(func() []owner.Node { return v.group.Nodes() },
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -70,7 +70,7 @@
 		})
 		return held, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, h.Wait+holdSlack)
+	ctx, cancel := context.WithTimeout(ctx, h.Wait+holdSlack+t.lag.slack())
 	defer cancel()
 	return n.agent.Hold(ctx, h)
 }
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -35,11 +35,13 @@
 	// wantedIn is the latest pass after which work waited for room here; hurry ends the pause before a hold.
 	wantedIn int64
 	hurry    chan struct{}
-	// judgedIn is the pass for which usableNow holds, sortedIn that for which byEnd is in order.
+	// judgedIn is the part of a pass for which usableNow holds, sortedIn that for which byEnd is in order.
 	judgedIn, sortedIn int64
 	usableNow          bool
 	byEnd              []*run
 	place              place
+	// lag is the owner's.
+	lag *lag
 	// free is the capacity less what is charged; held is the part of free kept for a stage that waits
 	// for its permits.
 	free job.Resources
@@ -89,13 +91,21 @@
 // usable reports whether new runs may be placed on the worker.
 func (n *node) usable(now time.Time) bool {
 	return n.listed && !n.unreadable && n.synced && !n.listing.Leaving && n.strange == 0 && n.misses == 0 &&
-		now.After(n.unwell) && n.heard.After(n.silentAt) && (!n.holding || now.Before(n.due)) && !n.rests(now) && !n.clearing
+		now.After(n.unwell) && n.heard.After(n.silentAt) && (!n.holding || now.Before(n.due.Add(n.slack()))) && !n.rests(now) && !n.clearing
+}
+
+// slack is by how much the owner's own lag makes an answer late; a worker that no owner has met has none.
+func (n *node) slack() time.Duration {
+	if n.lag == nil {
+		return 0
+	}
+	return n.lag.slack()
 }
 
 // usable is n.usable, worked out once for each pass.
 func (t *term) usable(n *node, now time.Time) bool {
-	if n.judgedIn != t.pass.number {
-		n.judgedIn, n.usableNow = t.pass.number, n.usable(now)
+	if n.judgedIn != t.pass.moment {
+		n.judgedIn, n.usableNow = t.pass.moment, n.usable(now)
 	}
 	return n.usableNow
 }
@@ -217,7 +227,7 @@
 
 func (t *term) enroll(n *node) {
 	t.nodes[n.id] = n
-	n.place.rooms = &t.rooms
+	n.place.rooms, n.lag = &t.rooms, &t.lag
 	n.file()
 	at, _ := t.placeInRoll(n)
 	t.roll = slices.Insert(t.roll, at, n)
--- a/dispatch/pass.go
+++ b/dispatch/pass.go
@@ -1,11 +1,22 @@
 package dispatch
 
+import "time"
+
 // pass is one look over all that waits, and the room that it works in.
 type pass struct {
 	// number counts the passes; what was worked out for an earlier one holds no longer.
 	number int64
+	// moment counts the parts of passes: what holds only while no other event is taken in holds for one of them.
+	moment int64
+	// since is when what it takes in had changed, rest what it has not come to yet.
+	since time.Time
+	rest  []urgency
+	// spent is how many of the looks were told to Spend.
+	spent int
 	// tried and looks count the stages that were tried and the workers that were looked at for them.
 	tried, looks int
+	// took is how long it took by now.
+	took time.Duration
 	// reservations counts those of the pass.
 	reservations int
 	// reserved and claimed list the workers with room that this pass and the one before have kept for gangs.
@@ -16,17 +27,19 @@
 	unnamed           []candidate
 }
 
-func newPass() pass { return pass{number: 1} }
+func newPass() pass { return pass{number: 1, moment: 1} }
 
 // begin makes a new pass of the one before.
-func (p *pass) begin() {
+func (p *pass) begin(now time.Time) {
 	p.number++
-	p.tried, p.looks, p.reservations = 0, 0, 0
+	p.since, p.took = now, 0
+	p.tried, p.looks, p.spent, p.reservations = 0, 0, 0, 0
 }
 
 // end clears what would keep works and workers in memory that are gone.
 func (p *pass) end() {
 	clear(p.order)
+	p.rest = nil
 	clear(p.choices[:cap(p.choices)])
 	clear(p.chosen[:cap(p.chosen)])
 	clear(p.unnamed[:cap(p.unnamed)])
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -149,7 +149,7 @@
 	s.asking++
 	t.o.Metrics.Counter("dispatch.questions").Inc(1)
 	t.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(t.ctx, time.Until(until)+askSlack)
+		ctx, cancel := context.WithTimeout(t.ctx, time.Until(until)+askSlack+t.lag.slack())
 		defer cancel()
 		a, err := t.o.Ask(ctx, from, q)
 		t.post(func() { t.onAnswer(s, from, q, now, a, err) })
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -16,6 +16,8 @@
 // of the processor, and holds and orders come late.
 const (
 	placeRest = 2
+	// passMost is how long a pass goes on before what has come meanwhile is heard: a fifth of what a check has to spare.
+	passMost = 20 * time.Millisecond
 	// placeLong is how long a pass must take for that; shorter ones cost less than a timer and its wake.
 	placeLong = time.Millisecond
 )
@@ -33,31 +35,95 @@
 	return false
 }
 
-// place starts what can start, in the order of urgency, and puts questions to the policy service.
+// placeIfDue makes a pass, or goes on with one, if its time has come; something has changed that asks for one.
+func (t *term) placeIfDue(now time.Time) {
+	if t.dirtySince.IsZero() {
+		t.dirtySince = now
+	}
+	if t.placeDue(now) {
+		t.place(now)
+	}
+}
+
+// passWait is how long what changes waits for the end of the pass that takes it in: as long as for the one that has
+// just ended, or as it has waited by now.
+func (t *term) passWait(now time.Time) time.Duration {
+	wait := time.Duration(0)
+	if now.Sub(t.passEnded) < 2*tickEvery {
+		wait = t.passDelay
+	}
+	if !t.dirtySince.IsZero() {
+		wait = max(wait, now.Sub(t.dirtySince))
+	}
+	if p := &t.pass; len(p.rest) > 0 {
+		wait = max(wait, now.Sub(p.since))
+	}
+	return wait
+}
+
+// place starts what can start, in the order of urgency, and puts questions to the policy service. It stops when it has
+// taken passMost, and goes on there the next time: what was decided is sent, and what has come is heard, before that.
 func (t *term) place(now time.Time) {
 	t.dirty = false
-	t.pass.begin()
+	p := &t.pass
+	p.moment++
+	if len(p.rest) == 0 {
+		t.beginPass(now)
+	}
+	for len(p.rest) > 0 {
+		s := p.rest[0].s
+		p.rest = p.rest[1:]
+		if _, waits := t.stages[s]; waits {
+			t.placeStage(s, now)
+		}
+		if t.spend(); time.Since(now) > passMost {
+			break
+		}
+	}
+	if len(p.rest) == 0 {
+		t.endPass()
+	} else {
+		t.dirty = true
+	}
+	t.paced(now, time.Since(now))
+}
+
+func (t *term) beginPass(now time.Time) {
+	t.pass.begin(now)
+	if !t.dirtySince.IsZero() {
+		t.pass.since = t.dirtySince
+		t.dirtySince = time.Time{}
+	}
 	t.clearReservations()
 	t.readLimits()
 	t.readAskers()
-	for _, u := range t.ordered(now) {
-		t.placeStage(u.s, now)
-	}
+	t.pass.rest = t.ordered(now)
+}
+
+func (t *term) endPass() {
 	t.wantRoom()
 	t.pass.end()
+	t.passEnded = time.Now()
+	t.passDelay = t.passEnded.Sub(t.pass.since)
+	t.o.Metrics.Histogram("dispatch.passLooks").Update(int64(t.pass.looks))
+}
+
+// spend tells of the workers that were looked at since it last did.
+func (t *term) spend() {
+	p := &t.pass
 	if t.o.Spend != nil {
-		t.o.Spend(t.pass.looks)
+		t.o.Spend(p.looks - p.spent)
 	}
-	t.passed(now, time.Since(now))
+	p.spent = p.looks
 }
 
-// passed notes what a pass took.
-func (t *term) passed(began time.Time, took time.Duration) {
+// paced notes what a part of a pass took, and how long the next one waits for that.
+func (t *term) paced(began time.Time, took time.Duration) {
 	if took > placeLong {
 		t.nextPass = began.Add((placeRest + 1) * took)
 	}
+	t.pass.took += took
 	t.o.Metrics.Histogram("dispatch.passMicros").Update(took.Microseconds())
-	t.o.Metrics.Histogram("dispatch.passLooks").Update(int64(t.pass.looks))
 }
 
 // ordered gives the stages that wait in the order in which they are tried.
--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -130,8 +130,8 @@
 			heap.Pop(&r.due).(moment).do()
 		}
 		next.Stop()
-		if now := time.Now(); r.term.dirty && r.term.placeDue(now) {
-			r.term.place(now)
+		if r.term.dirty {
+			r.term.placeIfDue(time.Now())
 		}
 		r.settle()
 	}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -108,10 +108,10 @@
 // endsOf gives the runs of a worker that end by themselves, the first to end first. Several gangs look at the same
 // workers in a pass; no run ends meanwhile, and one that begins has them put in order again.
 func (t *term) endsOf(n *node, now time.Time) []*run {
-	if n.sortedIn == t.pass.number {
+	if n.sortedIn == t.pass.moment {
 		return n.byEnd
 	}
-	n.sortedIn, n.byEnd = t.pass.number, n.byEnd[:0]
+	n.sortedIn, n.byEnd = t.pass.moment, n.byEnd[:0]
 	for _, r := range n.runs {
 		if !r.s.spec.Service {
 			n.byEnd = append(n.byEnd, r)
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/admission"
 	"turmericgap/aging"
 	"turmericgap/job"
 	"turmericgap/owner"
@@ -58,10 +59,17 @@
 	rules   *rule.List
 	dirty   bool
 	lag     lag
+	behind  admission.Behind
+	gate    admission.Gate
 	// reported is when the state of the cell was last logged.
 	reported time.Time
 	// removed lists the ended records that the next commits take away.
 	removed []string
+	// dirtySince is when something changed that no pass has taken in yet, passDelay how long that took for the latest
+	// pass, which ended at passEnded.
+	dirtySince time.Time
+	passDelay  time.Duration
+	passEnded  time.Time
 	// nextPass is when the next pass may be made, passWaits says that a timer will ask for it.
 	nextPass  time.Time
 	passWaits bool
@@ -101,11 +109,13 @@
 			t.drain()
 		case at := <-tick.C:
 			t.lag.take(time.Since(at))
+			t.behind.Note(time.Now(), max(time.Since(at), t.passWait(time.Now())))
+			t.lag.turnsAway(t.behind.Share())
 			t.onTick(time.Now())
 		}
 		t.syncConfig()
-		if now := time.Now(); t.dirty && t.placeDue(now) {
-			t.place(now)
+		if now := time.Now(); t.dirty {
+			t.placeIfDue(now)
 		}
 		t.flush()
 	}
--- a/dispatch/turns.go
+++ b/dispatch/turns.go
@@ -15,6 +15,8 @@
 	// turnMost is how long a call without an answer keeps its turn, many times the way of an answer. Workers that are
 	// cut off would else hold up the calls to all others.
 	turnMost = 30 * time.Millisecond
+	// relaySlack is how much longer a call by way of another VM may take: two exchanges with it, and its own work.
+	relaySlack = 150 * time.Millisecond
 )
 
 // turns lets few calls to workers begin at a time. A burst of starts, or the first calls of a new owner to all
@@ -40,14 +42,16 @@
 
 // call makes a call to a worker, in its turn if this VM makes it itself.
 func (t *term) call(ctx context.Context, agent *worker.Agent, within time.Duration, do func(context.Context) error) error {
-	if !agent.ByRelay() {
+	if agent.ByRelay() {
+		within += relaySlack
+	} else {
 		done, ok := t.turns.take(ctx)
 		if !ok {
 			return ctx.Err()
 		}
 		defer done()
 	}
-	ctx, cancel := context.WithTimeout(ctx, within)
+	ctx, cancel := context.WithTimeout(ctx, within+t.lag.slack())
 	defer cancel()
 	return do(ctx)
 }
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -105,6 +105,8 @@
 		return &result{}, err
 	case r.Ended == endedOpen || r.Ended == endedNotSent:
 		a.doubt(k)
+	default:
+		a.relays.clear(k)
 	}
 	return r, r.err()
 }
--- a/relay/link.go
+++ b/relay/link.go
@@ -44,8 +44,8 @@
 	process uint64
 	closed  bool
 
-	// workers is how many workers are reached by it, blames how many of them answered the owner and not the relay;
-	// both belong to Relays.
+	// workers is how many workers are reached by it, blames how many of them have answered the owner and not the relay
+	// since one has answered that; both belong to Relays.
 	workers, blames int
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,8 +21,9 @@
 	restFor = 5 * time.Second
 	// directFor is how long a worker is asked by the owner itself after a call by way of a relay had no answer.
 	directFor = 5 * time.Second
-	// blamesMost is how many workers must have answered the owner, and not the relay, before that is given up.
-	blamesMost = 3
+	// blamesMost is how many workers must have answered the owner, and not the relay, since one has answered that,
+	// before it is given up: one that is slow for a moment has them answer late, and not all of them.
+	blamesMost = 5
 )
 
 // Options are what Relays are made of.
@@ -186,6 +187,13 @@
 	}
 }
 
+// clear notes that a worker has answered by way of a relay.
+func (r *Relays) clear(k *link) {
+	r.mu.Lock()
+	k.blames = 0
+	r.mu.Unlock()
+}
+
 // blame notes that a worker has answered the owner after it had not answered the relay.
 func (r *Relays) blame(k *link) {
 	r.mu.Lock()
