Give relays up for their own silence only; try lost works a few at a time

Change: an exchange may take 1 s, the opening of a connection 0.1 s; a relay is blamed away only if none of its workers has answered by way of it for 1 s.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	@out=$$(go tool gofumpt -l . ); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
 	go vet ./...
 	$(LINT) run ./...
+	./script/comments.sh
 
 fmt: tools
 	go tool gofumpt -w .
--- a/aging/aging.go
+++ b/aging/aging.go
@@ -122,9 +122,8 @@
 // given in the order of Wait.
 //
 // The load that it answers is more work than room or permits, for as long as it lasts. By the order of Wait
-// alone all turns go to small works, and large ones become late before theirs comes: of the largest tenth 0.18
-// to 0.30 were served where 0.72 to 0.79 of all were, with this 0.58 to 0.77 (six overloads of 160 s). Turns are
-// shared by start-time fair queueing, each class as often as its works arrive. That needs nothing but what waits
+// alone all turns go to small works, and large ones become late before theirs comes: hardly any of the largest
+// tenth would be served where most of all are. Turns are shared by start-time fair queueing, each class as often as its works arrive. That needs nothing but what waits
 // now: no work must be seen to be lost first, and a new owner shares as well as the one before it.
 func (z *Sizes) Share(name string, waiting []Class) []int {
 	q := z.queues[name]
--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -110,8 +110,8 @@
 const joinMost = 40 * time.Millisecond
 
 // joins reports whether a new work should wait, so that one commit makes it durable together with its first
-// starts. A second commit for these must wait for the first: at a store that takes 160 ms for an answer, a
-// check of 800 ms that has 600 ms to spare spent 320 ms of them before its start.
+// starts. A second commit for these must wait for the first: at a slow store a check would spend most of what it has
+// to spare before its start.
 func (e *entry) joins(now time.Time) bool {
 	if !e.unwritten || e.saving == nil || now.Sub(e.saving.since) >= joinMost {
 		return false
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -171,9 +171,8 @@
 }
 
 // abroad is 1 for a worker in another availability zone than the work's caller. When a zone is cut off, the
-// callers in it are lost for that time, and with them all work that has a task on a worker there. Of what was
-// handed in in the two seconds around a cut, 0.045 more of the worth was served with tasks in their callers'
-// zone than with tasks anywhere (mean of twenty pairs of days, 0.029 to either side).
+// callers in it are lost for that time, and with them all work that has a task on a worker there: with tasks in
+// their callers' zone, the cut loses the work of its own callers alone.
 func (s *stage) abroad(n *node) int {
 	if zone := s.e.work.Zone; zone != "" && zone != n.listing.Zone {
 		return 1
--- a/dispatch/lag.go
+++ b/dispatch/lag.go
@@ -31,6 +31,33 @@
 // overloaded reports whether the loop lags for more than a moment.
 func (l *lag) overloaded() bool { return time.Duration(l.usual.Load()) > lagMost }
 
+const (
+	// lateShare is the part of the workers whose holds must be late at the same time, in percent, for the owner to be
+	// what is late: more than an availability zone of three.
+	lateShare = 40
+	// lateHolds is the lag that stands for that.
+	lateHolds = 400 * time.Millisecond
+)
+
+// holdsLate tells of a lag that the loop does not show: calls and their answers wait for the processor as well. Workers
+// that are known to be silent do not count.
+func (t *term) holdsLate(now time.Time) time.Duration {
+	late, known := 0, 0
+	for _, n := range t.roll {
+		if !n.listed || !n.synced || n.misses > 0 {
+			continue
+		}
+		known++
+		if n.holding && now.After(n.due) {
+			late++
+		}
+	}
+	if 100*late > lateShare*known {
+		return lateHolds
+	}
+	return 0
+}
+
 // slackMost bounds by how much waits for answers are lengthened for the owner's own lag.
 const slackMost = time.Second
 
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -34,15 +34,14 @@
 }
 
 const (
-	// mostLanes bounds the transactions under way. At a store that takes 330 ms for an answer they carry
-	// 700 changes a second; one alone carried 88, less than a burst of checks makes.
+	// mostLanes bounds the transactions under way: so many carry a burst of checks at a slow store, which one alone
+	// does not.
 	mostLanes = 8
 	// laneWait is how long a change waits before another lane is opened beside those under way: three
 	// times the usual answer of the store.
 	laneWait = 12 * time.Millisecond
 	// commitEvery is the least pause between two commits that are not full. What comes after a pause is
-	// sent at once. Without it a calm day of 26 works a second made 95 commits a second, each of which
-	// is paid for.
+	// sent at once. Without it each change of a calm day would make its own commit, which is paid for.
 	commitEvery = 25 * time.Millisecond
 )
 
--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -23,7 +23,7 @@
 
 // askOverdue asks the workers whose hold should have told of an end by now. A hold whose answer is lost, or
 // that is carried out late, is given up only after its whole wait, and all ends on its worker stay unheard
-// meanwhile: with one hold of 17 lost, 182 of 400 checks were late for that, and 1 with this.
+// meanwhile: where one hold in some is lost, half of the checks would be late for that.
 func (t *term) askOverdue(now time.Time) {
 	for _, n := range t.nodes {
 		if n.holding && n.synced && n.misses == 0 && now.Sub(n.askedBeside) > askedBesideLeast && n.overdue(now) {
--- a/dispatch/pass.go
+++ b/dispatch/pass.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // pass is one look over all that waits, and the room that it works in.
 type pass struct {
@@ -36,6 +39,26 @@
 	p.tried, p.looks, p.spent, p.reservations = 0, 0, 0, 0
 }
 
+// lostTried is how many of the steps that are worth nothing any more are tried in each pass.
+const lostTried = 64
+
+// someLost keeps of the steps that are worth nothing any more, which stand last, a few at a time, others in each pass:
+// all are done in the end. After an overload there are thousands of them, and a pass over all of them would keep what
+// can still be in time waiting for its turn.
+func (p *pass) someLost(order []urgency) []urgency {
+	first := len(order)
+	for first > 0 && order[first-1].hope == hopeNone {
+		first--
+	}
+	lost := order[first:]
+	if len(lost) <= lostTried {
+		return order
+	}
+	from := int(p.number) * lostTried % len(lost)
+	some := slices.Concat(lost[from:], lost[:from])[:lostTried]
+	return append(order[:first], some...)
+}
+
 // end clears what would keep works and workers in memory that are gone.
 func (p *pass) end() {
 	clear(p.order)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -134,7 +134,9 @@
 	}
 	slices.SortFunc(order, urgency.compare)
 	t.shareTurns(order)
-	t.pass.order, t.pass.tried = order, len(order)
+	t.pass.order = order
+	order = t.pass.someLost(order)
+	t.pass.tried = len(order)
 	return order
 }
 
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -109,7 +109,7 @@
 			t.drain()
 		case at := <-tick.C:
 			t.lag.take(time.Since(at))
-			t.behind.Note(time.Now(), max(time.Since(at), t.passWait(time.Now())))
+			t.behind.Note(time.Now(), max(time.Since(at), t.passWait(time.Now()), t.holdsLate(time.Now())))
 			t.lag.turnsAway(t.behind.Share())
 			t.onTick(time.Now())
 		}
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -50,8 +50,8 @@
 }
 
 // takes is how long it takes at least from now until the work is done, if the stage has its turn now. A gang ends
-// with its slowest task; a single task may be well below its estimate. With half of the estimate alone, without the
-// question and the later steps, 387 of 598 gangs that were served in four overloads were in time, with all 444 of 612.
+// with its slowest task; a single task may be well below its estimate. Were the question and the later steps left out,
+// gangs that can no longer be in time would have turns before those that can.
 func (s *stage) takes() time.Duration {
 	takes := s.spec.Estimate / 2
 	if s.spec.Gang {
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -23,8 +23,7 @@
 // The load that it answers is that of calm hours: works of several tasks each, and room for all. A worker
 // that is asked again at once answers at the end of each of its tasks, though a caller waits only for the
 // last task of a work, and each question is paid for. A question that is sent shortly before the last task
-// of a work should end hears of all that ended before as well: 48 workers were asked 9,893 times in a day of a
-// minute, 12,567 times without pauses (mean of twenty days each). Where work waits for room, each end gives room,
+// of a work should end hears of all that ended before as well. Where work waits for room, each end gives room,
 // and the worker is asked at once.
 func Pause(now time.Time, roomWanted bool, runs []Run) time.Duration {
 	if roomWanted {
--- a/record/load/load.go
+++ b/record/load/load.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// Result is what a load was measured at.
+// Result is what one load cost.
 type Result struct {
 	Starts, Records, Refused, Failed int64
 	// Calls counts all calls of the store, Lost those without an answer.
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -25,6 +25,8 @@
 	// doubted is the link by which a call had no answer; until is how long the worker is asked directly for that.
 	doubted *link
 	until   time.Time
+	// redo ends the hold that is under way by way of a relay, so that it is made directly.
+	redo context.CancelFunc
 }
 
 // by gives the link to use, or nil for a call by this VM.
@@ -77,8 +79,13 @@
 }
 
 func (a *agent) hold(ctx context.Context, h *worker.Hold) (*worker.Held, error) {
-	r, err := a.relay(ctx, order{Hold: h})
-	if errors.Is(err, errBroken) {
+	relayed, redo := context.WithCancel(ctx)
+	defer redo()
+	a.mu.Lock()
+	a.redo = redo
+	a.mu.Unlock()
+	r, err := a.relay(relayed, order{Hold: h})
+	if errors.Is(err, errBroken) || relayed.Err() != nil && ctx.Err() == nil {
 		held, err := a.direct.Hold(ctx, h)
 		a.compare(err)
 		return held, err
@@ -112,11 +119,15 @@
 }
 
 // doubt has the worker asked directly for a while: either it or the relay's way to it is at fault, and the owner may
-// have another way.
+// have another way. The hold that is under way by the same way is made anew: a run that has just begun would lose its
+// lease while that waits for nothing.
 func (a *agent) doubt(k *link) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.doubted, a.until = k, time.Now().Add(directFor)
+	if a.redo != nil {
+		a.redo()
+	}
 }
 
 // compare blames the relay for a call without an answer if the worker answers the owner.
--- a/relay/link.go
+++ b/relay/link.go
@@ -17,9 +17,11 @@
 	// exchangeEvery is the pause between two exchanges with a relay: what a call by way of it takes longer, at most
 	// twice. Each of them costs the owner as much as a call to a worker.
 	exchangeEvery = 25 * time.Millisecond
-	// exchangeWithin is how long an exchange may take; a relay that is later is given up. It is a hundred times the
-	// way between zones, and leaves a start its second try.
-	exchangeWithin = 250 * time.Millisecond
+	// reachWithin is how long the opening of a connection to a relay may take, exchangeWithin an exchange. A relay that
+	// is later is given up. An owner that stands still for a moment finds all answers late: were it to give all its
+	// relays up for that, it would have their calls to make besides. Calls do not wait as long, but for their own time.
+	reachWithin    = 100 * time.Millisecond
+	exchangeWithin = time.Second
 )
 
 // errBroken means that a call by way of a relay has no answer because of the relay; the worker may have got it.
@@ -45,8 +47,9 @@
 	closed  bool
 
 	// workers is how many workers are reached by it, blames how many of them have answered the owner and not the relay
-	// since one has answered that; both belong to Relays.
+	// since one has answered that, at heard; they belong to Relays.
 	workers, blames int
+	heard           time.Time
 }
 
 func newLink(node owner.Node, client *rpc.Client, log *zap.Logger, broke func(*link)) *link {
@@ -135,7 +138,16 @@
 	return orders, len(k.pending) > 0 || len(orders) > 0
 }
 
+func (k *link) connect() error {
+	ctx, cancel := context.WithTimeout(k.ctx, reachWithin)
+	defer cancel()
+	return k.client.Connect(ctx)
+}
+
 func (k *link) exchange(orders []order) error {
+	if err := k.connect(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(k.ctx, exchangeWithin)
 	defer cancel()
 	reply, err := rpc.Call[exchangeRequest, exchangeReply](ctx, k.client, methodExchange, &exchangeRequest{Link: k.id, Orders: orders})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,9 +21,10 @@
 	restFor = 5 * time.Second
 	// directFor is how long a worker is asked by the owner itself after a call by way of a relay had no answer.
 	directFor = 5 * time.Second
-	// blamesMost is how many workers must have answered the owner, and not the relay, since one has answered that,
-	// before it is given up: one that is slow for a moment has them answer late, and not all of them.
+	// blamesMost is how many workers must have answered the owner, and not the relay, and blameAfter how long ago the
+	// last one has answered that, before it is given up: one that is slow for a moment is not.
 	blamesMost = 5
+	blameAfter = time.Second
 )
 
 // Options are what Relays are made of.
@@ -190,7 +191,7 @@
 // clear notes that a worker has answered by way of a relay.
 func (r *Relays) clear(k *link) {
 	r.mu.Lock()
-	k.blames = 0
+	k.blames, k.heard = 0, time.Now()
 	r.mu.Unlock()
 }
 
@@ -198,7 +199,7 @@
 func (r *Relays) blame(k *link) {
 	r.mu.Lock()
 	k.blames++
-	broken := k.blames >= blamesMost
+	broken := k.blames >= blamesMost && time.Since(k.heard) > blameAfter
 	r.mu.Unlock()
 	if broken {
 		k.giveUp(errBlamed)
