--- a/dispatch/pass.go
+++ b/dispatch/pass.go
@@ -50,13 +50,23 @@
 	for first > 0 && order[first-1].hope == hopeNone {
 		first--
 	}
-	lost := order[first:]
-	if len(lost) <= lostTried {
+	if len(order)-first <= lostTried {
 		return order
 	}
-	from := int(p.number) * lostTried % len(lost)
-	some := slices.Concat(lost[from:], lost[:from])[:lostTried]
-	return append(order[:first], some...)
+	// Those with room that is kept for them have their turn: it is free for nobody before.
+	var some, others []urgency
+	for _, u := range order[first:] {
+		if len(u.s.kept) > 0 {
+			some = append(some, u)
+		} else {
+			others = append(others, u)
+		}
+	}
+	if n := len(others); n > lostTried {
+		from := int(p.number) * lostTried % n
+		others = slices.Concat(others[from:], others[:from])[:lostTried]
+	}
+	return append(append(order[:first], some...), others...)
 }
 
 // end clears what would keep works and workers in memory that are gone.
--- a/dispatch/pass_test.go
+++ b/dispatch/pass_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"turmericgap/job"
 	"turmericgap/owner"
 	"turmericgap/worker"
@@ -59,3 +62,33 @@
 		})
 	}
 }
+
+// Thousands of works are worth nothing any more after an overload. A pass tries a few of them beside what can be in
+// time, others each time, so that each has its turn; those for which room is kept while they asked have theirs at once,
+// or that room would be free for nobody.
+func TestLostWorksHaveTheirTurns(t *testing.T) {
+	is := is.New(t)
+	const lost = 300
+	stages := make([]*stage, lost)
+	order := []urgency{{s: &stage{}, hope: hopeInTime}, {s: &stage{}, hope: hopeLate}}
+	for i := range stages {
+		stages[i] = &stage{}
+		order = append(order, urgency{s: stages[i], hope: hopeNone})
+	}
+	stages[250].kept = []keptRoom{{tasks: 1}}
+	tried := make(map[*stage]int)
+	var p pass
+	for range lost/lostTried + 1 {
+		p.number++
+		some := p.someLost(slices.Clone(order))
+		is.Equal(some[0].s, order[0].s)
+		is.Equal(some[1].s, order[1].s)
+		is.Equal(some[2].s, stages[250])
+		is.Equal(len(some), 3+lostTried)
+		for _, u := range some {
+			tried[u.s]++
+		}
+	}
+	is.Equal(len(tried), lost+2)
+	is.Equal(len(p.someLost(slices.Clone(order[:2+lostTried]))), 2+lostTried)
+}
