--- a/dispatch/pass_test.go
+++ b/dispatch/pass_test.go
@@ -92,3 +92,32 @@
 	is.Equal(len(tried), lost+2)
 	is.Equal(len(p.someLost(slices.Clone(order[:2+lostTried]))), 2+lostTried)
 }
+
+// The workers of a caller's availability zone are there and may get nothing new, as when the zone has just been cut off.
+// The first question of a large cell must name others: one that names these alone is in vain, and so is the next.
+func TestFirstQuestionNamesUsableWorkers(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	tm := newTerm(t.Context(), newOptions(nil), &owner.Tenure{Fence: 1})
+	has := job.Resources{Millicores: 16000, MemoryMB: 64000}
+	for i := range scanMost + 100 {
+		n := tm.nodeFor(fmt.Sprintf("w%04d", i))
+		n.listing = worker.Listing{Info: worker.Info{ID: n.id, Zone: fmt.Sprint("z", i%2), Has: has}, Pool: "p"}
+		n.listed, n.synced, n.heard, n.free = true, i%2 == 1, now.Add(time.Second), has
+		n.file()
+	}
+	s := stageOf(&job.Work{
+		ID: "check", Zone: "z0", Queue: job.Queue{Pool: "p", Permit: &checkCost},
+		Steps: []job.Step{{Tasks: 3, Each: job.Resources{Millicores: 4000, MemoryMB: 100}}},
+	})
+	list := tm.unnamed(s, now)
+	named := list[:tm.nameCount(s, list)]
+	usable := 0
+	for _, c := range named {
+		if c.fits > 0 {
+			usable++
+		}
+	}
+	is.Equal(len(named), namedLeast)
+	is.Equal(usable, namedLeast)
+}
