Name workers that may get something new

Only workers with room count as found for a first question of a large cell (TestFirstQuestionNamesUsableWorkers: 24 of 24 usable, 0 before). A relay remembers no more than 400 lifetimes of workers for a link. Cells of up to 400 workers are not touched: they look at all.

--- a/dispatch/naming.go
+++ b/dispatch/naming.go
@@ -70,21 +70,22 @@
 // findUnnamed looks for candidates where there is room, until there are as many as a question may need.
 func (t *term) findUnnamed(list []candidate, s *stage, now time.Time) []candidate {
 	names, tasks := t.wanted(s)
-	free, looks := 0, 0
+	found, free, looks := 0, 0, 0
 	find := func(enough func() bool) func(*node) bool {
 		return func(n *node) bool {
 			looks++
 			before := len(list)
-			if list = t.consider(list, s, n, looks, now); len(list) > before {
-				free += max(list[before].fits, 0)
+			if list = t.consider(list, s, n, looks, now); len(list) > before && list[before].fits > 0 {
+				found++
+				free += list[before].fits
 			}
 			return !enough()
 		}
 	}
 	turn := int(t.pass.number)
 	fullest := shelfOf(s.charge().Millicores)
-	t.rooms.from(s.e.work.Zone, fullest, turn, find(func() bool { return len(list) >= names && free >= tasks }))
-	if len(list) < names || free < tasks {
+	t.rooms.from(s.e.work.Zone, fullest, turn, find(func() bool { return found >= names && free >= tasks }))
+	if found < names || free < tasks {
 		// Workers without room, which gangs must know of to wait for: the ones found before are not found again.
 		seen := make(map[*node]bool, len(list))
 		for _, c := range list {
--- a/relay/server.go
+++ b/relay/server.go
@@ -13,6 +13,9 @@
 // forgetAfter is how long after the last exchange a link is forgotten, with the results that nobody fetched.
 const forgetAfter = 5 * time.Second
 
+// agentsMost is how many lifetimes of workers a link remembers: several times as many as it has workers.
+const agentsMost = 4 * workersMost
+
 // Server carries out the calls that owners hand to this VM.
 type Server struct {
 	direct  func(worker.Info) *worker.Agent
@@ -85,6 +88,9 @@
 func (s *Server) agent(l *served, o *order) *worker.Agent {
 	a := l.agents[o.Worker]
 	if a == nil {
+		if len(l.agents) >= agentsMost {
+			clear(l.agents) // of workers that have gone, for the most part
+		}
 		a = s.direct(worker.Info{ID: o.Worker, Address: o.Address})
 		l.agents[o.Worker] = a
 	}
