Tell by class of sizes how far it is behind its queue, and how long it waits late

The stage 'room' held the time of further questions, so that it was read as a want of room. Now: the share done of each class and its ratio to the queue (margin), step-seconds in time and late, and a stage 'again' for further questions before the first start.

--- a/day/day.go
+++ b/day/day.go
@@ -59,6 +59,7 @@
 	failures map[int64]*Outage
 	refusals map[string]*Refusal
 	waits    []gangWait
+	waiting  []classWait
 	free     []freeAt
 }
 
@@ -70,6 +71,12 @@
 	gangs        int
 }
 
+// classWait is how many steps of a class waited in one second, and how many of them could still be in time.
+type classWait struct {
+	queue, class  string
+	steps, inTime int
+}
+
 // freeAt is the share of the cell that was free at a moment.
 type freeAt struct {
 	at    time.Time
@@ -164,6 +171,9 @@
 			d.free = append(d.free, freeAt{l.Time, float64(l.FreeMillicores) / float64(l.Millicores)})
 		}
 	case "dispatch: works by size":
+		if l.WaitingSteps > 0 {
+			d.waiting = append(d.waiting, classWait{l.Queue, l.Class, l.WaitingSteps, l.WaitingInTime})
+		}
 		for why, n := range l.waits() {
 			if n > 0 {
 				d.waits = append(d.waits, gangWait{l.Time, l.Queue, l.Class, why, n})
--- a/day/group.go
+++ b/day/group.go
@@ -18,10 +18,18 @@
 	// Owed are those that ended or were lost, but for the cancelled; Served is the share of them that was done.
 	Owed   int         `json:"owed"`
 	Served float64     `json:"served"`
+	// Done is the share of all its works but the cancelled that were done before they were worth nothing; one that
+	// is open counts as not done. Margin is that share beside its queue's, 0 where none of the queue was done.
+	Done   float64     `json:"done"`
+	Margin float64     `json:"margin"`
 	Stages []StageTime `json:"stages"`
 	// GangSeconds is for how long its gangs waited for what, summed over the gangs.
 	GangSeconds map[string]int `json:"gangSeconds,omitempty"`
 	Windows     []Window       `json:"windows"`
+	// InTimeSeconds and LateSeconds are for how long its steps waited while they could still be in time, and while
+	// they could not, summed over the steps.
+	InTimeSeconds int `json:"inTimeSeconds"`
+	LateSeconds   int `json:"lateSeconds"`
 }
 
 // StageTime is how long works spent in a stage.
@@ -83,6 +91,8 @@
 		windows[d.window(w.accepted)] = append(windows[d.window(w.accepted)], w)
 	}
 	g.Owed, g.Served = served(g.Fates)
+	g.Done = done(g.Works, g.Fates)
+	g.InTimeSeconds, g.LateSeconds = d.waitedSeconds(key)
 	for _, s := range Stages {
 		if ts := times[s]; len(ts) > 0 {
 			slices.Sort(ts)
@@ -132,6 +142,42 @@
 	return owed, float64(done) / float64(owed)
 }
 
+// done gives the share of works that were done before they were worth nothing, of all but the cancelled.
+func done(works int, fates map[Fate]int) float64 {
+	if kept := works - fates[Cancelled]; kept > 0 {
+		return float64(fates[InTime]+fates[Late]) / float64(kept)
+	}
+	return 0
+}
+
+// margins compares each group with its queue, which stands before it.
+func margins(groups []Group) {
+	whole := 0.0
+	for i := range groups {
+		g := &groups[i]
+		if g.Zone == "" && g.Class == "" {
+			whole = g.Done
+		}
+		if whole > 0 {
+			g.Margin = g.Done / whole
+		}
+	}
+}
+
+// waitedSeconds sums for how long the steps of a group waited; zones are not told apart by these lines.
+func (d *Day) waitedSeconds(key groupKey) (inTime, late int) {
+	if key.zone != "" {
+		return 0, 0
+	}
+	for _, w := range d.waiting {
+		if w.queue == key.queue && (key.class == "" || w.class == key.class) {
+			inTime += w.inTime
+			late += w.steps - w.inTime
+		}
+	}
+	return inTime, late
+}
+
 // gangSeconds sums by window what the gangs of a group waited for; zones are not told apart by these lines.
 func (d *Day) gangSeconds(key groupKey) map[int]map[string]int {
 	out := make(map[int]map[string]int)
--- a/day/line.go
+++ b/day/line.go
@@ -41,7 +41,10 @@
 	Millicores     int64 `json:"millicores"`
 	FreeMillicores int64 `json:"freeMillicores"`
 
-	// Of works by size: what gangs wait for.
+	// Of works by size: how many steps wait, how many of them can still be in time, and what gangs wait for.
+	WaitingSteps  int `json:"waitingSteps"`
+	WaitingInTime int `json:"waitingInTime"`
+
 	ForAnswer   int `json:"gangsWaitFor.answer"`
 	ForService  int `json:"gangsWaitFor.service"`
 	ForRoom     int `json:"gangsWaitFor.room"`
--- a/day/print.go
+++ b/day/print.go
@@ -93,13 +93,14 @@
 }
 
 func (r *Report) printGroups(p *printer) {
-	p.head("What became of works", "QUEUE", "OF", "WORKS", "SERVED", "IN TIME", "LATE", "LOST", "FAILED", "CANCELLED", "OPEN")
+	p.head("What became of works", "QUEUE", "OF", "WORKS", "SERVED", "IN TIME", "LATE", "LOST", "FAILED", "CANCELLED", "OPEN", "DONE", "MARGIN")
 	for i := range r.Groups {
 		g := &r.Groups[i]
 		cells := []string{g.Queue, g.of(), fmt.Sprint(g.Works), shareCell(g.Owed, g.Served)}
 		for _, f := range []Fate{InTime, Late, Lost, Failed, Cancelled, Open} {
 			cells = append(cells, fmt.Sprint(g.Fates[f]))
 		}
+		cells = append(cells, fmt.Sprintf("%.2f", g.Done), fmt.Sprintf("%.2f", g.Margin))
 		p.row(cells...)
 	}
 }
@@ -146,6 +147,12 @@
 }
 
 func (r *Report) printWaits(p *printer) {
+	p.head("How long steps waited, step-seconds", "QUEUE", "WORKS", "IN TIME", "LATE")
+	for i := range r.Groups {
+		if g := &r.Groups[i]; g.InTimeSeconds+g.LateSeconds > 0 {
+			p.row(g.Queue, g.of(), fmt.Sprint(g.InTimeSeconds), fmt.Sprint(g.LateSeconds))
+		}
+	}
 	p.head("What gangs waited for, gang-seconds", append([]string{"QUEUE", "WORKS"}, waitColumns()...)...)
 	for i := range r.Groups {
 		if g := &r.Groups[i]; len(g.GangSeconds) > 0 {
@@ -161,10 +168,10 @@
 		if g.Zone != "" || g.Class != "" {
 			continue
 		}
-		p.head("Queue "+g.Queue+" by when works were accepted", append([]string{"SECOND", "WORKS", "SERVED", "TURN", "PERMITS", "ROOM"}, waitColumns()...)...)
+		p.head("Queue "+g.Queue+" by when works were accepted", append([]string{"SECOND", "WORKS", "SERVED", "TURN", "PERMITS", "AGAIN", "ROOM"}, waitColumns()...)...)
 		for _, w := range g.Windows {
 			cells := []string{fmt.Sprintf("%.0f", w.After/1000), fmt.Sprint(w.Works), shareCell(w.Owed, w.Served)}
-			for _, s := range []Stage{StageTurn, StagePermits, StageRoom} {
+			for _, s := range []Stage{StageTurn, StagePermits, StageAgain, StageRoom} {
 				cells = append(cells, fmt.Sprintf("%.0f", w.Stages[s]))
 			}
 			p.row(append(cells, waitCells(w.GangSeconds)...)...)
--- a/day/report.go
+++ b/day/report.go
@@ -90,6 +90,7 @@
 	for _, key := range keys(works) {
 		r.Groups = append(r.Groups, d.group(key, works))
 	}
+	margins(r.Groups)
 	r.Lost, r.Slowest = d.named(works)
 	return r
 }
--- a/day/work.go
+++ b/day/work.go
@@ -1,6 +1,10 @@
 package day
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Fate is what became of a work.
 type Fate string
@@ -22,7 +26,8 @@
 const (
 	StageTurn     Stage = "turn"     // from its acceptance until its first question is put
 	StagePermits  Stage = "permits"  // until that is answered
-	StageRoom     Stage = "room"     // until its first start is decided; from its acceptance where it needs no permits
+	StageAgain    Stage = "again"    // in further questions before its first start, as far as one was under way
+	StageRoom     Stage = "room"     // the rest until its first start is decided; from its acceptance where it needs no permits
 	StageRecorded Stage = "recorded" // until the intent of a start is durable, mean over its runs
 	StageOrdered  Stage = "ordered"  // until the worker has answered the order, mean over its runs
 	StageRun      Stage = "run"      // from its first start until its last end is heard or it is shown, later steps included
@@ -30,7 +35,7 @@
 )
 
 // Stages lists all stages.
-var Stages = []Stage{StageTurn, StagePermits, StageRoom, StageRecorded, StageOrdered, StageRun, StageShown}
+var Stages = []Stage{StageTurn, StagePermits, StageAgain, StageRoom, StageRecorded, StageOrdered, StageRun, StageShown}
 
 // work is what the lines tell of one work.
 type work struct {
@@ -43,6 +48,8 @@
 	// end was shown; zero where no line tells.
 	accepted, asked, permitted, started, ended, shown time.Time
 	state                                             string
+	// questions are those that were answered.
+	questions []span
 	beforeGoal                                        float64
 	lost                                              bool
 	// recorded and ordered are sums over its runs, in milliseconds.
@@ -73,6 +80,7 @@
 	case "dispatch: permits":
 		earliest(&w.asked, l.since(l.Took))
 		earliest(&w.permitted, l.Time)
+		w.questions = append(w.questions, span{l.since(l.Took), l.Time})
 	case "dispatch: start decided":
 		earliest(&w.started, l.Time)
 	case "dispatch: run ended":
@@ -125,6 +133,10 @@
 		ready = w.accepted
 	}
 	between(StageRoom, ready, w.started)
+	if room, ok := out[StageRoom]; ok && !w.permitted.IsZero() {
+		out[StageAgain] = millis(w.asking(ready, w.started))
+		out[StageRoom] = room - out[StageAgain]
+	}
 	if w.runs > 0 {
 		out[StageRecorded] = w.recorded / float64(w.runs)
 		out[StageOrdered] = w.ordered / float64(w.runs)
@@ -139,6 +151,28 @@
 	return out
 }
 
+// span is a time from one moment to another.
+type span struct{ from, to time.Time }
+
+// asking gives for how long at least one question was under way between two moments.
+func (w *work) asking(from, to time.Time) time.Duration {
+	spans := slices.SortedFunc(slices.Values(w.questions), func(a, b span) int { return cmp.Or(a.from.Compare(b.from), a.to.Compare(b.to)) })
+	sum := time.Duration(0)
+	for _, s := range spans {
+		if s.from.Before(from) {
+			s.from = from
+		}
+		if s.to.After(to) {
+			s.to = to
+		}
+		if s.to.After(s.from) {
+			sum += s.to.Sub(s.from)
+			from = s.to
+		}
+	}
+	return sum
+}
+
 // outcome is a work with what became of it and how long it spent in each stage, which every group asks for.
 type outcome struct {
 	*work
