--- a/standin/floor/floor.go
+++ b/standin/floor/floor.go
@@ -90,12 +90,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := append([]string(nil), f.faults...)
-	for i, r := range f.history {
+	earlier := make(map[worker.Task][]*Run)
+	for _, r := range f.history {
 		fails := 0
-		for _, before := range f.history[:i] {
-			if before.Task != r.Task {
-				continue
-			}
+		for _, before := range earlier[r.Task] {
 			if before.Ended.IsZero() || before.Ended.After(r.Begun) {
 				out = append(out, "twice at once: "+r.name()+" beside "+before.name())
 			}
@@ -109,6 +107,7 @@
 		if r.attempt > 0 && fails >= r.attempt {
 			out = append(out, "started after its last attempt had failed: "+r.name())
 		}
+		earlier[r.Task] = append(earlier[r.Task], r)
 	}
 	return out
 }
