--- a/day/group.go
+++ b/day/group.go
@@ -16,8 +16,8 @@
 	Works int          `json:"works"`
 	Fates map[Fate]int `json:"fates"`
 	// Owed are those that ended or were lost, but for the cancelled; Served is the share of them that was done.
-	Owed   int         `json:"owed"`
-	Served float64     `json:"served"`
+	Owed   int     `json:"owed"`
+	Served float64 `json:"served"`
 	// Done is the share of all its works but the cancelled that were done before they were worth nothing; one that
 	// is open counts as not done. Margin is that share beside its queue's, 0 where none of the queue was done.
 	Done   float64     `json:"done"`
--- a/day/work.go
+++ b/day/work.go
@@ -49,9 +49,9 @@
 	accepted, asked, permitted, started, ended, shown time.Time
 	state                                             string
 	// questions are those that were answered.
-	questions []span
-	beforeGoal                                        float64
-	lost                                              bool
+	questions  []span
+	beforeGoal float64
+	lost       bool
 	// recorded and ordered are sums over its runs, in milliseconds.
 	recorded, ordered float64
 	runs              int
