--- a/dispatch/classes_test.go
+++ b/dispatch/classes_test.go
@@ -141,7 +141,6 @@
 )
 
 func (o *overload) play(t *testing.T, seed uint64) {
-	is := is.NewRelaxed(t)
 	byID := make(map[string]*roster)
 	vms := []string{"vm1", "vm2", "vm3", "vm4", "vm5", "vm6", "vm7", "vm8"}
 	c := newCell(t, func(task worker.Task, _ int64) floor.Behaviour {
@@ -179,12 +178,23 @@
 		c.submit(v, r.work)
 		time.Sleep(time.Second / perSecond)
 	}
-	end := time.Now()
-	// Only rosters count that the overload outlasts: after it everybody is served.
+	maps.Copy(ended, c.endedAt())
+	judgeClasses(t, load, ended, time.Now())
+	c.judge()
+	for _, v := range c.vms {
+		c.kill(v)
+	}
+	time.Sleep(5 * time.Second) // questions under way have ended
+}
+
+// judgeClasses fails the test if a class of sizes is served less than half as often as all, of the rosters that the
+// overload outlasts: after it everybody is served.
+func judgeClasses(t *testing.T, load []*roster, ended map[string]time.Time, end time.Time) {
+	t.Helper()
+	is := is.NewRelaxed(t)
 	load = slices.DeleteFunc(load, func(r *roster) bool {
 		return r.handed.Add(worthUntil * r.objective).After(end)
 	})
-	maps.Copy(ended, c.endedAt())
 	served := func(part []*roster) float64 {
 		n := 0
 		for _, r := range part {
@@ -203,9 +213,4 @@
 		t.Logf("of %s %.2f were served, of all %d %.2f", name, share, len(load), all)
 		is.True(share >= leastShare*all)
 	}
-	c.judge()
-	for _, v := range c.vms {
-		c.kill(v)
-	}
-	time.Sleep(5 * time.Second) // questions under way have ended
 }
