--- a/day/day.go
+++ b/day/day.go
@@ -60,7 +60,9 @@
 	refusals map[string]*Refusal
 	waits    []gangWait
 	waiting  []classWait
-	free     []freeAt
+	// loads holds what the owner had to do, by the second.
+	loads map[time.Time]*Load
+	free  []freeAt
 }
 
 // gangWait is how many gangs of a class waited for something in one second.
@@ -87,7 +89,7 @@
 func New(opts ...Option) *Day {
 	d := &Day{
 		o:     Options{MostWorks: DefaultMostWorks, Named: DefaultNamed},
-		works: make(map[string]*work), tenures: make(map[int64]*Tenure), failures: make(map[int64]*Outage), refusals: make(map[string]*Refusal),
+		works: make(map[string]*work), tenures: make(map[int64]*Tenure), failures: make(map[int64]*Outage), loads: make(map[time.Time]*Load), refusals: make(map[string]*Refusal),
 	}
 	for _, f := range opts {
 		f(&d.o)
@@ -167,6 +169,7 @@
 	case "dispatch: commit without an answer", "lease: renewal failed":
 		d.failed(l.Time)
 	case "dispatch: state of the cell":
+		d.load(l)
 		if l.Millicores > 0 {
 			d.free = append(d.free, freeAt{l.Time, float64(l.FreeMillicores) / float64(l.Millicores)})
 		}
--- a/day/line.go
+++ b/day/line.go
@@ -40,6 +40,12 @@
 	// Of the state of the cell.
 	Millicores     int64 `json:"millicores"`
 	FreeMillicores int64 `json:"freeMillicores"`
+	Workers        int   `json:"workers"`
+	Usable         int   `json:"usable"`
+	Questions      int   `json:"questions"`
+	// Lag is how late the owner's loop is, Pass how long the latest pass took.
+	Lag  float64 `json:"lag"`
+	Pass float64 `json:"pass"`
 
 	// Of works by size: how many steps wait, how many of them can still be in time, and what gangs wait for.
 	WaitingSteps  int `json:"waitingSteps"`
--- a/day/print.go
+++ b/day/print.go
@@ -188,6 +188,12 @@
 		}
 		p.row(t.From.Format(clock), until, t.VM, fmt.Sprint(t.Fence), t.Reason)
 	}
+	p.head("Load of the owner, the worst of two seconds", "SECOND", "LAG MS", "PASS MS", "WAITING STEPS", "QUESTIONS", "USABLE", "WORKERS")
+	for i := range r.Loads {
+		o := &r.Loads[i]
+		p.row(fmt.Sprintf("%.0f", o.After/1000), fmt.Sprintf("%.0f", o.Lag), fmt.Sprintf("%.0f", o.Pass), fmt.Sprint(o.WaitingSteps),
+			fmt.Sprint(o.Questions), fmt.Sprint(o.Usable), fmt.Sprint(o.Workers))
+	}
 	p.head("Calls of the store without an answer", "FROM", "UNTIL", "CALLS")
 	for _, o := range r.Outages {
 		p.row(o.From.Format(clock), o.Until.Format(clock), fmt.Sprint(o.Calls))
--- a/day/report.go
+++ b/day/report.go
@@ -25,6 +25,7 @@
 	Groups   []Group   `json:"groups"`
 	Tenures  []Tenure  `json:"tenures"`
 	Outages  []Outage  `json:"outages"`
+	Loads    []Load    `json:"loads"`
 	Refusals []Refusal `json:"refusals"`
 	// Lost are the largest works that were lost, Slowest those that were done and took longest.
 	Lost    []Path `json:"lost"`
@@ -80,7 +81,7 @@
 func (d *Day) Report() *Report {
 	r := &Report{
 		From: d.from, Until: d.until, Lines: d.lines, Others: d.others, Unreadable: d.bad, LeftOut: d.leftOut, Findings: d.Findings(),
-		Outages: d.outages(), Refusals: d.refused(),
+		Outages: d.outages(), Refusals: d.refused(), Loads: d.ownerLoads(),
 	}
 	for _, t := range d.tenures {
 		r.Tenures = append(r.Tenures, *t)
