--- a/dispatch/crowded_test.go
+++ b/dispatch/crowded_test.go
@@ -66,8 +66,37 @@
 	return list
 }
 
+// rosterEvery is the pause between two rosters.
+const rosterEvery = 150 * time.Millisecond
+
+// crowded plays rosters, batches and checks against owners of that tenure, and judges what became of the rosters.
 func crowded(t *testing.T, tenure time.Duration, seed uint64) {
 	byID := make(map[string]*job.Work)
+	c := crowdedCell(t, byID)
+	load := rosters(c, int(crowdedFor/rosterEvery), seed)
+	list := crowd(c, seed)
+	for i, r := range load {
+		list = append(list, arrival{time.Duration(i) * rosterEvery, r.work})
+	}
+	for _, a := range list {
+		byID[a.work.ID] = a.work
+	}
+	slices.SortStableFunc(list, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	ended := c.handIn(list, tenure)
+	for _, r := range load {
+		r.handed = r.work.Accepted
+	}
+	judgeClasses(t, load, ended, time.Now())
+	c.judge()
+	for _, v := range c.vms {
+		c.kill(v)
+	}
+	time.Sleep(5 * time.Second) // questions under way have ended
+}
+
+// crowdedCell is a cell with a queue of gangs that need permits, one of urgent checks and one of patient batches; its
+// workers run what byID holds.
+func crowdedCell(t *testing.T, byID map[string]*job.Work) *cell {
 	var vms []string
 	for i := range 12 {
 		vms = append(vms, fmt.Sprint("vm", i))
@@ -86,31 +115,8 @@
 		names, _ := quarter(q)
 		return names, crowdedBase + time.Duration(len(q.Workers))*crowdedPerWorker
 	}
-	const every = 150 * time.Millisecond
-	load := rosters(c, int(crowdedFor/every), seed)
-	list := crowd(c, seed)
-	for i, r := range load {
-		list = append(list, arrival{time.Duration(i) * every, r.work})
-	}
-	for _, a := range list {
-		byID[a.work.ID] = a.work
-	}
-	slices.SortStableFunc(list, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
 	c.workers(crowdedWorkers, crowdedCores)
-	ended := c.handIn(list, tenure)
-	handed := make(map[string]time.Time, len(list))
-	for _, a := range list {
-		handed[a.work.ID] = a.work.Accepted
-	}
-	for _, r := range load {
-		r.handed = handed[r.work.ID]
-	}
-	judgeClasses(t, load, ended, time.Now())
-	c.judge()
-	for _, v := range c.vms {
-		c.kill(v)
-	}
-	time.Sleep(5 * time.Second) // questions under way have ended
+	return c
 }
 
 // handIn hands in works when their time has come, to an owner that is replaced after each tenure, and gives when they
