--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,8 @@
 
 test: check build
 	go test -race -count=1 $$(go list ./... | grep -v -e /policy$$ -e /dispatch$$)
-	@# The race detector crashes in bubbles whose timers run on several processors (docs/incidents/0010): with it on one,
-	@# without it on all, and with the test that has the build constraint !race.
+	@# The race detector may crash in synctest bubbles on several processors (docs/incidents/0010). So dispatch is tested
+	@# with it on one, and without it on all, with the test that has the build constraint !race.
 	go test -race -count=1 -cpu 1 ./dispatch
 	go test -count=1 ./dispatch
 	@# One goroutine decides in policy, so the race detector would only make its long replays longer.
