--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -104,7 +104,7 @@
 			zap.Int("ended", len(held.Ended)), zap.Int("misses", n.misses))
 		t.passNeeded = true
 	}
-	n.misses = 0
+	n.misses, n.silentSince = 0, time.Time{}
 	t.applyHeld(n, held, now)
 	n.synced = true
 	if n.unsaved == 0 {
@@ -176,12 +176,15 @@
 	switch {
 	case errors.Is(err, worker.ErrReplaced):
 		n.listed = false
-		t.endAllRuns(n, worker.OutcomeLeaseExpired, "its lifetime is over")
+		t.endAllRuns(n, n.causeOfReplacement())
 		return
 	case errors.As(err, &refused) && refused.Reason == worker.ReasonFenced:
 		t.loseOwnership("a worker knows a later owner", err)
 		return
 	}
+	if n.misses == 0 {
+		n.silentSince = time.Now()
+	}
 	if n.misses++; n.misses == extendMissLimit {
 		t.log.Warn("dispatch: worker does not answer", zap.String("worker", n.id), zap.Int("runs", len(n.runs)), zap.Error(err))
 	}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -78,8 +78,9 @@
 	observeWait int
 	// holdSentAt is when the latest hold was sent, probedAt when the worker was last probed in addition to a hold.
 	holdSentAt, probedAt time.Time
-	// misses is the number of consecutive holds without an answer.
-	misses int
+	// misses is the number of consecutive holds without an answer, silentSince when the first of them failed.
+	misses      int
+	silentSince time.Time
 	// leaseEnd is when everything on the worker has surely ended if the worker stays silent.
 	leaseEnd time.Time
 	// unhealthyUntil is when the worker may get new work again after it declined an order or a run on it stalled.
@@ -175,7 +176,7 @@
 				hasLeft := n.hasLeft(time.Now())
 				t.onUnlisted(n)
 				if hasLeft {
-					t.endAllRuns(n, worker.OutcomeLeaseExpired, "it has left")
+					t.endAllRuns(n, lossLeft)
 				}
 			}
 			continue
@@ -292,21 +293,3 @@
 	n.agent.Release()
 	t.removeNode(n)
 }
-
-// endAllRuns ends all runs of a worker instance that has ended or whose lease has expired.
-func (t *term) endAllRuns(n *node, ending worker.RunOutcome, reason string) {
-	t.log.Info("dispatch: worker's runs are over", zap.String("worker", n.id), zap.String("reason", reason), zap.Int("runs", len(n.runs)))
-	for _, r := range n.runs {
-		t.endRun(r, ending, "")
-	}
-	t.forgetIfIdle(n)
-}
-
-// endExpired ends the runs on workers that were silent for longer than any lease that they may hold.
-func (t *term) endExpired(now time.Time) {
-	for _, n := range t.nodes {
-		if len(n.runs) > 0 && (n.misses > 0 || !n.synced) && now.After(n.leaseEnd) {
-			t.endAllRuns(n, worker.OutcomeLeaseExpired, "silent until its lease had lapsed")
-		}
-	}
-}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -78,7 +78,7 @@
 		r.node.unhealthyUntil = time.Now().Add(unhealthyDuration)
 	case errors.Is(err, worker.ErrReplaced):
 		r.node.listed = false
-		t.endAllRuns(r.node, worker.OutcomeLeaseExpired, "its lifetime is over")
+		t.endAllRuns(r.node, r.node.causeOfReplacement())
 	case errors.Is(err, worker.ErrUnhealthy):
 		r.node.unhealthyUntil = time.Now().Add(unhealthyDuration)
 		t.onNeverStarted(r, "the worker is unwell")
@@ -145,7 +145,7 @@
 		t.loseOwnership("a worker knows a later owner", err)
 	case errors.Is(err, worker.ErrReplaced):
 		r.node.listed = false
-		t.endAllRuns(r.node, worker.OutcomeLeaseExpired, "its lifetime is over")
+		t.endAllRuns(r.node, r.node.causeOfReplacement())
 	default:
 		t.log.Info("dispatch: stop order failed", zap.String("id", r.stage.entry.work.ID), zap.Int64("run", r.number),
 			zap.String("worker", r.node.id), zap.Error(err))
