Reproduce tasks that crash one worker after the other

The stand-in worker learns tasks that crash it, and its check finds the third start after three crashes.

--- /dev/null
+++ b/dispatch/crash_test.go
@@ -0,0 +1,196 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"turmericgap/job"
+	"turmericgap/standin/floor"
+	"turmericgap/store"
+	"turmericgap/worker"
+)
+
+const (
+	// workerRestartMin is the shortest time, and twice that the longest, until a crashed worker is back.
+	workerRestartMin = 1200 * time.Millisecond
+	// entryTTL is how long the entry of a silent worker stays listed.
+	entryTTL = 4500 * time.Millisecond
+	// badPrefix starts the IDs of works with a task that crashes its workers.
+	badPrefix = "bad"
+)
+
+// crashCell is a cell whose crashed workers come back as new instances at their addresses.
+type crashCell struct {
+	*cell
+	rand *rand.Rand
+	// racks holds the instance at each address of a rack, nil while it is down.
+	racks map[string]map[string]*floor.Worker
+	lives int
+}
+
+// newCrashCell returns a cell of 12 workers in 3 racks. Task 0 of the works with badPrefix crashes its worker.
+func newCrashCell(t *testing.T, seed uint64, sound floor.Behaviour, vms ...string) *crashCell {
+	behave := func(task worker.Task, _ int64) floor.Behaviour {
+		b := sound
+		b.Resources = job.Resources{Millicores: 1000, MemoryMB: 100}
+		switch {
+		case strings.Contains(task.Work, "gang"):
+			b.GangSize = 6
+		case task.Work == "service":
+			b.Duration = time.Hour
+		}
+		if strings.HasPrefix(task.Work, badPrefix) && task.Index == 0 {
+			b.Duration, b.CrashesWorker = 10*time.Millisecond, true
+		}
+		return b
+	}
+	c := &crashCell{cell: newCell(t, behave), rand: rand.New(rand.NewPCG(seed, 0)), racks: make(map[string]map[string]*floor.Worker)}
+	c.cluster.OnCrash = c.restart
+	for i := range 12 {
+		c.startInstance(fmt.Sprintf("w%02d", i), fmt.Sprint("r", i%3))
+	}
+	for _, id := range vms {
+		c.startVM(id)
+	}
+	return c
+}
+
+// startInstance starts a worker, or its next instance, and lists it.
+func (c *crashCell) startInstance(address, rack string) {
+	c.lives++
+	info := worker.Info{
+		ID: fmt.Sprintf("%s-%d", address, c.lives), Address: address, Zone: "kochi-hall", Rack: rack,
+		Has: job.Resources{Millicores: 4000, MemoryMB: 64000},
+	}
+	if c.racks[rack] == nil {
+		c.racks[rack] = make(map[string]*floor.Worker)
+	}
+	c.racks[rack][address] = c.cluster.Add(info)
+	c.register(worker.ListedWorker{Info: info, Pool: pool, Labels: []string{"a", rack}})
+}
+
+// restart brings a crashed worker back under a new ID, and lets its old entry expire.
+func (c *crashCell) restart(w *floor.Worker) {
+	c.racks[w.Info().Rack][w.Info().Address] = nil
+	down := workerRestartMin + time.Duration(c.rand.Int64N(int64(workerRestartMin)))
+	time.AfterFunc(down, func() {
+		w.Crash(true)
+		c.startInstance(w.Info().Address, w.Info().Rack)
+	})
+	time.AfterFunc(entryTTL, func() { c.put(store.Op{Delete: true, Key: workersPrefix + w.Info().ID}) })
+}
+
+// crash ends the present instance at an address, if there is one.
+func (c *crashCell) crash(rack, address string) {
+	if w := c.racks[rack][address]; w != nil {
+		w.Crash(false)
+		c.restart(w)
+	}
+}
+
+// crashRack crashes all workers of a rack at once.
+func (c *crashCell) crashRack(rack string) {
+	for address := range c.racks[rack] {
+		c.crash(rack, address)
+	}
+}
+
+func (c *crashCell) owner() *vm { return c.waitForOwner() }
+
+// submitSound submits sound works of three tasks, one each interval, and returns their IDs.
+func (c *crashCell) submitSound(n int, interval time.Duration) []string {
+	var ids []string
+	for i := range n {
+		id := fmt.Sprint("sound", i)
+		c.submit(c.owner(), c.newWork(id, job.Step{Tasks: 3, Estimate: 2 * time.Second}))
+		ids = append(ids, id)
+		time.Sleep(interval)
+	}
+	return ids
+}
+
+// Guards against blaming sound work for crashes that it has not caused: racks that lose power four times over, workers
+// that crash at random, several at a time, and an owner that is cut off from them.
+func TestSoundWorkIsNotGivenUp(t *testing.T) {
+	cases := map[string]func(c *crashCell){
+		"racks lost": func(c *crashCell) {
+			for i := range 4 {
+				c.crashRack(fmt.Sprint("r", i%2))
+				time.Sleep(6 * time.Second)
+			}
+		},
+		"all racks lost at once": func(c *crashCell) {
+			for range 6 {
+				for rack := range 3 {
+					c.crashRack(fmt.Sprint("r", rack))
+				}
+				time.Sleep(6 * time.Second)
+			}
+		},
+		"workers crash at random": func(c *crashCell) {
+			for range 12 {
+				i := c.rand.IntN(12)
+				c.crash(fmt.Sprint("r", i%3), fmt.Sprintf("w%02d", i))
+				time.Sleep(4 * time.Second)
+			}
+		},
+		"a third of the workers crash": func(c *crashCell) {
+			for range 4 {
+				for _, i := range c.rand.Perm(12)[:4] {
+					c.crash(fmt.Sprint("r", i%3), fmt.Sprintf("w%02d", i))
+				}
+				time.Sleep(6 * time.Second)
+			}
+		},
+		"owner cut off from workers": func(c *crashCell) {
+			for range 3 {
+				v := c.owner()
+				v.workersCut.Store(true)
+				time.Sleep(13 * time.Second)
+				v.workersCut.Store(false)
+				time.Sleep(5 * time.Second)
+			}
+		},
+		"owners killed and racks lost": func(c *crashCell) {
+			for i := range 4 {
+				c.kill(c.owner())
+				c.crashRack(fmt.Sprint("r", i%2))
+				c.startVM(fmt.Sprint("later", i))
+				time.Sleep(9 * time.Second)
+			}
+		},
+	}
+	for name, disturb := range cases {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				inBubble(t, func(t *testing.T) { checkSoundWorkIsDone(t, seed, disturb) })
+			})
+		}
+	}
+}
+
+// checkSoundWorkIsDone fails the test unless sound work of each kind goes on and is done while the cell is disturbed.
+func checkSoundWorkIsDone(t *testing.T, seed uint64, disturb func(c *crashCell)) {
+	t.Helper()
+	is := is.New(t)
+	long := floor.Behaviour{Duration: 5 * time.Second, Ending: worker.OutcomeDone}
+	c := newCrashCell(t, seed, long, "vm1", "vm2")
+	c.owner()
+	time.Sleep(4 * time.Second)
+	c.submit(c.owner(), c.newWork("gang", job.Step{Tasks: 6, Gang: true, Estimate: 5 * time.Second}))
+	c.submit(c.owner(), c.newWork("service", job.Step{Tasks: 3, Service: true}))
+	sound := append(c.submitSound(10, 100*time.Millisecond), "gang")
+	disturb(c)
+	for _, id := range sound {
+		c.waitForState(c.owner(), id, job.WorkCompleted, 2*time.Minute)
+	}
+	state, err := c.state(c.owner(), "service")
+	is.NoErr(err)
+	is.Equal(state, job.WorkRunning)
+	c.checkHistory()
+}
--- a/standin/floor/floor.go
+++ b/standin/floor/floor.go
@@ -21,6 +21,8 @@
 	MaxAttempts int
 	// FullProgress makes the run always report a progress of 100 percent.
 	FullProgress bool
+	// CrashesWorker makes the run crash its worker after Duration instead of ending.
+	CrashesWorker bool
 }
 
 // Cluster holds the simulated workers of a cell and the history of their runs.
@@ -29,6 +31,8 @@
 	BehaviourOf func(t worker.Task, run int64) Behaviour
 	// GangTimeout is how long a member of a gang waits for the others.
 	GangTimeout time.Duration
+	// OnCrash is called after a run has crashed its worker; may be nil.
+	OnCrash func(w *Worker)
 
 	mu         sync.Mutex
 	workers    map[string]*Worker
@@ -45,10 +49,20 @@
 	Ended        time.Time
 	Ending       worker.RunOutcome
 	Acknowledged bool
-	gang         int
-	maxAttempts  int
+	// Crashed is true if the worker crashed under the run.
+	Crashed       bool
+	gang          int
+	maxAttempts   int
+	crashesWorker bool
 }
 
+// A task that crashes its workers may be started less than maxStartsAfterCrashes times after crashesBeforeLimit of them
+// have crashed under it.
+const (
+	crashesBeforeLimit    = 3
+	maxStartsAfterCrashes = 3
+)
+
 // New returns a cluster without workers.
 func New(behaviourOf func(worker.Task, int64) Behaviour) *Cluster {
 	return &Cluster{BehaviourOf: behaviourOf, GangTimeout: 3 * time.Second, workers: make(map[string]*Worker)}
@@ -84,15 +98,16 @@
 	return out
 }
 
-// Violations returns the violations in the history: a worker above its capacity, two concurrent runs of a task,
-// and a start after an acknowledged completion or after the last permitted failure.
+// Violations returns the violations in the history: a worker above its capacity, two concurrent runs of a task, a start
+// after an acknowledged completion or after the last permitted failure, and the third start of a task that crashes its
+// workers after three of them have crashed under it.
 func (c *Cluster) Violations() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := append([]string(nil), c.violations...)
 	earlier := make(map[worker.Task][]*Run)
 	for _, r := range c.history {
-		fails := 0
+		fails, crashes, startsAfter := 0, 0, 1
 		for _, before := range earlier[r.Task] {
 			if before.Ended.IsZero() || before.Ended.After(r.Started) {
 				out = append(out, "twice at once: "+r.describe()+" and "+before.describe())
@@ -103,6 +118,15 @@
 			if before.Ending == worker.OutcomeFailed && before.Acknowledged {
 				fails++
 			}
+			if crashes >= crashesBeforeLimit {
+				startsAfter++
+			}
+			if before.Crashed {
+				crashes++
+			}
+		}
+		if r.crashesWorker && crashes >= crashesBeforeLimit && startsAfter == maxStartsAfterCrashes {
+			out = append(out, "started too often after its crashes: "+r.describe())
 		}
 		if r.maxAttempts > 0 && fails >= r.maxAttempts {
 			out = append(out, "started after its last attempt had failed: "+r.describe())
--- a/standin/floor/floor_test.go
+++ b/standin/floor/floor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -51,6 +52,14 @@
 			hold(a, 1)
 			launch(b, "x", 2)
 		}},
+		"third start after three crashes": {"too often after its crashes", func(cluster *Cluster, _, _ *worker.Agent, _ *Worker) {
+			cluster.BehaviourOf = func(worker.Task, int64) Behaviour { return Behaviour{Duration: time.Second, CrashesWorker: true} }
+			startOnCrashingWorkers(cluster, 6)
+		}},
+		"second start after three crashes": {"", func(cluster *Cluster, _, _ *worker.Agent, _ *Worker) {
+			cluster.BehaviourOf = func(worker.Task, int64) Behaviour { return Behaviour{Duration: time.Second, CrashesWorker: true} }
+			startOnCrashingWorkers(cluster, 5)
+		}},
 		"capacity exceeded": {"too much on worker", func(cluster *Cluster, a, _ *worker.Agent, _ *Worker) {
 			cluster.BehaviourOf = func(worker.Task, int64) Behaviour {
 				return Behaviour{Duration: time.Second, Ending: worker.OutcomeDone, Resources: job.Resources{Millicores: 3000}}
@@ -79,6 +88,16 @@
 	}
 }
 
+// startOnCrashingWorkers starts a task on one new worker after the other.
+func startOnCrashingWorkers(cluster *Cluster, starts int) {
+	for run := range int64(starts) {
+		info := worker.Info{ID: "new" + strconv.FormatInt(run, 10)}
+		cluster.Add(info)
+		launch(cluster.Client(info), "x", run+1)
+		time.Sleep(2 * time.Second)
+	}
+}
+
 func launch(a *worker.Agent, id string, run int64) {
 	_, _ = a.Launch(context.Background(), &worker.Launch{Task: worker.Task{Work: id}, Run: run, Until: 30 * time.Second, Fence: 1})
 }
--- a/standin/floor/worker.go
+++ b/standin/floor/worker.go
@@ -86,13 +86,33 @@
 func (w *Worker) Crash(replaced bool) {
 	w.cluster.mu.Lock()
 	defer w.cluster.mu.Unlock()
+	w.crash(replaced)
+}
+
+func (w *Worker) crash(replaced bool) {
 	w.crashed, w.replaced = true, replaced
+	for _, r := range w.runs {
+		r.record.Crashed = true
+	}
 	for _, r := range w.runs {
 		w.endRun(r, worker.OutcomeLeaseExpired)
 	}
 	w.pendingEnds = nil
 }
 
+// crashUnder crashes the worker unless the run has ended.
+func (w *Worker) crashUnder(r *activeRun) {
+	w.cluster.mu.Lock()
+	present := w.runs[r.key] == r
+	if present {
+		w.crash(false)
+	}
+	w.cluster.mu.Unlock()
+	if present && w.cluster.OnCrash != nil {
+		w.cluster.OnCrash(w)
+	}
+}
+
 // ActiveRuns returns the number of present runs.
 func (w *Worker) ActiveRuns() int {
 	w.cluster.mu.Lock()
@@ -211,7 +231,7 @@
 	}
 	w.extendLease(l.Until)
 	behaviour := w.cluster.BehaviourOf(l.Task, l.Run)
-	record := &Run{Task: l.Task, Number: l.Run, Worker: w.info.ID, Started: time.Now(), gang: behaviour.GangSize, maxAttempts: behaviour.MaxAttempts}
+	record := &Run{Task: l.Task, Number: l.Run, Worker: w.info.ID, Started: time.Now(), gang: behaviour.GangSize, maxAttempts: behaviour.MaxAttempts, crashesWorker: behaviour.CrashesWorker}
 	w.cluster.history = append(w.cluster.history, record)
 	r := &activeRun{key: key, behaviour: behaviour, record: record}
 	w.runs[key] = r
@@ -249,7 +269,13 @@
 	if r.timer != nil {
 		r.timer.Stop()
 	}
-	r.timer = time.AfterFunc(r.behaviour.Duration, func() { w.finishRun(r, r.behaviour.Ending) })
+	r.timer = time.AfterFunc(r.behaviour.Duration, func() {
+		if r.behaviour.CrashesWorker {
+			w.crashUnder(r)
+			return
+		}
+		w.finishRun(r, r.behaviour.Ending)
+	})
 }
 
 func (w *Worker) finishRun(r *activeRun, ending worker.RunOutcome) {
