Give up tasks that crash the workers that start them

Cause: a retry without a budget for failures that the executor can't report. Only ends that a worker reports as failed count as attempts; a run that ends with its worker left no trace and was queued again at once.

Ruled out: a count that is lost with the owner (fails without any takeover), ends that are known too late (run numbers go on to 32), the lease (the worker is known to have been replaced).

Change: package crash holds what speaks against each task, durable before its next start. A crash weighs by what else may have caused it: the other tasks on the worker, other workers lost at that moment, how long the run had lasted; a lost rack is no evidence, a silent worker convicts nobody until another instance appears at its address. A suspect starts on the emptiest worker, then alone; a crash then convicts it and its end acquits it. It is given up on that evidence, and in any case at the fifth crash, which is the second start after the third. A gang with a suspect waits for the fate of a silent worker before it starts again.

--- /dev/null
+++ b/crash/record.go
@@ -0,0 +1,134 @@
+package crash
+
+import "time"
+
+// Verdict is what becomes of a task, from the mildest to the strictest.
+type Verdict int
+
+const (
+	// Continue means that the task runs like any other.
+	Continue Verdict = iota
+	// Spread means that the task prefers workers with few other tasks.
+	Spread
+	// Isolate means that the task runs on a worker of its own: a crash then convicts it, and its end acquits it.
+	Isolate
+	// GiveUp means that the task is not started again.
+	GiveUp
+)
+
+// String returns the name of the verdict in logs.
+func (v Verdict) String() string { return [...]string{"continue", "spread", "isolate", "giveUp"}[v] }
+
+// The weights of a crash as evidence against a task, by what else may have caused it.
+const (
+	// weightAlone is the weight if nothing else ran on the worker and no other worker was lost at that moment.
+	weightAlone = 4
+	// weightShared is the weight if other tasks ran there.
+	weightShared = 2
+	// weightSeveral is the weight if other workers were lost at the same moment, or if the moment is not known.
+	weightSeveral = 1
+	// lateDivisor divides the other weights if the run had lasted for promptAge: a crash at any time may be the
+	// worker's own, one at the start is less likely to be.
+	lateDivisor = 2
+	promptAge   = 250 * time.Millisecond
+)
+
+const (
+	// isolateEvidence is the evidence from which a task is isolated: two prompt crashes beside others, or one alone.
+	isolateEvidence = 3
+	// giveUpEvidence is the evidence at which a task is given up: two prompt crashes alone, or one after two others.
+	giveUpEvidence = 7
+	// isolateCrashes is the number of crashes from which a task is isolated regardless of their weight. The users' rule
+	// allows two more starts from then on.
+	isolateCrashes = 3
+	// maxCrashes is the number of crashes, and of losses after isolateCrashes of them, at which a task is given up
+	// regardless of their weight, so that the rule holds.
+	maxCrashes = 5
+	// minAcquittalAge is the age of a run from which its worker's crash is no evidence: it was not the start that
+	// crashed the worker. acquittalFactor times the estimate raises it for long tasks. A task that does not end by itself
+	// meets crashes of workers all its life, so it is cleared sooner.
+	minAcquittalAge     = 15 * time.Second
+	acquittalFactor     = 2
+	serviceAcquittalAge = 5 * time.Second
+)
+
+// AcquittalAge returns the age of a run from which it is cleared of earlier crashes. estimate is the expected duration
+// of the task; a service does not end by itself.
+func AcquittalAge(estimate time.Duration, service bool) time.Duration {
+	if service {
+		return serviceAcquittalAge
+	}
+	return max(minAcquittalAge, acquittalFactor*estimate)
+}
+
+// Loss is the loss of a run together with its worker.
+type Loss struct {
+	// Crashed is true if the worker is known to have crashed, and false if it was silent until its lease had expired.
+	Crashed bool
+	// Alone is true if no other task can have run on the worker.
+	Alone bool
+	// Scope is what else was lost at that moment.
+	Scope Scope
+	// Age is how long the run is known to have lasted, AcquittalAge the age from which the crash is no evidence.
+	Age, AcquittalAge time.Duration
+}
+
+// Record is what is held against one task. The zero value is a task that no worker has crashed under.
+type Record struct {
+	// Crashes counts the crashes under the task that did not take its whole rack, and Losses the runs that ended with
+	// a worker of unknown fate.
+	Crashes int `msgpack:"c"`
+	Losses  int `msgpack:"l,omitempty"`
+	// Evidence is the sum of the weights of the crashes.
+	Evidence int `msgpack:"e"`
+}
+
+// Add weighs the loss of a run. A crash of a run that has outlived AcquittalAge clears the task.
+func (r *Record) Add(l Loss) {
+	switch {
+	case l.Age >= l.AcquittalAge:
+		*r = Record{}
+	case !l.Crashed:
+		r.Losses++
+	case l.Scope == WholeRack:
+	default:
+		r.Crashes++
+		r.Evidence += l.weight()
+	}
+}
+
+// Resolve counts a loss that turns out to have been a crash. What else was lost at that moment is not known any more.
+func (r *Record) Resolve() {
+	if r.Losses > 0 {
+		r.Losses--
+		r.Crashes++
+		r.Evidence += weightSeveral
+	}
+}
+
+func (l *Loss) weight() int {
+	if l.Scope != SingleWorker {
+		return weightSeveral
+	}
+	weight := weightShared
+	if l.Alone {
+		weight = weightAlone
+	}
+	if l.Age >= promptAge {
+		weight /= lateDivisor
+	}
+	return weight
+}
+
+// Verdict returns what becomes of the task.
+func (r Record) Verdict() Verdict {
+	switch {
+	case r.Evidence >= giveUpEvidence, r.Crashes >= isolateCrashes && r.Crashes+r.Losses >= maxCrashes:
+		return GiveUp
+	case r.Evidence+r.Losses >= isolateEvidence, r.Crashes >= isolateCrashes:
+		return Isolate
+	case r.Evidence+r.Losses > 0:
+		return Spread
+	}
+	return Continue
+}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -48,12 +48,12 @@
 	if fitCount(n.free.Minus(n.setAside), s.taskResources()) == 0 {
 		return 0 // a cheap check that suffices for most workers of a full cell
 	}
-	return t.limitTasks(s, n, fitCount(n.availableUntil(s.taskEndBound(now)), s.taskResources()))
+	return t.limitTasks(s, n, now, fitCount(n.availableUntil(s.taskEndBound(now)), s.taskResources()))
 }
 
 // tasksFittingUnclaimed returns how many tasks of a stage fit on a worker without using capacity claimed by gangs.
 func (t *term) tasksFittingUnclaimed(s *stage, n *node, now time.Time) int {
-	return t.limitTasks(s, n, fitCount(n.unclaimedUntil(s.taskEndBound(now)), s.taskResources()))
+	return t.limitTasks(s, n, now, fitCount(n.unclaimedUntil(s.taskEndBound(now)), s.taskResources()))
 }
 
 // taskEndBound returns when a task that starts now should have ended at the latest: its estimate times backfillMargin.
@@ -62,8 +62,12 @@
 	return now.Add(time.Duration(backfillMargin * float64(s.spec.Estimate)))
 }
 
-// limitTasks bounds a number of tasks by the stage's limit per worker, and to a single trial run on a worker on trial.
-func (t *term) limitTasks(s *stage, n *node, k int) int {
+// limitTasks bounds a number of tasks by the stage's limit per worker, to a single trial run on a worker on trial, and to
+// none on a worker that is kept for a suspect.
+func (t *term) limitTasks(s *stage, n *node, now time.Time, k int) int {
+	if n.isKeptFromNewRuns(now) {
+		return 0
+	}
 	if limit := s.spec.MaxPerWorker; limit > 0 {
 		k = min(k, limit-s.tasksOn(n))
 	}
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -29,8 +29,8 @@
 	*cell
 	rand *rand.Rand
 	// racks holds the instance at each address of a rack, nil while it is down.
-	racks map[string]map[string]*floor.Worker
-	lives int
+	racks        map[string]map[string]*floor.Worker
+	lives, works int
 }
 
 // newCrashCell returns a cell of 12 workers in 3 racks. Task 0 of the works with badPrefix crashes its worker.
@@ -105,8 +105,9 @@
 // submitSound submits sound works of three tasks, one each interval, and returns their IDs.
 func (c *crashCell) submitSound(n int, interval time.Duration) []string {
 	var ids []string
-	for i := range n {
-		id := fmt.Sprint("sound", i)
+	for range n {
+		c.works++
+		id := fmt.Sprint("sound", c.works)
 		c.submit(c.owner(), c.newWork(id, job.Step{Tasks: 3, Estimate: 2 * time.Second}))
 		ids = append(ids, id)
 		time.Sleep(interval)
@@ -194,3 +195,81 @@
 	is.Equal(state, job.WorkRunning)
 	c.checkHistory()
 }
+
+var soundTask = floor.Behaviour{Duration: 2 * time.Second, Ending: worker.OutcomeDone}
+
+// crashes returns how many times a worker crashed under a task of a work with the prefix.
+func (c *crashCell) crashes(prefix string) int {
+	n := 0
+	for _, r := range c.cluster.History() {
+		if r.Crashed && r.Task.Index == 0 && strings.HasPrefix(r.Task.Work, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a task that crashes one worker after the other without end: its work must be shown as failed within
+// the allowed starts, and sound work beside it must be done.
+func TestCrashingTaskIsGivenUp(t *testing.T) {
+	cases := map[string]struct {
+		works int
+		step  job.Step
+		// ownersKilled kills three owners, one each three seconds.
+		ownersKilled bool
+		id           string
+	}{
+		"one task":          {1, job.Step{Tasks: 1, Estimate: time.Second}, false, "bad"},
+		"one of many tasks": {1, job.Step{Tasks: 5, Estimate: time.Second}, false, "bad"},
+		"four works":        {4, job.Step{Tasks: 1, Estimate: time.Second}, false, "bad"},
+		"a gang member":     {1, job.Step{Tasks: 6, Gang: true, Estimate: time.Second}, false, "bad-gang"},
+		"a service":         {1, job.Step{Tasks: 1, Service: true}, false, "bad"},
+		"owners killed":     {2, job.Step{Tasks: 1, Estimate: time.Second}, true, "bad"},
+	}
+	for name, tc := range cases {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				inBubble(t, func(t *testing.T) {
+					c := newCrashCell(t, seed, soundTask, "vm1", "vm2")
+					c.owner()
+					time.Sleep(4 * time.Second)
+					for i := range tc.works {
+						c.submit(c.owner(), c.newWork(fmt.Sprintf("%s%d", tc.id, i), tc.step))
+					}
+					var sound []string
+					for i := range 3 {
+						sound = append(sound, c.submitSound(7, 400*time.Millisecond)...)
+						if tc.ownersKilled {
+							c.kill(c.owner())
+							c.startVM(fmt.Sprint("later", i))
+						}
+					}
+					for i := range tc.works {
+						c.waitForState(c.owner(), fmt.Sprintf("%s%d", tc.id, i), job.WorkFailed, 2*time.Minute)
+					}
+					for _, id := range sound {
+						c.waitForState(c.owner(), id, job.WorkCompleted, time.Minute)
+					}
+					t.Logf("%d crashes", c.crashes(badPrefix))
+					c.checkHistory()
+				})
+			})
+		}
+	}
+}
+
+// Guards against sound work that is not done, or is given up, beside works that crash its workers again and again.
+func TestSoundWorkBesideCrashingTasks(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				checkSoundWorkIsDone(t, seed, func(c *crashCell) {
+					for i := range 6 {
+						c.submit(c.owner(), c.newWork(fmt.Sprint(badPrefix, i), job.Step{Tasks: 1, Estimate: time.Second}))
+						time.Sleep(2 * time.Second)
+					}
+				})
+			})
+		})
+	}
+}
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -179,6 +179,7 @@
 	}
 	t.log.Info("dispatch: work failed", zap.String("id", e.work.ID), zap.Int("step", s.index),
 		zap.Int("attempts", e.queue.MaxAttempts))
+	e.failure = failureAttempts
 	t.finish(e, job.WorkFailed)
 }
 
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -34,6 +34,8 @@
 	// waited.
 	size  float64
 	class aging.Class
+	// failure is why the work failed; empty unless it did.
+	failure failureReason
 	// outcomeCounted is true once the outcome of the work has been counted.
 	outcomeCounted bool
 	// remainingAfter is, for each step, the estimated duration of the longest chain of steps after it.
@@ -82,6 +84,8 @@
 	waitReason gangWaitReason
 	// reservedCapacity is the capacity reserved for the gang in the latest pass.
 	reservedCapacity []allocation
+	// suspects holds the tasks that were lost with a worker, by index.
+	suspects map[int]*suspect
 	// failuresByWorker counts the failures of the stage's tasks by worker ID.
 	failuresByWorker map[string]int
 }
@@ -124,12 +128,18 @@
 	// uncertain is true while an order is unanswered: the run may exist, or may still start until startExpires has
 	// passed on the worker's clock.
 	uncertain bool
+	// undelivered is true if the start order certainly did not reach the worker.
+	undelivered bool
+	// exclusive is true if nothing else may be placed on the worker until the run has ended.
+	exclusive bool
 	// recovered is true if a former owner sent the start order.
 	recovered bool
 	// stopping is true once the run was ordered to stop; haltedAt is when that order was last sent.
 	stopping bool
 	haltedAt time.Time
 	ended    bool
+	// seenAt is when the worker last reported the run.
+	seenAt time.Time
 	// percent is the last reported progress; progressAt is when it last changed.
 	percent    int
 	progressAt time.Time
@@ -217,11 +227,11 @@
 
 // toProgress returns the durable form of the entry.
 func (e *entry) toProgress() *progress {
-	p := &progress{State: e.state, Runs: e.lastRun, Begun: e.occurrencesBegun}
+	p := &progress{State: e.state, Runs: e.lastRun, Begun: e.occurrencesBegun, Failure: e.failure}
 	for _, o := range e.occurrences {
 		or := occurrenceRecord{Number: o.number}
 		for _, s := range o.stages {
-			sr := stageRecord{Fails: s.failures, Failing: s.gang != nil && s.gang.failed, Tasks: make([]taskRecord, len(s.tasks))}
+			sr := stageRecord{Fails: s.failures, Failing: s.gang != nil && s.gang.failed, Tasks: make([]taskRecord, len(s.tasks)), Crashes: s.recordsOfCrashes()}
 			for _, u := range s.unresolved {
 				sr.Unresolved = append(sr.Unresolved, unresolvedRecord{Run: u.number, Worker: u.worker})
 			}
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -102,14 +102,20 @@
 
 // planGangOn assigns all tasks of a gang to eligible nodes in the given order, or returns nil if they do not fit.
 func (t *term) planGangOn(s *stage, nodes []*node, now time.Time, eligible func(*node) bool) []allocation {
-	left := len(s.tasks)
-	var plan []allocation
+	plan, ok := t.planIsolated(s, nodes, now, eligible)
+	if !ok {
+		return nil
+	}
+	left, own := len(s.tasks)-len(plan), plan
+	if left == 0 {
+		return plan
+	}
 	for _, n := range nodes {
 		k := min(t.tasksFitting(s, n, now), left)
-		if k == 0 || !eligible(n) {
+		if k == 0 || !eligible(n) || slices.ContainsFunc(own, func(a allocation) bool { return a.node == n }) {
 			continue
 		}
-		plan = append(plan, allocation{n, k})
+		plan = append(plan, allocation{node: n, tasks: k})
 		if left -= k; left == 0 {
 			return plan
 		}
@@ -120,11 +126,18 @@
 func (t *term) startGang(s *stage, plan []allocation) {
 	number := t.nextRunNumber(s.entry)
 	s.gang = &gangRun{number: number, membersLeft: len(s.tasks)}
+	for _, p := range plan {
+		if p.suspect != nil {
+			t.startAlone(s, p.suspect, p.node, number)
+		}
+	}
 	i := 0
 	for _, p := range plan {
-		for range p.tasks {
-			t.startRun(s, i, p.node, number)
-			i++
+		for left := p.tasks; left > 0 && p.suspect == nil; i++ {
+			if s.tasks[i].phase == phaseWaiting {
+				t.startRun(s, i, p.node, number)
+				left--
+			}
 		}
 	}
 }
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -104,6 +104,10 @@
 			zap.Int("ended", len(held.Ended)), zap.Int("misses", n.misses))
 		t.passNeeded = true
 	}
+	if n.misses > 0 {
+		t.outages.Remove(n.id)
+		n.brokenMembers = nil
+	}
 	n.misses, n.silentSince = 0, time.Time{}
 	t.applyHeld(n, held, now)
 	n.synced = true
@@ -175,15 +179,14 @@
 	var refused *worker.Refusal
 	switch {
 	case errors.Is(err, worker.ErrReplaced):
-		n.listed = false
-		t.endAllRuns(n, n.causeOfReplacement())
+		t.onReplaced(n)
 		return
 	case errors.As(err, &refused) && refused.Reason == worker.ReasonFenced:
 		t.loseOwnership("a worker knows a later owner", err)
 		return
 	}
 	if n.misses == 0 {
-		n.silentSince = time.Now()
+		t.noteSilence(n)
 	}
 	if n.misses++; n.misses == extendMissLimit {
 		t.log.Warn("dispatch: worker does not answer", zap.String("worker", n.id), zap.Int("runs", len(n.runs)), zap.Error(err))
@@ -247,7 +250,7 @@
 // updateRun updates a run with what the worker reports.
 func (t *term) updateRun(r *run, a *worker.ActiveRun, now time.Time) {
 	r.confirm()
-	r.recovered = false
+	r.recovered, r.seenAt = false, now
 	if a.Percent != r.percent || r.progressAt.IsZero() {
 		r.percent, r.progressAt = a.Percent, now
 	}
--- /dev/null
+++ b/dispatch/isolation.go
@@ -0,0 +1,178 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/crash"
+)
+
+const (
+	// isolationWait is how long a task that is to run alone waits for an empty worker. After that it starts on the one
+	// with the fewest runs, where nothing new is placed beside it.
+	isolationWait = 2 * time.Second
+	// vacateHold is how long a worker is kept from new runs after the suspect that waits for it was last tried: several
+	// passes.
+	vacateHold = 500 * time.Millisecond
+	// isolationDivisor limits the workers that are kept from new runs for waiting suspects to one in this many.
+	isolationDivisor = 2
+)
+
+// isolatedTasks returns the waiting tasks that are to run alone, in order.
+func (s *stage) isolatedTasks() []*suspect {
+	var out []*suspect
+	for i, u := range s.suspects {
+		if s.tasks[i].phase == phaseWaiting && u.Verdict() == crash.Isolate {
+			out = append(out, u)
+		}
+	}
+	slices.SortFunc(out, func(a, b *suspect) int { return cmp.Compare(a.index, b.index) })
+	return out
+}
+
+// acquitSurvivors clears the tasks of isolated runs that have lasted long enough, and lets others run beside them.
+func (t *term) acquitSurvivors(now time.Time) {
+	for _, n := range t.nodes {
+		if n.exclusiveRuns == 0 {
+			continue
+		}
+		for _, r := range n.runs {
+			if r.exclusive && r.confirmed && r.provenAge() >= r.acquittalAge() {
+				t.log.Info("dispatch: task cleared of crashes", zap.String("id", r.stage.entry.work.ID),
+					zap.Int("step", r.stage.index), zap.Int("task", r.index), zap.Int64("run", r.number), zap.String("worker", n.id))
+				n.shareAgain(r)
+				delete(r.stage.suspects, r.index)
+				t.saveUnlessEnded(r.stage.entry)
+				t.passNeeded = true
+			}
+		}
+	}
+}
+
+// startAlone starts a task on a worker where nothing else is placed until its run has ended.
+func (t *term) startAlone(s *stage, u *suspect, n *node, number int64) {
+	n.vacatedFor = nil
+	t.startRun(s, u.index, n, number)
+}
+
+// makeExclusive charges a run that is not charged yet for the rest of the worker's capacity.
+func (r *run) makeExclusive() {
+	r.exclusive = true
+	rest := minResources(r.node.free, r.node.listing.Has)
+	r.need = resources{
+		Millicores:   max(r.need.Millicores, rest.Millicores),
+		MemoryMB:     max(r.need.MemoryMB, rest.MemoryMB),
+		Accelerators: max(r.need.Accelerators, rest.Accelerators),
+	}
+}
+
+// shareAgain lets other runs be placed beside an exclusive run.
+func (n *node) shareAgain(r *run) {
+	n.release(r)
+	r.exclusive, r.need = false, r.stage.taskResources()
+	n.charge(r)
+}
+
+// isKeptFromNewRuns reports whether nothing may be placed on a worker because of a suspect.
+func (n *node) isKeptFromNewRuns(now time.Time) bool {
+	return n.exclusiveRuns > 0 || n.vacatedFor != nil && now.Before(n.vacatedUntil)
+}
+
+// fitsAlone reports whether a suspect may start on the worker, or wait for it to become empty.
+func (s *stage) fitsAlone(u *suspect, n *node, now time.Time) bool {
+	switch {
+	case n.exclusiveRuns > 0, n.isOnTrial(), n.vacatedFor != nil && n.vacatedFor != u && now.Before(n.vacatedUntil):
+		return false
+	case s.spec.MaxPerWorker > 0 && s.tasksOn(n) >= s.spec.MaxPerWorker:
+		return false
+	}
+	return fitCount(n.free.Minus(n.setAside), s.taskResources()) > 0
+}
+
+// placeIsolated starts the tasks of a stage that are to run alone, as far as there are workers for them. It returns how
+// many are left that only wait for a worker to become empty.
+func (t *term) placeIsolated(s *stage, now time.Time) (waiting int) {
+	for _, u := range s.isolatedTasks() {
+		if !t.ruleAllows(s.entry, 1) {
+			return waiting
+		}
+		nodes := t.sortedCandidates(s, now, func(n *node) bool {
+			return s.fitsAlone(u, n, now) && s.permitted(n, now)
+		})
+		n := t.chooseAlone(u, nodes, now)
+		switch {
+		case n == nil:
+		case n.isEmptyEnough(u, now):
+			t.startAlone(s, u, n, t.nextRunNumber(s.entry))
+		default:
+			waiting++
+			t.vacate(n, u, now)
+		}
+	}
+	return waiting
+}
+
+// chooseAlone returns the worker on which a suspect is to run alone: the one kept for it, or else the one with the fewest
+// runs.
+func (t *term) chooseAlone(u *suspect, nodes []*node, now time.Time) *node {
+	var best *node
+	for _, n := range nodes {
+		if n.vacatedFor == u && now.Before(n.vacatedUntil) {
+			return n
+		}
+		if best == nil || len(n.runs) < len(best.runs) {
+			best = n
+		}
+	}
+	return best
+}
+
+// isEmptyEnough reports whether a suspect may start on a worker now.
+func (n *node) isEmptyEnough(u *suspect, now time.Time) bool {
+	return len(n.runs) == 0 && n.setAside == (resources{}) || now.Sub(u.waitingSince) >= isolationWait
+}
+
+// vacate keeps a worker from new runs for a suspect that waits for it, unless too many workers are kept so already.
+func (t *term) vacate(n *node, u *suspect, now time.Time) {
+	if n.vacatedFor != u || !now.Before(n.vacatedUntil) {
+		kept := 1
+		for _, o := range t.nodes {
+			if o.isKeptFromNewRuns(now) {
+				kept++
+			}
+		}
+		if kept*isolationDivisor > len(t.nodes) {
+			return
+		}
+	}
+	n.vacatedFor, n.vacatedUntil = u, now.Add(vacateHold)
+}
+
+// planIsolated assigns the members of a gang that are to run alone to workers of their own, or returns false if these
+// are not there yet.
+func (t *term) planIsolated(s *stage, nodes []*node, now time.Time, eligible func(*node) bool) (plan []allocation, ok bool) {
+	ok = true
+	taken := make(map[*node]bool)
+	for _, u := range s.isolatedTasks() {
+		var fitting []*node
+		for _, n := range nodes {
+			if !taken[n] && s.fitsAlone(u, n, now) && eligible(n) {
+				fitting = append(fitting, n)
+			}
+		}
+		n := t.chooseAlone(u, fitting, now)
+		if n == nil {
+			return nil, false
+		}
+		taken[n] = true
+		if !n.isEmptyEnough(u, now) {
+			t.vacate(n, u, now)
+			ok = false
+		}
+		plan = append(plan, allocation{node: n, tasks: 1, suspect: u})
+	}
+	return plan, ok
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -81,6 +81,17 @@
 	// misses is the number of consecutive holds without an answer, silentSince when the first of them failed.
 	misses      int
 	silentSince time.Time
+	// replaced is true once another instance answers at the address and the runs are about to end.
+	replaced bool
+	// addedAt is when the term first knew of the worker.
+	addedAt time.Time
+	// brokenMembers holds the ended gang members that were on the worker when it fell silent.
+	brokenMembers []*run
+	// exclusiveRuns is the number of runs beside which nothing may be placed.
+	exclusiveRuns int
+	// vacatedFor is the suspect for which the worker is kept from new runs until vacatedUntil.
+	vacatedFor   *suspect
+	vacatedUntil time.Time
 	// leaseEnd is when everything on the worker has surely ended if the worker stays silent.
 	leaseEnd time.Time
 	// unhealthyUntil is when the worker may get new work again after it declined an order or a run on it stalled.
@@ -122,6 +133,9 @@
 // charge charges the resources of a run to the worker.
 func (n *node) charge(r *run) {
 	n.runs[runKey{r.task(), r.number}] = r
+	if r.exclusive {
+		n.exclusiveRuns++
+	}
 	n.free = n.free.Minus(r.need)
 	n.sortedPart = 0
 	n.updateIndex()
@@ -130,6 +144,9 @@
 // release releases the resources of a run.
 func (n *node) release(r *run) {
 	delete(n.runs, runKey{r.task(), r.number})
+	if r.exclusive {
+		n.exclusiveRuns--
+	}
 	n.free = n.free.Plus(r.need)
 	n.updateIndex()
 }
@@ -225,7 +242,7 @@
 func (t *term) nodeFor(id string) *node {
 	n := t.nodes[id]
 	if n == nil {
-		n = &node{id: id, runs: make(map[runKey]*run), holdOrders: make(chan holdOrder, 1), wake: make(chan struct{}, 1)}
+		n = &node{id: id, addedAt: time.Now(), runs: make(map[runKey]*run), holdOrders: make(chan holdOrder, 1), wake: make(chan struct{}, 1)}
 		t.addNode(n)
 	}
 	return n
@@ -268,6 +285,7 @@
 	n.updateIndex()
 	if n.agent == nil {
 		t.startHolds(n)
+		t.resolveSilentLosses(n)
 	}
 	t.passNeeded = true
 }
@@ -284,7 +302,7 @@
 // yet. If the entry of such a worker came back, the worker would be added as a new one, list these ends again, and be
 // told that they were observed, since the new node has no pending save.
 func (t *term) forgetIfIdle(n *node) {
-	if n.listed || len(n.runs) > 0 || n.unsaved > 0 {
+	if n.listed || len(n.runs) > 0 || n.unsaved > 0 || len(n.brokenMembers) > 0 {
 		return
 	}
 	if n.stop != nil {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -35,6 +35,7 @@
 			return err
 		})
 		unanswered := err != nil && !isDefinite(err)
+		delivered := !errors.Is(err, worker.ErrNotSent)
 		if unanswered && t.ctx.Err() == nil {
 			// A start sent to an unreachable worker stays charged there until the connection recovers or the lease
 			// expires. Giving the worker no new work early keeps the number of affected callers small.
@@ -43,8 +44,12 @@
 				_, err := agent.Launch(ctx, order)
 				return err
 			})
+			delivered = delivered || !errors.Is(err, worker.ErrNotSent)
 		}
-		t.post(func() { t.onLaunched(r, err, unanswered) })
+		t.post(func() {
+			r.undelivered = !delivered
+			t.onLaunched(r, err, unanswered)
+		})
 	})
 }
 
@@ -77,8 +82,8 @@
 		// A hold that is sent after the order is void shows whether the earlier attempt started the run.
 		r.node.unhealthyUntil = time.Now().Add(unhealthyDuration)
 	case errors.Is(err, worker.ErrReplaced):
-		r.node.listed = false
-		t.endAllRuns(r.node, r.node.causeOfReplacement())
+		r.undelivered = r.undelivered || !unanswered
+		t.onReplaced(r.node)
 	case errors.Is(err, worker.ErrUnhealthy):
 		r.node.unhealthyUntil = time.Now().Add(unhealthyDuration)
 		t.onNeverStarted(r, "the worker is unwell")
@@ -144,8 +149,7 @@
 	case errors.As(err, &refused) && refused.Reason == worker.ReasonFenced:
 		t.loseOwnership("a worker knows a later owner", err)
 	case errors.Is(err, worker.ErrReplaced):
-		r.node.listed = false
-		t.endAllRuns(r.node, r.node.causeOfReplacement())
+		t.onReplaced(r.node)
 	default:
 		t.log.Info("dispatch: stop order failed", zap.String("id", r.stage.entry.work.ID), zap.Int64("run", r.number),
 			zap.String("worker", r.node.id), zap.Error(err))
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -60,6 +60,8 @@
 type allocation struct {
 	node  *node
 	tasks int
+	// suspect is the task that is to run alone on the node, nil for tasks that may share it.
+	suspect *suspect
 }
 
 // allowedNodesStale is the value of allowedVersion that invalidates allowedNodes after a response.
@@ -92,7 +94,7 @@
 func (s *stage) setAsideCapacity(n *node, tasks int) {
 	n.setAside = n.setAside.Plus(s.taskResources().Times(tasks))
 	n.updateIndex()
-	s.setAside = append(s.setAside, allocation{n, tasks})
+	s.setAside = append(s.setAside, allocation{node: n, tasks: tasks})
 }
 
 // releaseSetAside releases the capacity that was set aside for a stage.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/crash"
 	"turmericgap/job"
 )
 
@@ -181,6 +182,7 @@
 	if t.fitsNowhere(s) {
 		return
 	}
+	waitingAlone := t.placeIsolated(s, now)
 	nodes := t.sortedCandidates(s, now, func(n *node) bool { return t.tasksFitting(s, n, now) > 0 && s.permitted(n, now) })
 	if len(nodes) > 0 {
 		t.placeOn(s, nodes, now, t.tasksFittingUnclaimed)
@@ -188,7 +190,7 @@
 	if len(nodes) > 0 && s.waiting > 0 {
 		t.placeOn(s, nodes, now, t.tasksFitting)
 	}
-	if s.waiting > 0 && t.ruleAllows(s.entry, 1) {
+	if s.waiting > waitingAlone && t.ruleAllows(s.entry, 1) {
 		t.renewPermits(s, now)
 	}
 }
@@ -197,7 +199,7 @@
 // between: a node that got a task has less capacity than before and stays the first choice until it is full.
 func (t *term) placeOn(s *stage, nodes []*node, now time.Time, fitting func(*stage, *node, time.Time) int) {
 	for i := range s.tasks {
-		if s.tasks[i].phase != phaseWaiting {
+		if s.tasks[i].phase != phaseWaiting || s.verdictOf(i) >= crash.Isolate {
 			continue
 		}
 		if !t.ruleAllows(s.entry, 1) {
@@ -269,6 +271,9 @@
 	e, k := s.entry, &s.tasks[index]
 	t.recordFirstStart(s.occurrence)
 	r := &run{stage: s, index: index, number: number, node: n, need: s.taskResources(), decidedAt: time.Now()}
+	if s.verdictOf(index) >= crash.Isolate {
+		r.makeExclusive()
+	}
 	k.phase, k.run, k.number = phaseStarted, r, number
 	s.waiting--
 	e.activeRuns++
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"turmericgap/crash"
 	"turmericgap/job"
 )
 
@@ -40,6 +41,8 @@
 	// Begun counts the occurrences that have begun; Live holds those that have not ended.
 	Begun int                `msgpack:"b"`
 	Live  []occurrenceRecord `msgpack:"l"`
+	// Failure is why the work failed; empty unless it did.
+	Failure failureReason `msgpack:"f,omitempty"`
 }
 
 type occurrenceRecord struct {
@@ -53,7 +56,15 @@
 	Failing bool `msgpack:"g,omitempty"`
 	// Unresolved lists ended runs of a gang that a worker may still report as failed.
 	Unresolved []unresolvedRecord `msgpack:"u,omitempty"`
-	Tasks      []taskRecord       `msgpack:"t"`
+	// Crashes lists the tasks that were lost with a worker.
+	Crashes []crashRecord `msgpack:"c,omitempty"`
+	Tasks   []taskRecord  `msgpack:"t"`
+}
+
+// crashRecord is what is held against a task because of crashes.
+type crashRecord struct {
+	Task   int          `msgpack:"t"`
+	Record crash.Record `msgpack:"r"`
 }
 
 type unresolvedRecord struct {
@@ -76,8 +87,20 @@
 	At    time.Time     `msgpack:"a"`
 	// Queue is the name of the work's queue.
 	Queue string `msgpack:"q"`
+	// Failure is why the work failed; empty unless it did.
+	Failure failureReason `msgpack:"f,omitempty"`
 }
 
+// failureReason is why a work failed, as written to the log and to the record of its end.
+type failureReason string
+
+const (
+	// failureAttempts means that a task has failed in all permitted attempts.
+	failureAttempts failureReason = "attemptsFailed"
+	// failureCrashes means that a task has crashed the workers that started it.
+	failureCrashes failureReason = "workersCrashed"
+)
+
 func encode(v any) []byte {
 	raw, err := msgpack.Marshal(v)
 	if err != nil {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"turmericgap/crash"
 	"turmericgap/job"
 	"turmericgap/store"
 	"turmericgap/store/follow"
@@ -98,7 +99,7 @@
 	e.lastRun, e.occurrencesBegun = p.Runs, p.Begun
 	e.state = job.WorkQueued
 	if p.State.Final() {
-		e.state = p.State
+		e.state, e.failure = p.State, p.Failure
 	}
 	e.durableState = e.reportedState()
 	t.entries[w.ID] = e
@@ -116,6 +117,11 @@
 	}
 	for _, o := range e.occurrences {
 		t.openStages(o)
+		for _, s := range o.stages {
+			for i := range s.suspects {
+				t.giveUpIfGuilty(s, i)
+			}
+		}
 	}
 	return e.activeRuns
 }
@@ -133,6 +139,7 @@
 
 func (t *term) restoreStage(s *stage, sr *stageRecord) {
 	s.failures = sr.Fails
+	s.restoreSuspects(sr.Crashes)
 	s.occurrence.started = s.occurrence.started ||
 		slices.ContainsFunc(sr.Tasks, func(tr taskRecord) bool { return tr.Run > 0 })
 	for _, u := range sr.Unresolved {
@@ -174,6 +181,7 @@
 		n.leaseEnd = t.initialLeaseEnd()
 	}
 	r := &run{stage: s, index: index, number: tr.Run, node: n, need: s.taskResources(), recovered: true, sentAt: t.startedAt}
+	r.exclusive = s.verdictOf(index) >= crash.Isolate
 	s.tasks[index].run = r
 	s.entry.activeRuns++
 	n.charge(r)
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -75,7 +75,7 @@
 			return
 		}
 	}
-	r.plan = append(r.plan, allocation{n, tasks})
+	r.plan = append(r.plan, allocation{node: n, tasks: tasks})
 }
 
 // releases appends the times from which more of a gang's tasks fit on a worker.
--- a/dispatch/rules.go
+++ b/dispatch/rules.go
@@ -34,8 +34,10 @@
 const strategySpread = "spread"
 
 // emptiestFirst reports whether a stage prefers the workers with the most available CPU: a gang, which then needs fewer
-// workers, and tasks spread by a rule, which then share their workers with fewer others.
-func (s *stage) emptiestFirst() bool { return s.spec.Gang || s.entry.effect.Strategy == strategySpread }
+// workers, and tasks spread by a rule or lost with a worker, which then share their workers with fewer others.
+func (s *stage) emptiestFirst() bool {
+	return s.spec.Gang || s.entry.effect.Strategy == strategySpread || len(s.suspects) > 0
+}
 
 // refreshRuleLimits computes for each rule with a limit how many more tasks may run under it.
 func (t *term) refreshRuleLimits() {
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -9,6 +9,7 @@
 
 	"turmericgap/admission"
 	"turmericgap/aging"
+	"turmericgap/crash"
 	"turmericgap/job"
 	"turmericgap/owner"
 	"turmericgap/permit"
@@ -82,6 +83,10 @@
 	// tallies counts the outcomes of works by queue and size class.
 	tallies     map[sizeClass]*tally
 	maintenance maintenanceState
+	// outages holds the workers that have stopped answering lately, silentLosses the runs lost with workers of unknown
+	// fate, by address.
+	outages      crash.Outages
+	silentLosses map[string][]silentLoss
 	// ruleCapacity is, for each rule with a limit, how many more tasks may run under it in the present pass.
 	ruleCapacity map[string]int
 }
@@ -94,6 +99,7 @@
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
 		vmSelector: permit.NewVMSelector(), callLimiter: newCallLimiter(), grantShares: make(map[string]float64),
 		sizes: aging.New(), tallies: make(map[sizeClass]*tally), ruleCapacity: make(map[string]int),
+		silentLosses: make(map[string][]silentLoss),
 	}
 	t.committer.init()
 	t.ctx, t.cancelCtx = context.WithCancel(ctx)
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -54,7 +54,8 @@
 
 // endMembersOfEndedGangs ends gang members on silent workers if another member has proved that the run is over. A
 // worker that crashed reports nothing; without this the gang would wait until its lease expires although no member can
-// still be running.
+// still be running. A gang with a suspect waits for the worker's fate: a member that crashes its workers would otherwise be
+// started several times before its first crash is known.
 func (t *term) endMembersOfEndedGangs() {
 	for _, n := range t.nodes {
 		if n.misses < extendMissLimit {
@@ -62,11 +63,10 @@
 		}
 		for _, r := range n.runs {
 			g := r.stage.gang
-			if g == nil || !g.endProved || g.number != r.number {
+			if g == nil || !g.endProved || g.number != r.number || len(r.stage.suspects) > 0 {
 				continue
 			}
-			r.stage.addUnresolved(r.number, n)
-			t.endRun(r, worker.OutcomeGangBroken, "")
+			t.breakMember(r)
 		}
 	}
 }
