Withhold starts on workers whose capacity has shrunk

A start that was decided before the shrink was sent once its intent was durable, up to a commit's time later, and an owner that could not read the workers' entries any more, while the store took its commits, went on with the capacities of its last reading.

Read and tested as sound before: pending permit requests, a gang that waits for capacity, a successor, an entry that cannot be decoded, repeated shrinking under load.

Change: a start whose worker is charged for more than it has is withheld when it would be sent, and queued again; nothing is placed or sent from half a second after the entries could no longer be read.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -80,6 +80,9 @@
 	callDelay    atomic.Int64
 	replyDelay   atomic.Int64
 	repliesCut   atomic.Bool
+	// workersListCut makes the VM's reads and watches of the workers' entries fail, while its other calls to the store
+	// go on.
+	workersListCut atomic.Bool
 	// overloaded makes the VM report overload and a CPU probe that is ten times as slow.
 	overloaded atomic.Bool
 	// replyDelayAsOwner delays the VM's answers to other VMs while it owns the cell.
@@ -112,6 +115,7 @@
 func (c *cell) startVMWithStrength(id string, strength int) *vm {
 	v := &vm{id: id, server: rpc.NewServer()}
 	monitor, kv := health.New(c.kv.Client(&v.store))
+	kv = v.cutWorkersList(kv)
 	dial := rpc.Dial(func(ctx context.Context, address string) (net.Conn, error) {
 		if v.peersCut.Load() {
 			return nil, errors.New("connection refused")
@@ -161,6 +165,37 @@
 	return v
 }
 
+var errWorkersListCut = errors.New("the workers' entries cannot be read")
+
+// cutWorkersList returns a store whose reads and watches of the workers' entries fail while workersListCut is set.
+func (v *vm) cutWorkersList(kv *store.Store) *store.Store {
+	out := *kv
+	out.Range = func(ctx context.Context, r store.Range) (store.RangeResult, error) {
+		if r.Key == workersPrefix && v.workersListCut.Load() {
+			return store.RangeResult{}, errWorkersListCut
+		}
+		return kv.Range(ctx, r)
+	}
+	out.Watch = func(ctx context.Context, prefix string, from int64, each func(store.Batch)) error {
+		if prefix != workersPrefix {
+			return kv.Watch(ctx, prefix, from, each)
+		}
+		ctx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		go func() {
+			for ctx.Err() == nil && !v.workersListCut.Load() {
+				time.Sleep(slowPollInterval)
+			}
+			cancel(errWorkersListCut)
+		}()
+		if err := kv.Watch(ctx, prefix, from, each); err != nil {
+			return errors.Join(context.Cause(ctx), err)
+		}
+		return nil
+	}
+	return &out
+}
+
 // probeCPU returns how long a fixed piece of work takes on the VM.
 func (v *vm) probeCPU() time.Duration {
 	if v.overloaded.Load() {
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -130,6 +130,13 @@
 // available returns the capacity that new runs may use: free, less what is set aside and reserved.
 func (n *node) available() job.Resources { return n.free.Minus(n.setAside).Minus(n.reserved) }
 
+// isOverfilledBy reports whether a charged run needs resources of which the worker has less than it is charged for, since
+// its capacity has shrunk.
+func (n *node) isOverfilledBy(r *run) bool {
+	return n.free.Millicores < 0 && r.need.Millicores > 0 || n.free.MemoryMB < 0 && r.need.MemoryMB > 0 ||
+		n.free.Accelerators < 0 && r.need.Accelerators > 0
+}
+
 // charge charges the resources of a run to the worker.
 func (n *node) charge(r *run) {
 	n.runs[runKey{r.task(), r.number}] = r
@@ -162,9 +169,30 @@
 		OnReset:  func(pairs []store.Pair, _ int64) { t.post(func() { t.resetWorkers(pairs) }) },
 		OnChange: func(events []store.Event, _ int64) { t.post(func() { t.changeWorkers(events) }) },
 	}
+	failing := false
+	f.OnContact = func(err error) {
+		if failing == (err != nil) {
+			return
+		}
+		failing = err != nil
+		since := time.Time{}
+		if failing {
+			since = time.Now()
+		}
+		t.post(func() { t.workersUnreadSince = since })
+	}
 	t.wg.Go(func() { f.Run(t.ctx) })
 }
 
+// workersUnreadGrace is how long the workers' entries may be unreadable before nothing new is started: time for reading
+// them again after a watch has ended.
+const workersUnreadGrace = 500 * time.Millisecond
+
+// isWorkerListStale reports whether the capacities of the workers may have changed unnoticed.
+func (t *term) isWorkerListStale(now time.Time) bool {
+	return !t.workersUnreadSince.IsZero() && now.Sub(t.workersUnreadSince) > workersUnreadGrace
+}
+
 func (t *term) resetWorkers(pairs []store.Pair) {
 	present := make(map[string]bool, len(pairs))
 	for i := range pairs {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -21,6 +21,14 @@
 		t.onNeverStarted(r, "it was given up before it was sent")
 		return
 	}
+	switch {
+	case r.node.isOverfilledBy(r):
+		t.onNeverStarted(r, "the worker's capacity has shrunk")
+		return
+	case t.isWorkerListStale(now):
+		t.onNeverStarted(r, "the worker's capacity may have shrunk unnoticed")
+		return
+	}
 	task := &r.stage.tasks[r.index]
 	r.sentAt, r.uncertain = now, true
 	r.startExpires = r.node.clockNow(now) + launchValidity
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -23,8 +23,11 @@
 	minPacedPass = time.Millisecond
 )
 
-// isPassDue reports whether a pass may run now. If not, it sets a timer that triggers the pass.
+// isPassDue reports whether a pass may run now. If it is too early, it sets a timer that triggers the pass.
 func (t *term) isPassDue(now time.Time) bool {
+	if t.isWorkerListStale(now) {
+		return false
+	}
 	left := t.nextPassAt.Sub(now)
 	if left <= 0 {
 		return true
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -47,6 +47,8 @@
 	totalMillicores int64
 	// unreadable holds the IDs of workers whose entries cannot be decoded.
 	unreadable map[string]bool
+	// workersUnreadSince is when the workers' entries could no longer be read, zero while they can.
+	workersUnreadSince time.Time
 	// unlistedAt is when a worker's entry was last removed.
 	unlistedAt time.Time
 	// waitingStages holds the ready stages with waiting tasks.
