--- a/day/day.go
+++ b/day/day.go
@@ -63,6 +63,7 @@
 	// loads holds the load of the owner, by second.
 	loads       map[time.Time]*Load
 	freeSamples []freeSample
+	givenUp     []GivenUp
 }
 
 // gangWait is the number of gangs of a class that waited for one reason in one second.
@@ -167,6 +168,8 @@
 	case "owner: this VM no longer owns the cell":
 		t := d.tenure(l)
 		t.Until, t.Reason = l.Time, l.Reason
+	case "dispatch: work given up":
+		d.addGivenUp(l)
 	case "dispatch: commit without an answer", "lease: renewal failed":
 		d.addStoreFailure(l.Time)
 	case "dispatch: state of the cell":
@@ -190,6 +193,17 @@
 	}
 }
 
+func (d *Analyzer) addGivenUp(l *line) {
+	if len(d.givenUp) >= d.opts.MaxWorks {
+		d.skippedWorkLines++
+		return
+	}
+	d.givenUp = append(d.givenUp, GivenUp{
+		ID: l.ID, Queue: l.Queue, At: l.Time, Task: fmt.Sprintf("%d.%d.%d", l.Occurrence, l.Step, l.Task),
+		Crashes: l.Crashes, Losses: l.Losses,
+	})
+}
+
 // findWork returns the work with the given ID and adds it if it is new. It returns nil for an empty ID, and for a new
 // work beyond MaxWorks.
 func (d *Analyzer) findWork(id string) *work {
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -44,6 +44,23 @@
 	golden.Equal(t, "testdata/day.json", append(raw, '\n'))
 }
 
+// Checks that works that were given up because of crashes are listed with their task, and that there is no such table
+// without one.
+func TestGivenUpWorksAreListed(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	is.NoErr(d.Read(strings.NewReader(
+		`{"time":"2026-03-01T10:00:05.000Z","msg":"dispatch: work given up","id":"b2","queue":"batch","occurrence":0,"step":1,"task":3,"crashes":3,"losses":1}
+{"time":"2026-03-01T10:00:04.000Z","msg":"dispatch: work given up","id":"a1","queue":"check","occurrence":2,"step":0,"task":0,"crashes":2}
+`), "vm1.log"))
+	var text bytes.Buffer
+	is.NoErr(d.Report().WriteText(&text))
+	golden.Equal(t, "testdata/givenup.txt", text.Bytes())
+	var without bytes.Buffer
+	is.NoErr(readLog(t).WriteText(&without))
+	is.True(!strings.Contains(without.String(), "Given up"))
+}
+
 // Each VM writes its own log, and logs are not merged, so the lines of a work arrive in any order.
 // The report must not depend on the order.
 func TestOrderOfLinesDoesNotMatter(t *testing.T) {
--- a/day/line.go
+++ b/day/line.go
@@ -33,6 +33,13 @@
 	Recorded float64 `json:"recorded"`
 	Ordered  float64 `json:"ordered"`
 
+	// Fields of a work that was given up because of crashes.
+	Occurrence int `json:"occurrence"`
+	Step       int `json:"step"`
+	Task       int `json:"task"`
+	Crashes    int `json:"crashes"`
+	Losses     int `json:"losses"`
+
 	// Fields of a tenure.
 	Fence  int64  `json:"fence"`
 	Reason string `json:"reason"`
--- a/day/print.go
+++ b/day/print.go
@@ -65,6 +65,7 @@
 		f := &r.Refusals[i]
 		p.row(fmt.Sprint(f.Count), f.Method, fmt.Sprint(f.Status), f.First.Format(clockLayout), f.Last.Format(clockLayout), fmt.Sprintf("%.2f", f.Free), f.Reason)
 	}
+	r.printGivenUp(p)
 	printWorks(p, "Lost, the largest first", r.Lost)
 	printWorks(p, "Slowest", r.Slowest)
 	if p.err == nil {
@@ -73,6 +74,17 @@
 	return p.err
 }
 
+func (r *Report) printGivenUp(p *printer) {
+	if len(r.GivenUp) == 0 {
+		return
+	}
+	p.beginTable("Given up, as a task crashed its workers", "ID", "QUEUE", "AT", "TASK", "CRASHES", "LOSSES")
+	for i := range r.GivenUp {
+		g := &r.GivenUp[i]
+		p.row(g.ID, g.Queue, g.At.Format(clockLayout), g.Task, fmt.Sprint(g.Crashes), fmt.Sprint(g.Losses))
+	}
+}
+
 // scope describes the part of the queue that the group covers.
 func (g *Group) scope() string {
 	switch {
--- a/day/report.go
+++ b/day/report.go
@@ -27,6 +27,8 @@
 	Outages  []Outage  `json:"outages"`
 	Loads    []Load    `json:"loads"`
 	Refusals []Refusal `json:"refusals"`
+	// GivenUp lists the works that failed because a task of theirs crashed its workers.
+	GivenUp []GivenUp `json:"givenUp,omitempty"`
 	// Lost lists the largest lost works, Slowest the completed works that took longest.
 	Lost    []WorkDetail `json:"lost"`
 	Slowest []WorkDetail `json:"slowest"`
@@ -62,6 +64,18 @@
 	bySecond map[int64]int
 }
 
+// GivenUp is a work that failed because a task of it crashed its workers.
+type GivenUp struct {
+	ID    string    `json:"id"`
+	Queue string    `json:"queue"`
+	At    time.Time `json:"at"`
+	// Task is the occurrence, step and index of the task.
+	Task string `json:"task"`
+	// Crashes counts the crashes under the task, Losses its losses with workers of unknown fate.
+	Crashes int `json:"crashes"`
+	Losses  int `json:"losses"`
+}
+
 // WorkDetail is a work listed in a report, with the time it spent in each stage.
 type WorkDetail struct {
 	ID          string            `json:"id"`
@@ -88,6 +102,7 @@
 		r.Tenures = append(r.Tenures, *t)
 	}
 	slices.SortFunc(r.Tenures, func(a, b Tenure) int { return cmp.Or(a.From.Compare(b.From), cmp.Compare(a.Fence, b.Fence)) })
+	r.GivenUp = slices.SortedFunc(slices.Values(d.givenUp), func(a, b GivenUp) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.ID, b.ID)) })
 	works := d.classifiedWorks()
 	for _, key := range groupKeys(works) {
 		r.Groups = append(r.Groups, d.newGroup(key, works))
