Crash workers by tasks and shrink them in the soak

One work in 40 has a task that crashes each worker that starts it; a rack may lose power, and a third of the workers may have less capacity for a while. Workers now stand in racks of three.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -178,6 +178,17 @@
 	return false
 }
 
+// crashedTwice reports whether two workers have crashed under a task of a work that crashes them.
+func (c *Cell) crashedTwice(id string, history []floor.Run) bool {
+	crashes := 0
+	for _, r := range history {
+		if r.Task == (worker.Task{Work: id}) && r.Crashed {
+			crashes++
+		}
+	}
+	return c.crashesWorkers(id) && crashes >= 2
+}
+
 // awaitCalls waits until all calls have ended or the deadline has passed.
 func (s *callers) awaitCalls() {
 	ctx, cancel := context.WithDeadline(s.cell.opts.Context, s.deadline.Add(2*callDeadline))
@@ -228,7 +239,8 @@
 		switch {
 		case c.accepted:
 			rep.Accepted++
-			valid := c.state == job.WorkCompleted || c.state == job.WorkFailed && attemptsExhausted(c.work, history)
+			failed := c.state == job.WorkFailed && (attemptsExhausted(c.work, history) || s.cell.crashedTwice(c.work.ID, history))
+			valid := c.state == job.WorkCompleted || failed
 			if !valid {
 				s.cell.addFinding(fmt.Sprintf("%s (%s) was accepted and is shown as %q in the end", c.work.ID, c.work.Queue.Name, c.state))
 			}
--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -32,6 +32,15 @@
 	maxHold = 4 * time.Second
 	// entryRemovalDelay is the delay between a crash of a worker and the removal of its entry from the store.
 	entryRemovalDelay = 4500 * time.Millisecond
+	// shrinkGrace is how long after its capacity has shrunk a worker may still be filled up to the former one: the
+	// contact time and one update of its entry.
+	shrinkGrace = 4500 * time.Millisecond
+	// crashRestartDelay is the delay until a worker that was crashed by a task is back.
+	crashRestartDelay = 1500 * time.Millisecond
+	// workersPerRack is the number of workers in a rack.
+	workersPerRack = 3
+	// fullMillicores is the CPU of a worker, shrunkMillicores what it has while its capacity is reduced.
+	fullMillicores, shrunkMillicores = 8000, 3000
 )
 
 // Cell is a cell on one machine: stand-ins of the platform run in this process, entry VMs run in processes of their
@@ -61,18 +70,22 @@
 type workerSlot struct {
 	cell    *Cell
 	name    string
+	rack    string
 	proxy   *Proxy
 	handler atomic.Pointer[http.Handler]
 
 	mu        sync.Mutex
 	instances int
 	current   *floor.Worker
+	// down is true from the crash of the current instance until the start of the next one.
+	down bool
 }
 
 // NewCell starts a cell.
 func NewCell(o *Options) (*Cell, error) {
 	c := &Cell{opts: o, standin: platform.NewStandin(), works: make(map[string]*job.Work), queues: queues()}
 	c.cluster = floor.New(c.behave)
+	c.cluster.OnCrash, c.cluster.ShrinkGrace = c.restartCrashed, shrinkGrace
 	c.standin.AllowWorkers = func(req *permit.Request) []string { return allowedWorkers(req.Work, req.Workers) }
 	if err := c.build(); err != nil {
 		c.Close()
@@ -165,7 +178,7 @@
 }
 
 func (c *Cell) addWorker(i int) error {
-	w := &workerSlot{cell: c, name: fmt.Sprintf("w%02d", i)}
+	w := &workerSlot{cell: c, name: fmt.Sprintf("w%02d", i), rack: fmt.Sprint("r", i/workersPerRack)}
 	notFound := http.NotFoundHandler()
 	w.handler.Store(&notFound)
 	address, err := c.serve(c.address(100+i, portStandin), http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -187,25 +200,66 @@
 	defer w.mu.Unlock()
 	w.instances++
 	info := worker.Info{
-		ID: fmt.Sprintf("%s-%d", w.name, w.instances), Address: w.proxy.Address(), Zone: "kochi-hall", Rack: "r1",
-		Has: job.Resources{Millicores: 8000, MemoryMB: 32000},
+		ID: fmt.Sprintf("%s-%d", w.name, w.instances), Address: w.proxy.Address(), Zone: "kochi-hall", Rack: w.rack, Has: capacity(fullMillicores),
 	}
 	w.current = w.cell.cluster.Add(info)
 	h := platform.WorkerHandler(info.ID, w.cell.cluster.Client(info))
 	w.handler.Store(&h)
-	key, raw, err := platform.EncodeWorker(&worker.ListedWorker{Info: info, Pool: "desk", Labels: []string{"a", "r1"}})
+	w.down = false
+	return w.list()
+}
+
+func capacity(millicores int64) job.Resources {
+	return job.Resources{Millicores: millicores, MemoryMB: 32000}
+}
+
+// list writes the entry of the current instance.
+func (w *workerSlot) list() error {
+	key, raw, err := platform.EncodeWorker(&worker.ListedWorker{Info: w.current.Info(), Pool: "desk", Labels: []string{"a", w.rack}})
 	if err != nil {
 		return err
 	}
 	return w.cell.put(store.Op{Key: key, Value: raw})
 }
 
+// setCapacity changes the capacity of the current instance, which its entry shows at once.
+func (w *workerSlot) setCapacity(millicores int64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down {
+		return nil
+	}
+	w.current.SetCapacity(capacity(millicores))
+	return w.list()
+}
+
+// restartCrashed restarts a worker that a task has crashed.
+func (c *Cell) restartCrashed(crashed *floor.Worker) {
+	for _, w := range c.workers {
+		if w.currentWorker() == crashed {
+			w.restart(crashed, crashRestartDelay)
+		}
+	}
+}
+
 // crash crashes the current instance and starts another one after the delay.
 func (w *workerSlot) crash(restartDelay time.Duration) {
 	w.mu.Lock()
 	old := w.current
 	w.mu.Unlock()
 	old.Crash(false)
+	w.restart(old, restartDelay)
+}
+
+// restart starts the next instance after the delay, unless that is under way.
+func (w *workerSlot) restart(old *floor.Worker, restartDelay time.Duration) {
+	w.mu.Lock()
+	underWay := w.down
+	w.down = true
+	w.mu.Unlock()
+	if underWay {
+		return
+	}
 	key := platform.WorkersPrefix + old.Info().ID
 	time.AfterFunc(entryRemovalDelay, func() { w.cell.addError(w.cell.put(store.Op{Delete: true, Key: key})) })
 	time.AfterFunc(restartDelay, func() { w.cell.addError(w.startInstance()) })
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -62,6 +62,16 @@
 		p.cell.workers[p.rand.IntN(len(p.cell.workers))].crash(duration)
 		return nil
 	}},
+	{"workers shrink", func(p *faultPlan, _ time.Duration) func() { return p.shrinkWorkers() }},
+	{"a rack loses power", func(p *faultPlan, duration time.Duration) func() {
+		rack := p.cell.workers[p.rand.IntN(len(p.cell.workers))].rack
+		for _, w := range p.cell.workers {
+			if w.rack == rack {
+				w.crash(duration)
+			}
+		}
+		return nil
+	}},
 	{"the configuration changes", func(p *faultPlan, _ time.Duration) func() {
 		p.version++
 		p.cell.addError(p.cell.Configure(p.version))
@@ -166,6 +176,17 @@
 	}
 }
 
+func (p *faultPlan) shrinkWorkers() func() {
+	slots := p.randomWorkers()
+	set := func(millicores int64) {
+		for _, w := range slots {
+			p.cell.addError(w.setCapacity(millicores))
+		}
+	}
+	set(shrunkMillicores)
+	return func() { set(fullMillicores) }
+}
+
 func (p *faultPlan) workerFaults(f floor.Faults) func() {
 	slots := p.randomWorkers()
 	for _, w := range slots {
--- a/soak/work_test.go
+++ b/soak/work_test.go
@@ -50,8 +50,16 @@
 	return c.works[id]
 }
 
+// crashingShare is the share of works with a task that crashes its workers in runs with faults, as a divisor.
+const crashingShare = 40
+
+// crashesWorkers reports whether the first task of a work crashes each worker that starts it.
+func (c *Cell) crashesWorkers(id string) bool {
+	return c.opts.Faults && hashOf("crash", id)%crashingShare == 0
+}
+
 // behave returns the behaviour of a run: it takes 0.2 to 1.2 s, that of a gang 0.5 s, and the first run of one task in
-// twelve fails.
+// twelve fails. The first task of some works crashes its worker instead.
 func (c *Cell) behave(t worker.Task, run int64) floor.Behaviour {
 	w := c.work(t.Work)
 	if w == nil {
@@ -68,6 +76,9 @@
 		b.GangSize = s.Tasks
 		b.Duration = 500 * time.Millisecond
 	}
+	if c.crashesWorkers(t.Work) && t.Step == 0 && t.Index == 0 {
+		b.Duration, b.CrashesWorker = 10*time.Millisecond, true
+	}
 	if run == 1 && h%12 == 0 {
 		b.Ending = worker.OutcomeFailed
 	}
