Count the crash of a lost rack under a run that had just begun

In all five one crash was taken for the loss of a whole rack, in a cell whose racks have three workers and whose links are cut all the time, and not counted at all.

A rack's loss is no evidence only under a run that had lasted for a while; one that had just begun is counted, with the least weight. A prompt crash beside other losses now weighs as much as one beside other tasks. A run of a former owner, whose age is not known, never counts as one that had just begun.

--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -39,13 +39,15 @@
 	}{
 		"beside others, then alone":        {[]crash.Loss{shared, shared, alone}, []crash.Verdict{spread, isolate, giveUp}},
 		"alone twice":                      {[]crash.Loss{alone, alone}, []crash.Verdict{isolate, giveUp}},
-		"with others, then alone":          {[]crash.Loss{several, several, several, alone}, []crash.Verdict{spread, spread, isolate, giveUp}},
-		"always with others":               {[]crash.Loss{several, several, several, several, several}, []crash.Verdict{spread, spread, isolate, isolate, giveUp}},
+		"with others, then alone":          {[]crash.Loss{several, several, alone}, []crash.Verdict{spread, isolate, giveUp}},
+		"always with others":               {[]crash.Loss{several, several, several, several}, []crash.Verdict{spread, isolate, isolate, giveUp}},
+		"late, always with others":         {[]crash.Loss{late(several), late(several), late(several), late(several), late(several)}, []crash.Verdict{spread, spread, isolate, isolate, giveUp}},
 		"late, beside others, then alone":  {[]crash.Loss{late(shared), late(shared), late(shared), late(alone), late(alone)}, []crash.Verdict{spread, spread, isolate, isolate, giveUp}},
 		"late, alone":                      {[]crash.Loss{late(alone), late(alone), late(alone), late(alone)}, []crash.Verdict{spread, isolate, isolate, giveUp}},
-		"racks lost":                       {[]crash.Loss{rack, rack, rack, rack, rack, rack}, []crash.Verdict{cont, cont, cont, cont, cont, cont}},
+		"started as its rack was lost":     {[]crash.Loss{rack, shared, several, alone}, []crash.Verdict{spread, isolate, isolate, giveUp}},
+		"racks lost":                       {[]crash.Loss{late(rack), late(rack), late(rack), late(rack), late(rack), late(rack)}, []crash.Verdict{cont, cont, cont, cont, cont, cont}},
 		"workers silent":                   {[]crash.Loss{silent, silent, silent, silent, silent, silent, silent}, []crash.Verdict{spread, spread, isolate, isolate, isolate, isolate, isolate}},
-		"silent after three crashes":       {[]crash.Loss{several, several, several, silent, silent}, []crash.Verdict{spread, spread, isolate, isolate, giveUp}},
+		"silent after three crashes":       {[]crash.Loss{late(several), late(several), late(several), silent, silent}, []crash.Verdict{spread, spread, isolate, isolate, giveUp}},
 		"cleared by a run that has lasted": {[]crash.Loss{shared, shared, old, shared}, []crash.Verdict{spread, isolate, cont, spread}},
 	}
 	for name, c := range cases {
@@ -72,7 +74,7 @@
 
 // Guards against more than two starts after the third crash, in any order of losses that leaves a crash in doubt.
 func TestStartsAfterThirdCrashAreBounded(t *testing.T) {
-	kinds := []crash.Loss{late(shared), alone, several, silent}
+	kinds := []crash.Loss{late(shared), alone, rack, silent}
 	for seq := range 1 << 16 {
 		var r crash.Record
 		crashes, startsAfter := 0, 0
--- a/crash/record.go
+++ b/crash/record.go
@@ -23,12 +23,12 @@
 const (
 	// weightAlone is the weight if nothing else ran on the worker and no other worker was lost at that moment.
 	weightAlone = 4
-	// weightShared is the weight if other tasks ran there.
+	// weightShared is the weight if other tasks ran there, or other workers were lost at the same moment.
 	weightShared = 2
-	// weightSeveral is the weight if other workers were lost at the same moment, or if the moment is not known.
-	weightSeveral = 1
-	// lateDivisor divides the other weights if the run had lasted for promptAge: a crash at any time may be the
-	// worker's own, one at the start is less likely to be.
+	// weightRack is the weight if the whole rack was lost just when the task had been started there.
+	weightRack = 1
+	// lateDivisor divides the weights if the run had lasted for promptAge: a crash at any time may be the worker's own,
+	// one at the start is less likely to be.
 	lateDivisor = 2
 	promptAge   = 250 * time.Millisecond
 )
@@ -75,8 +75,8 @@
 
 // Record is what is held against one task. The zero value is a task that no worker has crashed under.
 type Record struct {
-	// Crashes counts the crashes under the task that did not take its whole rack, and Losses the runs that ended with
-	// a worker of unknown fate.
+	// Crashes counts the crashes under the task, less those of whole racks under runs that had lasted for a while, and
+	// Losses the runs that ended with a worker of unknown fate.
 	Crashes int `msgpack:"c"`
 	Losses  int `msgpack:"l,omitempty"`
 	// Evidence is the sum of the weights of the crashes.
@@ -90,7 +90,7 @@
 		*r = Record{}
 	case !l.Crashed:
 		r.Losses++
-	case l.Scope == WholeRack:
+	case l.Scope == WholeRack && l.Age >= promptAge:
 	default:
 		r.Crashes++
 		r.Evidence += l.weight()
@@ -102,16 +102,16 @@
 	if r.Losses > 0 {
 		r.Losses--
 		r.Crashes++
-		r.Evidence += weightSeveral
+		r.Evidence += weightShared / lateDivisor
 	}
 }
 
 func (l *Loss) weight() int {
-	if l.Scope != SingleWorker {
-		return weightSeveral
-	}
 	weight := weightShared
-	if l.Alone {
+	switch {
+	case l.Scope == WholeRack:
+		return weightRack
+	case l.Alone && l.Scope == SingleWorker:
 		weight = weightAlone
 	}
 	if l.Age >= promptAge {
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -12,7 +12,7 @@
 	"turmericgap/worker"
 )
 
-// unknownAge is the least age that is assumed of a run that was seen and that a former owner had started.
+// unknownAge is the least age that is assumed of a run that a former owner had started.
 const unknownAge = time.Second
 
 // suspect is a task that was lost with a worker.
@@ -92,13 +92,14 @@
 
 // provenAge returns how long a run is known to have lasted. A run of a former owner may have lasted for any time.
 func (r *run) provenAge() time.Duration {
-	switch {
-	case r.seenAt.IsZero():
-		return 0
-	case r.decidedAt.IsZero():
-		return max(r.seenAt.Sub(r.sentAt), unknownAge)
+	age := time.Duration(0)
+	if !r.seenAt.IsZero() {
+		age = r.seenAt.Sub(r.sentAt)
+	}
+	if r.decidedAt.IsZero() {
+		return max(age, unknownAge)
 	}
-	return r.seenAt.Sub(r.sentAt)
+	return age
 }
 
 // acquittalAge returns the age from which the run is cleared of earlier crashes.
