Let suspect members of a gang share workers when there are too few

After two crashes all four of its members were to run alone, and the policy service allowed it three workers.

After the time that suspects wait for an empty worker, the members of a gang share workers with each other, with nothing new beside them.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"turmericgap/job"
+	"turmericgap/permit"
 	"turmericgap/standin/floor"
 	"turmericgap/store"
 	"turmericgap/worker"
@@ -273,3 +274,31 @@
 		})
 	}
 }
+
+// Guards against a gang that waits for ever: more of its members are suspects than there are workers that it may use.
+func TestSuspectGangWithFewWorkersGoesOn(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCrashCell(t, 1, soundTask, "vm1")
+		c.config.Queues[0].Permit = &job.PermitCost{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, Valid: 1500 * time.Millisecond}
+		c.permits = func(req *permit.Request) (allowed []string, _ time.Duration) {
+			for _, id := range req.Workers {
+				if strings.HasPrefix(id, "w00") || strings.HasPrefix(id, "w01") {
+					allowed = append(allowed, id)
+				}
+			}
+			return allowed, 20 * time.Millisecond
+		}
+		v := c.owner()
+		time.Sleep(4 * time.Second)
+		c.submit(v, c.newWork("gang", job.Step{Tasks: 6, Gang: true, Estimate: 2 * time.Second}))
+		c.submit(v, c.newWork("bad-gang", job.Step{Tasks: 6, Gang: true, Estimate: 2 * time.Second}))
+		for range 3 {
+			time.Sleep(time.Second)
+			c.crash("r0", "w00")
+			time.Sleep(4 * time.Second)
+		}
+		c.waitForState(v, "gang", job.WorkCompleted, time.Minute)
+		c.waitForState(v, "bad-gang", job.WorkFailed, time.Minute)
+		c.checkHistory()
+	})
+}
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -103,9 +103,12 @@
 // planGangOn assigns all tasks of a gang to eligible nodes in the given order, or returns nil if they do not fit.
 func (t *term) planGangOn(s *stage, nodes []*node, now time.Time, eligible func(*node) bool) []allocation {
 	plan, ok := t.planIsolated(s, nodes, now, eligible)
-	if !ok {
+	if !ok && !s.hasWaitedForIsolation(now) {
 		return nil
 	}
+	if !ok {
+		plan = nil // there are too few workers for it: its members share them with each other, but with nothing else
+	}
 	left, own := len(s.tasks)-len(plan), plan
 	if left == 0 {
 		return plan
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -52,21 +52,15 @@
 	}
 }
 
-// startAlone starts a task on a worker where nothing else is placed until its run has ended.
+// startAlone starts a task on a worker where nothing else is placed until its run has ended. The run is charged for the
+// rest of the worker's capacity.
 func (t *term) startAlone(s *stage, u *suspect, n *node, number int64) {
 	n.vacatedFor = nil
 	t.startRun(s, u.index, n, number)
-}
-
-// makeExclusive charges a run that is not charged yet for the rest of the worker's capacity.
-func (r *run) makeExclusive() {
-	r.exclusive = true
-	rest := minResources(r.node.free, r.node.listing.Has)
-	r.need = resources{
-		Millicores:   max(r.need.Millicores, rest.Millicores),
-		MemoryMB:     max(r.need.MemoryMB, rest.MemoryMB),
-		Accelerators: max(r.need.Accelerators, rest.Accelerators),
-	}
+	r := s.tasks[u.index].run
+	n.release(r)
+	r.need = r.need.Plus(minResources(n.free.Minus(r.need), n.listing.Has))
+	n.charge(r)
 }
 
 // shareAgain lets other runs be placed beside an exclusive run.
@@ -151,6 +145,16 @@
 	n.vacatedFor, n.vacatedUntil = u, now.Add(vacateHold)
 }
 
+// hasWaitedForIsolation reports whether the stage's tasks that are to run alone have waited for that long enough.
+func (s *stage) hasWaitedForIsolation(now time.Time) bool {
+	for _, u := range s.isolatedTasks() {
+		if now.Sub(u.waitingSince) < isolationWait {
+			return false
+		}
+	}
+	return true
+}
+
 // planIsolated assigns the members of a gang that are to run alone to workers of their own, or returns false if these
 // are not there yet.
 func (t *term) planIsolated(s *stage, nodes []*node, now time.Time, eligible func(*node) bool) (plan []allocation, ok bool) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -274,9 +274,7 @@
 	e, k := s.entry, &s.tasks[index]
 	t.recordFirstStart(s.occurrence)
 	r := &run{stage: s, index: index, number: number, node: n, need: s.taskResources(), decidedAt: time.Now()}
-	if s.verdictOf(index) >= crash.Isolate {
-		r.makeExclusive()
-	}
+	r.exclusive = s.verdictOf(index) >= crash.Isolate
 	k.phase, k.run, k.number = phaseStarted, r, number
 	s.waiting--
 	e.activeRuns++
