Count every start of a task since its third crash

The rule limits starts, whatever comes of them.

A run that its worker reports as ended, but not as done, now counts as well once three workers have crashed under the task.

--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -75,22 +75,27 @@
 // Guards against more than two starts after the third crash, in any order of losses that leaves a crash in doubt.
 func TestStartsAfterThirdCrashAreBounded(t *testing.T) {
 	kinds := []crash.Loss{late(shared), alone, rack, silent}
-	for seq := range 1 << 16 {
+	const otherEnd = 4 // the run neither crashes its worker nor is lost with it
+	for seq := range 400_000 {
 		var r crash.Record
 		crashes, startsAfter := 0, 0
 		for rest, i := seq, 0; i < 8 && r.Verdict() != crash.GiveUp; i++ {
 			if crashes >= 3 {
 				startsAfter++
 			}
-			l := kinds[rest%len(kinds)]
-			rest /= len(kinds)
-			r.Add(l)
-			if l.Crashed {
+			kind := rest % (otherEnd + 1)
+			rest /= otherEnd + 1
+			if kind == otherEnd {
+				r.AddEnd()
+				continue
+			}
+			r.Add(kinds[kind])
+			if kinds[kind].Crashed {
 				crashes++
 			}
 		}
 		if startsAfter > 2 {
-			t.Fatalf("%d starts after the third crash in series %o: %+v", startsAfter, seq, r)
+			t.Fatalf("%d starts after the third crash in series %d: %+v", startsAfter, seq, r)
 		}
 	}
 }
--- a/crash/record.go
+++ b/crash/record.go
@@ -41,9 +41,9 @@
 	// isolateCrashes is the number of crashes from which a task is isolated regardless of their weight. The users' rule
 	// allows two more starts from then on.
 	isolateCrashes = 3
-	// maxCrashes is the number of crashes, and of losses after isolateCrashes of them, at which a task is given up
+	// maxStarts is the number of crashes and of further starts after isolateCrashes of them at which a task is given up
 	// regardless of their weight, so that the rule holds.
-	maxCrashes = 5
+	maxStarts = 5
 	// minAcquittalAge is the age of a run from which its worker's crash is no evidence: it was not the start that
 	// crashed the worker. acquittalFactor times the estimate raises it for long tasks. A task that does not end by itself
 	// meets crashes of workers all its life, so it is cleared sooner.
@@ -81,6 +81,8 @@
 	Losses  int `msgpack:"l,omitempty"`
 	// Evidence is the sum of the weights of the crashes.
 	Evidence int `msgpack:"e"`
+	// Starts counts the runs since the third crash that ended neither with a crash nor as done.
+	Starts int `msgpack:"s,omitempty"`
 }
 
 // Add weighs the loss of a run. A crash of a run that has outlived AcquittalAge clears the task.
@@ -97,6 +99,13 @@
 	}
 }
 
+// AddEnd counts a run that a worker reports as ended but not as done: the rule limits starts, whatever comes of them.
+func (r *Record) AddEnd() {
+	if r.Crashes >= isolateCrashes {
+		r.Starts++
+	}
+}
+
 // Resolve counts a loss that turns out to have been a crash. What else was lost at that moment is not known any more.
 func (r *Record) Resolve() {
 	if r.Losses > 0 {
@@ -123,7 +132,7 @@
 // Verdict returns what becomes of the task.
 func (r Record) Verdict() Verdict {
 	switch {
-	case r.Evidence >= giveUpEvidence, r.Crashes >= isolateCrashes && r.Crashes+r.Losses >= maxCrashes:
+	case r.Evidence >= giveUpEvidence, r.Crashes >= isolateCrashes && r.Crashes+r.Losses+r.Starts >= maxStarts:
 		return GiveUp
 	case r.Evidence+r.Losses >= isolateEvidence, r.Crashes >= isolateCrashes:
 		return Isolate
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -138,6 +138,13 @@
 	}
 }
 
+// countEndOfSuspect counts the reported end of a suspect's run.
+func (t *term) countEndOfSuspect(r *run, how worker.RunOutcome) {
+	if u := r.stage.suspects[r.index]; u != nil && !r.ended && how != worker.OutcomeDone {
+		u.AddEnd()
+	}
+}
+
 // giveUpIfGuilty fails the work of a task that has crashed too many workers.
 func (t *term) giveUpIfGuilty(s *stage, index int) {
 	if s.verdictOf(index) != crash.GiveUp || s.entry.state.Final() {
@@ -149,7 +156,7 @@
 	t.log.Warn("dispatch: work given up", zap.String("id", s.entry.work.ID), zap.String("queue", s.entry.work.Queue.Name),
 		zap.Int("occurrence", s.occurrence.number), zap.Int("step", s.index), zap.Int("task", index),
 		zap.String("reason", string(failureCrashes)), zap.Int("crashes", u.Crashes), zap.Int("losses", u.Losses),
-		zap.Int("evidence", u.Evidence), zap.Int64("run", s.tasks[index].number))
+		zap.Int("evidence", u.Evidence), zap.Int("starts", u.Starts), zap.Int64("run", s.tasks[index].number))
 	t.finish(s.entry, job.WorkFailed)
 }
 
