Refuse work that an overloaded owner cannot decide, durably

Callers of an owner that got three times as much work as it can decide waited for all of it: most of what was accepted was not done 10 s after the load.

Change: the owner refuses the part of new work that it is late for, and answers once a record of the refusal is in the store under its ownership key. Every creation by a VM compares that record, so the store orders the two; whoever comes second fails. A refused ID may be submitted again: the owner that accepts it deletes the record in the commit that creates it. A submission whose caller has gone before the owner's loop reaches it is not decided any more.

--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -45,8 +45,12 @@
 			done <- rpc.Refused(0, "%s", reason)
 			return true, done
 		}
+		if t.refuseIfOverloaded(w, done) {
+			return true, done
+		}
 		t.addWork(w)
 		e = t.entries[w.ID]
+		_, e.wasRefused = t.refusals.writtenAt[w.ID]
 		e.needsCreate = true
 		t.unsent = append(t.unsent, e)
 	} else if !e.needsCreate && !e.committing {
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -148,6 +148,9 @@
 		e.needsCreate = false
 		b.created = append(b.created, e)
 		b.txn.Then = append(b.txn.Then, store.Op{Key: workPrefix + id, Value: encode(e.work)})
+		if e.wasRefused {
+			b.txn.Then = append(b.txn.Then, store.Op{Delete: true, Key: refusedPrefix + id})
+		}
 		if e.lastRun == 0 && e.occurrencesBegun <= 1 && !e.state.Final() {
 			return // a work without progress has not started
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -76,7 +76,12 @@
 // Accept makes a work durable. Accepting the same ID again is idempotent. CodeNotOwner and CodeRefused mean that
 // nothing was done; after any other error the work may have been accepted.
 func (d *Dispatcher) Accept(ctx context.Context, w *job.Work) error {
-	accepted, err := d.decideDurably(ctx, func(t *term) (bool, chan error) { return t.accept(w) })
+	accepted, err := d.decideDurably(ctx, func(t *term) (bool, chan error) {
+		if ctx.Err() != nil {
+			return false, nil // a later submission of a caller that has gone may have been refused meanwhile
+		}
+		return t.accept(w)
+	})
 	if err == nil && !accepted {
 		return &rpc.Fault{Code: rpc.CodeNotOwner, Reason: "this entry VM cannot accept work just now", RetryAfter: ownerRetryAfter}
 	}
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -44,6 +44,8 @@
 	objective time.Duration
 	// needsCreate is true while the work itself is not durable: the next commit of the entry creates it.
 	needsCreate bool
+	// wasRefused is true if the creation must delete the record of an earlier refusal.
+	wasRefused bool
 	// createdElsewhere is true if an entry VM has written the work to the store itself.
 	createdElsewhere bool
 	// waiters are notified if the work is withdrawn before it was sent to the store.
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -14,11 +14,13 @@
 // ErrNoWork is returned when the store holds no work with the given ID.
 var ErrNoWork = errors.New("no such work")
 
-// AddCreate adds the creation of a work to a transaction. The transaction fails if the ID was already used.
+// AddCreate adds the creation of a work to a transaction. The transaction fails if the ID was already used, or was
+// refused shortly before.
 func AddCreate(txn *store.Txn, w *job.Work) {
 	txn.Compares = append(txn.Compares,
 		store.Compare{Key: workPrefix + w.ID, Target: store.ModRevision},
-		store.Compare{Key: endedPrefix + w.ID, Target: store.ModRevision})
+		store.Compare{Key: endedPrefix + w.ID, Target: store.ModRevision},
+		store.Compare{Key: refusedPrefix + w.ID, Target: store.ModRevision})
 	txn.Then = append(txn.Then, store.Op{Key: workPrefix + w.ID, Value: encode(w)})
 }
 
@@ -40,6 +42,17 @@
 	return out
 }
 
+// RefusedIDs returns the IDs whose record of a refusal is among the keys found by a failed creation.
+func RefusedIDs(found []store.Pair) map[string]bool {
+	out := make(map[string]bool)
+	for i := range found {
+		if key := found[i].Key; found[i].ModRevision > 0 && strings.HasPrefix(key, refusedPrefix) {
+			out[idFromKey(key, refusedPrefix)] = true
+		}
+	}
+	return out
+}
+
 // ReadState reads the state of a work from the store.
 func ReadState(ctx context.Context, kv *store.Store, id string) (job.WorkState, error) {
 	_, state, err := ReadWork(ctx, kv, id)
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -17,6 +17,8 @@
 	workPrefix  = root + "work/"
 	statePrefix = root + "state/"
 	endedPrefix = root + "ended/"
+	// refusedPrefix holds the IDs of refused works for a while, so that no earlier submission can create them.
+	refusedPrefix = root + "refused/"
 	// wavePrefix holds, for each maintenance wave, the VMs whose maintenance has begun.
 	wavePrefix = root + "wave/"
 	// commitPrefix holds one key per commit stream, which every commit of that stream compares and rewrites.
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -66,6 +66,7 @@
 	passNeeded       bool
 	lag              lag
 	overloadDetector admission.OverloadDetector
+	refusals         refusals
 	// reportedAt is when the state of the cell was last logged.
 	reportedAt time.Time
 	// endedToRemove lists records of ended work that the next commits delete.
@@ -102,6 +103,7 @@
 		vmSelector: permit.NewVMSelector(), callLimiter: newCallLimiter(), grantShares: make(map[string]float64),
 		sizes: aging.New(), tallies: make(map[sizeClass]*tally), ruleCapacity: make(map[string]int),
 		silentLosses: make(map[string][]silentLoss),
+		refusals:     refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
 	}
 	t.committer.init()
 	t.ctx, t.cancelCtx = context.WithCancel(ctx)
@@ -130,6 +132,7 @@
 			t.runPassIfDue(now)
 		}
 		t.flush()
+		t.sendRefusals()
 	}
 }
 
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -19,6 +19,7 @@
 	}
 	t.withdrawUnsent(now)
 	t.forgetEnded(now)
+	t.forgetRefusals(now)
 	t.advanceWaves(now)
 	if now.Sub(t.reportedAt) >= reportInterval {
 		t.reportedAt = now
--- a/front/accept.go
+++ b/front/accept.go
@@ -146,13 +146,13 @@
 		batch = a.refuseUnsent(batch, err)
 	}
 	for len(batch) > 0 {
-		found, err := a.commitBatch(batch)
+		existing, err := a.commitBatch(batch)
 		switch {
-		case err == nil && found == nil:
+		case err == nil && existing == nil:
 			completeAll(batch, result{created: true})
 			return
 		case err == nil:
-			batch = a.resolveExisting(batch, found)
+			batch = a.resolveExisting(batch, existing)
 			continue
 		case errors.Is(err, store.ErrNotSent):
 			declined++
@@ -185,9 +185,9 @@
 	return left
 }
 
-// commitBatch sends one transaction that creates all works of the batch. If any of them exists already, nothing is
-// created and their IDs are returned; nil means that all were created.
-func (a *acceptor) commitBatch(batch []*submission) (found map[string]bool, err error) {
+// commitBatch sends one transaction that creates all works of the batch. If any of them exists already or was refused,
+// nothing is created and the keys that exist are returned; nil means that all were created.
+func (a *acceptor) commitBatch(batch []*submission) (existing []store.Pair, err error) {
 	ctx, cancel := context.WithTimeout(a.ctx, storeTimeout)
 	defer cancel()
 	var txn store.Txn
@@ -207,12 +207,13 @@
 	if res.Succeeded {
 		return nil, nil
 	}
-	return dispatch.ExistingIDs(res.Existing), nil
+	return append([]store.Pair{}, res.Existing...), nil
 }
 
 // resolveExisting completes the submissions whose work exists, because the ID was repeated or an earlier
-// transaction succeeded. It returns the others.
-func (a *acceptor) resolveExisting(batch []*submission, found map[string]bool) []*submission {
+// transaction succeeded, and those that the owner has refused. It returns the others.
+func (a *acceptor) resolveExisting(batch []*submission, existing []store.Pair) []*submission {
+	found, refused := dispatch.ExistingIDs(existing), dispatch.RefusedIDs(existing)
 	var left []*submission
 	for _, s := range batch {
 		if found[s.work.ID] {
@@ -220,6 +221,10 @@
 			s.done <- result{created: s.mayBeAccepted}
 			continue
 		}
+		if refused[s.work.ID] {
+			s.done <- result{err: rpc.Refused(busyRetryAfter, "the owner of the cell has refused the work")}
+			continue
+		}
 		left = append(left, s)
 	}
 	return left
--- a/front/front.go
+++ b/front/front.go
@@ -67,6 +67,9 @@
 	switch fault := rpc.AsFault(err); {
 	case err == nil:
 		f.unknown.remove(w.ID)
+	case isOverloaded(err):
+		f.unknown.remove(w.ID) // no earlier submission can be accepted any more
+		return rpc.Refused(fault.RetryAfter, "%s", fault.Reason)
 	case fault == nil || fault.Code == rpc.CodeUnknown:
 		f.unknown.add(w.ID, receivedAt)
 	case fault.Code == rpc.CodeRefused && f.unknown.contains(w.ID, receivedAt):
@@ -81,6 +84,9 @@
 	if err == nil {
 		return nil
 	}
+	if isOverloaded(err) {
+		return err
+	}
 	if isPermanentRefusal(err) {
 		return f.refuseUnknown(ctx, w, err)
 	}
@@ -94,6 +100,13 @@
 	return nil
 }
 
+// isOverloaded reports whether the owner of the cell has durably refused a work because it has more to decide than it
+// can. This VM must not store the work then: the owner would get it all the same.
+func isOverloaded(err error) bool {
+	fault := rpc.AsFault(err)
+	return fault != nil && fault.Code == rpc.CodeBusy
+}
+
 // isPermanentRefusal reports whether the owner of the cell refused a work for which a retry is useless.
 func isPermanentRefusal(err error) bool {
 	fault := rpc.AsFault(err)
--- a/front/options.go
+++ b/front/options.go
@@ -21,8 +21,8 @@
 	// maxConcurrentTxns limits the concurrent transactions: more than one, so that a slow store does not
 	// serialize submissions, and few, so that an unavailable store is not flooded.
 	maxConcurrentTxns = 4
-	// submissionsPerTxn is how many submissions fit into a transaction of 32 entries; each takes three.
-	submissionsPerTxn = 10
+	// submissionsPerTxn is how many submissions fit into a transaction of 32 entries; each takes four.
+	submissionsPerTxn = 8
 	// storeTimeout limits one call to the store.
 	storeTimeout = 900 * time.Millisecond
 	// unknownOutcomeTimeout is how long a submission with an unknown outcome is retried before its caller is told.
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -44,6 +44,9 @@
 	CodeNotOwner Code = "notOwner"
 	// CodeMoved means that the request belongs to the zone in Fault.Zone; nothing was started here.
 	CodeMoved Code = "moved"
+	// CodeBusy means that the callee has more to do than it can; nothing was done, and no earlier try of the same request
+	// will be.
+	CodeBusy Code = "busy"
 	// CodeUnknown means that the request may have taken effect.
 	CodeUnknown Code = "unknown"
 )
