--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -21,7 +21,7 @@
 	isolationDivisor = 2
 )
 
-// isolatedTasks returns the waiting tasks that are to run alone, in order.
+// isolatedTasks returns the waiting tasks that are to run alone, by index.
 func (s *stage) isolatedTasks() []*suspect {
 	var out []*suspect
 	for i, u := range s.suspects {
@@ -158,9 +158,13 @@
 // planIsolated assigns the members of a gang that are to run alone to workers of their own, or returns false if these
 // are not there yet.
 func (t *term) planIsolated(s *stage, nodes []*node, now time.Time, eligible func(*node) bool) (plan []allocation, ok bool) {
+	suspects := s.isolatedTasks()
+	if len(suspects) == 0 {
+		return nil, true
+	}
 	ok = true
 	taken := make(map[*node]bool)
-	for _, u := range s.isolatedTasks() {
+	for _, u := range suspects {
 		var fitting []*node
 		for _, n := range nodes {
 			if !taken[n] && s.fitsAlone(u, n, now) && eligible(n) {
