--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -216,16 +216,18 @@
 	cases := map[string]struct {
 		works int
 		step  job.Step
-		// ownersKilled kills three owners, one each three seconds.
-		ownersKilled bool
-		id           string
+		// disturb disturbs the cell three times, three seconds apart; nil does nothing.
+		disturb func(c *crashCell, i int)
+		id      string
 	}{
-		"one task":          {1, job.Step{Tasks: 1, Estimate: time.Second}, false, "bad"},
-		"one of many tasks": {1, job.Step{Tasks: 5, Estimate: time.Second}, false, "bad"},
-		"four works":        {4, job.Step{Tasks: 1, Estimate: time.Second}, false, "bad"},
-		"a gang member":     {1, job.Step{Tasks: 6, Gang: true, Estimate: time.Second}, false, "bad-gang"},
-		"a service":         {1, job.Step{Tasks: 1, Service: true}, false, "bad"},
-		"owners killed":     {2, job.Step{Tasks: 1, Estimate: time.Second}, true, "bad"},
+		"one task":             {1, job.Step{Tasks: 1, Estimate: time.Second}, nil, "bad"},
+		"one of many tasks":    {1, job.Step{Tasks: 5, Estimate: time.Second}, nil, "bad"},
+		"four works":           {4, job.Step{Tasks: 1, Estimate: time.Second}, nil, "bad"},
+		"a gang member":        {1, job.Step{Tasks: 6, Gang: true, Estimate: time.Second}, nil, "bad-gang"},
+		"a service":            {1, job.Step{Tasks: 1, Service: true}, nil, "bad"},
+		"owners killed":        {2, job.Step{Tasks: 1, Estimate: time.Second}, (*crashCell).replaceOwner, "bad"},
+		"nobody owns the cell": {2, job.Step{Tasks: 1, Estimate: time.Second}, (*crashCell).replaceAllVMs, "bad"},
+		"workers start late":   {2, job.Step{Tasks: 1, Estimate: time.Second}, (*crashCell).delayLaunches, "bad"},
 	}
 	for name, tc := range cases {
 		for seed := range uint64(3) {
@@ -240,9 +242,8 @@
 					var sound []string
 					for i := range 3 {
 						sound = append(sound, c.submitSound(7, 400*time.Millisecond)...)
-						if tc.ownersKilled {
-							c.kill(c.owner())
-							c.startVM(fmt.Sprint("later", i))
+						if tc.disturb != nil {
+							tc.disturb(c, i)
 						}
 					}
 					for i := range tc.works {
@@ -259,6 +260,31 @@
 	}
 }
 
+// replaceOwner kills the owner and starts another VM.
+func (c *crashCell) replaceOwner(i int) {
+	c.kill(c.owner())
+	c.startVM(fmt.Sprint("later", i))
+}
+
+// replaceAllVMs kills all VMs and starts others while workers crash under tasks that nobody owns.
+func (c *crashCell) replaceAllVMs(i int) {
+	for _, v := range c.vms {
+		c.kill(v)
+	}
+	time.Sleep(3 * time.Second)
+	c.startVM(fmt.Sprint("later", i))
+}
+
+// delayLaunches has a third of the workers execute launches late and without an answer for a while.
+func (c *crashCell) delayLaunches(int) {
+	for _, w := range c.racks["r0"] {
+		if w != nil {
+			w.SetFaults(floor.Faults{LaunchDelay: time.Second})
+			time.AfterFunc(2*time.Second, func() { w.SetFaults(floor.Faults{}) })
+		}
+	}
+}
+
 // Guards against sound work that is not done, or is given up, beside works that crash its workers again and again.
 func TestSoundWorkBesideCrashingTasks(t *testing.T) {
 	for seed := range uint64(6) {
