Let a gang go on whose other members find no worker beside its suspects

Once suspects have waited, a plan that fails with them alone is made without that. The tests of crashes now have six cuts of the owner from its workers, racks that are back within half a second, and a bound on the crashes that sound work is under.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// workerRestartMin is the shortest time, and twice that the longest, until a crashed worker is back.
+	// workerRestartMin is how soon a crashed worker is back unless a test says otherwise.
 	workerRestartMin = 1200 * time.Millisecond
 	// entryTTL is how long the entry of a silent worker stays listed.
 	entryTTL = 4500 * time.Millisecond
@@ -32,6 +32,8 @@
 	// racks holds the instance at each address of a rack, nil while it is down.
 	racks        map[string]map[string]*floor.Worker
 	lives, works int
+	// restartMin is the shortest time, and twice that the longest, until a crashed worker is back.
+	restartMin time.Duration
 }
 
 // newCrashCell returns a cell of 12 workers in 3 racks. Task 0 of the works with badPrefix crashes its worker.
@@ -50,7 +52,7 @@
 		}
 		return b
 	}
-	c := &crashCell{cell: newCell(t, behave), rand: rand.New(rand.NewPCG(seed, 0)), racks: make(map[string]map[string]*floor.Worker)}
+	c := &crashCell{cell: newCell(t, behave), rand: rand.New(rand.NewPCG(seed, 0)), racks: make(map[string]map[string]*floor.Worker), restartMin: workerRestartMin}
 	c.cluster.OnCrash = c.restart
 	for i := range 12 {
 		c.startInstance(fmt.Sprintf("w%02d", i), fmt.Sprint("r", i%3))
@@ -78,7 +80,7 @@
 // restart brings a crashed worker back under a new ID, and lets its old entry expire.
 func (c *crashCell) restart(w *floor.Worker) {
 	c.racks[w.Info().Rack][w.Info().Address] = nil
-	down := workerRestartMin + time.Duration(c.rand.Int64N(int64(workerRestartMin)))
+	down := c.restartMin + time.Duration(c.rand.Int64N(int64(c.restartMin)))
 	time.AfterFunc(down, func() {
 		w.Crash(true)
 		c.startInstance(w.Info().Address, w.Info().Rack)
@@ -134,6 +136,15 @@
 				time.Sleep(6 * time.Second)
 			}
 		},
+		"all racks lost for a moment": func(c *crashCell) {
+			c.restartMin = 200 * time.Millisecond
+			for range 6 {
+				for rack := range 3 {
+					c.crashRack(fmt.Sprint("r", rack))
+				}
+				time.Sleep(5 * time.Second)
+			}
+		},
 		"workers crash at random": func(c *crashCell) {
 			for range 12 {
 				i := c.rand.IntN(12)
@@ -150,7 +161,7 @@
 			}
 		},
 		"owner cut off from workers": func(c *crashCell) {
-			for range 3 {
+			for range 6 {
 				v := c.owner()
 				v.workersCut.Store(true)
 				time.Sleep(13 * time.Second)
@@ -210,6 +221,24 @@
 	return n
 }
 
+// crashesBesideSoundWork returns how many workers crashed under both bad and sound work.
+func (c *crashCell) crashesBesideSoundWork() int {
+	bad, sound := make(map[string]bool), make(map[string]bool)
+	for _, r := range c.cluster.History() {
+		if r.Crashed {
+			bad[r.Worker] = bad[r.Worker] || strings.HasPrefix(r.Task.Work, badPrefix)
+			sound[r.Worker] = sound[r.Worker] || !strings.HasPrefix(r.Task.Work, badPrefix)
+		}
+	}
+	n := 0
+	for id := range bad {
+		if bad[id] && sound[id] {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against a task that crashes one worker after the other without end: its work must be shown as failed within
 // the allowed starts, and sound work beside it must be done.
 func TestCrashingTaskIsGivenUp(t *testing.T) {
@@ -236,10 +265,10 @@
 					c := newCrashCell(t, seed, soundTask, "vm1", "vm2")
 					c.owner()
 					time.Sleep(4 * time.Second)
+					sound := c.submitSound(7, 50*time.Millisecond)
 					for i := range tc.works {
 						c.submit(c.owner(), c.newWork(fmt.Sprintf("%s%d", tc.id, i), tc.step))
 					}
-					var sound []string
 					for i := range 3 {
 						sound = append(sound, c.submitSound(7, 400*time.Millisecond)...)
 						if tc.disturb != nil {
@@ -252,7 +281,10 @@
 					for _, id := range sound {
 						c.waitForState(c.owner(), id, job.WorkCompleted, time.Minute)
 					}
-					t.Logf("%d crashes", c.crashes(badPrefix))
+					t.Logf("%d crashes, %d of them beside sound work", c.crashes(badPrefix), c.crashesBesideSoundWork())
+					if tc.disturb == nil {
+						is.New(t).True(c.crashesBesideSoundWork() <= 2*tc.works) // from then on it is isolated
+					}
 					c.checkHistory()
 				})
 			})
@@ -301,30 +333,48 @@
 	}
 }
 
-// Guards against a gang that waits for ever: more of its members are suspects than there are workers that it may use.
+// Guards against a gang that waits for ever, as it may use too few workers for its members to run alone, or for the others
+// beside these.
 func TestSuspectGangWithFewWorkersGoesOn(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		c := newCrashCell(t, 1, soundTask, "vm1")
-		c.config.Queues[0].Permit = &job.PermitCost{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, Valid: 1500 * time.Millisecond}
-		c.permits = func(req *permit.Request) (allowed []string, _ time.Duration) {
-			for _, id := range req.Workers {
-				if strings.HasPrefix(id, "w00") || strings.HasPrefix(id, "w01") {
-					allowed = append(allowed, id)
-				}
+	for _, workers := range []int{2, 3, 4, 5} {
+		t.Run(fmt.Sprint(workers, " workers"), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) { checkSuspectGangGoesOn(t, workers) })
+		})
+	}
+	t.Run("one rack", func(t *testing.T) {
+		inBubble(t, func(t *testing.T) {
+			c := newCrashCell(t, 1, soundTask, "vm1")
+			v := c.owner()
+			time.Sleep(4 * time.Second)
+			c.submit(v, c.newWork("bad-gang", job.Step{Tasks: 6, Gang: true, Label: "r0", Estimate: 2 * time.Second}))
+			c.waitForState(v, "bad-gang", job.WorkFailed, time.Minute)
+			c.checkHistory()
+		})
+	})
+}
+
+func checkSuspectGangGoesOn(t *testing.T, workers int) {
+	t.Helper()
+	c := newCrashCell(t, 1, soundTask, "vm1")
+	c.config.Queues[0].Permit = &job.PermitCost{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, Valid: 1500 * time.Millisecond}
+	c.permits = func(req *permit.Request) (allowed []string, _ time.Duration) {
+		for _, id := range req.Workers {
+			if id < fmt.Sprintf("w%02d", workers) {
+				allowed = append(allowed, id)
 			}
-			return allowed, 20 * time.Millisecond
 		}
-		v := c.owner()
+		return allowed, 20 * time.Millisecond
+	}
+	v := c.owner()
+	time.Sleep(4 * time.Second)
+	c.submit(v, c.newWork("gang", job.Step{Tasks: 6, Gang: true, Estimate: 2 * time.Second}))
+	c.submit(v, c.newWork("bad-gang", job.Step{Tasks: 6, Gang: true, Estimate: 2 * time.Second}))
+	for range 3 {
+		time.Sleep(time.Second)
+		c.crash("r0", "w00")
 		time.Sleep(4 * time.Second)
-		c.submit(v, c.newWork("gang", job.Step{Tasks: 6, Gang: true, Estimate: 2 * time.Second}))
-		c.submit(v, c.newWork("bad-gang", job.Step{Tasks: 6, Gang: true, Estimate: 2 * time.Second}))
-		for range 3 {
-			time.Sleep(time.Second)
-			c.crash("r0", "w00")
-			time.Sleep(4 * time.Second)
-		}
-		c.waitForState(v, "gang", job.WorkCompleted, time.Minute)
-		c.waitForState(v, "bad-gang", job.WorkFailed, time.Minute)
-		c.checkHistory()
-	})
+	}
+	c.waitForState(v, "gang", job.WorkCompleted, time.Minute)
+	c.waitForState(v, "bad-gang", job.WorkFailed, time.Minute)
+	c.checkHistory()
 }
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -100,22 +100,30 @@
 	return out
 }
 
-// planGangOn assigns all tasks of a gang to eligible nodes in the given order, or returns nil if they do not fit.
+// planGangOn assigns all tasks of a gang to eligible nodes in the given order, or returns nil if they do not fit. If there
+// are too few workers for its suspects to run alone, its members share them with each other, but with nothing else new.
 func (t *term) planGangOn(s *stage, nodes []*node, now time.Time, eligible func(*node) bool) []allocation {
-	plan, ok := t.planIsolated(s, nodes, now, eligible)
-	if !ok && !s.hasWaitedForIsolation(now) {
-		return nil
+	if isolated, ok := t.planIsolated(s, nodes, now, eligible); ok {
+		if plan := t.planMembers(s, nodes, now, eligible, isolated); plan != nil {
+			return plan
+		}
 	}
-	if !ok {
-		plan = nil // there are too few workers for it: its members share them with each other, but with nothing else
+	if len(s.suspects) == 0 || !s.hasWaitedForIsolation(now) {
+		return nil
 	}
-	left, own := len(s.tasks)-len(plan), plan
+	return t.planMembers(s, nodes, now, eligible, nil)
+}
+
+// planMembers adds the members of a gang that are not isolated to a plan for those that are, or returns nil if they do
+// not fit.
+func (t *term) planMembers(s *stage, nodes []*node, now time.Time, eligible func(*node) bool, isolated []allocation) []allocation {
+	left, plan := len(s.tasks)-len(isolated), slices.Clip(isolated)
 	if left == 0 {
 		return plan
 	}
 	for _, n := range nodes {
 		k := min(t.tasksFitting(s, n, now), left)
-		if k == 0 || !eligible(n) || slices.ContainsFunc(own, func(a allocation) bool { return a.node == n }) {
+		if k == 0 || !eligible(n) || slices.ContainsFunc(isolated, func(a allocation) bool { return a.node == n }) {
 			continue
 		}
 		plan = append(plan, allocation{node: n, tasks: k})
