Empty a worker for a suspect in a full cell

In a loaded cell suspects ran beside sound work all the same: only workers with free capacity were considered for being emptied, and others took each core that became free.

A suspect now has the worker emptied that is expected to be empty first, whether it has capacity now or not.

The test's own table of workers is locked (a concurrent map write ended one run).

--- a/crash/outages.go
+++ b/crash/outages.go
@@ -22,8 +22,8 @@
 
 const (
 	// Moment is the longest time between the first signs of two losses with one cause. A worker without power is
-	// noticed only when its pending call times out.
-	Moment = time.Second
+	// noticed only when its pending call times out, up to a second later than another.
+	Moment = 1250 * time.Millisecond
 	// minRackLosses is the number of lost workers from which a rack may count as lost; rackLossNumerator of every
 	// rackLossDivisor of its workers must be lost.
 	minRackLosses     = 3
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,7 +31,9 @@
 // crashCell is a cell whose crashed workers come back as new instances at their addresses.
 type crashCell struct {
 	*cell
-	rand *rand.Rand
+	// workersMu guards the fields below.
+	workersMu sync.Mutex
+	rand      *rand.Rand
 	// racks holds the instance at each address of a rack, nil while it is down.
 	racks        map[string]map[string]*floor.Worker
 	lives, works int
@@ -65,6 +70,8 @@
 
 // startInstance starts a worker, or its next instance, and lists it.
 func (c *crashCell) startInstance(address, rack string) {
+	c.workersMu.Lock()
+	defer c.workersMu.Unlock()
 	c.lives++
 	info := worker.Info{
 		ID: fmt.Sprintf("%s-%d", address, c.lives), Address: address, Zone: "kochi-hall", Rack: rack,
@@ -79,6 +86,8 @@
 
 // restart brings a crashed worker back under a new ID, and lets its old entry expire.
 func (c *crashCell) restart(w *floor.Worker) {
+	c.workersMu.Lock()
+	defer c.workersMu.Unlock()
 	c.racks[w.Info().Rack][w.Info().Address] = nil
 	down := c.restartMin + time.Duration(c.rand.Int64N(int64(c.restartMin)))
 	time.AfterFunc(down, func() {
@@ -90,7 +99,10 @@
 
 // crash ends the present instance at an address, if there is one.
 func (c *crashCell) crash(rack, address string) {
-	if w := c.racks[rack][address]; w != nil {
+	c.workersMu.Lock()
+	w := c.racks[rack][address]
+	c.workersMu.Unlock()
+	if w != nil {
 		w.Crash(false)
 		c.restart(w)
 	}
@@ -98,7 +110,10 @@
 
 // crashRack crashes all workers of a rack at once.
 func (c *crashCell) crashRack(rack string) {
-	for address := range c.racks[rack] {
+	c.workersMu.Lock()
+	addresses := slices.Collect(maps.Keys(c.racks[rack]))
+	c.workersMu.Unlock()
+	for _, address := range addresses {
 		c.crash(rack, address)
 	}
 }
@@ -166,7 +181,7 @@
 				v.workersCut.Store(true)
 				time.Sleep(13 * time.Second)
 				v.workersCut.Store(false)
-				time.Sleep(5 * time.Second)
+				time.Sleep(2 * time.Second)
 			}
 		},
 		"owners killed and racks lost": func(c *crashCell) {
@@ -270,7 +285,7 @@
 						c.submit(c.owner(), c.newWork(fmt.Sprintf("%s%d", tc.id, i), tc.step))
 					}
 					for i := range 3 {
-						sound = append(sound, c.submitSound(7, 400*time.Millisecond)...)
+						sound = append(sound, c.submitSound(20, 130*time.Millisecond)...)
 						if tc.disturb != nil {
 							tc.disturb(c, i)
 						}
@@ -309,6 +324,8 @@
 
 // delayLaunches has a third of the workers execute launches late and without an answer for a while.
 func (c *crashCell) delayLaunches(int) {
+	c.workersMu.Lock()
+	defer c.workersMu.Unlock()
 	for _, w := range c.racks["r0"] {
 		if w != nil {
 			w.SetFaults(floor.Faults{LaunchDelay: time.Second})
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// isolationWait is how long a task that is to run alone waits for an empty worker. After that it starts on the one
-	// with the fewest runs, where nothing new is placed beside it.
-	isolationWait = 2 * time.Second
+	// isolationWait is how long a task that is to run alone waits for an empty worker. After that it starts beside others,
+	// but nothing new is placed beside it.
+	isolationWait = 2500 * time.Millisecond
 	// vacateHold is how long a worker is kept from new runs after the suspect that waits for it was last tried: several
 	// passes.
 	vacateHold = 500 * time.Millisecond
@@ -75,7 +75,8 @@
 	return n.exclusiveRuns > 0 || n.vacatedFor != nil && now.Before(n.vacatedUntil)
 }
 
-// fitsAlone reports whether a suspect may start on the worker, or wait for it to become empty.
+// fitsAlone reports whether a suspect may start on the worker, or wait for it to become empty. Once it has waited long
+// enough, there must be capacity for it.
 func (s *stage) fitsAlone(u *suspect, n *node, now time.Time) bool {
 	switch {
 	case n.exclusiveRuns > 0, n.isOnTrial(), n.vacatedFor != nil && n.vacatedFor != u && now.Before(n.vacatedUntil):
@@ -83,9 +84,16 @@
 	case s.spec.MaxPerWorker > 0 && s.tasksOn(n) >= s.spec.MaxPerWorker:
 		return false
 	}
-	return fitCount(n.free.Minus(n.setAside), s.taskResources()) > 0
+	capacity := n.listing.Has
+	if u.hasWaited(now) {
+		capacity = n.free.Minus(n.setAside)
+	}
+	return fitCount(capacity, s.taskResources()) > 0
 }
 
+// hasWaited reports whether a suspect has waited long enough for an empty worker.
+func (u *suspect) hasWaited(now time.Time) bool { return now.Sub(u.waitingSince) >= isolationWait }
+
 // placeIsolated starts the tasks of a stage that are to run alone, as far as there are workers for them. It returns how
 // many are left that only wait for a worker to become empty.
 func (t *term) placeIsolated(s *stage, now time.Time) (waiting int) {
@@ -109,24 +117,43 @@
 	return waiting
 }
 
-// chooseAlone returns the worker on which a suspect is to run alone: the one kept for it, or else the one with the fewest
-// runs.
+// chooseAlone returns the worker on which a suspect is to run alone: the one kept for it, or else the one that is expected
+// to be empty first.
 func (t *term) chooseAlone(u *suspect, nodes []*node, now time.Time) *node {
 	var best *node
+	var bestAt time.Time
 	for _, n := range nodes {
 		if n.vacatedFor == u && now.Before(n.vacatedUntil) {
 			return n
 		}
-		if best == nil || len(n.runs) < len(best.runs) {
-			best = n
+		if at := n.emptyAt(now); best == nil || at.Before(bestAt) {
+			best, bestAt = n, at
 		}
 	}
 	return best
 }
 
+// emptyAt returns when all runs of a worker are expected to have ended; those of services end last of all.
+func (n *node) emptyAt(now time.Time) time.Time {
+	at := now
+	for _, r := range n.runs {
+		end := r.plannedEnd(now)
+		if r.stage.spec.Service {
+			end = now.Add(serviceEnd)
+		}
+		if end.After(at) {
+			at = end
+		}
+	}
+	return at
+}
+
+// serviceEnd is how far in the future the end of a service's run is assumed.
+const serviceEnd = time.Hour
+
 // isEmptyEnough reports whether a suspect may start on a worker now.
 func (n *node) isEmptyEnough(u *suspect, now time.Time) bool {
-	return len(n.runs) == 0 && n.setAside == (resources{}) || now.Sub(u.waitingSince) >= isolationWait
+	return len(n.runs) == 0 && n.setAside == (resources{}) || u.hasWaited(now)
 }
 
 // vacate keeps a worker from new runs for a suspect that waits for it, unless too many workers are kept so already.
@@ -148,7 +175,7 @@
 // hasWaitedForIsolation reports whether the stage's tasks that are to run alone have waited for that long enough.
 func (s *stage) hasWaitedForIsolation(now time.Time) bool {
 	for _, u := range s.isolatedTasks() {
-		if now.Sub(u.waitingSince) < isolationWait {
+		if !u.hasWaited(now) {
 			return false
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -182,10 +182,10 @@
 
 // placeTasks starts single tasks. It uses capacity claimed by gangs only after all other capacity.
 func (t *term) placeTasks(s *stage, now time.Time) {
+	waitingAlone := t.placeIsolated(s, now)
 	if t.fitsNowhere(s) {
 		return
 	}
-	waitingAlone := t.placeIsolated(s, now)
 	nodes := t.sortedCandidates(s, now, func(n *node) bool { return t.tasksFitting(s, n, now) > 0 && s.permitted(n, now) })
 	if len(nodes) > 0 {
 		t.placeOn(s, nodes, now, t.tasksFittingUnclaimed)
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -75,7 +75,7 @@
 	}
 	survivors := 0
 	for _, o := range t.nodes {
-		if o != n && o.listing.Rack == n.listing.Rack && o.listed && o.silentSince.IsZero() && o.addedAt.Before(lostAt) {
+		if o != n && o.listing.Rack == n.listing.Rack && o.listed && o.silentSince.IsZero() && o.addedAt.Before(n.lastAnswerAt) {
 			survivors++
 		}
 	}
