Test that silent workers convict nobody

A work whose workers are cut off one after the other, eight times, must be done. It fails with losses of silent workers counted as crashes; the case of the owner's cut did not, since all workers silent at once look like a lost rack.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -51,6 +51,8 @@
 			b.GangSize = 6
 		case task.Work == "service":
 			b.Duration = time.Hour
+		case task.Work == "long":
+			b.Duration = 20 * time.Second
 		}
 		if strings.HasPrefix(task.Work, badPrefix) && task.Index == 0 {
 			b.Duration, b.CrashesWorker = 10*time.Millisecond, true
@@ -108,6 +110,33 @@
 	}
 }
 
+// cutWorkerOf cuts the workers off that run a work, for that long.
+func (c *crashCell) cutWorkerOf(id string, duration time.Duration) {
+	running := make(map[string]bool)
+	for _, r := range c.cluster.History() {
+		if r.Task.Work == id && r.Ended.IsZero() {
+			running[r.Worker] = true
+		}
+	}
+	c.workersMu.Lock()
+	var cut []*floor.Worker
+	for _, rack := range c.racks {
+		for _, w := range rack {
+			if w != nil && running[w.Info().ID] {
+				cut = append(cut, w)
+			}
+		}
+	}
+	c.workersMu.Unlock()
+	for _, w := range cut {
+		w.SetFaults(floor.Faults{Unreachable: true})
+	}
+	time.Sleep(duration)
+	for _, w := range cut {
+		w.SetFaults(floor.Faults{})
+	}
+}
+
 // crashRack crashes all workers of a rack at once.
 func (c *crashCell) crashRack(rack string) {
 	c.workersMu.Lock()
@@ -176,13 +205,23 @@
 			}
 		},
 		"owner cut off from workers": func(c *crashCell) {
-			for range 6 {
+			c.submit(c.owner(), c.newWork("long", job.Step{Tasks: 2, Estimate: 20 * time.Second}))
+			for range 8 {
+				time.Sleep(3 * time.Second)
 				v := c.owner()
 				v.workersCut.Store(true)
 				time.Sleep(13 * time.Second)
 				v.workersCut.Store(false)
-				time.Sleep(2 * time.Second)
 			}
+			c.waitForState(c.owner(), "long", job.WorkCompleted, time.Minute)
+		},
+		"its workers cut off one after the other": func(c *crashCell) {
+			c.submit(c.owner(), c.newWork("long", job.Step{Tasks: 1, Estimate: 20 * time.Second}))
+			for range 8 {
+				time.Sleep(3 * time.Second)
+				c.cutWorkerOf("long", 13*time.Second)
+			}
+			c.waitForState(c.owner(), "long", job.WorkCompleted, time.Minute)
 		},
 		"owners killed and racks lost": func(c *crashCell) {
 			for i := range 4 {
