--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -10,10 +10,10 @@
 	"turmericgap/crash"
 )
 
-const acquittalAge = 15 * time.Second
+const clearAge = 15 * time.Second
 
 func crashed(alone bool, scope crash.Scope) crash.Loss {
-	return crash.Loss{Crashed: true, Alone: alone, Scope: scope, Age: 100 * time.Millisecond, AcquittalAge: acquittalAge}
+	return crash.Loss{Crashed: true, Alone: alone, Scope: scope, Age: 100 * time.Millisecond, ClearAge: clearAge}
 }
 
 func late(l crash.Loss) crash.Loss {
@@ -26,8 +26,8 @@
 	alone   = crashed(true, crash.SingleWorker)
 	several = crashed(true, crash.SeveralWorkers)
 	rack    = crashed(false, crash.WholeRack)
-	silent  = crash.Loss{Age: time.Second, AcquittalAge: acquittalAge}
-	old     = crash.Loss{Crashed: true, Alone: true, Age: time.Minute, AcquittalAge: acquittalAge}
+	silent  = crash.Loss{Age: time.Second, ClearAge: clearAge}
+	old     = crash.Loss{Crashed: true, Alone: true, Age: time.Minute, ClearAge: clearAge}
 )
 
 // Checks the verdict after each of a series of losses.
--- a/crash/record.go
+++ b/crash/record.go
@@ -10,7 +10,7 @@
 	Continue Verdict = iota
 	// Spread means that the task prefers workers with few other tasks.
 	Spread
-	// Isolate means that the task runs on a worker of its own: a crash then convicts it, and its end acquits it.
+	// Isolate means that the task runs on a worker of its own, where a crash can only be its own or the worker's.
 	Isolate
 	// GiveUp means that the task is not started again.
 	GiveUp
@@ -44,21 +44,21 @@
 	// maxStarts is the number of crashes and of further starts after isolateCrashes of them at which a task is given up
 	// regardless of their weight, so that the rule holds.
 	maxStarts = 5
-	// minAcquittalAge is the age of a run from which its worker's crash is no evidence: it was not the start that
-	// crashed the worker. acquittalFactor times the estimate raises it for long tasks. A task that does not end by itself
-	// meets crashes of workers all its life, so it is cleared sooner.
-	minAcquittalAge     = 15 * time.Second
-	acquittalFactor     = 2
-	serviceAcquittalAge = 5 * time.Second
+	// minClearAge is the age of a run from which its worker's crash is no evidence: it was not the start that crashed
+	// the worker. clearFactor times the estimate raises it for long tasks. A service meets crashes of workers all its
+	// life, so it is cleared sooner.
+	minClearAge     = 15 * time.Second
+	clearFactor     = 2
+	serviceClearAge = 5 * time.Second
 )
 
-// AcquittalAge returns the age of a run from which it is cleared of earlier crashes. estimate is the expected duration
+// ClearAge returns the age of a run from which it is cleared of earlier crashes. estimate is the expected duration
 // of the task; a service does not end by itself.
-func AcquittalAge(estimate time.Duration, service bool) time.Duration {
+func ClearAge(estimate time.Duration, service bool) time.Duration {
 	if service {
-		return serviceAcquittalAge
+		return serviceClearAge
 	}
-	return max(minAcquittalAge, acquittalFactor*estimate)
+	return max(minClearAge, clearFactor*estimate)
 }
 
 // Loss is the loss of a run together with its worker.
@@ -69,8 +69,8 @@
 	Alone bool
 	// Scope is what else was lost at that moment.
 	Scope Scope
-	// Age is how long the run is known to have lasted, AcquittalAge the age from which the crash is no evidence.
-	Age, AcquittalAge time.Duration
+	// Age is how long the run is known to have lasted, ClearAge the age from which the crash is no evidence.
+	Age, ClearAge time.Duration
 }
 
 // Record is what is held against one task. The zero value is a task that no worker has crashed under.
@@ -85,10 +85,10 @@
 	Starts int `msgpack:"s,omitempty"`
 }
 
-// Add weighs the loss of a run. A crash of a run that has outlived AcquittalAge clears the task.
+// Add weighs the loss of a run. A crash of a run that has outlived ClearAge clears the task.
 func (r *Record) Add(l Loss) {
 	switch {
-	case l.Age >= l.AcquittalAge:
+	case l.Age >= l.ClearAge:
 		*r = Record{}
 	case !l.Crashed:
 		r.Losses++
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -209,7 +209,7 @@
 		if r := n.runs[runKey{e.Task, e.Run}]; r != nil {
 			t.countEndOfSuspect(r, e.Outcome)
 			t.endRun(r, e.Outcome, e.Checkpoint)
-			t.giveUpIfGuilty(r.stage, r.index)
+			t.giveUpIfDecided(r.stage, r.index)
 			t.observeAfterSave(n, r.stage.entry)
 		} else {
 			t.onLateEnd(n, e)
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -33,14 +33,14 @@
 	return out
 }
 
-// acquitSurvivors clears the tasks of isolated runs that have lasted long enough, and lets others run beside them.
-func (t *term) acquitSurvivors(now time.Time) {
+// clearSurvivors clears the tasks of isolated runs that have lasted long enough, and lets others run beside them.
+func (t *term) clearSurvivors(now time.Time) {
 	for _, n := range t.nodes {
 		if n.exclusiveRuns == 0 {
 			continue
 		}
 		for _, r := range n.runs {
-			if r.exclusive && r.confirmed && r.provenAge() >= r.acquittalAge() {
+			if r.exclusive && r.confirmed && r.provenAge() >= r.clearAge() {
 				t.log.Info("dispatch: task cleared of crashes", zap.String("id", r.stage.entry.work.ID),
 					zap.Int("step", r.stage.index), zap.Int("task", r.index), zap.Int64("run", r.number), zap.String("worker", n.id))
 				n.shareAgain(r)
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -30,8 +30,8 @@
 	return lossReplaced
 }
 
-// onReplaced handles the answer of another instance at a worker's address. What else was lost with the worker decides
-// who is blamed, so its runs end only when the losses of the same moment have been noticed.
+// onReplaced handles the answer of another instance at a worker's address. What else was lost with the worker decides how
+// its crash weighs, so its runs end only when the losses of the same moment have been noticed.
 func (t *term) onReplaced(n *node) {
 	n.listed = false
 	cause := n.causeOfReplacement()
@@ -73,7 +73,7 @@
 		t.endRun(r, worker.OutcomeLeaseExpired, "")
 	}
 	for _, r := range lost {
-		t.giveUpIfGuilty(r.stage, r.index)
+		t.giveUpIfDecided(r.stage, r.index)
 		t.saveUnlessEnded(r.stage.entry)
 	}
 	t.forgetIfIdle(n)
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -119,7 +119,7 @@
 		t.openStages(o)
 		for _, s := range o.stages {
 			for i := range s.suspects {
-				t.giveUpIfGuilty(s, i)
+				t.giveUpIfDecided(s, i)
 			}
 		}
 	}
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -62,7 +62,7 @@
 	for _, r := range present {
 		l := crash.Loss{
 			Crashed: cause == lossReplaced, Alone: alone, Scope: scope, Age: r.provenAge(),
-			AcquittalAge: r.acquittalAge(),
+			ClearAge: r.clearAge(),
 		}
 		t.suspectRun(r, l, now)
 	}
@@ -102,9 +102,9 @@
 	return age
 }
 
-// acquittalAge returns the age from which the run is cleared of earlier crashes.
-func (r *run) acquittalAge() time.Duration {
-	return crash.AcquittalAge(r.stage.spec.Estimate, r.stage.spec.Service)
+// clearAge returns the age from which the run is cleared of earlier crashes.
+func (r *run) clearAge() time.Duration {
+	return crash.ClearAge(r.stage.spec.Estimate, r.stage.spec.Service)
 }
 
 // suspectRun weighs the loss of a run against its task.
@@ -145,8 +145,8 @@
 	}
 }
 
-// giveUpIfGuilty fails the work of a task that has crashed too many workers.
-func (t *term) giveUpIfGuilty(s *stage, index int) {
+// giveUpIfDecided fails the work of a task that has crashed too many workers.
+func (t *term) giveUpIfDecided(s *stage, index int) {
 	if s.verdictOf(index) != crash.GiveUp || s.entry.state.Final() {
 		return
 	}
@@ -195,7 +195,7 @@
 		t.log.Info("dispatch: lost run was a crash", zap.String("id", s.entry.work.ID), zap.Int("step", s.index),
 			zap.Int("task", l.run.index), zap.Int64("run", l.run.number), zap.String("worker", l.run.node.id),
 			zap.String("replacedBy", n.id), zap.Int("crashes", u.Crashes), zap.Int("evidence", u.Evidence))
-		t.giveUpIfGuilty(s, l.run.index)
+		t.giveUpIfDecided(s, l.run.index)
 		t.saveUnlessEnded(s.entry)
 	}
 }
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -10,7 +10,7 @@
 func (t *term) onTick(now time.Time) {
 	t.endExpired(now)
 	t.endMembersOfEndedGangs()
-	t.acquitSurvivors(now)
+	t.clearSurvivors(now)
 	t.retryHalts(now)
 	t.probeOverdue(now)
 	t.stopStalled(now)
