--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -167,7 +167,7 @@
 		writeJSON(ctx, http.StatusConflict, body)
 	case rpc.CodeNotFound:
 		writeJSON(ctx, http.StatusNotFound, body)
-	case rpc.CodeRefused, rpc.CodeNotOwner, rpc.CodeMoved:
+	case rpc.CodeRefused, rpc.CodeBusy, rpc.CodeNotOwner, rpc.CodeMoved:
 		if fault.Code == rpc.CodeRefused && fault.RetryAfter == 0 {
 			// The refusal is permanent. With a Retry-After the caller would retry forever.
 			writeJSON(ctx, http.StatusUnprocessableEntity, body)
