--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -56,6 +56,7 @@
 // awaitFirstWork waits until the cell has completed a first work.
 func (s *callers) awaitFirstWork() error {
 	w := s.cell.newWork(rand.New(rand.NewPCG(0, s.cell.opts.Seed)), -1)
+	s.cell.firstWork = w.ID
 	for deadline := time.Now().Add(bootTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
 		if s.caller.Submit(s.cell.opts.Context, s.cell.vms[0].callers, w) != nil {
 			continue
