Do not take the wait for the list of workers for overload

While the workers' entries cannot be read, no pass runs, and the time that changes waited for one counted as the owner's lag, by which it refuses new work.

The wait is not counted.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -53,6 +53,9 @@
 // of the last pass if that ended recently, or the age of the oldest change not yet taken into account if that is
 // longer.
 func (t *term) passLatency(now time.Time) time.Duration {
+	if t.isWorkerListStale(now) {
+		return 0 // passes wait for the store, not for the owner
+	}
 	wait := time.Duration(0)
 	if now.Sub(t.passEndedAt) < 2*tickInterval {
 		wait = t.lastPassLatency
