--- a/standin/floor/worker.go
+++ b/standin/floor/worker.go
@@ -33,6 +33,8 @@
 type Faults struct {
 	// Unreachable keeps all calls from reaching the worker. DropReplies executes calls and drops their replies.
 	Unreachable, DropReplies bool
+	// ResetConnections makes all calls fail at once, also those that wait at the worker. Delayed launches still arrive.
+	ResetConnections bool
 	// LaunchDelay executes launches after this delay and drops their replies; zero is no fault.
 	LaunchDelay time.Duration
 	// Unwell makes the worker reject all calls with worker.ErrUnhealthy.
@@ -86,6 +88,15 @@
 	w.cluster.mu.Lock()
 	defer w.cluster.mu.Unlock()
 	w.faults = f
+	if f.ResetConnections {
+		w.wakeHolds()
+	}
+}
+
+// wakeHolds ends the wait of all pending holds.
+func (w *Worker) wakeHolds() {
+	close(w.changed)
+	w.changed = make(chan struct{})
 }
 
 // SetCapacity changes the worker's capacity. Runs that are present go on.
@@ -208,10 +219,13 @@
 func (w *Worker) checkReachable(ctx context.Context) error {
 	w.cluster.mu.Lock()
 	unreachable, crashed, replaced, unwell := w.faults.Unreachable, w.crashed, w.replaced, w.faults.Unwell
+	reset := w.faults.ResetConnections
 	w.cluster.mu.Unlock()
 	switch {
 	case replaced:
 		return worker.ErrReplaced
+	case reset:
+		return errNoAnswer
 	case unreachable || crashed:
 		<-ctx.Done()
 		return errNoAnswer
@@ -314,8 +328,7 @@
 	w.lastEnd++
 	w.pendingEnds = append(w.pendingEnds, worker.EndedRun{Number: w.lastEnd, Task: r.key.task, Run: r.key.run, Outcome: ending, Checkpoint: r.checkpoint})
 	w.pendingRuns = append(w.pendingRuns, r.record)
-	close(w.changed)
-	w.changed = make(chan struct{})
+	w.wakeHolds()
 	if r.behaviour.GangSize > 0 {
 		w.cluster.endGang(r.key, ending)
 	}
