Log why a run is held to be over without its worker's report

A member that was ended with its gang had no line of its own, and an end that a worker reported after its run had been counted as over had none unless it was a failure.

--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/job"
+	"turmericgap/presence"
 	"turmericgap/worker"
 )
 
@@ -47,18 +48,33 @@
 }
 
 // onNeverStarted handles a run that has certainly not started and never will.
-func (t *term) onNeverStarted(r *run, reason string) {
+func (t *term) onNeverStarted(r *run, proof presence.Proof, reason string) {
 	if r.ended {
 		return
 	}
 	share := r.stage.share()
 	t.accounts.shares.Undo(&share)
-	t.log.Info("dispatch: run never began", zap.String("id", r.stage.entry.work.ID), zap.Int("step", r.stage.index),
-		zap.Int("task", r.index),
-		zap.Int64("run", r.number), zap.String("worker", r.node.id), zap.String("reason", reason))
+	t.log.Info("dispatch: run never began", append(r.evidence(proof, time.Now()), zap.String("reason", reason))...)
 	t.endRun(r, worker.OutcomeStopped, "")
 }
 
+// evidence returns the log fields of a run that ends without its worker's report: the proof, and what the owner knows of
+// orders and leases that may still be in force.
+func (r *run) evidence(proof presence.Proof, now time.Time) []zap.Field {
+	fields := []zap.Field{
+		zap.String("id", r.stage.entry.work.ID), zap.Int("occurrence", r.stage.occurrence.number),
+		zap.Int("step", r.stage.index), zap.Int("task", r.index), zap.Int64("run", r.number),
+		zap.String("worker", r.node.id), zap.String("proof", string(proof)), zap.Bool("confirmed", r.Confirmed),
+		zap.Bool("uncertain", r.Uncertain), zap.Bool("recovered", r.Recovered),
+		zap.Duration("lastWord", elapsed(r.node.lastAnswerAt, now)), zap.Int("misses", r.node.misses),
+		zap.Duration("leaseLeft", r.node.leaseEnd.Sub(now)),
+	}
+	if r.Expires > 0 {
+		fields = append(fields, zap.Duration("orderLeft", r.Expires-r.node.clockNow(now)))
+	}
+	return fields
+}
+
 // releaseRun releases the capacity of a run.
 func (t *term) releaseRun(r *run) {
 	r.ended = true
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -5,6 +5,7 @@
 
 	"turmericgap/aging"
 	"turmericgap/job"
+	"turmericgap/presence"
 	"turmericgap/rule"
 	"turmericgap/worker"
 )
@@ -121,6 +122,7 @@
 
 // run is one start of a task. It holds capacity from its intent until its end is known.
 type run struct {
+	presence.Run
 	stage  *stage
 	index  int
 	number int64
@@ -129,19 +131,10 @@
 	// decidedAt is when the start was decided, sentAt when the order was sent, and confirmedAt when the worker was
 	// known to have the run. For a run of a former owner, decidedAt is zero and sentAt is the start of this term.
 	decidedAt, sentAt, confirmedAt time.Time
-	// startExpires is when the start order becomes void, on the worker's clock; zero if none was sent.
-	startExpires time.Duration
-	// confirmed is true once the worker is known to have the run.
-	confirmed bool
-	// uncertain is true while an order is unanswered: the run may exist, or may still start until startExpires has
-	// passed on the worker's clock.
-	uncertain bool
 	// undelivered is true if the start order certainly did not reach the worker.
 	undelivered bool
 	// exclusive is true if nothing else may be placed on the worker until the run has ended.
 	exclusive bool
-	// recovered is true if a former owner sent the start order.
-	recovered bool
 	// stopping is true once the run was ordered to stop; haltedAt is when that order was last sent.
 	stopping bool
 	haltedAt time.Time
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -243,8 +243,11 @@
 		return
 	}
 	for key, r := range n.runs {
-		if !listed[key] && r.cannotStart(n, held.Clock) {
-			t.onNeverStarted(r, "the worker does not list it")
+		if listed[key] {
+			continue
+		}
+		if proof, ok := r.Unlisted(held.Clock); ok {
+			t.onNeverStarted(r, proof, "the worker does not list it")
 		}
 	}
 }
@@ -252,7 +255,7 @@
 // updateRun updates a run with what the worker reports.
 func (t *term) updateRun(r *run, a *worker.ActiveRun, now time.Time) {
 	r.confirm()
-	r.recovered, r.seenAt = false, now
+	r.Recovered, r.seenAt = false, now
 	if a.Percent != r.percent || r.progressAt.IsZero() {
 		r.percent, r.progressAt = a.Percent, now
 	}
@@ -263,18 +266,9 @@
 
 // confirm records that the worker has the run.
 func (r *run) confirm() {
-	if !r.confirmed {
+	if !r.Confirmed {
 		r.confirmedAt = time.Now()
 	}
-	r.confirmed, r.uncertain = true, false
+	r.Confirmed, r.Uncertain = true, false
 	r.stage.entry.started = true
 }
-
-// cannotStart reports whether a run that the worker does not list can never start there.
-func (r *run) cannotStart(n *node, clock time.Duration) bool {
-	if r.recovered {
-		// The hold raised the fencing token, so that the worker now rejects older orders.
-		return true
-	}
-	return r.uncertain && clock > r.startExpires
-}
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		for _, r := range n.runs {
-			if r.exclusive && r.confirmed && r.provenAge() >= r.clearAge() {
+			if r.exclusive && r.Confirmed && r.provenAge() >= r.clearAge() {
 				t.log.Info("dispatch: task cleared of crashes", zap.String("id", r.stage.entry.work.ID),
 					zap.Int("step", r.stage.index), zap.Int("task", r.index), zap.Int64("run", r.number), zap.String("worker", n.id))
 				n.shareAgain(r)
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -7,27 +7,16 @@
 	"go.uber.org/zap"
 
 	"turmericgap/crash"
+	"turmericgap/presence"
 	"turmericgap/worker"
 )
 
-// lossCause is why the runs of a worker ended without a report, as written to the log.
-type lossCause string
-
-const (
-	// lossReplaced means that another instance answers at the worker's address: the worker has crashed.
-	lossReplaced lossCause = "replaced"
-	// lossLeft means that the worker was leaving or under maintenance.
-	lossLeft lossCause = "left"
-	// lossSilent means that the worker was silent until its lease had expired. It may have crashed, or be cut off.
-	lossSilent lossCause = "silent"
-)
-
 // causeOfReplacement returns why a worker was replaced by another instance.
-func (n *node) causeOfReplacement() lossCause {
+func (n *node) causeOfReplacement() presence.Proof {
 	if n.listing.Leaving || n.draining {
-		return lossLeft
+		return presence.Left
 	}
-	return lossReplaced
+	return presence.Replaced
 }
 
 // onReplaced handles the answer of another instance at a worker's address. What else was lost with the worker decides how
@@ -39,7 +28,7 @@
 		t.noteSilence(n)
 	}
 	wait := time.Until(n.silentSince.Add(crash.Moment))
-	if cause == lossLeft || wait <= 0 || n.lastAnswerAt.IsZero() || len(n.runs)+len(n.brokenMembers) == 0 {
+	if cause == presence.Left || wait <= 0 || n.lastAnswerAt.IsZero() || len(n.runs)+len(n.brokenMembers) == 0 {
 		t.endAllRuns(n, cause)
 		return
 	}
@@ -56,7 +45,7 @@
 }
 
 // endAllRuns ends all runs of a worker instance that has ended or whose lease has expired.
-func (t *term) endAllRuns(n *node, cause lossCause) {
+func (t *term) endAllRuns(n *node, cause presence.Proof) {
 	now := time.Now()
 	t.log.Info("dispatch: worker's runs are over", zap.String("worker", n.id), zap.String("cause", string(cause)),
 		zap.Int("runs", len(n.runs)), zap.String("rack", n.listing.Rack), zap.Bool("listed", n.listed),
@@ -67,9 +56,7 @@
 	n.brokenMembers = nil
 	for _, r := range n.runs {
 		lost = append(lost, r)
-		t.log.Info("dispatch: run lost", zap.String("id", r.stage.entry.work.ID), zap.Int("step", r.stage.index),
-			zap.Int("task", r.index), zap.Int64("run", r.number), zap.String("worker", n.id),
-			zap.String("cause", string(cause)), zap.Bool("confirmed", r.confirmed), zap.Duration("age", elapsed(r.sentAt, now)))
+		t.log.Info("dispatch: run lost", append(r.evidence(cause, now), zap.Duration("age", elapsed(r.sentAt, now)))...)
 		t.endRun(r, worker.OutcomeLeaseExpired, "")
 	}
 	for _, r := range lost {
@@ -83,7 +70,7 @@
 func (t *term) endExpired(now time.Time) {
 	for _, n := range t.nodes {
 		if (len(n.runs) > 0 || len(n.brokenMembers) > 0) && (n.misses > 0 || !n.synced) && now.After(n.leaseEnd) {
-			t.endAllRuns(n, lossSilent)
+			t.endAllRuns(n, presence.Silent)
 		}
 	}
 }
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/job"
+	"turmericgap/presence"
 	"turmericgap/store"
 	"turmericgap/store/follow"
 	"turmericgap/worker"
@@ -221,7 +222,7 @@
 				hasLeft := n.hasLeft(time.Now())
 				t.onUnlisted(n)
 				if hasLeft {
-					t.endAllRuns(n, lossLeft)
+					t.endAllRuns(n, presence.Left)
 				}
 			}
 			continue
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/presence"
 	"turmericgap/worker"
 )
 
@@ -18,25 +19,25 @@
 	}
 	if r.stage.entry.state.Final() || r.stopping || r.node.isRemoved(t) || r.node.clockAt.IsZero() {
 		// Nothing was sent, and only this term could have sent it.
-		t.onNeverStarted(r, "it was given up before it was sent")
+		t.onNeverStarted(r, presence.NotSent, "it was given up before it was sent")
 		return
 	}
 	switch {
 	case r.node.isOverfilledBy(r):
-		t.onNeverStarted(r, "the worker's capacity has shrunk")
+		t.onNeverStarted(r, presence.NotSent, "the worker's capacity has shrunk")
 		return
 	case t.accounts.ledger.Exceeds(r.stage.entry.work.Account, r.stage.spec.TaskResources):
-		t.onNeverStarted(r, "the cap of its account was lowered")
+		t.onNeverStarted(r, presence.NotSent, "the cap of its account was lowered")
 		return
 	case t.isWorkerListStale(now):
-		t.onNeverStarted(r, "the worker's capacity may have shrunk unnoticed")
+		t.onNeverStarted(r, presence.NotSent, "the worker's capacity may have shrunk unnoticed")
 		return
 	}
 	task := &r.stage.tasks[r.index]
-	r.sentAt, r.uncertain = now, true
-	r.startExpires = r.node.clockNow(now) + launchValidity
+	r.sentAt, r.Uncertain = now, true
+	r.Expires = r.node.clockNow(now) + launchValidity
 	order := &worker.Launch{
-		Task: r.task(), Run: r.number, Spec: r.stage.entry.work.Spec, Until: r.startExpires, Fence: t.tenure.Fence,
+		Task: r.task(), Run: r.number, Spec: r.stage.entry.work.Spec, Until: r.Expires, Fence: t.tenure.Fence,
 		Permit: r.stage.ticket(r.node.id), Checkpoint: task.checkpoint,
 	}
 	agent := r.node.agent
@@ -97,7 +98,7 @@
 		t.onReplaced(r.node)
 	case errors.Is(err, worker.ErrUnhealthy):
 		r.node.unhealthyUntil = time.Now().Add(unhealthyDuration)
-		t.onNeverStarted(r, "the worker is unwell")
+		t.onNeverStarted(r, presence.Refused, "the worker is unwell")
 	default:
 		// The order may still be carried out; later holds show the outcome.
 		r.node.noAnswerAt = time.Now()
@@ -111,18 +112,18 @@
 	case worker.ReasonStaleRun:
 		// An earlier attempt may have succeeded, and its run may already have ended. The next hold lists that end or
 		// shows that there is none.
-		r.startExpires = r.node.clockNow(time.Now())
+		r.Expires = r.node.clockNow(time.Now())
 	case worker.ReasonPermit:
 		r.stage.expireTicket(r.node.id)
-		t.onNeverStarted(r, "its permit had expired")
+		t.onNeverStarted(r, presence.Refused, "its permit had expired")
 	case worker.ReasonInvalid:
 		t.log.Error("dispatch: a worker does not understand an order", zap.String("id", r.stage.entry.work.ID),
 			zap.String("worker", r.node.id))
 		r.node.unhealthyUntil = time.Now().Add(unhealthyDuration)
-		t.onNeverStarted(r, "the worker did not understand")
+		t.onNeverStarted(r, presence.Refused, "the worker did not understand")
 	default:
 		r.node.unhealthyUntil = time.Now().Add(unhealthyDuration)
-		t.onNeverStarted(r, "the worker refused: "+string(reason))
+		t.onNeverStarted(r, presence.Refused, "the worker refused: "+string(reason))
 	}
 }
 
@@ -134,7 +135,7 @@
 	if r.node.agent == nil || r.node.isRemoved(t) {
 		return
 	}
-	if !r.confirmed && !r.recovered && r.sentAt.IsZero() {
+	if !r.Confirmed && !r.Recovered && r.sentAt.IsZero() {
 		return // its start was not sent yet, and will not be
 	}
 	agent := r.node.agent
@@ -156,7 +157,7 @@
 	var refused *worker.Refusal
 	switch {
 	case err == nil:
-		r.uncertain, r.startExpires = true, clock
+		r.Uncertain, r.Expires = true, clock
 	case errors.As(err, &refused) && refused.Reason == worker.ReasonFenced:
 		t.loseOwnership("a worker knows a later owner", err)
 	case errors.Is(err, worker.ErrReplaced):
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -51,7 +51,7 @@
 // small; zero if unknown.
 func (r *run) expectedEnd() time.Time {
 	spec := r.stage.spec
-	if r.sentAt.IsZero() || r.stopping || spec.Service || spec.Gang || !r.confirmed {
+	if r.sentAt.IsZero() || r.stopping || spec.Service || spec.Gang || !r.Confirmed {
 		return time.Time{}
 	}
 	if end, ok := r.endByProgress(); ok {
@@ -66,7 +66,7 @@
 // endByProgress extrapolates the end of a run from its reported progress. It returns false if the progress is too small
 // or a former owner started the run.
 func (r *run) endByProgress() (time.Time, bool) {
-	if r.recovered || r.percent < minPercent {
+	if r.Recovered || r.percent < minPercent {
 		return time.Time{}, false
 	}
 	return r.sentAt.Add(r.progressAt.Sub(r.sentAt) * 100 / time.Duration(r.percent)), true
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -9,6 +9,7 @@
 
 	"turmericgap/crash"
 	"turmericgap/job"
+	"turmericgap/presence"
 	"turmericgap/worker"
 )
 
@@ -36,15 +37,15 @@
 	switch {
 	case r.sentAt.IsZero() || r.undelivered:
 		return false
-	case r.confirmed || r.recovered || n.silentSince.IsZero():
+	case r.Confirmed || r.Recovered || n.silentSince.IsZero():
 		return true
 	}
 	return !r.sentAt.After(n.silentSince)
 }
 
 // recordLoss weighs the loss of a worker against the tasks whose runs may have been there.
-func (t *term) recordLoss(n *node, cause lossCause, now time.Time) {
-	if cause == lossLeft {
+func (t *term) recordLoss(n *node, cause presence.Proof, now time.Time) {
+	if cause == presence.Left {
 		return
 	}
 	present := slices.Clone(n.brokenMembers)
@@ -58,10 +59,10 @@
 		lostAt = n.silentSince
 	}
 	scope := t.scopeOfLoss(n, lostAt)
-	alone := len(present) == 1 && present[0].confirmed && n.unknownRuns == 0
+	alone := len(present) == 1 && present[0].Confirmed && n.unknownRuns == 0
 	for _, r := range present {
 		l := crash.Loss{
-			Crashed: cause == lossReplaced, Alone: alone, Scope: scope, Age: r.provenAge(),
+			Crashed: cause == presence.Replaced, Alone: alone, Scope: scope, Age: r.provenAge(),
 			ClearAge: r.clearAge(),
 		}
 		t.suspectRun(r, l, now)
@@ -207,6 +208,7 @@
 		n.brokenMembers = append(n.brokenMembers, r)
 	}
 	r.stage.addUnresolved(r.number, n)
+	t.log.Info("dispatch: run over with its gang", r.evidence(presence.GangEnded, time.Now())...)
 	t.endRun(r, worker.OutcomeGangBroken, "")
 }
 
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -73,7 +73,7 @@
 // isStalled reports whether a run has made no progress for too long.
 func (r *run) isStalled(now time.Time) bool {
 	spec := r.stage.spec
-	if !r.confirmed || r.stopping || spec.Service || spec.Gang || spec.Estimate == 0 || r.progressAt.IsZero() {
+	if !r.Confirmed || r.stopping || spec.Service || spec.Gang || spec.Estimate == 0 || r.progressAt.IsZero() {
 		return false
 	}
 	return now.Sub(r.progressAt) > max(stallTimeout, spec.Estimate/stallEstimateDivisor)
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -74,7 +74,13 @@
 // onLateEnd handles the reported end of a run that was already counted as over.
 func (t *term) onLateEnd(n *node, e *worker.EndedRun) {
 	entry := t.entries[e.Task.Work]
-	if entry == nil || entry.state.Final() {
+	if entry == nil {
+		return
+	}
+	t.log.Info("dispatch: end of a run that was over", zap.String("id", e.Task.Work), zap.Int("occurrence", e.Task.Occurrence),
+		zap.Int("step", e.Task.Step), zap.Int("task", e.Task.Index), zap.Int64("run", e.Run), zap.String("worker", n.id),
+		zap.String("how", string(e.Outcome)))
+	if entry.state.Final() {
 		return
 	}
 	for _, o := range entry.occurrences {
--- /dev/null
+++ b/presence/presence.go
@@ -0,0 +1,51 @@
+package presence
+
+import "time"
+
+// Proof is why a run is not on its worker and will never be there again, as written to the log.
+type Proof string
+
+// The proofs.
+const (
+	// NotSent means that its start order was never sent.
+	NotSent Proof = "notSent"
+	// Refused means that the worker refused the only start order.
+	Refused Proof = "refused"
+	// Unlisted means that the worker does not list it after its start order had become void.
+	Unlisted Proof = "unlisted"
+	// Fenced means that the worker does not list it, and refuses the orders of former owners.
+	Fenced Proof = "fenced"
+	// GangEnded means that the gang was present on all its workers and has ended.
+	GangEnded Proof = "gangEnded"
+	// Replaced means that another instance answers at the worker's address.
+	Replaced Proof = "replaced"
+	// Left means that the worker was leaving or under maintenance, and has left.
+	Left Proof = "left"
+	// Silent means that the worker was silent until its lease had expired.
+	Silent Proof = "silent"
+)
+
+// Run is what an owner knows of a run on a worker.
+type Run struct {
+	// Confirmed is true once the worker is known to have the run.
+	Confirmed bool
+	// Uncertain is true while an order is unanswered: the run may exist, or may still start until Expires has passed
+	// on the worker's clock.
+	Uncertain bool
+	// Recovered is true if a former owner sent the start order.
+	Recovered bool
+	// Expires is when the start order becomes void, on the worker's clock; zero if none was sent.
+	Expires time.Duration
+}
+
+// Unlisted returns the proof, if there is one, that a run can no longer be on a worker that does not list it in an
+// answer to this owner. clock is the reading of the worker's clock in that answer.
+func (r *Run) Unlisted(clock time.Duration) (Proof, bool) {
+	switch {
+	case r.Recovered:
+		return Fenced, true
+	case r.Uncertain && clock > r.Expires:
+		return Unlisted, true
+	}
+	return "", false
+}
