Observe an end only when the commit that holds it is durable

Cause: a worker forgets an end once it is told that the end was observed, which follows from the number of its entries with unsaved changes. Once the end of a work is in a commit, the entry makes no further save, and observeAfterSave took an entry without a pending save for durable. Ends that arrived while that commit was in flight were acknowledged at the next hold. If the commit failed with its owner, and the one worker whose end had been heard before it was lost, the successor found no trace of the run and started it again.

Change: an entry keeps the save that is in flight, and an end is observed after the pending save, or else after the one in flight. An entry with neither is durable.

--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -59,7 +59,7 @@
 		_, e.wasRefused = t.refusals.writtenAt[w.ID]
 		e.needsCreate = true
 		t.unsent = append(t.unsent, e)
-	} else if !e.needsCreate && !e.committing {
+	} else if !e.needsCreate && e.inFlight == nil {
 		close(done)
 		return true, done
 	}
@@ -104,7 +104,7 @@
 
 // canCommit reports whether an entry may be part of a commit now.
 func (t *term) canCommit(e *entry, now time.Time) bool {
-	return !e.committing && !e.awaitsPermits(now) && !t.isHeldBack(e)
+	return e.inFlight == nil && !e.awaitsPermits(now) && !t.isHeldBack(e)
 }
 
 // isHeldBack reports whether an entry must not be sent now. A request to a failing store may have an unknown outcome:
@@ -144,7 +144,7 @@
 	left := t.unsent[:0]
 	for _, e := range t.unsent {
 		switch {
-		case !e.needsCreate && !e.committing || t.entries[e.work.ID] != e:
+		case !e.needsCreate && e.inFlight == nil || t.entries[e.work.ID] != e:
 		case t.isHeldBack(e) && !e.state.Final() && now.Sub(e.work.Accepted) > unsentTimeout:
 			t.withdraw(e)
 		default:
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -100,7 +100,7 @@
 		}
 		t.addToBatch(b, s.entry)
 		b.saves = append(b.saves, s)
-		s.entry.pendingSave, s.entry.committing = nil, true
+		s.entry.pendingSave, s.entry.inFlight = nil, s
 	}
 	c.queue = left
 	for len(t.endedToRemove) > 0 && len(b.txn.Then) < maxTxnOps-commitOverhead+1 {
@@ -120,7 +120,7 @@
 	b.stream.inFlight = false
 	c.retryAt = time.Now().Add(c.backoff.Next())
 	for e := range b.states {
-		e.committing = false
+		e.inFlight = nil
 	}
 	for _, e := range b.created {
 		e.needsCreate = !e.createdElsewhere
@@ -192,7 +192,7 @@
 	t.committer.backoff.Reset()
 	t.o.Metrics.Histogram("dispatch.commitMillis").Update(took.Milliseconds())
 	for e, state := range b.states {
-		e.durableState, e.committing = state, false
+		e.durableState, e.inFlight = state, nil
 	}
 	for _, e := range b.finished {
 		delete(t.entries, e.work.ID)
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -55,9 +55,8 @@
 	createdElsewhere bool
 	// waiters are notified if the work is withdrawn before it was sent to the store.
 	waiters []chan error
-	// pendingSave holds changes that wait for a commit; committing is true while a commit with this entry is in flight.
-	pendingSave *pendingSave
-	committing  bool
+	// pendingSave holds changes that wait for a commit, inFlight those of the commit in flight; either may be nil.
+	pendingSave, inFlight *pendingSave
 }
 
 type occurrence struct {
--- a/dispatch/forgotten_end_test.go
+++ b/dispatch/forgotten_end_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package dispatch_test
 
 import (
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -155,13 +156,15 @@
 // isRemoved reports whether the node was removed and its goroutine ended.
 func (n *node) isRemoved(t *term) bool { return t.nodes[n.id] != n }
 
-// observeAfterSave delays telling the worker that an end was observed until the entry that the end changed is durable.
+// observeAfterSave delays telling the worker that an end was observed until the entry that the end changed is durable. The
+// end of a completed work may be part of a commit in flight, which is not durable yet either.
 func (t *term) observeAfterSave(n *node, e *entry) {
-	if e.pendingSave == nil {
+	s := cmp.Or(e.pendingSave, e.inFlight)
+	if s == nil {
 		return
 	}
 	n.unsaved++
-	t.save(e, func() {
+	s.effects = append(s.effects, func() {
 		if n.unsaved--; n.unsaved > 0 {
 			return
 		}
