Start a gang again only once no start of its last run can arrive

Cause: the first member that a worker reported as broken was taken as proof that no member could still be running, and two missed holds were enough to end the members on silent workers. A member whose start got no answer may still be carried out while the order is valid, 1.5 s; calls that fail at once use up two holds in 0.3 s. It then waits on its worker for members that have ended, beside the new run of its task.

Ruled out: waiting for the validity of the order alone, since the member that it has started outlives it.

Change: a broken member ends the others only if the gang was complete. Members work only together, so that any progress of the run shows that all of them were present and each start has been carried out; a resumed run must have made progress beyond its checkpoint. Otherwise a member ends by its worker's word, or with its worker or the worker's lease. The predicate is in package presence, and so are the fields of the log line of a run that is held to be over.

What the wait costs gangs is not measured yet.

--- a/dispatch/broken_member_test.go
+++ b/dispatch/broken_member_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package dispatch_test
 
 import (
@@ -47,3 +45,37 @@
 	c.waitForState(v, "gang", "completed", 60*time.Second)
 	c.checkHistory()
 }
+
+// Guards against counting a member whose start was carried out after its gang had broken, and was answered, as ended with
+// the others: it waits on its worker, which answers nothing any more.
+func TestBrokenGangWaitsForMemberStartedLater(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprint("gang of ", size), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCell(t, gangBehaviour(size, 2*time.Second, worker.OutcomeDone), "vm1", "vm2")
+				workers := c.addWorkers(size, 4)
+				v := c.waitForOwner()
+				time.Sleep(5 * time.Second)
+				late, crashing := workers[size-1], workers[size-2]
+				late.SetFaults(floor.Faults{Unreachable: true})
+				c.submit(v, c.newWork("gang", gangStep(size)))
+				time.Sleep(100 * time.Millisecond)
+				is.Equal(c.countRuns("gang"), size-1)
+				crashing.Crash(false)
+				time.Sleep(40 * time.Millisecond) // the order to stop the other members is lost
+				late.SetFaults(floor.Faults{})
+				time.Sleep(60 * time.Millisecond) // the second attempt of the start is answered
+				is.Equal(c.countRuns("gang"), size)
+				late.SetFaults(floor.Faults{ResetConnections: true})
+				for i := range size {
+					c.addWorker(fmt.Sprintf("x%02d", i), 4)
+				}
+				time.Sleep(3 * time.Second)
+				late.SetFaults(floor.Faults{})
+				c.waitForState(v, "gang", "completed", 60*time.Second)
+				c.checkHistory()
+			})
+		})
+	}
+}
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -58,21 +58,17 @@
 	t.endRun(r, worker.OutcomeStopped, "")
 }
 
-// evidence returns the log fields of a run that ends without its worker's report: the proof, and what the owner knows of
-// orders and leases that may still be in force.
+// evidence returns the log fields of a run that ends without its worker's report.
 func (r *run) evidence(proof presence.Proof, now time.Time) []zap.Field {
-	fields := []zap.Field{
+	n := r.node
+	return []zap.Field{
 		zap.String("id", r.stage.entry.work.ID), zap.Int("occurrence", r.stage.occurrence.number),
-		zap.Int("step", r.stage.index), zap.Int("task", r.index), zap.Int64("run", r.number),
-		zap.String("worker", r.node.id), zap.String("proof", string(proof)), zap.Bool("confirmed", r.Confirmed),
-		zap.Bool("uncertain", r.Uncertain), zap.Bool("recovered", r.Recovered),
-		zap.Duration("lastWord", elapsed(r.node.lastAnswerAt, now)), zap.Int("misses", r.node.misses),
-		zap.Duration("leaseLeft", r.node.leaseEnd.Sub(now)),
-	}
-	if r.Expires > 0 {
-		fields = append(fields, zap.Duration("orderLeft", r.Expires-r.node.clockNow(now)))
+		zap.Int("step", r.stage.index), zap.Int("task", r.index), zap.Int64("run", r.number), zap.String("worker", n.id),
+		zap.Inline(presence.Evidence{
+			Proof: proof, Run: r.Run, LastWord: elapsed(n.lastAnswerAt, now), Misses: n.misses,
+			LeaseLeft: n.leaseEnd.Sub(now), OrderLeft: r.Expires - n.clockNow(now),
+		}),
 	}
-	return fields
 }
 
 // releaseRun releases the capacity of a run.
@@ -133,7 +129,7 @@
 	default:
 	}
 	if !g.done && !g.aborted {
-		g.endProved = how == worker.OutcomeGangBroken
+		g.Broken = how == worker.OutcomeGangBroken
 		t.abortGang(s)
 	}
 	if g.membersLeft > 0 {
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -108,15 +108,13 @@
 
 // gangRun is one run of all tasks of a gang.
 type gangRun struct {
+	presence.Gang
 	number      int64
 	membersLeft int // whose ends are not known yet
 	// aborted is true once a member has ended without success and the others are being stopped.
 	aborted bool
 	failed  bool
 	done    bool
-	// endProved is true if a worker reported that a member ended because another one had, before this owner stopped any
-	// member. The run is then over on all workers.
-	endProved bool
 }
 
 // run is one start of a task. It holds capacity from its intent until its end is known.
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -34,7 +34,7 @@
 		return
 	}
 	task := &r.stage.tasks[r.index]
-	r.sentAt, r.Uncertain = now, true
+	r.sentAt, r.Uncertain, r.Resumed = now, true, task.checkpoint != ""
 	r.Expires = r.node.clockNow(now) + launchValidity
 	order := &worker.Launch{
 		Task: r.task(), Run: r.number, Spec: r.stage.entry.work.Spec, Until: r.Expires, Fence: t.tenure.Fence,
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -193,7 +193,7 @@
 	if n.leaseEnd.IsZero() {
 		n.leaseEnd = t.initialLeaseEnd()
 	}
-	r := &run{stage: s, index: index, number: tr.Run, node: n, need: s.taskResources(), Run: presence.Run{Recovered: true}, sentAt: t.startedAt}
+	r := &run{stage: s, index: index, number: tr.Run, node: n, need: s.taskResources(), Run: presence.Run{Recovered: true, Resumed: true}, sentAt: t.startedAt}
 	r.exclusive = s.verdictOf(index) >= crash.Isolate
 	s.tasks[index].run = r
 	s.entry.activeRuns++
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -202,13 +202,13 @@
 }
 
 // breakMember ends a gang member on a silent worker whose gang is known to be over.
-func (t *term) breakMember(r *run) {
+func (t *term) breakMember(r *run, proof presence.Proof) {
 	n := r.node
 	if r.wasPresent(n) {
 		n.brokenMembers = append(n.brokenMembers, r)
 	}
 	r.stage.addUnresolved(r.number, n)
-	t.log.Info("dispatch: run over with its gang", r.evidence(presence.GangEnded, time.Now())...)
+	t.log.Info("dispatch: run over with its gang", r.evidence(proof, time.Now())...)
 	t.endRun(r, worker.OutcomeGangBroken, "")
 }
 
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -63,10 +63,12 @@
 		}
 		for _, r := range n.runs {
 			g := r.stage.gang
-			if g == nil || !g.endProved || g.number != r.number || len(r.stage.suspects) > 0 {
+			if g == nil || g.number != r.number || len(r.stage.suspects) > 0 {
 				continue
 			}
-			t.breakMember(r)
+			if proof, ok := g.Ended(); ok {
+				t.breakMember(r, proof)
+			}
 		}
 	}
 }
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -36,6 +36,17 @@
 	Recovered bool
 	// Expires is when the start order becomes void, on the worker's clock; zero if none was sent.
 	Expires time.Duration
+	// Resumed is true if the run may have begun with the progress of a checkpoint.
+	Resumed bool
+}
+
+// HasWorked reports whether a progress in percent shows that the run has worked, given the progress that was reported
+// before it. A resumed run reports that of its checkpoint while it waits.
+func (r *Run) HasWorked(before, percent int, first bool) bool {
+	if r.Resumed {
+		return !first && percent > before
+	}
+	return percent > 0
 }
 
 // Unlisted returns the proof, if there is one, that a run can no longer be on a worker that does not list it in an
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -31,3 +31,35 @@
 	}
 	golden.Equal(t, "testdata/unlisted.golden", out.Bytes())
 }
+
+// Guards against ending the members of a gang on silent workers while a start may still be carried out.
+func TestGangEnded(t *testing.T) {
+	for i := range 4 {
+		g := presence.Gang{Complete: i&2 > 0, Broken: i&1 > 0}
+		if _, ended := g.Ended(); ended != (g == presence.Gang{Complete: true, Broken: true}) {
+			t.Errorf("%+v: ended %v", g, ended)
+		}
+	}
+}
+
+// Guards against taking the progress of a checkpoint, which a gang member reports while it waits for the others, for work
+// of the run.
+func TestHasWorked(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		resumed, first  bool
+		before, percent int
+		want            bool
+	}{
+		{"waits", false, true, 0, 0, false},
+		{"works", false, true, 0, 1, true},
+		{"reports a checkpoint's progress", true, true, 0, 40, false},
+		{"reports it again", true, false, 40, 40, false},
+		{"works after a checkpoint", true, false, 40, 41, true},
+	} {
+		r := presence.Run{Resumed: c.resumed}
+		if got := r.HasWorked(c.before, c.percent, c.first); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
