Do not take a direct refusal for the answer to an order that a lost relay has

What callers saw: tasks ran twice at once, and the lost order overfilled workers. It takes a relay that is lost with start orders in hand, and a worker that declines calls at that moment.

Cause: when a relay's link fails, an order is repeated directly, and the direct answer was returned as the answer to the whole call. The relay may have sent the order already, or send it later, within the 1.5 s of its validity. If the worker declined the direct call (unwell, no capacity, permit, ...), the owner took that for proof that the run had not started and started the task elsewhere; with an order that was "not sent" directly, the run did not count as present on its worker when that crashed.

Why it works: a link now tells orders that were handed over from those that were still queued, or queued for a relay that could not be connected to. For the former the direct call counts only if it succeeds or is fenced; any other error becomes one of unknown outcome. The owner then repeats the start itself and waits for a hold after the order has become void, as after any call without an answer. An answer of another instance is found by that repeat, and the run then counts as possibly delivered.

Ruled out: halts (any answer holds for all attempts), holds (deadlines are on the worker's clock, ends observed only rise, and an answer is composed for a call of this owner), calls that time out while their order is queued (unknown already), orders that wait at a relay (a start is void after 1.5 s on the worker's clock, whoever sends it).

--- a/relay/agent.go
+++ b/relay/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -60,14 +61,25 @@
 
 func (a *agent) launch(ctx context.Context, l *worker.Launch) (time.Duration, error) {
 	r, err := a.callViaRelay(ctx, order{Launch: l})
-	if errors.Is(err, errRelayDown) {
-		clock, err := a.direct.Launch(ctx, l)
-		a.confirmSuspicion(err)
-		return clock, err
+	if !errors.Is(err, errRelayDown) {
+		return r.Clock, err
 	}
-	return r.Clock, err
+	clock, directErr := a.direct.Launch(ctx, l)
+	a.confirmSuspicion(directErr)
+	if directErr != nil && errors.Is(err, errOrderLost) && !isFenced(directErr) {
+		// The worker has answered this attempt, but the relay's one may still start the run.
+		return 0, fmt.Errorf("%w; the direct call failed: %s", err, directErr.Error())
+	}
+	return clock, directErr
+}
+
+func isFenced(err error) bool {
+	var refused *worker.Refusal
+	return errors.As(err, &refused) && refused.Reason == worker.ReasonFenced
 }
 
+// halt orders a stop. Any answer to it holds whether or not the relay's attempt is still under way: after a stop the run
+// can never start, and a stop that failed proves nothing.
 func (a *agent) halt(ctx context.Context, h *worker.Halt) (time.Duration, error) {
 	r, err := a.callViaRelay(ctx, order{Halt: h})
 	if errors.Is(err, errRelayDown) {
@@ -94,7 +106,7 @@
 }
 
 // callViaRelay makes a call through a relay. errRelayDown means that there is no relay or that it does not answer: the
-// call is then made directly, which is safe even if the worker has already received it.
+// call is then made directly, which is safe even if the worker has received it or, with errOrderLost, receives it later.
 func (a *agent) callViaRelay(ctx context.Context, o order) (*result, error) {
 	k := a.currentLink()
 	if k == nil {
--- a/relay/link.go
+++ b/relay/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -24,8 +25,13 @@
 	exchangeTimeout = time.Second
 )
 
-// errRelayDown means that a call has no answer because its relay failed; the worker may have received the call.
-var errRelayDown = errors.New("relay does not answer")
+var (
+	// errRelayDown means that a call has no answer because its relay failed.
+	errRelayDown = errors.New("relay does not answer")
+	// errOrderLost means that the relay failed after the order was handed over: the worker may have received it, or may
+	// still receive it.
+	errOrderLost = fmt.Errorf("%w, and it may send the order", errRelayDown)
+)
 
 // link is the connection to one relay. Each exchange sends the queued orders and fetches the available results.
 type link struct {
@@ -42,7 +48,7 @@
 	mu        sync.Mutex
 	next      uint64
 	queued    []order
-	pending   map[uint64]chan result
+	pending   map[uint64]chan answer
 	processID uint64
 	closed    bool
 
@@ -52,16 +58,23 @@
 	lastAnswer              time.Time
 }
 
+// answer ends the wait for the result of an order.
+type answer struct {
+	result *result
+	err    error
+}
+
 func newLink(node owner.Node, client *rpc.Client, log *zap.Logger, onFailure func(*link)) *link {
 	k := &link{
 		id: rand.Uint64(), node: node, client: client, log: log, onFailure: onFailure,
-		wake: make(chan struct{}, 1), pending: make(map[uint64]chan result),
+		wake: make(chan struct{}, 1), pending: make(map[uint64]chan answer),
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	return k
 }
 
-// do makes the relay execute an order. It returns errRelayDown once the relay is given up.
+// do makes the relay execute an order. Once the relay is given up, it returns errOrderLost, or errRelayDown if the order
+// was not handed over.
 func (k *link) do(ctx context.Context, o order) (*result, error) {
 	if deadline, ok := ctx.Deadline(); ok {
 		o.Timeout = time.Until(deadline)
@@ -71,11 +84,8 @@
 		return nil, errRelayDown
 	}
 	select {
-	case r, ok := <-done:
-		if !ok {
-			return nil, errRelayDown
-		}
-		return &r, nil
+	case a := <-done:
+		return a.result, a.err
 	case <-ctx.Done():
 		k.mu.Lock()
 		delete(k.pending, o.Number)
@@ -84,7 +94,7 @@
 	}
 }
 
-func (k *link) enqueue(o *order) (done chan result, ok bool) {
+func (k *link) enqueue(o *order) (done chan answer, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.closed {
@@ -92,7 +102,7 @@
 	}
 	k.next++
 	o.Number = k.next
-	done = make(chan result, 1)
+	done = make(chan answer, 1)
 	k.pending[o.Number] = done
 	k.queued = append(k.queued, *o)
 	select {
@@ -108,8 +118,7 @@
 	pause := time.NewTimer(0)
 	defer pause.Stop()
 	for {
-		orders, awaited := k.takeOrders()
-		if !awaited {
+		if !k.isAwaited() {
 			select {
 			case <-k.ctx.Done():
 				return
@@ -117,7 +126,7 @@
 			}
 			continue
 		}
-		if err := k.exchange(orders); err != nil {
+		if err := k.exchange(); err != nil {
 			k.fail(err)
 			return
 		}
@@ -130,12 +139,20 @@
 	}
 }
 
-// takeOrders returns the orders that were not sent yet, and whether any result is awaited.
-func (k *link) takeOrders() (orders []order, awaited bool) {
+// isAwaited reports whether any order is to be sent or any result is awaited.
+func (k *link) isAwaited() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.pending) > 0 || len(k.queued) > 0
+}
+
+// takeOrders returns the orders that were not sent yet, which count as handed over from now on.
+func (k *link) takeOrders() []order {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	orders, k.queued = k.queued, nil
-	return orders, len(k.pending) > 0 || len(orders) > 0
+	orders := k.queued
+	k.queued = nil
+	return orders
 }
 
 func (k *link) connect() error {
@@ -144,14 +161,14 @@
 	return k.client.Connect(ctx)
 }
 
-func (k *link) exchange(orders []order) error {
+func (k *link) exchange() error {
 	if err := k.connect(); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(k.ctx, exchangeTimeout)
 	defer cancel()
 	reply, err := rpc.Call[exchangeRequest, exchangeReply](ctx, k.client, methodExchange,
-		&exchangeRequest{Link: k.id, Orders: orders})
+		&exchangeRequest{Link: k.id, Orders: k.takeOrders()})
 	if err != nil {
 		return err
 	}
@@ -163,16 +180,21 @@
 	if k.processID != reply.ProcessID {
 		return errors.New("relay was restarted")
 	}
-	for _, r := range reply.Results {
-		// A result without a pending order is dropped: its caller has given up, and later calls return newer state.
-		if done := k.pending[r.Number]; done != nil {
-			delete(k.pending, r.Number)
-			done <- r
-		}
+	for i := range reply.Results {
+		k.answer(reply.Results[i].Number, answer{result: &reply.Results[i]})
 	}
 	return nil
 }
 
+// answer ends the wait for an order. Without a pending order it does nothing: the caller has given up, and later calls
+// return newer state.
+func (k *link) answer(number uint64, a answer) {
+	if done := k.pending[number]; done != nil {
+		delete(k.pending, number)
+		done <- a
+	}
+}
+
 // fail fails all pending orders because the relay does not answer.
 func (k *link) fail(cause error) {
 	if k.close() && cause != nil && k.ctx.Err() == nil {
@@ -188,11 +210,13 @@
 	if k.closed {
 		return false
 	}
-	k.closed, k.queued = true, nil
-	for n, done := range k.pending {
-		delete(k.pending, n)
-		close(done)
+	for i := range k.queued {
+		k.answer(k.queued[i].Number, answer{err: errRelayDown})
+	}
+	for n := range k.pending {
+		k.answer(n, answer{err: errOrderLost})
 	}
+	k.closed, k.queued = true, nil
 	return true
 }
 
