Date the refusal of a run that has ended by the clock in that answer

A start that is refused since its run has ended there makes the owner wait for a hold that lists that end. Which holds count followed from the owner's estimate of the worker's clock, which is early by the travel time of the last hold's answer, although the refusal carries the clock. An answer composed between that estimate and the refusal, before the run had begun, then counted as proof that it had never started, and its end, listed afterwards, as late: a failure was acknowledged without being counted as an attempt.

Ruled out by reading: a stop that was answered is dated by its own clock already, and a run that is confirmed after that ends only by its listed end.

--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -42,25 +42,24 @@
 	}
 	agent := r.node.agent
 	t.wg.Go(func() {
-		err := t.call(t.ctx, agent, firstLaunchTimeout, func(ctx context.Context) error {
-			_, err := agent.Launch(ctx, order)
+		var clock time.Duration
+		send := func(ctx context.Context) (err error) {
+			clock, err = agent.Launch(ctx, order)
 			return err
-		})
+		}
+		err := t.call(t.ctx, agent, firstLaunchTimeout, send)
 		unanswered := err != nil && !isDefinite(err)
 		delivered := !errors.Is(err, worker.ErrNotSent)
 		if unanswered && t.ctx.Err() == nil {
 			// A start sent to an unreachable worker stays charged there until the connection recovers or the lease
 			// expires. Giving the worker no new work early keeps the number of affected callers small.
 			t.post(func() { r.node.noAnswerAt = time.Now() })
-			err = t.call(t.ctx, agent, orderTimeout, func(ctx context.Context) error {
-				_, err := agent.Launch(ctx, order)
-				return err
-			})
+			err = t.call(t.ctx, agent, orderTimeout, send)
 			delivered = delivered || !errors.Is(err, worker.ErrNotSent)
 		}
 		t.post(func() {
 			r.undelivered = !delivered
-			t.onLaunched(r, err, unanswered)
+			t.onLaunched(r, clock, err, unanswered)
 		})
 	})
 }
@@ -71,9 +70,9 @@
 	return errors.As(err, &refused) || errors.Is(err, worker.ErrReplaced) || errors.Is(err, worker.ErrUnhealthy)
 }
 
-// onLaunched handles the final answer to a start order. unanswered is true if an earlier attempt got no answer and may
-// have been carried out, regardless of this one.
-func (t *term) onLaunched(r *run, err error, unanswered bool) {
+// onLaunched handles the final answer to a start order, and the worker's clock in it. unanswered is true if an earlier
+// attempt got no answer and may have been carried out, regardless of this one.
+func (t *term) onLaunched(r *run, clock time.Duration, err error, unanswered bool) {
 	if r.ended {
 		return
 	}
@@ -89,7 +88,7 @@
 	var refused *worker.Refusal
 	switch {
 	case errors.As(err, &refused) && (!unanswered || refused.Reason == worker.ReasonFenced):
-		t.onRefused(r, refused.Reason)
+		t.onRefused(r, clock, refused.Reason)
 	case unanswered && isDefinite(err) && !errors.Is(err, worker.ErrReplaced):
 		// A hold that is sent after the order is void shows whether the earlier attempt started the run.
 		r.node.unhealthyUntil = time.Now().Add(unhealthyDuration)
@@ -105,14 +104,14 @@
 	}
 }
 
-func (t *term) onRefused(r *run, reason worker.RefusalReason) {
+func (t *term) onRefused(r *run, clock time.Duration, reason worker.RefusalReason) {
 	switch reason {
 	case worker.ReasonFenced:
 		t.loseOwnership("a worker knows a later owner", &worker.Refusal{Reason: reason})
 	case worker.ReasonStaleRun:
-		// An earlier attempt may have succeeded, and its run may already have ended. The next hold lists that end or
-		// shows that there is none.
-		r.Expires = r.node.clockNow(time.Now())
+		// An earlier attempt may have succeeded, and its run may already have ended. A hold that is answered after this
+		// refusal lists that end or shows that there is none.
+		r.Expires = clock
 	case worker.ReasonPermit:
 		r.stage.expireTicket(r.node.id)
 		t.onNeverStarted(r, presence.Refused, "its permit had expired")
