Require proof that a leaving worker has left before its runs end

When the entry of a leaving worker was removed and was younger than 2.5 s, all its runs ended at once and started elsewhere. But the worker is not the only one that removes it: a store that was away for a moment may let an entry lapse, and the worker, which has time left, runs on.

The removal now counts only if nothing else explains it: the entry is too young to have expired by silence, the time for which the worker announced to stay is over, the store has answered this VM without a break for as long as the entry of a silent worker stays, and the worker does not answer a call that is sent after the removal. Otherwise its runs wait for its word, for another instance at its address, or for the end of its lease, as before for workers that did not announce anything. The decision is presence.Departure; the break of contact comes from the monitor of the store, which sees every call of the process: the renewals of the owner's own lease, three a second, keep it current on an idle owner.

Ruled out: an entry that is read again after a lost watch, as a reset never ended runs. Not covered: an outage of less than half a second without a failed call, beside a worker that is cut off from the owner.

--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -144,14 +144,11 @@
 // continueHolds sends the hold that was waiting for ends to become durable.
 func (t *term) continueHolds(n *node) {
 	n.observeWait++
-	if !n.isRemoved(t) && n.noHoldInFlight() {
+	if !n.isRemoved(t) && !n.holding {
 		t.sendNextHold(n, 0, 0)
 	}
 }
 
-// noHoldInFlight reports whether no hold is pending or ordered. There is at most one at a time.
-func (n *node) noHoldInFlight() bool { return !n.holding }
-
 // isRemoved reports whether the node was removed and its goroutine ended.
 func (n *node) isRemoved(t *term) bool { return t.nodes[n.id] != n }
 
@@ -167,7 +164,7 @@
 		}
 		n.lastEndObserved = n.lastEndSeen
 		t.forgetIfIdle(n)
-		if n.noHoldInFlight() && !n.isRemoved(t) {
+		if !n.holding && !n.isRemoved(t) {
 			n.observeWait++
 			t.scheduleHold(n)
 		}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -74,7 +74,7 @@
 	lastEndSeen, lastEndObserved int64
 	// unsaved is the number of entries with processed ends that are not durable yet.
 	unsaved int
-	// holding is true while a hold is pending. observeWait identifies the current wait for durable ends.
+	// holding is true while a hold is pending; there is one at most. observeWait identifies the current wait for durable ends.
 	holding     bool
 	observeWait int
 	// holdSentAt is when the latest hold was sent, probedAt when the worker was last probed in addition to a hold.
@@ -219,11 +219,8 @@
 			id := idFromKey(e.Pair.Key, t.o.WorkersPrefix)
 			delete(t.unreadable, id)
 			if n := t.nodes[id]; n != nil {
-				hasLeft := n.hasLeft(time.Now())
 				t.onUnlisted(n)
-				if hasLeft {
-					t.endAllRuns(n, presence.Left)
-				}
+				t.checkDeparture(n)
 			}
 			continue
 		}
@@ -256,15 +253,20 @@
 	t.nodes[l.ID].unreadable = false
 }
 
-// maxLeavingEntryAge is the maximum age of a leaving worker's last entry for its removal to count as the worker's own.
-// Entries of silent workers are removed only after three intervals of a second and a half.
-const maxLeavingEntryAge = 2500 * time.Millisecond
-
-// hasLeft reports whether a worker whose entry was deleted has deleted it itself on leaving, so that nothing runs there
-// any more. Without this check, its last tasks would wait for the end of a lease that nobody holds. An entry that
-// expired is older by the worker's own clock, no matter how late the watch reports it.
-func (n *node) hasLeft(now time.Time) bool {
-	return n.listing.Leaving && !n.clockAt.IsZero() && n.listing.Clock > 0 && n.clockNow(now)-n.listing.Clock < maxLeavingEntryAge
+// checkDeparture ends the runs of a worker whose entry was removed if it has left and does not answer any more. Otherwise
+// its last tasks would wait for the end of a lease that nobody holds.
+func (t *term) checkDeparture(n *node) {
+	d := presence.Departure{
+		Leaving: n.listing.Leaving, TimeLeft: n.listing.TimeLeft, Written: n.listing.Clock, Removed: n.clockNow(time.Now()), Contact: t.o.StoreContact(),
+	}
+	if _, ok := d.Left(); ok && !n.isRemoved(t) {
+		t.probeRuns(n, holdTimeoutSlack+relaySlack+t.lag.slack(), func(err error) {
+			d.Answered = isDefinite(err)
+			if proof, ok := d.Left(); ok && !n.listed && !n.isRemoved(t) {
+				t.endAllRuns(n, proof)
+			}
+		})
+	}
 }
 
 // nodeFor returns the node with that ID, and adds one that is not listed if there is none.
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -18,8 +18,10 @@
 // Options configures a Dispatcher.
 type Options struct {
 	Store *store.Store
-	// StoreFailing reports whether the store is failing, and since when.
+	// StoreFailing reports whether the store is failing, and since when; StoreContact for how long it has answered this VM
+	// without a break.
 	StoreFailing func() (since time.Time, failing bool)
+	StoreContact func() time.Duration
 	// WorkersPrefix is the key prefix of the worker entries; DecodeWorker decodes one entry.
 	WorkersPrefix string
 	DecodeWorker  func(key string, raw []byte) (worker.ListedWorker, error)
@@ -119,6 +121,9 @@
 	return func(o *Options) { o.StoreFailing = f }
 }
 
+// StoreContact sets the function that returns for how long the store has answered this VM without a break.
+func StoreContact(f func() time.Duration) Option { return func(o *Options) { o.StoreContact = f } }
+
 // Workers sets the key prefix of the worker entries, their decoder and the constructor of worker clients.
 func Workers(prefix string, decode func(string, []byte) (worker.ListedWorker, error), agent func(worker.Info) *worker.Agent) Option {
 	return func(o *Options) { o.WorkersPrefix, o.DecodeWorker, o.Agent = prefix, decode, agent }
@@ -158,9 +163,9 @@
 func newOptions(opts []Option) *Options {
 	o := &Options{
 		Logger: zap.NewNop(), MaxHold: DefaultMaxHold, StopTimeout: DefaultStopTimeout,
-		EndedRetention: DefaultEndedRetention,
-		StoreFailing:   func() (time.Time, bool) { return time.Time{}, false },
-		Config:         func() *job.Config { return nil }, Rules: func() *rule.List { return nil },
+		EndedRetention: DefaultEndedRetention, StoreContact: func() time.Duration { return 0 },
+		StoreFailing: func() (time.Time, bool) { return time.Time{}, false },
+		Config:       func() *job.Config { return nil }, Rules: func() *rule.List { return nil },
 		Nodes: func() []owner.Node { return nil },
 	}
 	for _, f := range opts {
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -28,7 +28,8 @@
 	for _, n := range t.nodes {
 		if n.holding && n.synced && n.misses == 0 && now.Sub(n.probedAt) > probeInterval && n.overdue(now) {
 			n.probedAt = now
-			t.probeRuns(n)
+			// The hold in flight shows whether the worker is reachable, so a probe without an answer is only repeated.
+			t.probeRuns(n, probeTimeout, func(error) { n.probedAt = time.Time{} })
 		}
 	}
 }
@@ -73,18 +74,17 @@
 }
 
 // probeRuns asks a worker for its runs and ends without waiting, in addition to the hold in flight.
-func (t *term) probeRuns(n *node) {
+func (t *term) probeRuns(n *node, timeout time.Duration, onFailed func(error)) {
 	agent, hold := n.agent, &worker.Hold{Fence: t.tenure.Fence, Observed: n.lastEndObserved}
 	t.o.Metrics.Counter("dispatch.askedBeside").Inc(1)
 	t.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(t.ctx, probeTimeout)
+		ctx, cancel := context.WithTimeout(t.ctx, timeout)
 		defer cancel()
 		held, err := agent.Hold(ctx, hold)
 		t.post(func() {
 			switch {
 			case err != nil:
-				// The hold in flight shows whether the worker is reachable.
-				n.probedAt = time.Time{}
+				onFailed(err)
 			case !n.isRemoved(t):
 				before := n.lastEndSeen
 				t.applyHeld(n, held, time.Now())
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -31,3 +31,41 @@
 	}
 	golden.Equal(t, "testdata/unlisted.golden", out.Bytes())
 }
+
+// Guards against ending the runs of a worker whose entry was removed by the store: the table holds the proof for each
+// state of such a worker.
+func TestLeft(t *testing.T) {
+	var out bytes.Buffer
+	w := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "leaving\twritten\tage\ttimeLeft\tcontact\tanswered\tproof")
+	left := presence.Departure{Leaving: true, Written: time.Minute, Removed: time.Minute + time.Second, Contact: time.Minute}
+	age := func(d time.Duration) func(*presence.Departure) {
+		return func(p *presence.Departure) { p.Removed = p.Written + d }
+	}
+	for _, change := range []func(d *presence.Departure){
+		func(*presence.Departure) {},
+		func(d *presence.Departure) { d.Leaving = false },
+		func(d *presence.Departure) { d.Answered = true },
+		func(d *presence.Departure) { d.Written = 0 },
+		func(d *presence.Departure) { d.Written, d.Removed = 0, time.Second },
+		age(-100 * time.Millisecond), // the estimate of the clock is early
+		age(2499 * time.Millisecond), age(2500 * time.Millisecond), age(time.Hour),
+		func(d *presence.Departure) { d.TimeLeft = time.Second },
+		func(d *presence.Departure) { d.TimeLeft = 1001 * time.Millisecond },
+		func(d *presence.Departure) { d.Contact = 4500 * time.Millisecond },
+		func(d *presence.Departure) { d.Contact = 4499 * time.Millisecond },
+		func(d *presence.Departure) { d.Contact = 0 },
+	} {
+		d := left
+		change(&d)
+		proof, ok := d.Left()
+		if !ok {
+			proof = "none"
+		}
+		fmt.Fprintf(w, "%v\t%v\t%v\t%v\t%v\t%v\t%s\n", d.Leaving, d.Written, d.Removed-d.Written, d.TimeLeft, d.Contact, d.Answered, proof)
+	}
+	if err := w.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	golden.Equal(t, "testdata/left.golden", out.Bytes())
+}
--- a/store/health/health.go
+++ b/store/health/health.go
@@ -21,12 +21,17 @@
 	maxSilence = 700 * time.Millisecond
 	// latencyWeight is the weight of the newest call in the moving average of the latency.
 	latencyWeight = 0.2
+	// maxContactGap is the longest time between two responses in unbroken contact. An idle process renews a lease more
+	// often than that.
+	maxContactGap = 500 * time.Millisecond
 )
 
 // Monitor tracks the store's responses to this process.
 type Monitor struct {
 	mu         sync.Mutex
 	lastAnswer time.Time
+	// contactSince is since when the store has responded without a break, zero if the last call failed.
+	contactSince time.Time
 	// meanLatency is the moving average of the latency of answered calls. Watches are excluded, since they wait for
 	// changes.
 	meanLatency time.Duration
@@ -77,6 +82,17 @@
 	return m.lastAnswer
 }
 
+// Contact returns for how long the store has responded to this process without a break: without a failed call, and without
+// a gap in which it may have been away unnoticed.
+func (m *Monitor) Contact() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.contactSince.IsZero() || time.Since(m.lastAnswer) > maxContactGap {
+		return 0
+	}
+	return time.Since(m.contactSince)
+}
+
 // Failing reports whether the store is failing, and since when. It is failing if consecutive calls have failed, or if
 // a call has been pending for much longer than the mean latency and no response has arrived since it was sent.
 func (m *Monitor) Failing() (since time.Time, failing bool) {
@@ -159,13 +175,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err != nil && !errors.Is(err, store.ErrLeaseGone) && !errors.Is(err, store.ErrCompacted) {
+		m.contactSince = time.Time{}
 		m.failures.add()
 		if !store.NotApplied(err) {
 			m.unknown.add()
 		}
 		return false
 	}
-	m.lastAnswer, m.failures, m.unknown = time.Now(), streak{}, streak{}
+	now := time.Now()
+	if m.contactSince.IsZero() || now.Sub(m.lastAnswer) > maxContactGap {
+		m.contactSince = now
+	}
+	m.lastAnswer, m.failures, m.unknown = now, streak{}, streak{}
 	return true
 }
 
--- a/store/health/health_test.go
+++ b/store/health/health_test.go
@@ -84,3 +84,33 @@
 		is.True(failing > 5 && failing < 20)
 	})
 }
+
+// Guards against counting contact with the store as unbroken across a moment in which the store may have been away: a
+// failed call, a late response, or a time without calls.
+func TestContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		faults := &memory.Faults{}
+		m, s := New(memory.New().Client(faults))
+		renew := func() { _, _ = s.Txn(t.Context(), store.Txn{Then: []store.Op{{Key: "k"}}}) }
+		for _, fault := range []func(){
+			func() {},
+			func() { faults.LoseAnswer(true); renew(); faults.LoseAnswer(false) },
+			func() { faults.Down(true); renew(); faults.Down(false) },
+			func() { faults.Delay(800 * time.Millisecond); renew(); faults.Delay(0) },
+			func() { time.Sleep(time.Second) },
+		} {
+			fault()
+			is.Equal(m.Contact(), time.Duration(0))
+			for range 10 {
+				renew()
+				time.Sleep(300 * time.Millisecond)
+			}
+			is.Equal(m.Contact(), 3*time.Second)
+		}
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(m.Contact(), 3200*time.Millisecond)
+		time.Sleep(time.Second)
+		is.Equal(m.Contact(), time.Duration(0))
+	})
+}
