Confirm a tenure by the owner's key instead of the VM's lease

What callers saw: "twice at once", the tasks of a worker that only a former owner reached.

Cause: Tenure.Confirmed asked the VM's store lease. A VM whose key was taken by a vote, removed or revoked renews its lease all the same. Without commits, watch events and refusals by workers it went on extending the leases of workers that its successor did not reach, although the successor counts extendGrace and one lease from its own start.

Evidence: TestReplacedOwnerStopsExtendingLeases.

Fix: a tenure keeps when the latest call was sent that showed its key to be its own: the claim, an answered commit, or a read of the key, which the owner sends once a second while there are no commits. The successor's claim is later than that call, so a lease that is extended until extendGrace after it ends before the successor counts it as over. Both clocks count. The lease is no longer asked: it says nothing beyond a key that is bound to it. The read also ends the tenure when the watch is silent, after a second or so.

In an outage the owner extends leases for 4 to 5 s after the store's last answer, not for 5.8 to 6.1 s. countGrace is 2 s, since it no longer comes on top of 1.1 s of a valid lease: the count is at most 2 s old as before, now after a vote too. An owner without commits makes one more call to the store a second (TestIdleOwnerReadsItsKeySeldom: 87 calls in 20 s, the other VM 67).

Run afterwards: go test -count=1 ./owner ./lease ./dispatch ./cmd/ctl ./relay ./front: ok.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -86,6 +86,11 @@
 	// workersListCut makes the VM's reads and watches of the workers' entries fail, while its other calls to the store
 	// go on.
 	workersListCut atomic.Bool
+	// readsSilent holds back the store's answers to the VM's reads and watches, while its other calls are answered.
+	// keyReadsSilent does the same with reads of single keys.
+	readsSilent, keyReadsSilent atomic.Bool
+	// cutFrom is the ID of a worker that the VM does not reach; nil means none.
+	cutFrom atomic.Pointer[string]
 	// overloaded makes the VM report overload and a CPU probe that is ten times as slow.
 	overloaded atomic.Bool
 	// replyDelayAsOwner delays the VM's answers to other VMs while it owns the cell.
@@ -135,7 +140,7 @@
 func (c *cell) startVMWithStrength(id string, strength int) *vm {
 	v := &vm{id: id, server: rpc.NewServer()}
 	monitor, kv := health.New(c.kv.Client(&v.store))
-	kv = v.cutWorkersList(kv)
+	kv = v.silenceReads(v.cutWorkersList(kv))
 	dial := rpc.Dial(func(ctx context.Context, address string) (net.Conn, error) {
 		if v.peersCut.Load() {
 			return nil, errors.New("connection refused")
@@ -216,6 +221,34 @@
 	return &out
 }
 
+// silenceReads returns a store whose reads and watches get no answer while readsSilent or keyReadsSilent is set.
+func (v *vm) silenceReads(kv *store.Store) *store.Store {
+	out := *kv
+	out.Range = func(ctx context.Context, r store.Range) (store.RangeResult, error) {
+		if r.End == "" && v.keyReadsSilent.Load() || r.End != "" && v.readsSilent.Load() {
+			<-ctx.Done()
+			return store.RangeResult{}, ctx.Err()
+		}
+		return kv.Range(ctx, r)
+	}
+	out.Watch = func(ctx context.Context, prefix string, from int64, each func(store.Batch)) error {
+		return kv.Watch(ctx, prefix, from, func(b store.Batch) {
+			if v.readsSilent.Load() {
+				<-ctx.Done()
+				return
+			}
+			each(b)
+		})
+	}
+	return &out
+}
+
+// reaches reports whether the VM's calls arrive at a worker.
+func (v *vm) reaches(id string) bool {
+	cut := v.cutFrom.Load()
+	return !v.workersCut.Load() && (cut == nil || *cut != id)
+}
+
 // probeCPU returns how long a fixed piece of work takes on the VM.
 func (v *vm) probeCPU() time.Duration {
 	if v.overloaded.Load() {
@@ -262,26 +295,26 @@
 	return s.Conn.Write(p)
 }
 
-// agent returns a VM's client of a worker; its calls hang while workersCut is set.
+// agent returns a VM's client of a worker; its calls hang while the VM does not reach the worker.
 func (c *cell) agent(v *vm, i worker.Info) *worker.Agent {
 	a := c.cluster.Client(i)
 	return &worker.Agent{
 		Launch: func(ctx context.Context, l *worker.Launch) (time.Duration, error) {
-			if v.workersCut.Load() {
+			if !v.reaches(i.ID) {
 				<-ctx.Done()
 				return 0, ctx.Err()
 			}
 			return a.Launch(ctx, l)
 		},
 		Halt: func(ctx context.Context, h *worker.Halt) (time.Duration, error) {
-			if v.workersCut.Load() {
+			if !v.reaches(i.ID) {
 				<-ctx.Done()
 				return 0, ctx.Err()
 			}
 			return a.Halt(ctx, h)
 		},
 		Hold: func(ctx context.Context, h *worker.Hold) (*worker.HoldReply, error) {
-			if v.workersCut.Load() {
+			if !v.reaches(i.ID) {
 				<-ctx.Done()
 				return nil, ctx.Err()
 			}
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -227,6 +227,7 @@
 	backoff := retry.New(retry.Bounds(commitRetryMin, commitRetryMax))
 	for first := true; ; first = false {
 		ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
+		sent := time.Now()
 		res, err := t.o.Store.Txn(ctx, b.txn)
 		if err == nil && !res.Succeeded {
 			var revision int64
@@ -238,6 +239,7 @@
 		cancel()
 		switch {
 		case err == nil:
+			t.tenure.RecordKept(sent)
 			return res.Revision, nil
 		case errors.Is(err, errTermClosed):
 			return 0, err
--- /dev/null
+++ b/dispatch/deaf_owner_test.go
@@ -0,0 +1,78 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"turmericgap/job"
+	"turmericgap/standin/floor"
+)
+
+// Guards against an owner that extends leases for as long as it renews its own, although another VM has taken the key:
+// it has no commits to make, hears neither the store's watches nor its peers, and is the only one to reach a worker. The
+// next owner would start the worker's tasks again while they still run.
+func TestReplacedOwnerStopsExtendingLeases(t *testing.T) {
+	for name, keyReadsSilent := range map[string]bool{"all reads are silent": true, "watches are silent": false} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCell(t, runsFor(time.Minute), "vm1", "vm2", "vm3")
+				near := c.addWorker("near", 4)
+				first := c.waitForOwner()
+				time.Sleep(time.Second)
+				c.submit(first, c.newWork("roster", job.Step{Tasks: 4}))
+				time.Sleep(4 * time.Second)
+				is.Equal(near.ActiveRuns(), 4)
+				c.isolateOwnerWith(first, near)
+				first.keyReadsSilent.Store(keyReadsSilent)
+				c.addWorker("far", 4)
+				c.waitForSuccessor(first)
+				time.Sleep(1500 * time.Millisecond)
+				is.Equal(first.dispatcher.IsOwner(), keyReadsSilent)
+				time.Sleep(30 * time.Second)
+				c.checkHistory()
+				is.Equal(c.countRuns("roster"), 8)
+				is.Equal(near.ActiveRuns(), 0)
+				first.repliesCut.Store(false)
+			})
+		})
+	}
+}
+
+// Guards against an idle owner that reads its key more often than needed: each call to the store has a price.
+func TestIdleOwnerReadsItsKeySeldom(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(time.Second), "vm1", "vm2")
+		first := c.waitForOwner()
+		time.Sleep(time.Second)
+		calls := make(map[bool]int64)
+		for _, v := range c.vms {
+			calls[v == first] -= v.store.Calls()
+		}
+		time.Sleep(20 * time.Second)
+		for _, v := range c.vms {
+			calls[v == first] += v.store.Calls()
+		}
+		t.Logf("calls of the owner and of the other VM in 20 s: %d and %d", calls[true], calls[false])
+		is.True(calls[true]-calls[false] <= 20)
+		is.True(first.dispatcher.IsOwner())
+	})
+}
+
+// isolateOwnerWith cuts an owner off from the other VMs and from all reads of lists and watches. The other VMs do not
+// reach a worker that the owner goes on reaching.
+func (c *cell) isolateOwnerWith(v *vm, w *floor.Worker) {
+	id := w.Info().ID
+	for _, other := range c.vms {
+		if other != v {
+			other.cutFrom.Store(&id)
+		}
+	}
+	time.Sleep(500 * time.Millisecond) // until the owner knows the worker
+	v.readsSilent.Store(true)
+	v.peersCut.Store(true)
+	v.repliesCut.Store(true)
+}
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -78,7 +78,7 @@
 	extendGrace = 5 * time.Second
 	// countGrace is how long after its tenure was last confirmed an owner still counts waiting work: the count may be
 	// up to two seconds old.
-	countGrace = time.Second
+	countGrace = 2 * time.Second
 	// clockDriftFactor allows for a worker clock that runs 2% slow, with a safety factor of two.
 	clockDriftFactor = 0.04
 	// expiryMargin allows for the network delay of a hold.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -82,16 +82,12 @@
 func (h *Holder) Valid() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.id != 0 && !h.closed && beforeBothClocks(time.Now(), h.deadline, h.deadline.Round(0))
+	return h.id != 0 && !h.closed && Before(h.deadline)
 }
 
-// ValidWithGrace reports whether the lease was valid until at most grace ago. Like Valid it checks both clocks, so that
-// a suspended VM does not trust an old lease.
-func (h *Holder) ValidWithGrace(grace time.Duration) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	until := h.deadline.Add(grace)
-	return h.id != 0 && !h.closed && beforeBothClocks(time.Now(), until, until.Round(0))
+// Before reports whether a deadline has not been reached, by the monotonic and the wall clock.
+func Before(deadline time.Time) bool {
+	return beforeBothClocks(time.Now(), deadline, deadline.Round(0))
 }
 
 // beforeBothClocks compares both the monotonic and the wall clock, and both must agree. The monotonic clock of a
@@ -104,7 +100,7 @@
 func (h *Holder) Wait(ctx context.Context) (int64, error) {
 	for {
 		h.mu.Lock()
-		id, valid, changed := h.id, h.id != 0 && beforeBothClocks(time.Now(), h.deadline, h.deadline.Round(0)), h.changed
+		id, valid, changed := h.id, h.id != 0 && Before(h.deadline), h.changed
 		h.mu.Unlock()
 		if valid {
 			return id, nil
--- a/owner/claim.go
+++ b/owner/claim.go
@@ -72,7 +72,7 @@
 			g.replaceStaleKey(p)
 		}
 	case p.ModRevision > lost && !leaving:
-		g.beginTenure(p.ModRevision)
+		g.beginTenure(p.ModRevision, time.Time{})
 	default:
 		g.releaseKey(&Tenure{Key: ownerKey, Revision: p.ModRevision})
 	}
@@ -120,7 +120,7 @@
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, callTimeout)
 	defer cancel()
-	leaseID := g.lease.ID()
+	leaseID, sent := g.lease.ID(), time.Now()
 	res, err := g.store.Txn(ctx, store.Txn{
 		Compares: []store.Compare{{Key: ownerKey, Target: store.ModRevision, Revision: expectedRevision}},
 		Then:     []store.Op{{Key: ownerKey, Value: raw, Lease: leaseID}},
@@ -131,7 +131,7 @@
 		return false
 	}
 	if res.Succeeded {
-		g.beginTenure(res.Revision)
+		g.beginTenure(res.Revision, sent)
 	}
 	return res.Succeeded
 }
@@ -139,17 +139,19 @@
 // confirmClaim reads the owner key after a claim whose response was lost. If the key is bound to this VM's current
 // lease, the claim of this process succeeded.
 func (g *Group) confirmClaim(ctx context.Context, leaseID int64) {
+	sent := time.Now()
 	res, err := g.store.Range(ctx, store.Range{Key: ownerKey})
 	if err != nil || len(res.Pairs) == 0 {
 		return
 	}
 	if p := res.Pairs[0]; p.Lease == leaseID {
-		g.beginTenure(p.ModRevision)
+		g.beginTenure(p.ModRevision, sent)
 	}
 }
 
-// beginTenure starts a tenure and runs the RunTenure function in it.
-func (g *Group) beginTenure(revision int64) {
+// beginTenure starts a tenure and runs the RunTenure function in it. keptAt is when the call was sent that has shown the
+// key to be this VM's; zero means that its age is unknown.
+func (g *Group) beginTenure(revision int64, keptAt time.Time) {
 	g.mu.Lock()
 	if g.tenure != nil || g.leaving || revision <= g.lostRevision {
 		g.mu.Unlock()
@@ -157,9 +159,11 @@
 	}
 	ctx, cancel := context.WithCancel(g.ctx)
 	t := &Tenure{
-		Fence: revision, Key: ownerKey, Revision: revision, Confirmed: g.lease.ValidWithGrace,
+		Fence: revision, Key: ownerKey, Revision: revision,
 		ReportLost: func() { go g.endTenure("reported lost") },
 	}
+	t.Confirmed = t.keptWithin
+	t.RecordKept(keptAt)
 	done := make(chan struct{})
 	g.tenure, g.tenureSince, g.cancelTenure, g.tenureDone = t, time.Now(), cancel, done
 	g.mu.Unlock()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -71,6 +71,7 @@
 	Confirmed func(grace time.Duration) bool
 	// ReportLost reports that the tenure has ended, as learned from a commit or a worker.
 	ReportLost func()
+	kept       keyEvidence
 }
 
 // Compare returns the transaction condition that holds while the tenure lasts.
@@ -152,6 +153,7 @@
 	g.wg.Go(g.claimLoop)
 	g.wg.Go(g.registerLoop)
 	g.wg.Go(g.takeoverLoop)
+	g.wg.Go(g.confirmLoop)
 }
 
 // Self returns this VM's node.
