Count a worker's lease from the start orders that extend it

What callers saw: "twice at once" and "started again after it was done".

Cause: a start order extends the lease of its worker to the end of its own validity, but the owner moved the end of the lease only with holds. If the intent of a run waits for the store while its worker falls silent, the order is sent just before that end. The run counted as over up to 1.5 s before the order is void, and the worker carried the order out.

Ruled out: nodes that are added in an old term, whose initial lease end lies in the past. Nothing starts on a worker before its first answer, and the hold that follows in the same event moves the end, as does the one after its first miss. Only an owner whose tenure is not confirmed at both could end a run early; the order moves the end there too.

Fix: the end of the lease follows from the time that an order or a hold carries and from the latest reading of the worker's clock, which may have run slow since then. It no longer includes the pause before a hold, as a hold carries a time that is fixed before the pause.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -35,6 +35,7 @@
 
 const (
 	workersPrefix = "workers/"
+	commitPrefix  = "turmericgap/commit/"
 	pool          = "course-desk"
 	maxHold       = 10 * time.Second
 )
@@ -89,6 +90,9 @@
 	// readsSilent holds back the store's answers to the VM's reads and watches, while its other calls are answered.
 	// keyReadsSilent does the same with reads of single keys.
 	readsSilent, keyReadsSilent atomic.Bool
+	// commitAnswersLost loses the answers to the VM's commits, which take effect, while its other calls are answered.
+	// commitAnswersHeld delays them until it is reset, as in a process that stands still.
+	commitAnswersLost, commitAnswersHeld atomic.Bool
 	// cutFrom is the ID of a worker that the VM does not reach; nil means none.
 	cutFrom atomic.Pointer[string]
 	// overloaded makes the VM report overload and a CPU probe that is ten times as slow.
@@ -140,7 +144,7 @@
 func (c *cell) startVMWithStrength(id string, strength int) *vm {
 	v := &vm{id: id, server: rpc.NewServer()}
 	monitor, kv := health.New(c.kv.Client(&v.store))
-	kv = v.silenceReads(v.cutWorkersList(kv))
+	kv = v.disturbCommits(v.silenceReads(v.cutWorkersList(kv)))
 	dial := rpc.Dial(func(ctx context.Context, address string) (net.Conn, error) {
 		if v.peersCut.Load() {
 			return nil, errors.New("connection refused")
@@ -243,6 +247,25 @@
 	return &out
 }
 
+// disturbCommits returns a store whose answers to commits are lost or delayed while commitAnswersLost or
+// commitAnswersHeld is set.
+func (v *vm) disturbCommits(kv *store.Store) *store.Store {
+	out := *kv
+	out.Txn = func(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+		res, err := kv.Txn(ctx, txn)
+		isCommit := strings.HasPrefix(txn.Then[0].Key, commitPrefix)
+		for isCommit && v.commitAnswersHeld.Load() && !v.dead.Load() {
+			time.Sleep(slowPollInterval)
+		}
+		if isCommit && v.commitAnswersLost.Load() {
+			<-ctx.Done()
+			return store.TxnResult{}, ctx.Err()
+		}
+		return res, err
+	}
+	return &out
+}
+
 // reaches reports whether the VM's calls arrive at a worker.
 func (v *vm) reaches(id string) bool {
 	cut := v.cutFrom.Load()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -153,7 +153,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if !t.isTenureConfirmed() {
+	if !t.tenure.Confirmed(countGrace) {
 		return 0, rpc.Refused(ownerRetryAfter,
 			"the store has not confirmed for a while that this entry VM owns the cell")
 	}
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/presence"
 	"turmericgap/worker"
 )
 
@@ -36,11 +37,8 @@
 
 // initialLeaseEnd returns when a lease from a former owner has certainly expired on a worker that this term has never
 // reached. The former owner may have extended it for extendGrace.
-func (t *term) initialLeaseEnd() time.Time { return t.startedAt.Add(extendGrace + t.maxLeaseSpan()) }
-
-// maxLeaseSpan returns how long after a hold was sent the lease may last, including the drift of the worker's clock.
-func (t *term) maxLeaseSpan() time.Duration {
-	return t.o.MaxHold + time.Duration(clockDriftFactor*float64(t.o.MaxHold)) + expiryMargin
+func (t *term) initialLeaseEnd() time.Time {
+	return t.startedAt.Add(extendGrace + presence.MaxSpan(t.o.MaxHold))
 }
 
 // sendHolds sends the holds of one worker, one at a time.
@@ -83,9 +81,8 @@
 	now := time.Now()
 	h := worker.Hold{Fence: t.tenure.Fence, Observed: n.lastEndObserved, Wait: wait}
 	if n.synced && n.misses < extendMissLimit && t.tenure.Confirmed(extendGrace) {
-		// The hold is sent after the pause, so the lease lasts that much less from its arrival.
 		h.Until = n.clockNow(now) + t.o.MaxHold
-		n.leaseEnd = now.Add(pause + t.maxLeaseSpan())
+		n.leaseEnd = n.lastTimeOf(h.Until)
 	}
 	n.holding, n.holdSentAt, n.holdDue = true, now.Add(pause), now.Add(pause+wait+holdLateAfter)
 	n.holdOrders <- holdOrder{hold: h, pause: pause}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -105,6 +105,11 @@
 // clockNow estimates the worker's clock. The estimate is early by the travel time of the last answer.
 func (n *node) clockNow(now time.Time) time.Duration { return n.clock + now.Sub(n.clockAt) }
 
+// lastTimeOf returns when the worker's clock has certainly passed a reading, whenever an order with it arrives.
+func (n *node) lastTimeOf(reading time.Duration) time.Time {
+	return n.clockAt.Add(presence.MaxSpan(reading - n.clock))
+}
+
 // usable reports whether new runs may be placed on the worker.
 func (n *node) usable(now time.Time) bool {
 	return n.listed && !n.unreadable && n.synced && !n.listing.Leaving && n.unknownRuns == 0 && n.misses == 0 &&
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -77,12 +77,8 @@
 	// expired.
 	extendGrace = 5 * time.Second
 	// countGrace is how long after its tenure was last confirmed an owner still counts waiting work: the count may be
-	// up to two seconds old.
+	// up to two seconds old, and an owner that was replaced without noticing does not know newer work.
 	countGrace = 2 * time.Second
-	// clockDriftFactor allows for a worker clock that runs 2% slow, with a safety factor of two.
-	clockDriftFactor = 0.04
-	// expiryMargin allows for the network delay of a hold.
-	expiryMargin = 300 * time.Millisecond
 	// launchValidity is how long a start order is valid. It leaves time for a second attempt and limits how long
 	// capacity is charged for a start without an answer.
 	launchValidity = 1500 * time.Millisecond
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -36,6 +36,9 @@
 	task := &r.stage.tasks[r.index]
 	r.sentAt, r.Uncertain = now, true
 	r.Expires = r.node.clockNow(now) + launchValidity
+	if end := r.node.lastTimeOf(r.Expires); end.After(r.node.leaseEnd) {
+		r.node.leaseEnd = end // the order extends the lease of the whole worker
+	}
 	order := &worker.Launch{
 		Task: r.task(), Run: r.number, Spec: r.stage.entry.work.Spec, Until: r.Expires, Fence: t.tenure.Fence,
 		Permit: r.stage.ticket(r.node.id), Checkpoint: task.checkpoint,
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -77,10 +77,6 @@
 	return end.State
 }
 
-// isTenureConfirmed reports whether the store has recently confirmed the tenure. An owner that was replaced without
-// noticing does not know the newest work.
-func (t *term) isTenureConfirmed() bool { return t.tenure.Confirmed(countGrace) }
-
 func (t *term) countWaiting(queue string) int {
 	n := 0
 	for _, e := range t.entries {
