Send no start order long after the tenure was last confirmed

What callers saw: "twice at once", on a worker that only a former owner reached.

Cause: an owner sends a start order as soon as it handles the answer to the commit of the intent, however late that is. An owner that stood still, or whose commit was resolved late, sent it after its successor had counted the worker's lease as expired and had started the task elsewhere. A worker that the successor did not reach does not refuse it.

Evidence: TestReplacedOwnerSendsNoStart.

Fix: like a hold that extends a lease, an order is sent only if the tenure was confirmed within extendGrace. The run counts as not sent, and its task is placed again if the tenure still lasts.

Run afterwards: go test -count=1 ./dispatch ./presence: ok.

--- a/dispatch/late_start_test.go
+++ b/dispatch/late_start_test.go
@@ -42,3 +42,27 @@
 	c.waitForState(v, "roster", job.WorkCompleted, 30*time.Second)
 	c.checkHistory()
 }
+
+// Guards against sending a start order long after its intent became durable, by an owner that was replaced meanwhile and
+// does not know it. The worker that the next owner could not reach would start a task that now runs elsewhere.
+func TestReplacedOwnerSendsNoStart(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(20*time.Second), "vm1", "vm2", "vm3")
+		first := c.waitForOwner()
+		time.Sleep(time.Second)
+		c.submit(first, c.newWork("roster", job.Step{Tasks: 1}))
+		first.commitAnswersHeld.Store(true)
+		c.isolateOwnerWith(first, c.addWorker("near", 4))
+		first.keyReadsSilent.Store(true)
+		c.addWorker("far", 4)
+		next := c.waitForSuccessor(first)
+		time.Sleep(18 * time.Second)
+		is.Equal(c.countRuns("roster"), 1)
+		first.commitAnswersHeld.Store(false)
+		time.Sleep(2 * time.Second)
+		first.repliesCut.Store(false)
+		c.waitForState(next, "roster", job.WorkCompleted, 30*time.Second)
+		c.checkHistory()
+	})
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -32,6 +32,9 @@
 	case t.isWorkerListStale(now):
 		t.onNeverStarted(r, presence.NotSent, "the worker's capacity may have shrunk unnoticed")
 		return
+	case !t.tenure.Confirmed(extendGrace):
+		t.onNeverStarted(r, presence.NotSent, "the tenure is not confirmed")
+		return
 	}
 	task := &r.stage.tasks[r.index]
 	r.sentAt, r.Uncertain = now, true
