--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -32,10 +32,16 @@
 	case t.isWorkerListStale(now):
 		t.onNeverStarted(r, presence.NotSent, "the worker's capacity may have shrunk unnoticed")
 		return
+	case !t.tenure.Confirmed(extendGrace):
+		t.onNeverStarted(r, presence.NotSent, "the tenure is not confirmed")
+		return
 	}
 	task := &r.stage.tasks[r.index]
 	r.sentAt, r.Uncertain, r.Resumed = now, true, task.checkpoint != ""
 	r.Expires = r.node.clockNow(now) + launchValidity
+	if end := r.node.lastTimeOf(r.Expires); end.After(r.node.leaseEnd) {
+		r.node.leaseEnd = end // the order extends the lease of the whole worker
+	}
 	order := &worker.Launch{
 		Task: r.task(), Run: r.number, Spec: r.stage.entry.work.Spec, Until: r.Expires, Fence: t.tenure.Fence,
 		Permit: r.stage.ticket(r.node.id), Checkpoint: task.checkpoint,
