Observe a late failure of a work only once the end of the work is durable

What callers saw: a gang whose attempts were used up started once more (rule BUDGET).

Cause: a failure that a worker reports after its run was counted as over was dropped if the work had ended, and acknowledged with the next hold. Whether the end of the work was durable did not matter. If the commit with that end (a cancellation, say) was lost with its owner, the successor took up the work with a run that might still turn out to have failed, but the worker had forgotten that.

Change: such an end is observed after the save or commit of its work, like any other; there is nothing to count, as the work either ends with that commit or is taken up by an owner to whom the worker reports the failure again.

Ruled out: late ends of other outcomes need no save. A run counts as over without its worker's report only if it never was there, or ended with its gang, its worker or the worker's lease, and none of them leaves an end as done that is heard later. A member that is counted as over, but not durably so, is restored by the successor, which asks its worker.

--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -81,6 +81,7 @@
 		zap.Int("step", e.Task.Step), zap.Int("task", e.Task.Index), zap.Int64("run", e.Run), zap.String("worker", n.id),
 		zap.String("how", string(e.Outcome)))
 	if entry.state.Final() {
+		t.observeAfterSave(n, entry) // until then the work may continue under another owner
 		return
 	}
 	for _, o := range entry.occurrences {
