Keep an unlisted worker until the end of its last run is durable

Callers saw a task start again after it had ended (rule TWICE). A worker whose entry has expired, as during an outage of the store, reports the end of its last run. The owner forgot the worker as it released the run, before it had counted the end as not durable. When the entry came back, the worker was added as a new one, listed the end again, and was told at once that it had been observed. If the owner died before its commit, the successor found the run as started and the worker without it: "run never began, fenced", and started the task again. Besides, once the commit was answered, the former node removed the new one of the same ID from the owner's state.

Workers without runs are now forgotten by the callers that end runs, after the saves are counted, and a node that was removed once is not removed again. Nothing is told to a worker after its removal.

Ruled out: TestEndIsNotNotedBeforeItIsDurable covers the other order, an entry that is removed after the end was reported; it passed all along.

--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -56,6 +56,7 @@
 	t.accounts.shares.Undo(&share)
 	t.log.Info("dispatch: run never began", append(r.evidence(proof, time.Now()), zap.String("reason", reason))...)
 	t.endRun(r, worker.OutcomeStopped, "")
+	t.forgetIfIdle(r.node)
 }
 
 // evidence returns the log fields of a run that ends without its worker's report: the proof, and what the owner knows of
@@ -82,9 +83,6 @@
 	t.accounts.ledger.Release(r.stage.entry.work.Account, r.stage.spec.TaskResources)
 	r.stage.entry.activeRuns--
 	t.passNeeded = true
-	if len(r.node.runs) == 0 {
-		t.forgetIfIdle(r.node)
-	}
 }
 
 // saveUnlessEnded saves an entry, unless a commit already contains its end.
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -111,7 +111,7 @@
 	n.misses, n.silentSince = 0, time.Time{}
 	t.applyHeld(n, held, now)
 	n.synced = true
-	if n.unsaved == 0 {
+	if n.unsaved == 0 && !n.isRemoved(t) {
 		n.lastEndObserved = n.lastEndSeen
 		t.scheduleHold(n)
 		return
@@ -212,6 +212,7 @@
 			t.onLateEnd(n, e)
 		}
 	}
+	t.forgetIfIdle(n)
 }
 
 // onActive compares the runs that the worker lists with those that it should have.
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -333,7 +333,7 @@
 // yet. If the entry of such a worker came back, the worker would be added as a new one, list these ends again, and be
 // told that they were observed, since the new node has no pending save.
 func (t *term) forgetIfIdle(n *node) {
-	if n.listed || len(n.runs) > 0 || n.unsaved > 0 || len(n.brokenMembers) > 0 {
+	if n.listed || len(n.runs) > 0 || n.unsaved > 0 || len(n.brokenMembers) > 0 || n.isRemoved(t) {
 		return
 	}
 	if n.stop != nil {
--- a/dispatch/removed_entry_test.go
+++ b/dispatch/removed_entry_test.go
@@ -111,3 +111,29 @@
 		})
 	}
 }
+
+// Guards against acknowledging an end that is not durable to a worker that was not listed as it reported it, and is
+// listed again. The owner dies before the end is durable, and its successor must find the end at the worker.
+func TestEndOfUnlistedWorkerOutlivesOwner(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(3*time.Second), "vm1", "vm2")
+		w := c.addWorkers(1, 1)[0]
+		first := c.waitForOwner()
+		time.Sleep(5 * time.Second)
+		c.submit(first, c.newWork("roster", job.Step{Tasks: 1}))
+		time.Sleep(time.Second)
+		c.put(store.Op{Delete: true, Key: workersPrefix + w.Info().ID})
+		c.submit(first, c.newWork("next", job.Step{Tasks: 2})) // the worker is asked for its ends without a pause
+		time.Sleep(1950 * time.Millisecond)
+		first.store.DeferNext(1000, time.Hour)
+		time.Sleep(100 * time.Millisecond)
+		c.register(worker.ListedWorker{Info: w.Info(), Pool: pool, Labels: []string{"a", "r1"}})
+		time.Sleep(200 * time.Millisecond)
+		c.kill(first)
+		c.waitForState(c.waitForOwner(), "next", job.WorkCompleted, 30*time.Second)
+		c.waitForState(c.waitForOwner(), "roster", job.WorkCompleted, 30*time.Second)
+		c.checkHistory()
+		is.Equal(c.countRuns("roster"), 1)
+	})
+}
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -210,6 +210,7 @@
 	r.stage.addUnresolved(r.number, n)
 	t.log.Info("dispatch: run over with its gang", r.evidence(presence.GangEnded, time.Now())...)
 	t.endRun(r, worker.OutcomeGangBroken, "")
+	t.forgetIfIdle(n)
 }
 
 // recordsOfCrashes returns the durable form of what is held against the tasks of a stage.
