Observe every late end after the changes of its work

A late end was observed after a pending change only if it was a counted failure, or if its work had ended. All late ends wait now for what was decided about their work meanwhile, without cases to reason about. The counting of a late failure is a function of its own. No test failed for this; the tests of late ends, gangs, owners and leaving workers pass.

--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -82,30 +82,26 @@
 	t.log.Info("dispatch: end of a run that was over", zap.String("id", e.Task.Work), zap.Int("occurrence", e.Task.Occurrence),
 		zap.Int("step", e.Task.Step), zap.Int("task", e.Task.Index), zap.Int64("run", e.Run), zap.String("worker", n.id),
 		zap.String("how", string(e.Outcome)))
-	if entry.state.Final() {
-		t.observeAfterSave(n, entry) // until then the work may continue under another owner
-		return
-	}
 	for _, o := range entry.occurrences {
-		if o.number != e.Task.Occurrence || e.Task.Step >= len(o.stages) {
-			continue
-		}
-		s := o.stages[e.Task.Step]
-		for _, u := range s.unresolved {
-			if u.number != e.Run || u.worker != n.id || e.Outcome != worker.OutcomeFailed {
-				continue
-			}
-			s.unresolved = slices.DeleteFunc(s.unresolved, func(o unresolvedRun) bool { return o.number == e.Run })
-			s.failures++
-			t.log.Info("dispatch: a failure was heard of late", zap.String("id", e.Task.Work),
-				zap.Int("step", e.Task.Step),
-				zap.Int64("run", e.Run), zap.String("worker", n.id), zap.Int("fails", s.failures))
-			if s.failures >= entry.queue.MaxAttempts && !s.spec.Service {
-				t.failWork(s)
-			}
-			t.saveUnlessEnded(entry)
-			t.observeAfterSave(n, entry)
-			return
+		if o.number == e.Task.Occurrence && e.Task.Step < len(o.stages) && e.Outcome == worker.OutcomeFailed && !entry.state.Final() {
+			t.countLateFailure(n, o.stages[e.Task.Step], e.Run)
 		}
 	}
+	// What was decided meanwhile may not be durable, and the work may continue under another owner.
+	t.observeAfterSave(n, entry)
+}
+
+// countLateFailure counts the failure of an unresolved run.
+func (t *term) countLateFailure(n *node, s *stage, number int64) {
+	if !slices.ContainsFunc(s.unresolved, func(u unresolvedRun) bool { return u.number == number && u.worker == n.id }) {
+		return
+	}
+	s.unresolved = slices.DeleteFunc(s.unresolved, func(u unresolvedRun) bool { return u.number == number })
+	s.failures++
+	t.log.Info("dispatch: a failure was heard of late", zap.String("id", s.entry.work.ID), zap.Int("step", s.index),
+		zap.Int64("run", number), zap.String("worker", n.id), zap.Int("fails", s.failures))
+	if s.failures >= s.entry.queue.MaxAttempts && !s.spec.Service {
+		t.failWork(s)
+	}
+	t.saveUnlessEnded(s.entry)
 }
