Believe no refusal of a start that a lost relay may still send

What callers saw: "twice at once" and "started again after it was done" in a cell whose owner reaches workers by relays.

Cause: if the connection to a relay breaks while it has a start order, the owner's agent repeats the order directly and returned that answer as the only one. A worker that was unwell, or had no room at that moment, refused the second copy; the run counted as never started, and its task was placed again. The relay's copy was carried out later, within its validity.

Evidence: TestRefusalAfterALostRelay. TestRefusalAfterLostRelay in ./relay fails for the answers unhealthy, not sent and no capacity.

Ruled out: orders that were never handed to a relay (errNoRelay), stops and holds, whose repetition does no harm, and orders that the relay itself reports as refused, which it sends once.

Fix: unless no relay has had the order, a refusal of the repeated one is an unknown outcome, as after a first attempt without an answer: the owner waits until the order is void on the worker's clock. Fences and replaced instances hold for both copies and pass.

Run afterwards: go test -count=1 ./relay ./dispatch: ok.

--- a/dispatch/relay_test.go
+++ b/dispatch/relay_test.go
@@ -8,20 +8,21 @@
 	"github.com/matryer/is"
 
 	"turmericgap/job"
+	"turmericgap/standin/floor"
 	"turmericgap/worker"
 )
 
 // newRelayedCell returns a cell whose owner calls two of its 24 workers directly and the others through relays.
-func newRelayedCell(t *testing.T) (c *cell, first *vm) {
+func newRelayedCell(t *testing.T) (c *cell, first *vm, workers []*floor.Worker) {
 	c = newCell(t, runsFor(2*time.Second))
 	c.directWorkers = 2
 	for i := range 5 {
 		c.startVM(fmt.Sprint("vm", i+1))
 	}
-	c.addWorkers(24, 4)
+	workers = c.addWorkers(24, 4)
 	first = c.waitForOwner()
 	time.Sleep(2 * time.Second)
-	return c, first
+	return c, first, workers
 }
 
 // usedRelays returns the VMs that have relayed calls for an owner.
@@ -47,7 +48,7 @@
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
 				is := is.New(t)
-				c, first := newRelayedCell(t)
+				c, first, _ := newRelayedCell(t)
 				for i := range 6 {
 					c.submit(first, c.newWork(fmt.Sprint("before", i), job.Step{Tasks: 8}))
 				}
@@ -80,7 +81,7 @@
 func TestLateOrdersOfARelay(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
-		c, first := newRelayedCell(t)
+		c, first, _ := newRelayedCell(t)
 		relays := c.usedRelays(first)
 		relays[0].callDelay.Store(int64(1200 * time.Millisecond))
 		for i := range 6 {
@@ -98,3 +99,30 @@
 		c.checkHistory()
 	})
 }
+
+// Guards against believing a worker's refusal of an order that a lost relay had taken before: the owner repeats the order
+// itself, and the relay's own call may still be carried out when the worker is well again.
+func TestRefusalAfterALostRelay(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c, first, workers := newRelayedCell(t)
+		setUnwell := func(on bool) {
+			for _, w := range workers {
+				w.SetFaults(floor.Faults{Unwell: on})
+			}
+		}
+		r := c.usedRelays(first)[0]
+		r.callDelay.Store(int64(time.Second))
+		for i := range 6 {
+			c.submit(first, c.newWork(fmt.Sprint("work", i), job.Step{Tasks: 8}))
+		}
+		time.Sleep(50 * time.Millisecond)
+		setUnwell(true)
+		r.server.Close()
+		time.Sleep(100 * time.Millisecond)
+		setUnwell(false)
+		for i := range 6 {
+			c.waitForState(first, fmt.Sprint("work", i), job.WorkCompleted, 20*time.Second)
+		}
+		c.checkHistory()
+	})
+}
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -61,13 +61,26 @@
 func (a *agent) launch(ctx context.Context, l *worker.Launch) (time.Duration, error) {
 	r, err := a.callViaRelay(ctx, order{Launch: l})
 	if errors.Is(err, errRelayDown) {
-		clock, err := a.direct.Launch(ctx, l)
-		a.confirmSuspicion(err)
-		return clock, err
+		clock, directErr := a.direct.Launch(ctx, l)
+		a.confirmSuspicion(directErr)
+		if !errors.Is(err, errNoRelay) {
+			directErr = hideRefusal(directErr)
+		}
+		return clock, directErr
 	}
 	return r.Clock, err
 }
 
+// hideRefusal makes the refusal of a repeated order an unknown outcome, since the worker may still receive the order from
+// the lost relay. Refusals that hold for all orders of this owner to this instance remain.
+func hideRefusal(err error) error {
+	var refused *worker.Refusal
+	if err == nil || errors.Is(err, worker.ErrReplaced) || errors.As(err, &refused) && refused.Reason == worker.ReasonFenced {
+		return err
+	}
+	return errors.New("lost relay may still send the order: " + err.Error())
+}
+
 func (a *agent) halt(ctx context.Context, h *worker.Halt) (time.Duration, error) {
 	r, err := a.callViaRelay(ctx, order{Halt: h})
 	if errors.Is(err, errRelayDown) {
@@ -94,11 +107,11 @@
 }
 
 // callViaRelay makes a call through a relay. errRelayDown means that there is no relay or that it does not answer: the
-// call is then made directly, which is safe even if the worker has already received it.
+// call is then made directly, which is safe even if the worker has already received it. errNoRelay means that it has not.
 func (a *agent) callViaRelay(ctx context.Context, o order) (*result, error) {
 	k := a.currentLink()
 	if k == nil {
-		return &result{}, errRelayDown
+		return &result{}, errNoRelay
 	}
 	o.Worker, o.Address = a.info.ID, a.info.Address
 	a.relays.opts.Metrics.Counter("relay.calls").Inc(1)
--- a/relay/link.go
+++ b/relay/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -24,8 +25,12 @@
 	exchangeTimeout = time.Second
 )
 
-// errRelayDown means that a call has no answer because its relay failed; the worker may have received the call.
-var errRelayDown = errors.New("relay does not answer")
+var (
+	// errRelayDown means that a call has no answer because its relay failed; the worker may have received the call.
+	errRelayDown = errors.New("relay does not answer")
+	// errNoRelay is an errRelayDown of a call that no relay has received.
+	errNoRelay = fmt.Errorf("no relay has the call: %w", errRelayDown)
+)
 
 // link is the connection to one relay. Each exchange sends the queued orders and fetches the available results.
 type link struct {
@@ -68,7 +73,7 @@
 	}
 	done, ok := k.enqueue(&o)
 	if !ok {
-		return nil, errRelayDown
+		return nil, errNoRelay
 	}
 	select {
 	case r, ok := <-done:
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -141,6 +141,40 @@
 	}
 }
 
+// A start that a lost relay had received may still reach the worker, whatever the worker answers to the repeated one: only
+// answers that hold for both may pass as definite. An order that no relay has received is not affected.
+func TestRefusalAfterLostRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for answer, definite := range map[error]bool{
+			nil: true, worker.ErrReplaced: true, &worker.Refusal{Reason: worker.ReasonFenced}: true, worker.ErrUnhealthy: false,
+			worker.ErrNotSent: false, &worker.Refusal{Reason: worker.ReasonNoCapacity}: false,
+		} {
+			for _, relayed := range []bool{false, true} {
+				v := newVMs(1, "north")
+				v.servers["north0"].direct = func(worker.Info) *worker.Agent {
+					return &worker.Agent{Launch: func(ctx context.Context, _ *worker.Launch) (time.Duration, error) {
+						v.rpc["north0"].Close()
+						<-ctx.Done()
+						return 0, ctx.Err()
+					}}
+				}
+				r := v.newRelays()
+				r.opts.DirectAgent = func(worker.Info) *worker.Agent { return fakeAgent("self", answer) }
+				if relayed {
+					r.opts.MaxDirect = 0
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				_, err := r.Agent(worker.Info{ID: "w", Zone: "north"}).Launch(ctx, &worker.Launch{})
+				if errors.Is(err, answer) != (definite || !relayed) || ctx.Err() != nil {
+					t.Errorf("answer %v, relayed %v: %v", answer, relayed, err)
+				}
+				cancel()
+				v.close(r)
+			}
+		}
+	})
+}
+
 // A restarted relay has lost its orders; the owner's calls must not wait for answers that never come.
 func TestRelayRestarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
