Extend no lease by an old reading of the worker's clock

What callers would see: a task that runs on for longer than a successor assumes.

Cause: the time that a hold carries is an estimate of the worker's clock, which may be 2% slow. It is late by 2% of the age of the latest reading. An owner that stood still for half a minute or more gave a lease that ended later than one lease and its margin after the order, from which its successor counts.

Fix: a hold extends the lease only while the reading is younger than a lease. The next answer brings a new one.

--- a/dispatch/deaf_owner_test.go
+++ b/dispatch/deaf_owner_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -15,32 +16,38 @@
 // next owner would start the worker's tasks again while they still run.
 func TestReplacedOwnerStopsExtendingLeases(t *testing.T) {
 	for name, keyReadsSilent := range map[string]bool{"all reads are silent": true, "watches are silent": false} {
-		t.Run(name, func(t *testing.T) {
-			inBubble(t, func(t *testing.T) {
-				is := is.New(t)
-				c := newCell(t, runsFor(time.Minute), "vm1", "vm2", "vm3")
-				near := c.addWorker("near", 4)
-				first := c.waitForOwner()
-				time.Sleep(time.Second)
-				c.submit(first, c.newWork("roster", job.Step{Tasks: 4}))
-				time.Sleep(4 * time.Second)
-				is.Equal(near.ActiveRuns(), 4)
-				c.isolateOwnerWith(first, near)
-				first.keyReadsSilent.Store(keyReadsSilent)
-				c.addWorker("far", 4)
-				c.waitForSuccessor(first)
-				time.Sleep(1500 * time.Millisecond)
-				is.Equal(first.dispatcher.IsOwner(), keyReadsSilent)
-				time.Sleep(30 * time.Second)
-				c.checkHistory()
-				is.Equal(c.countRuns("roster"), 8)
-				is.Equal(near.ActiveRuns(), 0)
-				first.repliesCut.Store(false)
+		for _, rate := range []float64{1, 0.98} {
+			t.Run(fmt.Sprintf("%s, clocks at %v", name, rate), func(t *testing.T) {
+				inBubble(t, func(t *testing.T) { replaceUnheard(t, keyReadsSilent, rate) })
 			})
-		})
+		}
 	}
 }
 
+// replaceUnheard lets a VM take the cell from an owner that does not hear of it.
+func replaceUnheard(t *testing.T, keyReadsSilent bool, rate float64) {
+	is := is.New(t)
+	c := newCell(t, runsFor(time.Minute), "vm1", "vm2", "vm3")
+	c.cluster.ClockRate = rate
+	near := c.addWorker("near", 4)
+	first := c.waitForOwner()
+	time.Sleep(time.Second)
+	c.submit(first, c.newWork("roster", job.Step{Tasks: 4}))
+	time.Sleep(4 * time.Second)
+	is.Equal(near.ActiveRuns(), 4)
+	c.isolateOwnerWith(first, near)
+	first.keyReadsSilent.Store(keyReadsSilent)
+	c.addWorker("far", 4)
+	c.waitForSuccessor(first)
+	time.Sleep(1500 * time.Millisecond)
+	is.Equal(first.dispatcher.IsOwner(), keyReadsSilent)
+	time.Sleep(30 * time.Second)
+	c.checkHistory()
+	is.Equal(c.countRuns("roster"), 8)
+	is.Equal(near.ActiveRuns(), 0)
+	first.repliesCut.Store(false)
+}
+
 // Guards against an idle owner that reads its key more often than needed: each call to the store has a price.
 func TestIdleOwnerReadsItsKeySeldom(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -75,12 +75,12 @@
 	return n.agent.Hold(ctx, h)
 }
 
-// sendNextHold orders the next hold. It extends the lease unless the worker has been silent or this owner's tenure has
-// not been confirmed for too long.
+// sendNextHold orders the next hold. It extends the lease unless the worker has been silent, the reading of its clock is
+// older than a lease, or this owner's tenure has not been confirmed for too long.
 func (t *term) sendNextHold(n *node, wait, pause time.Duration) {
 	now := time.Now()
 	h := worker.Hold{Fence: t.tenure.Fence, Observed: n.lastEndObserved, Wait: wait}
-	if n.synced && n.misses < extendMissLimit && t.tenure.Confirmed(extendGrace) {
+	if n.synced && n.misses < extendMissLimit && now.Sub(n.clockAt) < t.o.MaxHold && t.tenure.Confirmed(extendGrace) {
 		h.Until = n.clockNow(now) + t.o.MaxHold
 		n.leaseEnd = n.lastTimeOf(h.Until)
 	}
--- a/dispatch/late_start_test.go
+++ b/dispatch/late_start_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,18 +14,21 @@
 // Guards against counting a run as over while its start order may still be carried out: the worker fell silent while the
 // intent was waiting for the store, and its lease was about to expire when the order was sent. The order extends it.
 func TestStartAtTheEndOfALease(t *testing.T) {
-	for _, before := range []time.Duration{500 * time.Millisecond, 700 * time.Millisecond, time.Second} {
-		t.Run(before.String(), func(t *testing.T) {
-			inBubble(t, func(t *testing.T) { startBeforeLeaseEnd(t, before) })
-		})
+	for _, rate := range []float64{1, 0.98} {
+		for _, before := range []time.Duration{500 * time.Millisecond, 700 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprintf("%v before, clock at %v", before, rate), func(t *testing.T) {
+				inBubble(t, func(t *testing.T) { startBeforeLeaseEnd(t, before, rate) })
+			})
+		}
 	}
 }
 
 // startBeforeLeaseEnd lets the intent of a run become durable shortly before the lease of its silent worker has surely
 // expired. The worker carries the order out late.
-func startBeforeLeaseEnd(t *testing.T, before time.Duration) {
+func startBeforeLeaseEnd(t *testing.T, before time.Duration, rate float64) {
 	is := is.New(t)
 	c := newCell(t, runsFor(2*time.Second), "vm1")
+	c.cluster.ClockRate = rate
 	v := c.waitForOwner()
 	time.Sleep(time.Second)
 	c.submit(v, c.newWork("roster", job.Step{Tasks: 1}))
--- a/standin/floor/floor.go
+++ b/standin/floor/floor.go
@@ -33,6 +33,8 @@
 	BehaviourOf func(t worker.Task, run int64) Behaviour
 	// GangTimeout is how long a member of a gang waits for the others.
 	GangTimeout time.Duration
+	// ClockRate is the speed of the workers' clocks; below 1 they are slow.
+	ClockRate float64
 	// ShrinkGrace is how long after its capacity has shrunk a worker may still be filled up to the former one.
 	ShrinkGrace time.Duration
 	// CapOf returns the highest cap of an account that may be in force; nil means that there are none. CapOverrun is the
@@ -73,7 +75,7 @@
 
 // New returns a cluster without workers.
 func New(behaviourOf func(worker.Task, int64) Behaviour) *Cluster {
-	return &Cluster{BehaviourOf: behaviourOf, GangTimeout: 3 * time.Second, workers: make(map[string]*Worker)}
+	return &Cluster{BehaviourOf: behaviourOf, GangTimeout: 3 * time.Second, ClockRate: 1, workers: make(map[string]*Worker)}
 }
 
 // Add adds a worker to the cluster. A worker with the same id is replaced.
--- a/standin/floor/worker.go
+++ b/standin/floor/worker.go
@@ -13,6 +13,9 @@
 // maxEnds is the maximum number of ends in one reply.
 const maxEnds = 500
 
+// timerRounding covers the rounding of times on a slow clock, so that a timer does not fire before its time is reached.
+const timerRounding = time.Microsecond
+
 var errNoAnswer = errors.New("no answer")
 
 type runKey struct {
@@ -213,7 +216,9 @@
 	return w.faults.DropHoldReplyEvery > 0 && w.holdCount%w.faults.DropHoldReplyEvery == 0
 }
 
-func (w *Worker) clock() time.Duration { return time.Since(w.startedAt) }
+func (w *Worker) clock() time.Duration {
+	return time.Duration(w.cluster.ClockRate * float64(time.Since(w.startedAt)))
+}
 
 // checkReachable applies the faults that keep a call from reaching the worker.
 func (w *Worker) checkReachable(ctx context.Context) error {
@@ -353,7 +358,8 @@
 	if w.leaseTimer != nil {
 		w.leaseTimer.Stop()
 	}
-	w.leaseTimer = time.AfterFunc(until-w.clock(), w.expireLease)
+	left := time.Duration(float64(until-w.clock()) / w.cluster.ClockRate)
+	w.leaseTimer = time.AfterFunc(left+timerRounding, w.expireLease)
 }
 
 func (w *Worker) expireLease() {
