Count a worker's clock from when its answer arrived

What callers saw: "twice at once" after a worker that was leaving fell silent at the store while the owner's loop lagged.

Cause: the reading of a worker's clock counted from when the loop handled the answer. If the loop lagged, the estimate of that clock was early by the lag. The age of the worker's last entry seemed less than it was, so an entry that had expired counted as removed by the worker on leaving, and its runs as over while they went on.

Ruled out: an estimate that is late. A reading is older than its arrival, so only a slow clock makes it so.

Fix: the goroutines that receive answers to holds and probes note the time. An answer that the network itself delays by 2 s or more still has this effect; a hold times out before that unless the owner lags.

--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -55,7 +55,8 @@
 			if ctx.Err() != nil {
 				return
 			}
-			t.post(func() { t.onHold(n, held, err) })
+			arrived := time.Now()
+			t.post(func() { t.onHold(n, held, arrived, err) })
 		}
 	}
 }
@@ -89,8 +90,7 @@
 }
 
 // onHold processes the answer to a hold.
-func (t *term) onHold(n *node, held *worker.HoldReply, err error) {
-	now := time.Now()
+func (t *term) onHold(n *node, held *worker.HoldReply, arrived time.Time, err error) {
 	n.holding = false
 	if err != nil {
 		t.onHoldFailed(n, err)
@@ -106,7 +106,7 @@
 		n.brokenMembers = nil
 	}
 	n.misses, n.silentSince = 0, time.Time{}
-	t.applyHeld(n, held, now)
+	t.applyHeld(n, held, arrived)
 	n.synced = true
 	if n.unsaved == 0 {
 		n.lastEndObserved = n.lastEndSeen
@@ -128,12 +128,12 @@
 
 // applyHeld processes the runs and ends that a worker lists, unless a later answer, to a hold or a probe, was processed
 // before.
-func (t *term) applyHeld(n *node, held *worker.HoldReply, now time.Time) {
+func (t *term) applyHeld(n *node, held *worker.HoldReply, arrived time.Time) {
 	if held.Clock < n.clock {
 		return
 	}
-	n.lastAnswerAt = now
-	n.clock, n.clockAt = held.Clock, now
+	n.lastAnswerAt = time.Now()
+	n.clock, n.clockAt = held.Clock, arrived
 	t.onEnds(n, held.Ended)
 	t.onActive(n, held)
 }
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -62,7 +62,7 @@
 	unknownRuns int
 	// synced is true once the worker has answered a hold of this term. From then on it rejects older orders to start.
 	synced bool
-	// clock is the worker's clock at the local time clockAt.
+	// clock is the worker's clock at the local time clockAt, when its answer arrived.
 	clock   time.Duration
 	clockAt time.Time
 	// lastAnswerAt is when a hold or probe was last answered.
--- a/dispatch/observed_test.go
+++ b/dispatch/observed_test.go
@@ -35,12 +35,12 @@
 			s := term.entries["batch"].occurrences[0].stages[0]
 			term.startRun(s, 0, term.nodes["w"], 1)
 			ended := []worker.EndedRun{{Number: 1, Task: s.tasks[0].run.task(), Run: 1, Outcome: worker.OutcomeDone}}
-			term.onHold(term.nodes["w"], &worker.HoldReply{Clock: time.Second, Ended: ended}, nil)
+			term.onHold(term.nodes["w"], &worker.HoldReply{Clock: time.Second, Ended: ended}, time.Now(), nil)
 			is.Equal(term.entries["batch"].state, job.WorkCompleted)
 			if relisted {
 				term.changeWorkers([]store.Event{{Pair: store.Pair{Key: "workers/w"}, Deleted: true}})
 				term.updateListing(listing)
-				term.onHold(term.nodes["w"], &worker.HoldReply{Clock: 2 * time.Second, Ended: ended}, nil)
+				term.onHold(term.nodes["w"], &worker.HoldReply{Clock: 2 * time.Second, Ended: ended}, time.Now(), nil)
 			}
 			is.Equal(term.nodes["w"].lastEndObserved, int64(0))
 			for _, queued := range term.committer.queue {
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -80,6 +80,7 @@
 		ctx, cancel := context.WithTimeout(t.ctx, probeTimeout)
 		defer cancel()
 		held, err := agent.Hold(ctx, hold)
+		arrived := time.Now()
 		t.post(func() {
 			switch {
 			case err != nil:
@@ -87,7 +88,7 @@
 				n.probedAt = time.Time{}
 			case !n.isRemoved(t):
 				before := n.lastEndSeen
-				t.applyHeld(n, held, time.Now())
+				t.applyHeld(n, held, arrived)
 				if n.lastEndSeen > before {
 					// The answer of the hold was lost, so the next end may be probed for as soon as it is overdue.
 					n.probedAt = time.Time{}
