--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -56,7 +56,8 @@
 			if ctx.Err() != nil {
 				return
 			}
-			t.post(func() { t.onHold(n, held, err) })
+			arrived := time.Now()
+			t.post(func() { t.onHold(n, held, arrived, err) })
 		}
 	}
 }
@@ -76,12 +77,12 @@
 	return n.agent.Hold(ctx, h)
 }
 
-// sendNextHold orders the next hold. It extends the lease unless the worker has been silent or this owner's tenure has
-// not been confirmed for too long.
+// sendNextHold orders the next hold. It extends the lease unless the worker has been silent, the reading of its clock is
+// older than a lease, or this owner's tenure has not been confirmed for too long.
 func (t *term) sendNextHold(n *node, wait, pause time.Duration) {
 	now := time.Now()
 	h := worker.Hold{Fence: t.tenure.Fence, Observed: n.lastEndObserved, Wait: wait}
-	if n.synced && n.misses < extendMissLimit && t.tenure.Confirmed(extendGrace) {
+	if n.synced && n.misses < extendMissLimit && now.Sub(n.clockAt) < t.o.MaxHold && t.tenure.Confirmed(extendGrace) {
 		h.Until = n.clockNow(now) + t.o.MaxHold
 		n.leaseEnd = n.lastTimeOf(h.Until)
 	}
@@ -90,8 +91,7 @@
 }
 
 // onHold processes the answer to a hold.
-func (t *term) onHold(n *node, held *worker.HoldReply, err error) {
-	now := time.Now()
+func (t *term) onHold(n *node, held *worker.HoldReply, arrived time.Time, err error) {
 	n.holding = false
 	if err != nil {
 		t.onHoldFailed(n, err)
@@ -107,7 +107,7 @@
 		n.brokenMembers = nil
 	}
 	n.misses, n.silentSince = 0, time.Time{}
-	t.applyHeld(n, held, now)
+	t.applyHeld(n, held, arrived)
 	n.synced = true
 	if n.unsaved == 0 && !n.isRemoved(t) {
 		n.lastEndObserved = n.lastEndSeen
@@ -129,12 +129,12 @@
 
 // applyHeld processes the runs and ends that a worker lists, unless a later answer, to a hold or a probe, was processed
 // before.
-func (t *term) applyHeld(n *node, held *worker.HoldReply, now time.Time) {
+func (t *term) applyHeld(n *node, held *worker.HoldReply, arrived time.Time) {
 	if held.Clock < n.clock {
 		return
 	}
-	n.lastAnswerAt = now
-	n.clock, n.clockAt = held.Clock, now
+	n.lastAnswerAt = time.Now()
+	n.clock, n.clockAt = held.Clock, arrived
 	t.onEnds(n, held.Ended)
 	t.onActive(n, held)
 }
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -81,13 +81,14 @@
 		ctx, cancel := context.WithTimeout(t.ctx, timeout)
 		defer cancel()
 		held, err := agent.Hold(ctx, hold)
+		arrived := time.Now()
 		t.post(func() {
 			switch {
 			case err != nil:
 				onFailed(err)
 			case !n.isRemoved(t):
 				before := n.lastEndSeen
-				t.applyHeld(n, held, time.Now())
+				t.applyHeld(n, held, arrived)
 				if n.lastEndSeen > before {
 					// The answer of the hold was lost, so the next end may be probed for as soon as it is overdue.
 					n.probedAt = time.Time{}
