Count a start order as an extension of its worker's lease

A start order lets everything on its worker go on until the order is void, but only holds moved the time at which the owner takes a silent worker's lease for expired. An intent whose commit is answered late, as after an outage of the store, is sent to its worker also if that has fallen silent meanwhile. The worker carries it out, its answers are lost, the owner ends the run as silent when the last hold has run out, and starts the task elsewhere while the first run goes on for up to a second and a half.

The order now extends that time. So does the return of a worker that this owner had forgotten as idle: the lease that the former node gave it may outlast the estimate from the beginning of the term, which has passed in an old term.

Its second case, the returned worker, needs a tenure that the store has not confirmed for 5 s beside an entry and a commit that it has; no cell has shown it.

Ruled out: the clock estimate, which is early by the travel time, so that an order becomes void earlier than assumed; a drift of 2% over a whole lease is in the margin, as for holds.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -47,9 +47,6 @@
 	}
 }
 
-// afterSaved runs effect once the present state of an entry is durable.
-func (t *term) afterSaved(e *entry, effect func()) { t.save(e, effect) }
-
 // batch is the content of one commit.
 type batch struct {
 	stream   *commitStream
--- a/dispatch/forgotten_node_test.go
+++ b/dispatch/forgotten_node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,3 +83,37 @@
 		}
 	}
 }
+
+// Guards against ending a run on a silent worker while the worker still holds a lease, when no hold of the node's own has
+// extended it: the start order lets the run go on until it is void, and holds of a former node of the same worker for
+// as long as they said.
+func TestSilentWorkerKeepsRunWithoutHold(t *testing.T) {
+	for _, relisted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			term, listing := newTermWithWorker(t)
+			defer term.close()
+			time.Sleep(time.Minute)
+			lasts := launchValidity
+			if relisted {
+				lasts = DefaultMaxHold
+				term.onHold(term.nodes["w"], &worker.HoldReply{Clock: time.Minute}, nil)
+				unlist(term)
+				term.updateListing(listing)
+			}
+			term.tenure.Confirmed = func(time.Duration) bool { return false }
+			n := term.nodes["w"]
+			term.onHold(n, &worker.HoldReply{Clock: time.Minute}, nil)
+			r := startOne(term)
+			makeDurable(term)
+			sentAt := time.Now()
+			term.onHold(n, nil, errors.New("no answer"))
+			for !r.ended {
+				time.Sleep(tickInterval)
+				term.endExpired(time.Now())
+			}
+			is.True(time.Since(sentAt) >= lasts)
+			is.True(time.Since(sentAt) <= lasts+time.Second)
+		})
+	}
+}
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,9 +35,11 @@
 	t.wg.Go(func() { t.sendHolds(ctx, n) })
 }
 
-// initialLeaseEnd returns when a lease from a former owner has certainly expired on a worker that this term has never
-// reached. The former owner may have extended it for extendGrace.
-func (t *term) initialLeaseEnd() time.Time { return t.startedAt.Add(extendGrace + t.maxLeaseSpan()) }
+// initialLeaseEnd returns when an earlier lease has certainly expired on a worker that is new to this term. A former owner
+// may have extended it for extendGrace, and this owner until now if it had forgotten the worker.
+func (t *term) initialLeaseEnd() time.Time {
+	return slices.MaxFunc([]time.Time{t.startedAt.Add(extendGrace), time.Now()}, time.Time.Compare).Add(t.maxLeaseSpan())
+}
 
 // maxLeaseSpan returns how long after a hold was sent the lease may last, including the drift of the worker's clock.
 func (t *term) maxLeaseSpan() time.Duration {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,26 +37,26 @@
 	task := &r.stage.tasks[r.index]
 	r.sentAt, r.Uncertain = now, true
 	r.Expires = r.node.clockNow(now) + launchValidity
+	// The order extends the worker's lease like a hold, and may reach a worker whose holds get no answer.
+	r.node.leaseEnd = slices.MaxFunc([]time.Time{r.node.leaseEnd, now.Add(launchValidity + t.maxLeaseSpan() - t.o.MaxHold)}, time.Time.Compare)
 	order := &worker.Launch{
 		Task: r.task(), Run: r.number, Spec: r.stage.entry.work.Spec, Until: r.Expires, Fence: t.tenure.Fence,
 		Permit: r.stage.ticket(r.node.id), Checkpoint: task.checkpoint,
 	}
 	agent := r.node.agent
+	send := func(ctx context.Context) error {
+		_, err := agent.Launch(ctx, order)
+		return err
+	}
 	t.wg.Go(func() {
-		err := t.call(t.ctx, agent, firstLaunchTimeout, func(ctx context.Context) error {
-			_, err := agent.Launch(ctx, order)
-			return err
-		})
+		err := t.call(t.ctx, agent, firstLaunchTimeout, send)
 		unanswered := err != nil && !isDefinite(err)
 		delivered := !errors.Is(err, worker.ErrNotSent)
 		if unanswered && t.ctx.Err() == nil {
 			// A start sent to an unreachable worker stays charged there until the connection recovers or the lease
 			// expires. Giving the worker no new work early keeps the number of affected callers small.
 			t.post(func() { r.node.noAnswerAt = time.Now() })
-			err = t.call(t.ctx, agent, orderTimeout, func(ctx context.Context) error {
-				_, err := agent.Launch(ctx, order)
-				return err
-			})
+			err = t.call(t.ctx, agent, orderTimeout, send)
 			delivered = delivered || !errors.Is(err, worker.ErrNotSent)
 		}
 		t.post(func() {
--- a/dispatch/removed_entry_test.go
+++ b/dispatch/removed_entry_test.go
@@ -137,3 +137,29 @@
 		is.Equal(c.countRuns("roster"), 1)
 	})
 }
+
+// Guards against starting a task elsewhere while its first run goes on: the start order reaches a silent worker shortly
+// before its lease ends, as the commit of the decision was answered late, and lets the run go on until it is void.
+func TestLateOrderToSilentWorker(t *testing.T) {
+	for _, outage := range []time.Duration{10900 * time.Millisecond, 11200 * time.Millisecond, 11500 * time.Millisecond, 11800 * time.Millisecond} {
+		t.Run(outage.String(), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				c := newCell(t, runsFor(8*time.Second), "vm1")
+				w := c.addWorkers(1, 4)[0]
+				v := c.waitForOwner()
+				time.Sleep(5 * time.Second)
+				v.store.LoseAnswer(true)
+				go func() { _ = c.submitFault(v, c.newWork("roster", job.Step{Tasks: 1})) }()
+				time.Sleep(50 * time.Millisecond)
+				w.SetFaults(floor.Faults{DropReplies: true})
+				c.addWorker("spare", 4)
+				time.Sleep(outage - 50*time.Millisecond)
+				v.store.LoseAnswer(false)
+				time.Sleep(3 * time.Second)
+				w.SetFaults(floor.Faults{})
+				c.waitForState(v, "roster", job.WorkCompleted, 40*time.Second)
+				c.checkHistory()
+			})
+		})
+	}
+}
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -46,9 +46,8 @@
 // addUnresolved records that a worker could not report how a run of the gang ended. Several workers may be in this
 // state, and any of them may report the failure, so each is recorded.
 func (s *stage) addUnresolved(number int64, n *node) {
-	u := unresolvedRun{number, n.id, n.leaseEnd}
 	if !slices.ContainsFunc(s.unresolved, func(o unresolvedRun) bool { return o.number == number && o.worker == n.id }) {
-		s.unresolved = append(s.unresolved, u)
+		s.unresolved = append(s.unresolved, unresolvedRun{number, n.id, n.leaseEnd})
 	}
 }
 
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -104,12 +104,12 @@
 		return false, done
 	}
 	if e.state.Final() {
-		t.afterSaved(e, func() { close(done) })
+		t.save(e, func() { close(done) })
 		return true, done
 	}
 	t.log.Info("dispatch: work cancelled", zap.String("id", id), zap.Int("running", e.activeRuns))
 	t.finish(e, job.WorkCancelled)
-	t.afterSaved(e, func() { close(done) })
+	t.save(e, func() { close(done) })
 	return true, done
 }
 
