Drop changes that are older than the list that precedes them

A key that was removed and written again between the pages is listed as it is, and then the watch reports the older removal: the key seems to be gone until its next event. For a leaving worker whose entry had lapsed and was back, that removal met an entry that was written just now, which before ended all runs of the worker at once, and still unlists a worker that is there.

The follower now drops events of a key up to the revision at which it was listed, if that is newer than the list's own.

No cell has shown it: the store of the cells lists in one page.

--- a/store/follow/follow.go
+++ b/store/follow/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,14 +48,14 @@
 	b := retry.New(retry.Bounds(minBackoff, maxBackoff))
 	var revision int64
 	for ctx.Err() == nil {
-		listed, err := f.list(ctx, revision)
+		listed, newer, err := f.list(ctx, revision)
 		if err == nil {
 			revision = listed
 			err = f.Store.Watch(ctx, f.Prefix, revision+1, func(batch store.Batch) {
 				b.Reset()
 				f.reportContact(nil)
-				if len(batch.Events) > 0 {
-					f.OnChange(batch.Events, batch.Revision)
+				if events := dropOutdated(batch.Events, newer); len(events) > 0 {
+					f.OnChange(events, batch.Revision)
 				}
 				f.reportCurrent(batch.AsOf)
 				revision = max(revision, batch.Revision)
@@ -85,22 +86,37 @@
 	}
 }
 
-// list reads all keys and returns the revision reached, which is never less than known.
-func (f *Follower) list(ctx context.Context, known int64) (int64, error) {
+// list reads all keys and returns the revision reached, which is never less than known, and the revisions of keys that
+// are newer: several pages are not a snapshot.
+func (f *Follower) list(ctx context.Context, known int64) (reached int64, newer map[string]int64, err error) {
 	listCtx, cancel := context.WithTimeout(ctx, DefaultListTimeout)
 	defer cancel()
 	sent := time.Now()
 	res, err := f.Store.Range(listCtx, store.Range{Key: f.Prefix, End: store.PrefixEnd(f.Prefix)})
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	f.reportContact(nil)
 	if res.Revision < known {
-		return known, nil
+		return known, nil, nil
 	}
 	f.OnReset(res.Pairs, res.Revision)
 	f.reportCurrent(sent)
-	return res.Revision, nil
+	newer = make(map[string]int64)
+	for i := range res.Pairs {
+		if p := &res.Pairs[i]; p.ModRevision > res.Revision {
+			newer[p.Key] = p.ModRevision
+		}
+	}
+	return res.Revision, newer, nil
+}
+
+// dropOutdated returns the events without those of keys that were already listed at a newer revision.
+func dropOutdated(events []store.Event, newer map[string]int64) []store.Event {
+	if len(newer) == 0 {
+		return events
+	}
+	return slices.DeleteFunc(slices.Clone(events), func(e store.Event) bool { return e.Pair.ModRevision <= newer[e.Pair.Key] })
 }
 
 // Puts returns the pairs written by the events, without the deleted ones.
