--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,10 +37,11 @@
 	t.wg.Go(func() { t.sendHolds(ctx, n) })
 }
 
-// initialLeaseEnd returns when a lease from a former owner has certainly expired on a worker that this term has never
-// reached. The former owner may have extended it for extendGrace.
+// initialLeaseEnd returns when an earlier lease has certainly expired on a worker that is new to this term. A former owner
+// may have extended it for extendGrace, and this owner until now if it had forgotten the worker.
 func (t *term) initialLeaseEnd() time.Time {
-	return t.startedAt.Add(extendGrace + presence.MaxSpan(t.o.MaxHold))
+	latest := slices.MaxFunc([]time.Time{t.startedAt.Add(extendGrace), time.Now()}, time.Time.Compare)
+	return latest.Add(presence.MaxSpan(t.o.MaxHold))
 }
 
 // sendHolds sends the holds of one worker, one at a time.
