Count a service task on a silent worker as unavailable

Cause: a task counts as available by the last percent that its worker reported. The run on a worker that has crashed keeps its 100 percent until the worker's lease has expired, 10 s later.

Evidence: go test -run TestUpkeepCountsSilentServices ./dispatch fails on: "not true: present > 0 // the last task that is at work was stopped".

Change: a task on a worker that has missed a hold is unavailable, and so is one that has ended and waits for the rest of its gang. A hold that is lost delays a drain by a moment.

--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -195,7 +195,7 @@
 	}
 	unavailable := 0
 	for i := range r.stage.tasks {
-		if o := r.stage.tasks[i].run; i != r.index && (o == nil || o.stopping || o.percent < readyPercent) {
+		if o := r.stage.tasks[i].run; i != r.index && (o == nil || o.ended || o.stopping || o.percent < readyPercent || o.node.misses > 0) {
 			unavailable++
 		}
 	}
