Start nothing of a work whose progress cannot be decoded

What callers saw: "twice at once", after a takeover.

Cause: a work whose progress could not be decoded was taken for one without progress, and started from its beginning with run 1, whatever of it was running or done.

Evidence: go test -run TestUnreadableProgressIsNoFreshWork ./dispatch fails on: "twice at once: roster.0.0.0 run 1 on x00 and roster.0.0.0 run 1 on w00".

Change: such a work keeps its place without tasks, so that nothing starts, the watch and repeated submissions find it known, and its caller can cancel it. Its runs are unknown to the owner and are stopped, as for a work that cannot be decoded itself.

Not covered: the ends of its tasks are acknowledged.

--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -56,26 +56,27 @@
 }
 
 // restore rebuilds the entries. A work without progress has not started; progress without a work belongs to a work that
-// has ended since.
+// has ended since. A work whose progress cannot be decoded stays as it is until its caller cancels it.
 func (t *term) restore(works, states []store.Pair) {
 	progressOf := make(map[string]*progress, len(states))
 	for i := range states {
 		p := &progress{}
 		if err := msgpack.Unmarshal(states[i].Value, p); err != nil {
-			t.log.Error("dispatch: cannot decode the progress of a work", zap.String("key", states[i].Key),
-				zap.Error(err))
-			continue
+			t.log.Error("dispatch: cannot decode the progress of a work", zap.String("key", states[i].Key), zap.Error(err))
+			p = nil
 		}
 		progressOf[idFromKey(states[i].Key, statePrefix)] = p
 	}
 	runs := 0
 	for _, w := range t.decodeWorks(works) {
-		p := progressOf[w.ID]
-		if p == nil {
+		switch p, begun := progressOf[w.ID]; {
+		case !begun:
 			t.addWork(w)
-			continue
+		case p == nil:
+			t.entries[w.ID] = newEntry(w) // any of its tasks may be running or done, so nothing starts
+		default:
+			runs += t.restoreEntry(w, p)
 		}
-		runs += t.restoreEntry(w, p)
 	}
 	t.log.Info("dispatch: the cell's state was read", zap.Int("works", len(t.entries)), zap.Int("runs", runs),
 		zap.Duration("took", time.Since(t.startedAt)))
