Test how long the tasks of an idle cell outlive a store outage

An owner extends leases for extendGrace after the latest evidence that its key was its own. In a cell without commits that evidence is up to a second old when the store falls silent.

--- a/dispatch/replaced_owner_test.go
+++ b/dispatch/replaced_owner_test.go
@@ -84,3 +84,34 @@
 	v.peersCut.Store(true)
 	v.repliesCut.Store(true)
 }
+
+// Guards against an owner that stops extending leases as soon as the store is silent, or that has no recent evidence of its
+// tenure because the cell was idle: the tasks must outlive an outage by a lease and most of the owner's grace.
+func TestRunsOutliveOutage(t *testing.T) {
+	for name, set := range map[string]func(v *vm, on bool){
+		"refuses calls": func(v *vm, on bool) { v.store.Down(on) }, "is silent": func(v *vm, on bool) { v.store.Cut(on) },
+	} {
+		for _, phase := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+			t.Run(fmt.Sprintf("store %s, after %v", name, phase), func(t *testing.T) {
+				inBubble(t, func(t *testing.T) {
+					is := is.New(t)
+					c := newCell(t, runsFor(40*time.Second), "vm1", "vm2")
+					w := c.addWorker("w", 4)
+					first := c.waitForOwner()
+					time.Sleep(time.Second)
+					c.submit(first, c.newWork("roster", job.Step{Tasks: 4}))
+					time.Sleep(10*time.Second + phase)
+					for _, v := range c.vms {
+						set(v, true)
+					}
+					lost := time.Now()
+					for w.ActiveRuns() == 4 && time.Since(lost) < 25*time.Second {
+						time.Sleep(10 * time.Millisecond)
+					}
+					t.Logf("runs lapsed after %v", time.Since(lost))
+					is.True(time.Since(lost) > 12*time.Second)
+				})
+			})
+		}
+	}
+}
