--- a/store/follow/follow_test.go
+++ b/store/follow/follow_test.go
@@ -22,7 +22,8 @@
 		removal := func(key string, revision int64) store.Event {
 			return store.Event{Deleted: true, Pair: store.Pair{Key: key, ModRevision: revision}}
 		}
-		ctx, cancel := context.WithCancel(t.Context())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
 		var removed []int64
 		present := make(map[string]int64)
 		f := &Follower{
@@ -56,9 +57,7 @@
 				}
 			},
 		}
-		go f.Run(ctx)
-		time.Sleep(time.Second)
-		cancel()
+		f.Run(ctx)
 		is.Equal(removed, []int64{9, 10})
 		is.Equal(present, map[string]int64{"k/c": 7})
 	})
