Let simulated calls arrive late, in any order, and tasks resume from checkpoints

Each call to a simulated worker can now be carried out after a delay of its own, without a reply and after newer calls (starts, stops and holds alike), and replies can be delayed, so that they overtake each other. Runs may take time to stop, and save checkpoints from which the next run resumes. A refused repeat of a run extends the lease, as the protocol has it.

The judge also reports a start over a second after the work was shown as completed, unless the network held the order back, and a checkpoint that is not the task's. Violations of both kinds are planted in standin/floor/floor_test.go, TestTransit checks the order of calls and replies.

--- a/standin/floor/floor.go
+++ b/standin/floor/floor.go
@@ -25,6 +25,10 @@
 	FullProgress bool
 	// CrashesWorker makes the run crash its worker after Duration instead of ending.
 	CrashesWorker bool
+	// StopTime is how long the run takes to end after an order to stop.
+	StopTime time.Duration
+	// CheckpointInterval is the run time between two checkpoints; zero saves none.
+	CheckpointInterval time.Duration
 }
 
 // Cluster holds the simulated workers of a cell and the history of their runs.
@@ -48,6 +52,10 @@
 	workers    map[string]*Worker
 	history    []*Run
 	violations []string
+	// shownCompleted is when a work was first shown as completed; checkpoints is the run time that each checkpoint of a
+	// task or gang stands for.
+	shownCompleted map[string]time.Time
+	checkpoints    map[checkpointKey]time.Duration
 }
 
 // Run is an entry of the history.
@@ -60,7 +68,9 @@
 	Ending       worker.RunOutcome
 	Acknowledged bool
 	// Crashed is true if the worker crashed under the run.
-	Crashed       bool
+	Crashed bool
+	// Late is true if the network held back the start order.
+	Late          bool
 	gang          int
 	maxAttempts   int
 	crashesWorker bool
@@ -73,16 +83,22 @@
 	maxStartsAfterCrashes = 3
 )
 
+// completedGrace is how long after a work was shown as completed an order that was sent before may still start a task.
+const completedGrace = time.Second
+
 // New returns a cluster without workers.
 func New(behaviourOf func(worker.Task, int64) Behaviour) *Cluster {
-	return &Cluster{BehaviourOf: behaviourOf, GangTimeout: 3 * time.Second, ClockRate: 1, workers: make(map[string]*Worker)}
+	return &Cluster{
+		BehaviourOf: behaviourOf, GangTimeout: 3 * time.Second, ClockRate: 1, workers: make(map[string]*Worker),
+		shownCompleted: make(map[string]time.Time), checkpoints: make(map[checkpointKey]time.Duration),
+	}
 }
 
 // Add adds a worker to the cluster. A worker with the same id is replaced.
 func (c *Cluster) Add(info worker.Info) *Worker {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := &Worker{cluster: c, info: info, startedAt: time.Now(), runs: make(map[runKey]*activeRun), maxRun: make(map[worker.Task]int64), changed: make(chan struct{})}
+	w := &Worker{cluster: c, info: info, startedAt: time.Now(), runs: make(map[runKey]*activeRun), maxRun: make(map[worker.Task]int64), changed: make(chan struct{}), calls: make(map[CallKind]int)}
 	c.workers[info.ID] = w
 	return w
 }
@@ -108,9 +124,19 @@
 	return out
 }
 
-// Violations returns the violations in the history: a worker above its capacity, an account above its cap, two concurrent runs of a task, a start
-// after an acknowledged completion or after the last permitted failure, and the third start of a task that crashes its
-// workers after three of them have crashed under it.
+// ShowCompleted records that a work is shown as completed from now on.
+func (c *Cluster) ShowCompleted(work string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.shownCompleted[work]; !known {
+		c.shownCompleted[work] = time.Now()
+	}
+}
+
+// Violations returns the violations in the history: a worker above its capacity, an account above its cap, a checkpoint
+// that is not the task's, two concurrent runs of a task, a start after an acknowledged completion, after the work was
+// shown as completed or after the last permitted failure, and the third start of a task that crashes its workers after
+// three of them have crashed under it.
 func (c *Cluster) Violations() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -118,6 +144,9 @@
 	earlier := make(map[worker.Task][]*Run)
 	for _, r := range c.history {
 		out = append(out, r.violationsAfter(earlier[r.Task])...)
+		if at, shown := c.shownCompleted[r.Task.Work]; shown && !r.Late && r.Started.Sub(at) > completedGrace {
+			out = append(out, "started after its work was shown as completed: "+r.describe())
+		}
 		earlier[r.Task] = append(earlier[r.Task], r)
 	}
 	return out
--- a/standin/floor/floor_test.go
+++ b/standin/floor/floor_test.go
@@ -77,6 +77,33 @@
 			launch(b, "y", 1)
 			launch(b, "z", 1)
 		}},
+		"restart after it was shown as completed": {"shown as completed", func(cluster *Cluster, a, b *worker.Agent, _ *Worker) {
+			launch(a, "x", 1)
+			time.Sleep(2 * time.Second)
+			cluster.ShowCompleted("x")
+			time.Sleep(2 * time.Second)
+			launch(b, "x", 2)
+		}},
+		"late start after it was shown as completed": {"", func(cluster *Cluster, a, _ *worker.Agent, wa *Worker) {
+			launch(a, "x", 1)
+			time.Sleep(2 * time.Second)
+			cluster.ShowCompleted("x")
+			wa.SetFaults(Faults{TransitOf: func(CallKind, int) Transit { return Transit{Late: 2 * time.Second} }})
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, _ = wa.client().Launch(ctx, &worker.Launch{Task: worker.Task{Work: "x"}, Run: 2, Until: 30 * time.Second, Fence: 1})
+			time.Sleep(5 * time.Second)
+		}},
+		"checkpoint of another task": {"a checkpoint that is not the task's", func(cluster *Cluster, a, b *worker.Agent, _ *Worker) {
+			cluster.BehaviourOf = withCheckpoints
+			saved := runUntilStopped(a, "x")
+			_, _ = b.Launch(context.Background(), &worker.Launch{Task: worker.Task{Work: "y"}, Run: 1, Until: 30 * time.Second, Fence: 1, Checkpoint: saved})
+		}},
+		"checkpoint of the task": {"", func(cluster *Cluster, a, b *worker.Agent, _ *Worker) {
+			cluster.BehaviourOf = withCheckpoints
+			saved := runUntilStopped(a, "x")
+			_, _ = b.Launch(context.Background(), &worker.Launch{Task: worker.Task{Work: "x"}, Run: 2, Until: 30 * time.Second, Fence: 1, Checkpoint: saved})
+		}},
 		"capacity exceeded": {"too much on worker", func(cluster *Cluster, a, _ *worker.Agent, _ *Worker) {
 			cluster.BehaviourOf = func(worker.Task, int64) Behaviour {
 				return Behaviour{Duration: time.Second, Ending: worker.OutcomeDone, Resources: job.Resources{Millicores: 3000}}
@@ -105,6 +132,55 @@
 	}
 }
 
+func withCheckpoints(worker.Task, int64) Behaviour {
+	return Behaviour{Duration: 3 * time.Second, Ending: worker.OutcomeDone, CheckpointInterval: time.Second, StopTime: 100 * time.Millisecond}
+}
+
+// runUntilStopped runs a task for a while, stops it and returns its checkpoint.
+func runUntilStopped(a *worker.Agent, id string) string {
+	launch(a, id, 1)
+	time.Sleep(1500 * time.Millisecond)
+	_, _ = a.Halt(context.Background(), &worker.Halt{Task: worker.Task{Work: id}, Run: 1, Fence: 1})
+	held, _ := a.Hold(context.Background(), &worker.Hold{Fence: 1, Wait: time.Second})
+	return held.Ended[0].Checkpoint
+}
+
+// Checks that calls are executed late, in another order than they were sent, and that replies can overtake each other.
+func TestTransit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cluster := New(withCheckpoints)
+		info := worker.Info{ID: "a", Has: job.Resources{Millicores: 4000}}
+		w := cluster.Add(info)
+		late := map[CallKind]time.Duration{CallLaunch: 2 * time.Second, CallHalt: time.Second}
+		w.SetFaults(Faults{TransitOf: func(kind CallKind, n int) Transit {
+			if kind == CallHold {
+				return Transit{Reply: time.Second / time.Duration(n)}
+			}
+			return Transit{Late: late[kind]}
+		}})
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		a := cluster.Client(info)
+		_, err := a.Launch(ctx, &worker.Launch{Task: worker.Task{Work: "x"}, Run: 1, Until: 30 * time.Second, Fence: 1})
+		is.True(err != nil)
+		_, err = a.Halt(ctx, &worker.Halt{Task: worker.Task{Work: "x"}, Run: 1, Fence: 1})
+		is.True(err != nil)
+		var replies []time.Duration
+		for range 2 {
+			go func() {
+				held, err := a.Hold(context.Background(), &worker.Hold{Fence: 1})
+				is.NoErr(err)
+				replies = append(replies, held.Clock)
+			}()
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		is.Equal(len(cluster.History()), 0) // the halt arrived before the launch
+		is.True(len(replies) == 2 && replies[0] > replies[1])
+	})
+}
+
 func withAccount(worker.Task, int64) Behaviour {
 	return Behaviour{Duration: time.Second, Ending: worker.OutcomeDone, Resources: job.Resources{Millicores: 1000}, Account: "kochi"}
 }
--- a/standin/floor/hold.go
+++ b/standin/floor/hold.go
@@ -8,18 +8,22 @@
 )
 
 func (w *Worker) hold(ctx context.Context, h *worker.Hold) (*worker.HoldReply, error) {
-	if err := w.checkReachable(ctx); err != nil {
-		return nil, err
-	}
-	_, err := w.withLock(func() error {
+	do := func() error {
 		if err := w.checkFence(h.Fence); err != nil {
 			return err
 		}
 		w.extendLease(h.Until)
 		w.acknowledge(h.Observed)
 		return nil
-	})
-	if err != nil {
+	}
+	transit := w.transitOf(CallHold)
+	if transit.Late > 0 {
+		return nil, w.executeLate(ctx, transit.Late, do)
+	}
+	if err := w.checkReachable(ctx); err != nil {
+		return nil, err
+	}
+	if _, err := w.withLock(do); err != nil {
 		return nil, err
 	}
 	w.awaitEnd(ctx, h.Wait)
@@ -30,7 +34,8 @@
 		<-ctx.Done()
 		return nil, errNoAnswer
 	}
-	return w.holdReply(), nil
+	reply := w.holdReply()
+	return reply, waitFor(ctx, transit.Reply)
 }
 
 // acknowledge drops the ends up to a number and marks their runs as acknowledged in the history.
@@ -65,6 +70,7 @@
 	defer w.cluster.mu.Unlock()
 	h := &worker.HoldReply{Clock: w.clock(), Ended: append([]worker.EndedRun(nil), w.pendingEnds[:min(len(w.pendingEnds), maxEnds)]...)}
 	for key, r := range w.runs {
+		w.cluster.saveProgress(r)
 		h.Active = append(h.Active, worker.ActiveRun{Task: key.task, Run: key.run, Checkpoint: r.checkpoint, Percent: r.percent()})
 	}
 	return h
@@ -75,8 +81,8 @@
 	if r.behaviour.FullProgress {
 		return 100
 	}
-	if !r.started || r.behaviour.Duration == 0 {
+	if r.behaviour.Duration == 0 {
 		return 0
 	}
-	return int(100 * time.Since(r.record.Started) / r.behaviour.Duration)
+	return int(100 * r.progress() / r.behaviour.Duration)
 }
--- /dev/null
+++ b/standin/floor/transit.go
@@ -0,0 +1,81 @@
+package floor
+
+import (
+	"context"
+	"time"
+)
+
+// CallKind is a kind of call to a worker.
+type CallKind string
+
+// The kinds of calls.
+const (
+	CallLaunch CallKind = "launch"
+	CallHalt   CallKind = "halt"
+	CallHold   CallKind = "hold"
+)
+
+// Transit is how the network treats one call.
+type Transit struct {
+	// Late executes the call after this delay, and after newer calls, and drops its reply; zero is no fault.
+	Late time.Duration
+	// Reply delays the reply, so that replies may overtake each other.
+	Reply time.Duration
+}
+
+// transitOf returns how the network treats the next call of a kind.
+func (w *Worker) transitOf(kind CallKind) Transit {
+	w.cluster.mu.Lock()
+	defer w.cluster.mu.Unlock()
+	w.calls[kind]++
+	if w.faults.TransitOf == nil {
+		return Transit{}
+	}
+	return w.faults.TransitOf(kind, w.calls[kind])
+}
+
+// transmit makes a call as the network treats it. do is told whether the call is late.
+func (w *Worker) transmit(ctx context.Context, kind CallKind, do func(late bool) error) (time.Duration, error) {
+	t := w.transitOf(kind)
+	if t.Late > 0 {
+		return 0, w.executeLate(ctx, t.Late, func() error { return do(true) })
+	}
+	clock, err := w.call(ctx, func() error { return do(false) })
+	if lost := waitFor(ctx, t.Reply); lost != nil {
+		return 0, lost
+	}
+	return clock, err
+}
+
+// executeLate executes a call after a delay. The caller gets no answer, and an error at once if connections are reset.
+func (w *Worker) executeLate(ctx context.Context, delay time.Duration, do func() error) error {
+	time.AfterFunc(delay, func() { _, _ = w.withLock(do) })
+	for {
+		w.cluster.mu.Lock()
+		reset, changed := w.faults.ResetConnections, w.changed
+		w.cluster.mu.Unlock()
+		if reset {
+			return errNoAnswer
+		}
+		select {
+		case <-ctx.Done():
+			return errNoAnswer
+		case <-changed:
+		}
+	}
+}
+
+// waitFor returns an error if ctx ends before d has passed.
+func waitFor(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return errNoAnswer
+	case <-t.C:
+		return nil
+	}
+}
--- a/standin/floor/worker.go
+++ b/standin/floor/worker.go
@@ -30,6 +30,8 @@
 	timer      *time.Timer
 	checkpoint string
 	started    bool
+	// resumed is the progress that the run has taken over from a checkpoint.
+	resumed time.Duration
 }
 
 // Faults define how calls to one worker, and its runs, fail.
@@ -48,6 +50,8 @@
 	FailRuns bool
 	// DropHoldReplyEvery drops the reply to every n-th hold, which is still executed; zero drops none.
 	DropHoldReplyEvery int
+	// TransitOf returns how the network treats the n-th call of a kind; nil is no fault.
+	TransitOf func(kind CallKind, n int) Transit
 }
 
 // failureDelay is the run time under Faults.FailRuns.
@@ -71,6 +75,7 @@
 	replaced    bool
 	faults      Faults
 	holdCount   int
+	calls       map[CallKind]int
 	// formerCapacity is the capacity until capacityChangedAt.
 	formerCapacity    job.Resources
 	capacityChangedAt time.Time
@@ -161,14 +166,14 @@
 	return &worker.Agent{
 		Launch: func(ctx context.Context, l *worker.Launch) (time.Duration, error) {
 			if delay := w.launchDelay(); delay > 0 {
-				time.AfterFunc(delay, func() { _, _ = w.withLock(func() error { return w.launch(l) }) })
+				time.AfterFunc(delay, func() { _, _ = w.withLock(func() error { return w.launch(l, true) }) })
 				<-ctx.Done()
 				return 0, errNoAnswer
 			}
-			return w.call(ctx, func() error { return w.launch(l) })
+			return w.transmit(ctx, CallLaunch, func(late bool) error { return w.launch(l, late) })
 		},
 		Halt: func(ctx context.Context, h *worker.Halt) (time.Duration, error) {
-			return w.call(ctx, func() error { return w.halt(h) })
+			return w.transmit(ctx, CallHalt, func(bool) error { return w.halt(h) })
 		},
 		Hold: w.hold,
 	}
@@ -249,7 +254,8 @@
 	return nil
 }
 
-func (w *Worker) launch(l *worker.Launch) error {
+// launch carries out a start order; late is true if the network held it back.
+func (w *Worker) launch(l *worker.Launch, late bool) error {
 	if err := w.checkFence(l.Fence); err != nil {
 		return err
 	}
@@ -258,6 +264,7 @@
 		return nil
 	}
 	if l.Run <= w.maxRun[l.Task] {
+		w.extendLease(l.Until)
 		return &worker.Refusal{Reason: worker.ReasonStaleRun}
 	}
 	if l.Until < w.clock() {
@@ -265,9 +272,10 @@
 	}
 	w.extendLease(l.Until)
 	behaviour := w.cluster.BehaviourOf(l.Task, l.Run)
-	record := &Run{Task: l.Task, Number: l.Run, Worker: w.info.ID, Started: time.Now(), gang: behaviour.GangSize, maxAttempts: behaviour.MaxAttempts, crashesWorker: behaviour.CrashesWorker}
+	record := &Run{Task: l.Task, Number: l.Run, Worker: w.info.ID, Started: time.Now(), Late: late, gang: behaviour.GangSize, maxAttempts: behaviour.MaxAttempts, crashesWorker: behaviour.CrashesWorker}
 	w.cluster.history = append(w.cluster.history, record)
 	r := &activeRun{key: key, behaviour: behaviour, record: record}
+	w.cluster.resume(r, l.Checkpoint)
 	w.runs[key] = r
 	w.checkCapacity()
 	w.cluster.checkCap(r)
@@ -305,7 +313,7 @@
 	if r.timer != nil {
 		r.timer.Stop()
 	}
-	r.timer = time.AfterFunc(r.behaviour.Duration, func() {
+	r.timer = time.AfterFunc(r.behaviour.Duration-r.resumed, func() {
 		if r.behaviour.CrashesWorker {
 			w.crashUnder(r)
 			return
@@ -328,6 +336,7 @@
 	if r.timer != nil {
 		r.timer.Stop()
 	}
+	w.cluster.saveProgress(r)
 	r.record.Ended, r.record.Ending = time.Now(), ending
 	w.maxRun[r.key.task] = max(w.maxRun[r.key.task], r.key.run)
 	w.lastEnd++
@@ -344,7 +353,12 @@
 		return err
 	}
 	w.maxRun[h.Task] = max(w.maxRun[h.Task], h.Run)
-	if r := w.runs[runKey{h.Task, h.Run}]; r != nil {
+	r := w.runs[runKey{h.Task, h.Run}]
+	switch {
+	case r == nil:
+	case r.behaviour.StopTime > 0:
+		time.AfterFunc(r.behaviour.StopTime, func() { w.finishRun(r, worker.OutcomeStopped) })
+	default:
 		w.endRun(r, worker.OutcomeStopped)
 	}
 	return nil
