--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -58,6 +58,8 @@
 	directWorkers int
 	// cloud carries out maintenance orders; nil if the test has no maintenance.
 	cloud *fakeCloud
+	// log receives the logs of the VMs.
+	log *zap.Logger
 
 	mu  sync.Mutex
 	vms map[string]*vm
@@ -106,7 +108,7 @@
 
 func newCell(t *testing.T, behave func(worker.Task, int64) floor.Behaviour, vms ...string) *cell {
 	c := &cell{
-		t: t, kv: memory.New(), cluster: floor.New(behave), vms: make(map[string]*vm),
+		t: t, kv: memory.New(), cluster: floor.New(behave), vms: make(map[string]*vm), log: zap.NewNop(),
 		config: &job.Config{Version: 1, Queues: []job.Queue{{
 			Name: "roster", Pool: pool, MaxAttempts: 2, SlackFactor: 2, Objective: time.Second,
 		}}},
@@ -154,7 +156,7 @@
 		return c.dial(ctx, address)
 	})
 	v.peers = rpc.NewPool(dial)
-	log := zap.NewNop()
+	log := c.log.Named(id)
 	rules := configuration.NewRules(log)
 	requestPermit := func(ctx context.Context, req *permit.Request) (*permit.Response, error) {
 		return c.answerPermit(ctx, req)
@@ -167,7 +169,7 @@
 	v.relay = relay.NewServer(func(i worker.Info) *worker.Agent { return c.relayAgent(v, agent(i)) })
 	v.relay.Register(v.server)
 	v.relays = relay.New(relay.Options{
-		Self: id, MaxDirect: cmp.Or(c.directWorkers, math.MaxInt), DirectAgent: agent, Nodes: func() []owner.Node { return v.group.Nodes() },
+		Self: id, Logger: log, MaxDirect: cmp.Or(c.directWorkers, math.MaxInt), DirectAgent: agent, Nodes: func() []owner.Node { return v.group.Nodes() },
 		NewClient: func(address string) *rpc.Client { return rpc.NewClient(address, dial) },
 	})
 	v.dispatcher = dispatch.New(
@@ -299,20 +301,63 @@
 		return nil, ctx.Err()
 	}
 	client, server := net.Pipe()
-	go v.server.ServeConn(&slowConn{server, v})
+	go v.server.ServeConn(newSlowConn(server, v))
 	return client, nil
 }
 
 // slowPollInterval is the interval at which a delayed write checks whether the delay still applies.
 const slowPollInterval = 10 * time.Millisecond
 
-// slowConn is the server side of a connection to a VM, whose answers can be delayed or held back.
+// slowConn is the server side of a connection to a VM, whose answers can be delayed or held back. Writes are queued: the
+// server holds a lock while it writes, and virtual time stands still while another answer waits for that lock.
 type slowConn struct {
 	net.Conn
-	vm *vm
+	vm     *vm
+	queue  chan []byte
+	closed chan struct{}
+	once   sync.Once
+}
+
+// slowQueue is more than the answers that one connection may hold back in a test.
+const slowQueue = 1 << 14
+
+func newSlowConn(conn net.Conn, v *vm) *slowConn {
+	s := &slowConn{Conn: conn, vm: v, queue: make(chan []byte, slowQueue), closed: make(chan struct{})}
+	go s.run()
+	return s
 }
 
 func (s *slowConn) Write(p []byte) (int, error) {
+	select {
+	case <-s.closed:
+		return 0, net.ErrClosed
+	case s.queue <- slices.Clone(p):
+		return len(p), nil
+	}
+}
+
+func (s *slowConn) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	return s.Conn.Close()
+}
+
+// run writes the queued answers, each after its delay.
+func (s *slowConn) run() {
+	for {
+		select {
+		case <-s.closed:
+			return
+		case p := <-s.queue:
+			s.delay()
+			if _, err := s.Conn.Write(p); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// delay waits for as long as the VM's answers are held back.
+func (s *slowConn) delay() {
 	for s.vm.repliesCut.Load() && !s.vm.dead.Load() {
 		time.Sleep(slowPollInterval)
 	}
@@ -320,7 +365,6 @@
 	for start := time.Now(); s.vm.dispatcher.IsOwner() && time.Since(start) < time.Duration(s.vm.replyDelayAsOwner.Load()) && !s.vm.dead.Load(); {
 		time.Sleep(slowPollInterval)
 	}
-	return s.Conn.Write(p)
 }
 
 // agent returns a VM's client of a worker; its calls hang while the VM does not reach the worker.
