Do not take the progress of a restored checkpoint for work

A member of a gang that resumes from a checkpoint may report no progress while it restores it and then that of the checkpoint, before the others are present. The second report counted as progress of the run, and so as proof that the gang was complete.

A resumed run has worked once its progress rises from a reported one above zero. TestHasWorked has the case; without the change it fails.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -41,10 +41,10 @@
 }
 
 // HasWorked reports whether a progress in percent shows that the run has worked, given the progress that was reported
-// before it. A resumed run reports that of its checkpoint while it waits.
-func (r *Run) HasWorked(before, percent int, first bool) bool {
+// before it, zero if none. A resumed run reports that of its checkpoint while it waits, and none while it restores it.
+func (r *Run) HasWorked(before, percent int) bool {
 	if r.Resumed {
-		return !first && percent > before
+		return before > 0 && percent > before
 	}
 	return percent > 0
 }
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -47,18 +47,18 @@
 func TestHasWorked(t *testing.T) {
 	for _, c := range []struct {
 		name            string
-		resumed, first  bool
+		resumed         bool
 		before, percent int
 		want            bool
 	}{
-		{"waits", false, true, 0, 0, false},
-		{"works", false, true, 0, 1, true},
-		{"reports a checkpoint's progress", true, true, 0, 40, false},
-		{"reports it again", true, false, 40, 40, false},
-		{"works after a checkpoint", true, false, 40, 41, true},
+		{"waits", false, 0, 0, false},
+		{"works", false, 0, 1, true},
+		{"reports a checkpoint's progress, first or after it was restored", true, 0, 40, false},
+		{"reports it again", true, 40, 40, false},
+		{"works after a checkpoint", true, 40, 41, true},
 	} {
 		r := presence.Run{Resumed: c.resumed}
-		if got := r.HasWorked(c.before, c.percent, c.first); got != c.want {
+		if got := r.HasWorked(c.before, c.percent); got != c.want {
 			t.Errorf("%s: %v", c.name, got)
 		}
 	}
