--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -264,6 +264,7 @@
 	d := presence.Departure{
 		Leaving: n.listing.Leaving, TimeLeft: n.listing.TimeLeft, Written: n.listing.Clock, Removed: n.clockNow(time.Now()), Contact: t.o.StoreContact(),
 	}
+	t.log.Info("dispatch: worker's entry removed", zap.String("worker", n.id), zap.Inline(d))
 	if _, ok := d.Left(); ok && !n.isRemoved(t) {
 		t.probeRuns(n, holdTimeoutSlack+relaySlack+t.lag.slack(), func(err error) {
 			d.Answered = isDefinite(err)
--- a/presence/departure.go
+++ b/presence/departure.go
@@ -1,6 +1,10 @@
 package presence
 
-import "time"
+import (
+	"time"
+
+	"go.uber.org/zap/zapcore"
+)
 
 const (
 	// entryLifetime is how long the entry of a silent worker stays: three intervals of about a second and a half.
@@ -34,3 +38,15 @@
 	early := d.TimeLeft > 0 && age < d.TimeLeft
 	return Left, d.Leaving && !lapsed && !early && !d.Answered
 }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (d Departure) MarshalLogObject(out zapcore.ObjectEncoder) error {
+	_, left := d.Left()
+	out.AddBool("left", left)
+	out.AddBool("leaving", d.Leaving)
+	out.AddDuration("timeLeft", d.TimeLeft)
+	out.AddDuration("entryAge", d.Removed-d.Written)
+	out.AddDuration("storeContact", d.Contact)
+	out.AddBool("answered", d.Answered)
+	return nil
+}
