--- a/standin/floor/floor_test.go
+++ b/standin/floor/floor_test.go
@@ -166,18 +166,19 @@
 		is.True(err != nil)
 		_, err = a.Halt(ctx, &worker.Halt{Task: worker.Task{Work: "x"}, Run: 1, Fence: 1})
 		is.True(err != nil)
-		var replies []time.Duration
+		replies := make(chan time.Duration, 2)
 		for range 2 {
 			go func() {
 				held, err := a.Hold(context.Background(), &worker.Hold{Fence: 1})
 				is.NoErr(err)
-				replies = append(replies, held.Clock)
+				replies <- held.Clock
 			}()
 			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(5 * time.Second)
 		is.Equal(len(cluster.History()), 0) // the halt arrived before the launch
-		is.True(len(replies) == 2 && replies[0] > replies[1])
+		is.Equal(len(replies), 2)
+		is.True(<-replies > <-replies) // the reply to the second hold came first
 	})
 }
 
