--- a/standin/floor/floor_test.go
+++ b/standin/floor/floor_test.go
@@ -178,7 +178,8 @@
 		time.Sleep(5 * time.Second)
 		is.Equal(len(cluster.History()), 0) // the halt arrived before the launch
 		is.Equal(len(replies), 2)
-		is.True(<-replies > <-replies) // the reply to the second hold came first
+		first, second := <-replies, <-replies
+		is.True(first > second) // the reply to the second hold came first
 	})
 }
 
