--- a/relay/handover_test.go
+++ b/relay/handover_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,9 +39,9 @@
 	for _, refusal := range append(definiteErrors(), nil, &worker.Refusal{Reason: worker.ReasonFenced}) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			sent := 0
-			err := launchViaLostRelay(t, refusal, false, func() { sent++ })
-			is.Equal(sent, 1) // the relay had the order
+			var sent atomic.Int64
+			err := launchViaLostRelay(t, refusal, false, func() { sent.Add(1) })
+			is.Equal(sent.Load(), int64(1)) // the relay had the order
 			var refused *worker.Refusal
 			if refusal == nil || errors.As(refusal, &refused) && refused.Reason == worker.ReasonFenced {
 				is.True(errors.Is(err, refusal))
@@ -56,9 +59,9 @@
 	for _, refusal := range definiteErrors() {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			sent := 0
-			err := launchViaLostRelay(t, refusal, true, func() { sent++ })
-			is.Equal(sent, 0)
+			var sent atomic.Int64
+			err := launchViaLostRelay(t, refusal, true, func() { sent.Add(1) })
+			is.Equal(sent.Load(), int64(0))
 			is.True(errors.Is(err, refusal))
 		})
 	}
@@ -95,7 +98,10 @@
 		answered <- err
 	}()
 	time.Sleep(connectTimeout / 2)
-	for _, k := range r.links {
+	r.mu.Lock()
+	links := slices.Collect(maps.Values(r.links))
+	r.mu.Unlock()
+	for _, k := range links {
 		k.fail(errRelayUnreliable)
 		k.cancel()
 	}
