--- a/dispatch/faultplan_test.go
+++ b/dispatch/faultplan_test.go
@@ -45,7 +45,7 @@
 	failsOnce   failureKind = "once"
 )
 
-// planStep is one fault. Targets are chosen as it begins, by draws that the plan has made.
+// planStep is one fault. Its targets follow from draws of the plan and from what is there when it begins.
 type planStep struct {
 	at, lasts time.Duration
 	fault     string
