Log by which configuration a caller was answered and what of a document arrived

The line of an answer has the version and the age of the view, reads by a view over its bound are logged, a watch that fails says why, a document that does not arrive from another VM is logged, and bytes are counted by kind of call, those of incomplete answers apart.

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -66,7 +66,7 @@
 	p := &program{droppedLines: dropped, settings: s, log: service.Logger(), peers: rpc.NewPool(), server: rpc.NewServer()}
 	p.metrics = service.Metrics()
 	p.reloadOnSIGHUP(path)
-	p.client = platform.NewClient(func(kind string) { p.metrics.Counter("platform.calls." + kind).Inc(1) })
+	p.client = platform.NewClient(func(name string, n int64) { p.metrics.Counter("platform." + name).Inc(n) })
 	listeners, err := p.listen()
 	if err != nil {
 		return err
@@ -210,13 +210,14 @@
 	return nil
 }
 
-// logAnswer logs the answer to a caller. Successful reads of a state are not logged.
-func (p *program) logAnswer(r *http.Request, id string, status int, took time.Duration, err error) {
-	if r.Method == http.MethodGet && err == nil {
+// logAnswer logs the answer to a caller. Successful reads are not logged, unless the configuration by which they were
+// answered may have been replaced for longer than it should be in force.
+func (p *program) logAnswer(r *http.Request, a *platform.Answer) {
+	if r.Method == http.MethodGet && a.Err == nil && a.ViewAge <= p.settings.ConfigWithin {
 		return
 	}
-	p.log.Info("entry: answered", zap.String("method", r.Method), zap.String("id", id), zap.Int("status", status),
-		zap.Duration("took", took), zap.Error(err))
+	p.log.Info("entry: answered", zap.String("method", r.Method), zap.String("id", a.ID), zap.Int("status", a.Status),
+		zap.Duration("took", a.Took), zap.Int64("version", a.Version), zap.Duration("viewAge", a.ViewAge), zap.Error(a.Err))
 }
 
 // requestPermitFrom returns a function that sends a permit request to the policy service from a given VM of the cell.
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -140,7 +140,9 @@
 }
 
 func (w *Watcher) onContact(err error) {
-	w.declined.Store(err != nil)
+	if declined := w.declined.Swap(err != nil); err != nil && !declined {
+		w.log.Warn("configuration: store could not be followed", zap.Int64("version", w.Document().Version), zap.Error(err))
+	}
 	if err == nil {
 		w.lastAnswer.Store(time.Now().UnixNano())
 	}
@@ -177,7 +179,7 @@
 	if c.Version <= w.doc.Version && w.current.Load() != nil {
 		return
 	}
-	w.logApplied(c, accounts, from, firstKnown)
+	w.logApplied(c, accounts, len(raw), from, firstKnown)
 	w.doc, w.firstKnown = Document{Version: c.Version, Raw: raw}, firstKnown
 	w.current.Store(&inForce{c, accounts})
 	select {
@@ -191,7 +193,7 @@
 
 // logApplied logs a version that comes into force, with what tells why it comes late: how far this VM is behind the first
 // one, how old its view was, and since when the store has not answered. The caller holds mu.
-func (w *Watcher) logApplied(c *job.Config, accounts *account.Directory, from string, firstKnown time.Time) {
+func (w *Watcher) logApplied(c *job.Config, accounts *account.Directory, bytes int, from string, firstKnown time.Time) {
 	behind := time.Since(firstKnown)
 	w.metrics.Histogram("configuration.behindMillis").Update(behind.Milliseconds())
 	if behind > w.within {
@@ -202,7 +204,7 @@
 		viewAge = time.Since(w.confirmedAt)
 	}
 	w.log.Info("configuration: in force", zap.Int64("version", c.Version), zap.Int64("previous", w.doc.Version), zap.String("from", from),
-		zap.Int("queues", len(c.Queues)), zap.Int("accounts", accounts.Len()), zap.Duration("behind", behind),
+		zap.Int("bytes", bytes), zap.Int("queues", len(c.Queues)), zap.Int("accounts", accounts.Len()), zap.Duration("behind", behind),
 		zap.Duration("within", w.within), zap.Duration("viewAge", viewAge),
 		zap.Duration("storeSilent", time.Since(w.storeLastAnswer())), zap.Bool("declined", w.declined.Load()))
 }
--- a/configuration/poll.go
+++ b/configuration/poll.go
@@ -210,7 +210,13 @@
 	if w.Document().Version > known {
 		return pollNewer // from another VM, meanwhile
 	}
-	return w.exchange(ctx, address, w.within/transferDivisor, false)
+	sent := time.Now()
+	result := w.exchange(ctx, address, w.within/transferDivisor, false)
+	if result != pollNewer {
+		w.log.Info("configuration: document not received", zap.String("from", address), zap.Int64("known", known),
+			zap.String("result", string(result)), zap.Duration("took", time.Since(sent)))
+	}
+	return result
 }
 
 // exchange makes one call to another VM.
