--- a/configuration/large_test.go
+++ b/configuration/large_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,9 +29,9 @@
 	storeAddress = "10.0.0.1:1"
 	key          = "configuration"
 	testSeeds    = 10
-	// renewInterval is the interval at which an entry VM renews its lease, renewTimeout the limit of a renewal.
+	// renewInterval is the interval at which an entry VM renews its lease, callTimeout the limit of a renewal.
 	renewInterval = 300 * time.Millisecond
-	renewTimeout  = 900 * time.Millisecond
+	callTimeout   = 900 * time.Millisecond
 	// watchHold is how long a watch waits for a change.
 	watchHold = 2 * time.Second
 	// weakLink and strongLink are the speeds of the links of entry VMs, in bits per second.
@@ -63,6 +64,8 @@
 	peers   *rpc.Pool
 	server  *rpc.Server
 	stop    context.CancelFunc
+	// storeSilent is set while the store does not answer the VM.
+	storeSilent atomic.Bool
 
 	mu      sync.Mutex
 	inForce map[int64]time.Time
@@ -107,7 +110,7 @@
 	dial := f.network.Dialer(v.link)
 	v.client = platform.NewClient(func(string, int64) {}, platform.Dial(dial))
 	v.peers = rpc.NewPool(rpc.Dial(func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }))
-	monitor, kv := health.New(v.client.Store(storeAddress))
+	monitor, kv := health.New(v.silenceable(v.client.Store(storeAddress)))
 	v.watcher = configuration.New(kv, key, v.decode, configuration.ApplyWithin(f.within), configuration.StoreLastAnswer(monitor.LastAnswer), configuration.Peers(v.address,
 		func() []string { return f.others(v) },
 		func(ctx context.Context, address string, req *configuration.PeerRequest) (*configuration.PeerReply, error) {
@@ -126,6 +129,47 @@
 	return v
 }
 
+// silenceable returns the store as the VM sees it.
+func (v *fleetVM) silenceable(kv *store.Store) *store.Store {
+	readRange, watch, keepAlive := kv.Range, kv.Watch, kv.KeepAlive
+	kv.Range = func(ctx context.Context, r store.Range) (store.RangeResult, error) {
+		if v.storeSilent.Load() {
+			return store.RangeResult{}, noAnswer(ctx, callTimeout)
+		}
+		return readRange(ctx, r)
+	}
+	kv.KeepAlive = func(ctx context.Context, id int64) (time.Duration, error) {
+		if v.storeSilent.Load() {
+			return 0, noAnswer(ctx, callTimeout)
+		}
+		return keepAlive(ctx, id)
+	}
+	kv.Watch = func(ctx context.Context, prefix string, from int64, each func(store.Batch)) error {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		err := watch(ctx, prefix, from, func(b store.Batch) {
+			if v.storeSilent.Load() {
+				cancel()
+				return
+			}
+			each(b)
+		})
+		if v.storeSilent.Load() {
+			return noAnswer(ctx, watchHold)
+		}
+		return err
+	}
+	return kv
+}
+
+// noAnswer waits for an answer that does not come.
+func noAnswer(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 func (f *fleet) others(v *fleetVM) []string {
 	var out []string
 	for _, other := range f.vms {
@@ -156,7 +200,7 @@
 	}
 	for ctx.Err() == nil {
 		f.wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			_, _ = kv.KeepAlive(ctx, id)
 		})
@@ -188,6 +232,23 @@
 	f.wg.Wait()
 }
 
+// grow makes the operators add 1,400 queues three times, and change one queue some seconds later.
+func (f *fleet) grow() {
+	for _, step := range []struct {
+		queues int
+		pause  time.Duration
+	}{
+		{1445, 4 * time.Second},
+		{2845, 2500 * time.Millisecond},
+		{2846, 10 * time.Second},
+		{4245, 3700 * time.Millisecond},
+		{4246, 10 * time.Second},
+	} {
+		f.write(int64(len(f.acked))+1, step.queues)
+		time.Sleep(step.pause)
+	}
+}
+
 // checkLags reports the versions that came into force on a VM later than allowed after they were written.
 func (f *fleet) checkLags() {
 	for _, v := range f.vms {
@@ -226,19 +287,7 @@
 					f.add([]int{strongLink, weakLink, weakLink, weakLink}[i%4])
 				}
 				time.Sleep(watchHold + time.Duration(f.rand.Int64N(int64(watchHold))))
-				for _, step := range []struct {
-					queues int
-					pause  time.Duration
-				}{
-					{1445, 4 * time.Second},
-					{2845, 2500 * time.Millisecond},
-					{2846, 10 * time.Second},
-					{4245, 3700 * time.Millisecond},
-					{4246, 10 * time.Second},
-				} {
-					f.write(int64(len(f.acked))+1, step.queues)
-					time.Sleep(step.pause)
-				}
+				f.grow()
 				f.checkLags()
 			})
 		})
