Continue the transfer of a configuration instead of beginning it again

Two other VMs sent the whole document at the same time, each within half of the bound. 590 KB twice take 0.95 s on a free link of 10 Mbit/s, 880 KB twice 1.4 s; with anything else on the link both ended at their deadline, what had arrived was dropped, and the next poll began at the first byte: a load that sustains itself.

A document now comes in parts of 64 KB, compressed, from one VM at a time. Documents of one version are the same everywhere, so that what has arrived stays and the next VM continues where the former one has failed. Whole documents are still sent to, and taken from, builds without parts.

Ruled out: two VMs at a time with longer limits (they compete, and a larger document meets the limit again); one VM at a time without parts (the wait for one that has failed is as long as a transfer may be).

The condition in TestLargeDocumentIsLate by which a reply takes time on the link includes parts; a part takes as long there as the whole document did.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -40,11 +40,14 @@
 	// applied signals a new version that other VMs have to be told of. hints holds the addresses of VMs with a newer version.
 	applied chan struct{}
 	hints   chan string
-	// transfers has an element for each document that another VM is sending.
-	transfers chan struct{}
-	follower  *follow.Follower
-	cancel    context.CancelFunc
-	wg        sync.WaitGroup
+	// transferring has an element while another VM sends a document, which is added to download.
+	transferring chan struct{}
+	download     download
+	// parts holds what this VM sends to others.
+	parts    parts
+	follower *follow.Follower
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
 	// storeLastAnswer returns when the store last answered this VM; lastAnswer is when it last answered the follower.
 	storeLastAnswer func() time.Time
 	lastAnswer      atomic.Int64
@@ -74,7 +77,7 @@
 		store: kv, key: key, decode: decode, log: zap.NewNop(), metrics: metric.New(), within: DefaultApplyWithin,
 		listPeers: func() []string { return nil }, cancel: func() {},
 		rules: NewRules(zap.NewNop()), applied: make(chan struct{}, 1), hints: make(chan string, maxHints),
-		transfers: make(chan struct{}, maxTransfers),
+		transferring: make(chan struct{}, 1),
 	}
 	w.lastAnswer.Store(time.Now().UnixNano())
 	w.storeLastAnswer = func() time.Time { return time.Unix(0, w.lastAnswer.Load()) }
--- a/configuration/late_test.go
+++ b/configuration/late_test.go
@@ -125,7 +125,7 @@
 	}
 	time.Sleep(callLatency)
 	reply := peer.watcher.Reply(req)
-	if len(reply.Raw) > 0 {
+	if len(reply.Raw) > 0 || len(reply.Part) > 0 {
 		v.receiving.Add(1)
 		defer v.receiving.Add(-1)
 		const slice = 10 * time.Millisecond
--- a/configuration/poll.go
+++ b/configuration/poll.go
@@ -24,12 +24,8 @@
 	announceWidth = 3
 	// maxHints limits the VMs that wait to be asked because they have a newer version.
 	maxHints = 4
-	// peerTimeout limits a question to another VM, which answers from memory. Half of the time within which a version must
-	// be in force limits the transfer of a document, which may be large and the link slow.
-	peerTimeout     = 300 * time.Millisecond
-	transferDivisor = 2
-	// maxTransfers limits the documents that other VMs send to this one at the same time. One of these VMs may fail.
-	maxTransfers = 2
+	// peerTimeout limits a question to another VM, which answers from memory.
+	peerTimeout = 300 * time.Millisecond
 )
 
 // PeerRequest asks another VM for newer documents than those that the caller knows.
@@ -38,14 +34,24 @@
 	KnownRules   int64 `msgpack:"u,omitempty"`
 	// VersionOnly asks for the version of a newer configuration without its document.
 	VersionOnly bool `msgpack:"o,omitempty"`
+	// Part asks for one part of a newer configuration's document, with the part of version PartOf that begins at Offset.
+	Part   bool  `msgpack:"p,omitempty"`
+	PartOf int64 `msgpack:"v,omitempty"`
+	Offset int   `msgpack:"i,omitempty"`
 	// From is the address of the caller for other VMs.
 	From string `msgpack:"f,omitempty"`
 }
 
 // PeerReply is what another VM answers about its configuration.
 type PeerReply struct {
-	// Document is empty if the caller's version is at least as new. It has no content if only the version was asked for.
+	// Document is empty if the caller's version is at least as new. It has no content if only the version or a part was
+	// asked for.
 	Document
+	// Part is a compressed part of the document of Size bytes. It begins at Offset, which is 0 if the caller has asked for
+	// another version.
+	Part   []byte `msgpack:"p,omitempty"`
+	Size   int    `msgpack:"n,omitempty"`
+	Offset int    `msgpack:"i,omitempty"`
 	// Confirmed is set if the VM's version is at least the caller's; Age is how long ago the VM confirmed it.
 	Confirmed bool          `msgpack:"c,omitempty"`
 	Age       time.Duration `msgpack:"a,omitempty"`
@@ -59,6 +65,17 @@
 
 // Reply answers another VM. If that VM has a newer version, it is asked for it.
 func (w *Watcher) Reply(req *PeerRequest) *PeerReply {
+	r := w.replyWithDocument(req)
+	if doc := r.Document; len(doc.Raw) > 0 && (req.VersionOnly || req.Part) {
+		r.Raw = nil
+		if req.Part {
+			w.setPart(r, &doc, req)
+		}
+	}
+	return r
+}
+
+func (w *Watcher) replyWithDocument(req *PeerRequest) *PeerReply {
 	r := &PeerReply{Served: !w.isStoreSilent(), Rules: w.rules.newerThan(req.KnownRules)}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -75,9 +92,6 @@
 	r.Confirmed, r.Age = true, time.Since(w.confirmedAt)
 	if w.doc.Version > req.KnownVersion {
 		r.Document, r.KnownFor = w.doc, time.Since(w.firstKnown)
-		if req.VersionOnly {
-			r.Raw = nil
-		}
 	}
 	return r
 }
@@ -187,7 +201,7 @@
 // pollOne asks one VM for its version, and for the document if the version is newer.
 func (w *Watcher) pollOne(ctx context.Context, address string) pollResult {
 	sent, known := time.Now(), w.Document().Version
-	result := w.exchange(ctx, address, peerTimeout, true)
+	result := w.askVersion(ctx, address)
 	if result == pollHasNewer {
 		result = w.transfer(ctx, address, known)
 	}
@@ -197,42 +211,27 @@
 	return result
 }
 
-// transfer gets the document of a VM that has a newer version than the known one. It waits while others send theirs.
-func (w *Watcher) transfer(ctx context.Context, address string, known int64) pollResult {
-	ctx, cancel := context.WithTimeout(ctx, w.within/transferDivisor)
-	defer cancel()
-	select {
-	case w.transfers <- struct{}{}:
-		defer func() { <-w.transfers }()
-	case <-ctx.Done():
-		return pollBusy
-	}
-	if w.Document().Version > known {
-		return pollNewer // from another VM, meanwhile
-	}
-	sent := time.Now()
-	result := w.exchange(ctx, address, w.within/transferDivisor, false)
-	if result != pollNewer {
-		w.log.Info("configuration: document not received", zap.String("from", address), zap.Int64("known", known),
-			zap.String("result", string(result)), zap.Duration("took", time.Since(sent)))
+// askVersion asks another VM for its version.
+func (w *Watcher) askVersion(ctx context.Context, address string) pollResult {
+	sent, req := time.Now(), PeerRequest{VersionOnly: true}
+	reply, err := w.call(ctx, address, peerTimeout, &req)
+	if err != nil {
+		return pollFailed
 	}
-	return result
+	return w.applyReply(address, req.KnownVersion, sent, reply)
 }
 
-// exchange makes one call to another VM.
-func (w *Watcher) exchange(ctx context.Context, address string, timeout time.Duration, versionOnly bool) pollResult {
+// call sends a request to another VM, with what this VM knows.
+func (w *Watcher) call(ctx context.Context, address string, timeout time.Duration, req *PeerRequest) (*PeerReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	sent, known := time.Now(), w.Document().Version
-	reply, err := w.ask(ctx, address, &PeerRequest{
-		KnownVersion: known, KnownRules: w.rules.versionInForce(), VersionOnly: versionOnly, From: w.self,
-	})
+	req.KnownVersion, req.KnownRules, req.From = w.Document().Version, w.rules.versionInForce(), w.self
+	reply, err := w.ask(ctx, address, req)
 	w.order.record(address, err == nil && reply.Served)
 	if err != nil {
 		w.log.Debug("configuration: other VM does not answer", zap.String("address", address), zap.Error(err))
-		return pollFailed
 	}
-	return w.applyReply(address, known, sent, reply)
+	return reply, err
 }
 
 func (w *Watcher) applyReply(address string, known int64, sent time.Time, reply *PeerReply) pollResult {
