Let a read of the configuration for callers go on while they stop waiting

A caller with an unknown queue waits 0.4 s for the VM's read of the store. The read ended with the wait, also while a large configuration arrived, and the next caller's read began at its first byte again.

Callers still wait 0.4 s; the read goes on without them, and those that come meanwhile join it.

TestRefreshAsksOthersOnce closes its Watcher now: the read outlives the refresh, and Close ends it.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -65,6 +65,8 @@
 	refreshMu   sync.Mutex
 	refreshing  chan struct{}
 	refreshedAt time.Time
+	// reading is the read of the store that is under way for callers.
+	reading *storeRead
 }
 
 // inForce is a configuration with the index of its accounts.
@@ -144,6 +146,7 @@
 // Close stops following.
 func (w *Watcher) Close() {
 	w.cancel()
+	w.endRead()
 	w.wg.Wait()
 }
 
--- a/configuration/configuration_test.go
+++ b/configuration/configuration_test.go
@@ -152,6 +152,7 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}))
+		defer w.Close() // ends the read that goes on
 		for range 2 {
 			time.Sleep(DefaultApplyWithin)
 			began := time.Now()
--- a/configuration/large_test.go
+++ b/configuration/large_test.go
@@ -64,8 +64,8 @@
 	peers   *rpc.Pool
 	server  *rpc.Server
 	stop    context.CancelFunc
-	// storeSilent is set while the store does not answer the VM.
-	storeSilent atomic.Bool
+	// storeSilent is set while the store does not answer the VM, watchSilent while it does not answer its watch.
+	storeSilent, watchSilent atomic.Bool
 
 	mu      sync.Mutex
 	inForce map[int64]time.Time
@@ -147,15 +147,16 @@
 	kv.Watch = func(ctx context.Context, prefix string, from int64, each func(store.Batch)) error {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
+		silent := func() bool { return v.storeSilent.Load() || v.watchSilent.Load() }
 		err := watch(ctx, prefix, from, func(b store.Batch) {
-			if v.storeSilent.Load() {
+			if silent() {
 				cancel()
 				return
 			}
 			each(b)
 		})
-		if v.storeSilent.Load() {
-			return noAnswer(ctx, watchHold)
+		if silent() {
+			return noAnswer(context.Background(), watchHold)
 		}
 		return err
 	}
@@ -355,3 +356,22 @@
 		}
 	})
 }
+
+// Guards against a VM with a slow link that gives a read for its callers up while a large configuration arrives.
+func TestReadForCallersGoesOn(t *testing.T) {
+	for seed := range uint64(testSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, seed, 3*time.Second)
+				defer f.close()
+				f.write(1, 45)
+				v := f.add(weakLink)
+				time.Sleep(watchHold + time.Duration(f.rand.Int64N(int64(watchHold))))
+				v.watchSilent.Store(true)
+				f.write(2, 4246)
+				time.Sleep(4 * time.Second)
+				f.checkLags()
+			})
+		})
+	}
+}
