Scale the tests of large configurations to a tenth

Under the race detector they took five minutes. Documents and links have a tenth of the size and speed, so that all transfers take as long as before. The list of VMs is read under its lock, which the race detector had reported.

--- a/configuration/large_test.go
+++ b/configuration/large_test.go
@@ -34,10 +34,10 @@
 	callTimeout   = 900 * time.Millisecond
 	// watchHold is how long a watch waits for a change.
 	watchHold = 2 * time.Second
-	// weakLink and strongLink are the speeds of the links of entry VMs, in bits per second.
-	weakLink, strongLink = 10_000_000, 200_000_000
-	// queueBytes is the size of a queue in a document.
-	queueBytes = 208
+	// weakLink and strongLink are the speeds of the links of entry VMs, in bits per second, queueBytes is the size of a
+	// queue in a document. All are a tenth of the platform's, so that transfers take as long and the test less.
+	weakLink, strongLink = 1_000_000, 20_000_000
+	queueBytes           = 21
 	// confirmInterval is the interval at which callers ask a VM for a queue that does not exist.
 	confirmInterval = 700 * time.Millisecond
 	methodConfig    = "Entry.Config"
@@ -51,9 +51,11 @@
 	network *link.Network
 	standin *platform.Standin
 	server  http.Server
-	vms     []*fleetVM
 	acked   map[int64]time.Time
 	wg      sync.WaitGroup
+
+	mu  sync.Mutex // guards vms while VMs start
+	vms []*fleetVM
 }
 
 type fleetVM struct {
@@ -92,7 +94,7 @@
 	fmt.Fprintf(&b, "%d\n", version)
 	r := rand.New(rand.NewPCG(1, 1))
 	for b.Len() < queues*queueBytes {
-		fmt.Fprintf(&b, `{"name":"queue-%08x","host":"a.example","prefix":"/%08x/","pool":"main","priority":2,"objective":3000}`, r.Uint32(), r.Uint32())
+		fmt.Fprintf(&b, `{"queue":"/%08x/"}`, r.Uint32())
 	}
 	_, err := f.standin.KV.Store().Txn(f.t.Context(), store.Txn{Then: []store.Op{{Key: key, Value: []byte(b.String())}}})
 	if err != nil {
@@ -106,7 +108,9 @@
 	v := &fleetVM{
 		address: fmt.Sprintf("10.0.1.%d:1", len(f.vms)), link: link.New(bitsPerSecond), server: rpc.NewServer(), inForce: make(map[int64]time.Time),
 	}
+	f.mu.Lock()
 	f.vms = append(f.vms, v)
+	f.mu.Unlock()
 	dial := f.network.Dialer(v.link)
 	v.client = platform.NewClient(func(string, int64) {}, platform.Dial(dial))
 	v.peers = rpc.NewPool(rpc.Dial(func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }))
@@ -172,6 +176,8 @@
 }
 
 func (f *fleet) others(v *fleetVM) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var out []string
 	for _, other := range f.vms {
 		if other != v {
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -9,9 +9,13 @@
 	"time"
 )
 
-// windowBytes is how much of one connection may be under way on a link at a time. A connection waits until the windows of
-// the others that came first have passed, so that connections with much to send get equal shares.
-const windowBytes = 64 << 10
+const (
+	// windowTime is how long what one connection may have under way on a link takes there. A connection waits until the
+	// windows of the others that came first have passed, so that connections with much to send get equal shares.
+	windowTime = 50 * time.Millisecond
+	// unlimitedWindow is the window in bytes between links without a limit.
+	unlimitedWindow = 64 << 10
+)
 
 // lingerTimeout limits the sending of what was written before a connection was closed.
 const lingerTimeout = time.Second
@@ -27,6 +31,14 @@
 	return &Link{in: lane{bitsPerSecond: bitsPerSecond}, out: lane{bitsPerSecond: bitsPerSecond}}
 }
 
+// window returns how many bytes of one connection may be under way.
+func (l *Link) window() int {
+	if l.in.bitsPerSecond == 0 {
+		return unlimitedWindow
+	}
+	return max(int(int64(l.in.bitsPerSecond)*int64(windowTime)/int64(8*time.Second)), 1)
+}
+
 // Received returns the number of bytes that the VM has received, including those of connections that it closed.
 func (l *Link) Received() int64 { return l.received.Load() }
 
@@ -125,7 +137,7 @@
 func (c *conn) send() {
 	for {
 		c.mu.Lock()
-		part := c.queue[:min(windowBytes, len(c.queue))]
+		part := c.queue[:min(c.from.window(), c.to.window(), len(c.queue))]
 		c.queue = c.queue[len(part):]
 		if c.sending = len(part) > 0 && c.err == nil; !c.sending {
 			closing := c.closing
