--- a/configuration/poll.go
+++ b/configuration/poll.go
@@ -230,14 +230,15 @@
 	w.order.record(address, err == nil && reply.Served)
 	if err != nil {
 		w.log.Debug("configuration: other VM does not answer", zap.String("address", address), zap.Error(err))
+		return nil, err
 	}
-	return reply, err
-}
-
-func (w *Watcher) applyReply(address string, known int64, sent time.Time, reply *PeerReply) pollResult {
 	if len(reply.Rules) > 0 {
 		w.rules.Apply(reply.Rules)
 	}
+	return reply, nil
+}
+
+func (w *Watcher) applyReply(address string, known int64, sent time.Time, reply *PeerReply) pollResult {
 	if len(reply.Raw) > 0 && reply.Version > w.Document().Version {
 		w.Apply(reply.Raw, address, sent.Add(-reply.KnownFor))
 	}
--- a/configuration/transfer_test.go
+++ b/configuration/transfer_test.go
@@ -132,3 +132,26 @@
 		}
 	})
 }
+
+// Guards against rules that change during a transfer and are sent again with each further part of the document.
+func TestRulesAreSentOnceInTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		vm := sender(largeDocument(8, 5*partBytes))
+		sent := 0
+		w := New(memory.New().Store(), key, decodeLarge, Peers("self", onePeer, func(_ context.Context, _ string, req *PeerRequest) (*PeerReply, error) {
+			if req.Part {
+				vm.rules.Apply([]byte(`{"version":3,"rules":{"rules":[]}}`))
+			}
+			reply := vm.Reply(req)
+			if len(reply.Rules) > 0 {
+				sent++
+			}
+			return reply, nil
+		}))
+		w.Apply([]byte("7\n"), "store", time.Now())
+		is.Equal(w.pollOne(t.Context(), "other"), pollNewer)
+		is.Equal(w.rules.versionInForce(), int64(3))
+		is.Equal(sent, 1)
+	})
+}
