--- a/configuration/poll.go
+++ b/configuration/poll.go
@@ -34,7 +34,8 @@
 	KnownRules   int64 `msgpack:"u,omitempty"`
 	// VersionOnly asks for the version of a newer configuration without its document.
 	VersionOnly bool `msgpack:"o,omitempty"`
-	// Part asks for one part of a newer configuration's document, with the part of version PartOf that begins at Offset.
+	// Part asks for one part of a newer configuration's document: the one that begins at Offset if its version is PartOf,
+	// otherwise the first one.
 	Part   bool  `msgpack:"p,omitempty"`
 	PartOf int64 `msgpack:"v,omitempty"`
 	Offset int   `msgpack:"i,omitempty"`
@@ -47,8 +48,7 @@
 	// Document is empty if the caller's version is at least as new. It has no content if only the version or a part was
 	// asked for.
 	Document
-	// Part is a compressed part of the document of Size bytes. It begins at Offset, which is 0 if the caller has asked for
-	// another version.
+	// Part is a compressed part of the document, which has Size bytes before compression. It begins at Offset.
 	Part   []byte `msgpack:"p,omitempty"`
 	Size   int    `msgpack:"n,omitempty"`
 	Offset int    `msgpack:"i,omitempty"`
--- a/configuration/transfer.go
+++ b/configuration/transfer.go
@@ -29,8 +29,8 @@
 	firstKnown time.Time
 }
 
-// transfer gets the document of a VM that has a newer version than the known one. It waits while another VM sends its own:
-// together they would take longer, as they share the link of this VM.
+// transfer gets the document of a VM that has a newer version than the known one. It waits while another VM sends its own,
+// as both would share the link of this VM.
 func (w *Watcher) transfer(ctx context.Context, address string, known int64) pollResult {
 	waitCtx, cancel := context.WithTimeout(ctx, w.within/transferDivisor)
 	defer cancel()
@@ -50,8 +50,8 @@
 	return result
 }
 
-// receiveParts continues the download from one VM until the document is complete or the VM does not send a part of it. The
-// caller has the right to transfer.
+// receiveParts continues the download from one VM until the document is complete or the VM sends no usable part. Only the
+// goroutine in transfer may call it.
 func (w *Watcher) receiveParts(ctx context.Context, address string, known int64) pollResult {
 	d := &w.download
 	for {
