--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -295,8 +295,8 @@
 			}
 		}
 	}
-	for i := range s.cell.queues {
-		rep.Queues = append(rep.Queues, s.queueStats(s.cell.queues[i].Name))
+	for _, q := range queues() {
+		rep.Queues = append(rep.Queues, s.queueStats(q.Name))
 	}
 	s.cell.mu.Lock()
 	defer s.cell.mu.Unlock()
--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -91,7 +91,7 @@
 
 // NewCell starts a cell.
 func NewCell(o *Options) (*Cell, error) {
-	c := &Cell{opts: o, standin: platform.NewStandin(), works: make(map[string]*job.Work), queues: queues(), accounts: newAccountBook(o.Seed)}
+	c := &Cell{opts: o, standin: platform.NewStandin(), works: make(map[string]*job.Work), queues: append(queues(), idleQueues(o.IdleQueues)...), accounts: newAccountBook(o.Seed)}
 	c.cluster = floor.New(c.behave)
 	c.cluster.OnCrash, c.cluster.ShrinkGrace = c.restartCrashed, shrinkGrace
 	if o.Accounts {
@@ -114,6 +114,15 @@
 	}
 }
 
+func idleQueues(n int) []job.Queue {
+	var out []job.Queue
+	for i := range n {
+		name := fmt.Sprintf("idle-%d", i)
+		out = append(out, job.Queue{Name: name, Host: "desk.example", Prefix: "/" + name + "/", Pool: "desk", Priority: 2, MaxAttempts: 3, SlackFactor: 4, Objective: 3 * time.Second})
+	}
+	return out
+}
+
 // allowedWorkers allows a step on about two thirds of the workers, always the same ones: a worker that comes back as
 // another instance is allowed what its first one was.
 func allowedWorkers(step string, workers []string) []string {
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -22,6 +22,8 @@
 	Duration time.Duration
 	// VMs and Workers are the numbers of entry VMs and workers, Rate is the number of works per second.
 	VMs, Workers, Rate int
+	// IdleQueues is how many more queues the configuration has, to which nobody submits.
+	IdleQueues int
 	// Program is the path of the entry program, Dir the directory for settings and logs.
 	Program, Dir string
 	// Net is the second and third byte of the loopback addresses, from 256 to 65535. Concurrent runs need different
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 	vmsFlag      = flag.Int("vms", 4, "entry VMs of additional runs")
 	workersFlag  = flag.Int("workers", 9, "workers of additional runs")
 	rateFlag     = flag.Int("rate", 8, "works per second of additional runs")
+	idleFlag     = flag.Int("idlequeues", 0, "queues of additional runs to which nobody submits; each makes the configuration some 200 bytes larger")
 	logsFlag     = flag.String("logs", "", "directory that keeps settings and logs of all runs; empty keeps none")
 )
 
@@ -48,7 +49,7 @@
 	for i := range *seedsFlag {
 		out = append(out, Options{
 			Seed: *seedFlag + uint64(i), Faults: !*calmFlag, Accounts: *accountsFlag, Duration: time.Duration(*secondsFlag) * time.Second,
-			VMs: *vmsFlag, Workers: *workersFlag, Rate: *rateFlag,
+			VMs: *vmsFlag, Workers: *workersFlag, Rate: *rateFlag, IdleQueues: *idleFlag,
 		})
 	}
 	return out
