Let a slow VM leave the transfer of a configuration to others

By review, a fault of the transfer in parts: one VM at a time sends a document, and a slow one that sent each part within a quarter of the bound kept the right to go on, for up to fourteen parts, while a faster one gave up waiting.

A VM that has sent for an eighth of the bound leaves the rest to one that waits, which continues at the same byte. Without others it goes on.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -43,6 +43,8 @@
 	// transferring has an element while another VM sends a document, which is added to download.
 	transferring chan struct{}
 	download     download
+	// waitingTransfers counts the VMs that wait to send a document.
+	waitingTransfers atomic.Int64
 	// parts holds what this VM sends to others.
 	parts    parts
 	follower *follow.Follower
--- a/configuration/poll.go
+++ b/configuration/poll.go
@@ -186,7 +186,8 @@
 
 const (
 	pollFailed pollResult = "failed"
-	// pollBusy means that the VM has a newer version, but that documents of other VMs took too long.
+	// pollBusy means that the VM has a newer version, but that documents of other VMs took too long, or that it has sent
+	// parts of its document and left the rest to others.
 	pollBusy pollResult = "busy"
 	// pollOlder means that the VM's version is older or that it has none.
 	pollOlder pollResult = "older"
--- a/configuration/transfer.go
+++ b/configuration/transfer.go
@@ -15,9 +15,11 @@
 	// partBytes is the size of a part of a document before compression. A part takes half a second on a link of 1 Mbit/s.
 	partBytes = 64 << 10
 	// transferDivisor divides the time within which a version must be in force: that part of it limits the wait for a
-	// transfer from another VM. partDivisor divides it likewise for the wait for one part.
+	// transfer from another VM. partDivisor divides it likewise for the wait for one part, and turnDivisor for the time
+	// that one VM has to send parts while others wait.
 	transferDivisor = 2
 	partDivisor     = 4
+	turnDivisor     = 8
 )
 
 // download is a document of which the first parts have arrived. It is continued from any VM that has the same version.
@@ -34,10 +36,13 @@
 func (w *Watcher) transfer(ctx context.Context, address string, known int64) pollResult {
 	waitCtx, cancel := context.WithTimeout(ctx, w.within/transferDivisor)
 	defer cancel()
+	w.waitingTransfers.Add(1)
 	select {
 	case w.transferring <- struct{}{}:
+		w.waitingTransfers.Add(-1)
 		defer func() { <-w.transferring }()
 	case <-waitCtx.Done():
+		w.waitingTransfers.Add(-1)
 		return pollBusy
 	}
 	started, before := time.Now(), len(w.download.raw)
@@ -50,10 +55,10 @@
 	return result
 }
 
-// receiveParts continues the download from one VM until the document is complete or the VM sends no usable part. Only the
-// goroutine in transfer may call it.
+// receiveParts continues the download from one VM until the document is complete, the VM sends no usable part, or its turn
+// is over and another one waits, which may be faster. Only the goroutine in transfer may call it.
 func (w *Watcher) receiveParts(ctx context.Context, address string, known int64) pollResult {
-	d := &w.download
+	d, started := &w.download, time.Now()
 	for {
 		if w.Document().Version > known {
 			return pollNewer // from the store or another VM, meanwhile
@@ -76,6 +81,9 @@
 			return pollFailed
 		}
 		if d.raw = append(d.raw, part...); len(d.raw) < d.size {
+			if w.waitingTransfers.Load() > 0 && time.Since(started) >= w.within/turnDivisor {
+				return pollBusy
+			}
 			continue
 		}
 		reply.Raw, reply.KnownFor = d.raw, sent.Sub(d.firstKnown)
--- a/configuration/transfer_test.go
+++ b/configuration/transfer_test.go
@@ -155,3 +155,26 @@
 		is.Equal(sent, 1)
 	})
 }
+
+// Guards against a slow VM that goes on to send a document, part by part, while a fast one waits.
+func TestSlowVMLeavesTransferToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		raw := largeDocument(8, 14*partBytes)
+		vm := sender(raw)
+		w := New(memory.New().Store(), key, decodeLarge, Peers("self", onePeer, func(_ context.Context, address string, req *PeerRequest) (*PeerReply, error) {
+			if time.Sleep(callLatency); req.Part && address == "slow" {
+				time.Sleep(400 * time.Millisecond)
+			}
+			return vm.Reply(req), nil
+		}))
+		w.Apply([]byte("7\n"), "store", time.Now())
+		began, done := time.Now(), make(chan pollResult)
+		go func() { done <- w.pollOne(t.Context(), "slow") }()
+		time.Sleep(callLatency)
+		go func() { done <- w.pollOne(t.Context(), "fast") }()
+		is.Equal([]pollResult{<-done, <-done}, []pollResult{pollBusy, pollNewer})
+		is.True(bytes.Equal(w.Document().Raw, raw))
+		is.True(time.Since(began) < DefaultApplyWithin)
+	})
+}
