--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -16,6 +16,7 @@
 	"turmericgap/account"
 	"turmericgap/configuration"
 	"turmericgap/dispatch"
+	"turmericgap/feature"
 	"turmericgap/front"
 	"turmericgap/job"
 	"turmericgap/logger"
@@ -62,7 +63,7 @@
 }
 
 // wire creates and connects all components.
-func wire(service *turmericgap.Service, s *platform.Settings, path string, dropped func() int64) error {
+func wire(service *turmericgap.Service, s *platform.Settings, features *feature.Set, path string, dropped func() int64) error {
 	p := &program{droppedLines: dropped, settings: s, log: service.Logger(), peers: rpc.NewPool(), server: rpc.NewServer()}
 	p.metrics = service.Metrics()
 	p.reloadOnSIGHUP(path)
@@ -84,7 +85,7 @@
 		dispatch.Config(func() *job.Config { return p.config.Current() }), dispatch.Rules(p.rules.Current),
 		dispatch.Permits(func() []owner.Node { return p.group.Nodes() }, p.requestPermitFrom(requestPermit)),
 		dispatch.Maintenance(maintenanceWaves(p.client, s)),
-		dispatch.CapOverrun(s.CapOverrun),
+		dispatch.CapOverrun(s.CapOverrun), dispatch.Features(features, s.Pressure),
 		dispatch.Limits(s.MostHold, s.StopWithin, s.KeepEnded),
 		dispatch.Logger(logger.Part(p.log, "dispatch")), dispatch.Metrics(service.Metrics()))
 	p.config = configuration.New(kv, platform.ConfigKey, platform.DecodeConfig, configuration.Peers(s.Peers, p.listPeers, p.askPeerConfig), configuration.ExchangeRules(p.rules),
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/feature"
 	"turmericgap/job"
 	"turmericgap/metric"
 	"turmericgap/owner"
@@ -46,6 +47,10 @@
 	MaxHold, StopTimeout time.Duration
 	// CapOverrun is the fraction by which a client account may exceed its cap.
 	CapOverrun float64
+	// Features holds the operators' choices of optional parts; nil chooses none. Pressure is true if the deployment
+	// expects callers to compete for too little capacity.
+	Features *feature.Set
+	Pressure bool
 	// EndedRetention is how long the state of ended work is kept.
 	EndedRetention time.Duration
 }
@@ -153,6 +158,12 @@
 // CapOverrun sets the fraction by which a client account may exceed its cap.
 func CapOverrun(overrun float64) Option { return func(o *Options) { o.CapOverrun = overrun } }
 
+// Features sets the operators' choices of optional parts, and whether callers are expected to compete for too little
+// capacity.
+func Features(choices *feature.Set, pressure bool) Option {
+	return func(o *Options) { o.Features, o.Pressure = choices, pressure }
+}
+
 // OnExamined sets the function that is called during a pass with the number of workers examined since the last call.
 func OnExamined(f func(examined int)) Option { return func(o *Options) { o.OnExamined = f } }
 
