Move decision code out of package dispatch into packages of its own

Behaviour, log lines, keys and records are unchanged.

- capacity: the index of workers by zone and free CPU, generic
- quarantine: suspicion and quarantine of a worker by the ends of its runs
- tally: outcomes by queue and size class, and the size of a work
- commitstream: the pace of commits and their streams
- lag, calllimit: the lag of the owner's loop, and the calls in flight
- account: Reports and Holder
- maintenance: Progress, the bookkeeping of waves

account.Report replaces dispatch.AccountReport.

--- /dev/null
+++ b/calllimit/doc.go
@@ -0,0 +1,2 @@
+// Package calllimit limits the calls that are in flight at the same time.
+package calllimit
--- a/cmd/ctl/account.go
+++ b/cmd/ctl/account.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"time"
 
-	"turmericgap/dispatch"
+	"turmericgap/account"
 	"turmericgap/finding"
 	"turmericgap/job"
 )
@@ -42,7 +42,7 @@
 	return t.print()
 }
 
-func (a *accounts) fetch() (*dispatch.AccountReports, error) {
+func (a *accounts) fetch() (*account.Reports, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.opts.Seconds)*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Ops+"/accounts", nil)
@@ -61,14 +61,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("entry VM %s answered with status %d: %s", a.Ops, resp.StatusCode, stripControls(string(raw)))
 	}
-	var reports dispatch.AccountReports
+	var reports account.Reports
 	if err := json.Unmarshal(raw, &reports); err != nil {
 		return nil, fmt.Errorf("answer of entry VM %s: %w", a.Ops, err)
 	}
 	return &reports, nil
 }
 
-func accountCells(r *dispatch.AccountReport) []string {
+func accountCells(r *account.Report) []string {
 	limit := "none"
 	if r.Cap != (job.Resources{}) {
 		limit = formatResources(r.Cap)
@@ -81,7 +81,7 @@
 }
 
 // accountState says why works of an account wait.
-func accountState(r *dispatch.AccountReport) string {
+func accountState(r *account.Report) string {
 	switch {
 	case r.Waiting == 0:
 		return "nothing waits"
--- a/cmd/ctl/account_test.go
+++ b/cmd/ctl/account_test.go
@@ -8,13 +8,13 @@
 
 	"github.com/matryer/is"
 
-	"turmericgap/dispatch"
+	"turmericgap/account"
 	"turmericgap/job"
 )
 
 func TestAccountCells(t *testing.T) {
 	is := is.New(t)
-	r := dispatch.AccountReport{
+	r := account.Report{
 		Name: "kochi", Weight: 40, Runs: 3, Running: job.Resources{Millicores: 3000, MemoryMB: 600}, Share: 0.25,
 		Waiting: 4, WaitingForCap: 4, Refused: 2,
 	}
@@ -24,7 +24,7 @@
 // Guards against a state that names the wrong reason for waiting.
 func TestAccountState(t *testing.T) {
 	is := is.New(t)
-	for want, r := range map[string]dispatch.AccountReport{
+	for want, r := range map[string]account.Report{
 		"nothing waits":               {},
 		"held back by its cap":        {Waiting: 2, WaitingForCap: 2, Surplus: 1},
 		"partly held back by its cap": {Waiting: 2, WaitingForCap: 1},
--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -39,7 +39,7 @@
 		return true, done
 	}
 	if e == nil {
-		if t.committer.isStuck(time.Now()) {
+		if t.committer.streams.IsStuck(time.Now(), commitStuckAfter) {
 			return false, nil
 		}
 		if since, failing := t.o.StoreFailing(); failing && time.Since(since) > unsentTimeout {
--- a/dispatch/caps.go
+++ b/dispatch/caps.go
@@ -42,21 +42,10 @@
 	return allowed
 }
 
-const (
-	// capHoldLimit is how long a gang may keep a part of its account's cap although the cap is not what it waits for, or
-	// is less than half used. Otherwise a gang that finds no room or no permits would stop all works of its account.
-	capHoldLimit = 2 * time.Second
-	// capHoldPause is how long other works of the account may start then.
-	capHoldPause = 500 * time.Millisecond
-)
-
 // capHolder is a gang that was blocked by the cap of its account and keeps its part of the cap until it has started.
 type capHolder struct {
+	account.Holder
 	gang *stage
-	// idleSince is when the cap began to be less than half used, or large enough for the gang; zero while it is not.
-	idleSince time.Time
-	// pausedUntil is when the gang may hold its part again.
-	pausedUntil time.Time
 }
 
 // holdCaps lets each gang that was blocked by the cap of its account hold its part of the cap. Otherwise single tasks that
@@ -76,18 +65,7 @@
 // holdCap lets a gang hold its part of the cap unless it has held it in vain for too long.
 func (t *term) holdCap(h *capHolder, now time.Time) {
 	need := h.gang.capNeed()
-	ledger := t.accounts.ledger
-	switch idle := ledger.IsHalfFree(need.Account) || ledger.FitsGang(&need); {
-	case !idle:
-		h.idleSince = time.Time{}
-	case h.idleSince.IsZero():
-		h.idleSince = now
-	case now.Sub(h.idleSince) > capHoldLimit:
-		h.idleSince, h.pausedUntil = time.Time{}, now.Add(capHoldPause)
-	}
-	if !now.Before(h.pausedUntil) {
-		ledger.Hold(&need)
-	}
+	h.Hold(t.accounts.ledger, &need, now)
 }
 
 // dropHold ends the hold of a gang that has started.
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -71,7 +71,7 @@
 	if limit := s.spec.MaxPerWorker; limit > 0 {
 		k = min(k, limit-s.tasksOn(n))
 	}
-	if n.isOnTrial() {
+	if n.IsOnTrial() {
 		k = min(k, 1)
 		if !n.acceptsTrial(s) {
 			k = 0
@@ -165,7 +165,7 @@
 // suspicion returns how much a worker is to be avoided for this stage because of failures; 0 is best.
 func (s *stage) suspicion(n *node) int {
 	d := 2 * s.failuresByWorker[n.id]
-	if n.isSuspect() {
+	if n.IsSuspect() {
 		d++
 	}
 	return d
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/commitstream"
 	"turmericgap/job"
 	"turmericgap/store"
 	"turmericgap/store/retry"
@@ -49,7 +50,7 @@
 
 // batch is the content of one commit.
 type batch struct {
-	stream   *commitStream
+	stream   *commitstream.Stream
 	txn      store.Txn
 	marker   []byte
 	saves    []*pendingSave
@@ -61,8 +62,7 @@
 }
 
 func (t *term) sendBatch(b *batch) {
-	before, started := b.stream.revision, time.Now()
-	t.committer.lastSent, b.stream.sentAt = started, started
+	before, started := b.stream.Revision, time.Now()
 	t.wg.Go(func() {
 		revision, err := t.commit(b, before)
 		if errors.Is(err, store.ErrNotSent) {
@@ -80,14 +80,14 @@
 }
 
 // buildBatch builds a transaction from as many pending changes as fit.
-func (t *term) buildBatch(stream *commitStream) *batch {
+func (t *term) buildBatch(stream *commitstream.Stream, number int64) *batch {
 	c := &t.committer
-	b := &batch{stream: stream, marker: encode(&marker{t.tenure.Fence, c.number}), states: make(map[*entry]job.WorkState)}
+	b := &batch{stream: stream, marker: encode(&marker{t.tenure.Fence, number}), states: make(map[*entry]job.WorkState)}
 	b.txn.Compares = []store.Compare{
 		t.tenure.Compare(),
-		{Key: stream.key, Target: store.ModRevision, Revision: stream.revision},
+		{Key: stream.Key, Target: store.ModRevision, Revision: stream.Revision},
 	}
-	b.txn.Then = []store.Op{{Key: stream.key, Value: b.marker}}
+	b.txn.Then = []store.Op{{Key: stream.Key, Value: b.marker}}
 	var left []*pendingSave
 	now := time.Now()
 	for _, s := range c.queue {
@@ -113,9 +113,7 @@
 // callers waiting until they time out.
 func (t *term) onDeclined(b *batch) {
 	c := &t.committer
-	c.inFlight--
-	b.stream.inFlight = false
-	c.retryAt = time.Now().Add(c.backoff.Next())
+	c.streams.Decline(b.stream, time.Now())
 	for e := range b.states {
 		e.inFlight = nil
 	}
@@ -184,9 +182,7 @@
 
 // onCommitted handles a successful commit on the loop.
 func (t *term) onCommitted(b *batch, revision int64, took time.Duration) {
-	t.committer.inFlight--
-	b.stream.inFlight, b.stream.revision = false, revision
-	t.committer.backoff.Reset()
+	t.committer.streams.Succeed(b.stream, revision)
 	t.o.Metrics.Histogram("dispatch.commitMillis").Update(took.Milliseconds())
 	for e, state := range b.states {
 		e.durableState, e.inFlight = state, nil
@@ -258,14 +254,14 @@
 func (t *term) resolve(ctx context.Context, b *batch, res *store.TxnResult) (int64, error) {
 	found := res.Existing
 	if len(found) == 0 {
-		r, err := t.o.Store.Range(ctx, store.Range{Key: b.stream.key})
+		r, err := t.o.Store.Range(ctx, store.Range{Key: b.stream.Key})
 		if err != nil {
 			return 0, err
 		}
 		found = r.Pairs
 	}
 	for i := range found {
-		if found[i].Key == b.stream.key && bytes.Equal(found[i].Value, b.marker) {
+		if found[i].Key == b.stream.Key && bytes.Equal(found[i].Value, b.marker) {
 			return found[i].ModRevision, nil
 		}
 	}
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -7,6 +7,7 @@
 	"turmericgap/job"
 	"turmericgap/presence"
 	"turmericgap/rule"
+	"turmericgap/tally"
 	"turmericgap/worker"
 )
 
@@ -148,7 +149,7 @@
 }
 
 func newEntry(w *job.Work) *entry {
-	e := &entry{work: w, queue: &w.Queue, state: job.WorkQueued, durableState: job.WorkQueued, size: size(w)}
+	e := &entry{work: w, queue: &w.Queue, state: job.WorkQueued, durableState: job.WorkQueued, size: tally.Size(w)}
 	e.updateObjective()
 	return e
 }
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -8,6 +8,7 @@
 
 	"turmericgap/job"
 	"turmericgap/owner"
+	"turmericgap/quarantine"
 	"turmericgap/worker"
 )
 
@@ -37,7 +38,7 @@
 	fresh := newTestStage(&job.Work{Steps: []job.Step{{Tasks: 1}}})
 	failed := newTestStage(&job.Work{Steps: []job.Step{{Tasks: 1}}})
 	failed.recordFailureOn("another")
-	u := &health{failedInARow: quarantineAfter}
+	u := &health{Record: quarantine.Record{FailedInARow: quarantine.After}}
 	is.True(u.acceptsTrial(fresh))
 	is.True(!u.acceptsTrial(failed))
 	is.True(!u.acceptsTrial(newTestStage(gangOfTwo(nil))))
@@ -51,7 +52,7 @@
 	is := is.New(t)
 	term := newTermWithWorkers(t, "r1", "r1", "r1", "r1", "r1", "r1", "r1", "r1")
 	for id, n := range term.nodes {
-		for i := range quarantineAfter {
+		for i := range quarantine.After {
 			s := newTestStage(&job.Work{ID: id + string(rune('0'+i)), Steps: []job.Step{{Tasks: 1}}})
 			term.recordEnding(&run{stage: s, node: n}, worker.OutcomeFailed)
 		}
@@ -62,7 +63,7 @@
 			quarantined++
 		}
 	}
-	is.Equal(quarantined, len(term.nodes)/quarantineDivisor)
+	is.Equal(quarantined, len(term.nodes)/quarantine.Divisor)
 }
 
 // Guards against spreading a gang over two racks, where it runs three times as long, while an open permit request may
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -8,7 +8,9 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/capacity"
 	"turmericgap/job"
+	"turmericgap/lag"
 	"turmericgap/presence"
 	"turmericgap/store"
 	"turmericgap/store/follow"
@@ -41,9 +43,9 @@
 	usablePart, sortedPart int64
 	usableNow              bool
 	runsByEnd              []*run
-	position               indexPosition
+	position               capacity.Position[*node]
 	// ownerLag is the lag of the owner's loop, nil in tests without an owner.
-	ownerLag *lag
+	ownerLag *lag.Meter
 	// free is the capacity less what is charged. setAside is the part of free that stages have set aside while their
 	// permit requests are pending.
 	free     job.Resources
@@ -122,7 +124,7 @@
 	if n.ownerLag == nil {
 		return 0
 	}
-	return n.ownerLag.slack()
+	return n.ownerLag.Slack()
 }
 
 // usable returns n.usable, cached for each part of a pass.
@@ -266,7 +268,7 @@
 	}
 	t.log.Info("dispatch: worker's entry removed", zap.String("worker", n.id), zap.Inline(d))
 	if _, ok := d.Left(); ok && !n.isRemoved(t) {
-		t.probeRuns(n, holdTimeoutSlack+relaySlack+t.lag.slack(), func(err error) {
+		t.probeRuns(n, holdTimeoutSlack+relaySlack+t.lag.Slack(), func(err error) {
 			d.Answered = isDefinite(err)
 			if proof, ok := d.Left(); ok && !n.listed && !n.isRemoved(t) {
 				t.endAllRuns(n, proof)
@@ -287,7 +289,8 @@
 
 func (t *term) addNode(n *node) {
 	t.nodes[n.id] = n
-	n.position.index, n.ownerLag = &t.capacity, &t.lag
+	n.position.Attach(&t.capacity, n)
+	n.ownerLag = &t.lag
 	n.updateIndex()
 	at, _ := t.searchNodes(n)
 	t.sortedNodes = slices.Insert(t.sortedNodes, at, n)
@@ -296,8 +299,7 @@
 
 func (t *term) removeNode(n *node) {
 	delete(t.nodes, n.id)
-	n.leaveIndex()
-	n.position.index = nil
+	n.position.Detach()
 	if at, found := t.searchNodes(n); found {
 		t.sortedNodes = slices.Delete(t.sortedNodes, at, at+1)
 	}
--- a/dispatch/permitrequest.go
+++ b/dispatch/permitrequest.go
@@ -90,8 +90,7 @@
 		}
 	}
 	offset := int(t.pass.number)
-	minBucket := bucketOf(s.taskResources().Millicores)
-	t.capacity.visit(s.entry.work.Zone, minBucket, offset,
+	t.capacity.Visit(s.entry.work.Zone, s.taskResources().Millicores, offset,
 		collectUntil(func() bool { return withCapacity >= names && free >= tasks }))
 	if withCapacity < names || free < tasks {
 		// Gangs must also know workers without capacity in order to wait for them. Skip the ones already found.
@@ -100,7 +99,7 @@
 			seen[c.node] = true
 		}
 		more := collectUntil(func() bool { return len(list) >= names+permit.MaxWorkers })
-		t.capacity.visit(s.entry.work.Zone, 0, offset, func(n *node) bool { return seen[n] || more(n) })
+		t.capacity.Visit(s.entry.work.Zone, 0, offset, func(n *node) bool { return seen[n] || more(n) })
 	}
 	t.pass.examined += visited
 	return list
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -295,7 +295,7 @@
 	share := s.share()
 	t.accounts.shares.Record(&share)
 	t.ruleCapacity[e.effect.Rule]--
-	if n.isOnTrial() {
+	if n.IsOnTrial() {
 		n.trial, n.usablePart = r, 0
 	}
 	t.save(e, func() { t.launch(r) })
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -45,7 +45,7 @@
 	}
 	markers, states, works := found[0], found[1], found[2]
 	for i := range markers {
-		t.committer.setRevision(markers[i].Key, markers[i].ModRevision)
+		t.committer.streams.SetRevision(markers[i].Key, markers[i].ModRevision)
 	}
 	t.config, t.rules = t.o.Config(), t.o.Rules()
 	t.applyAccounts()
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"turmericgap/tally"
 )
 
 // reportInterval is the interval between two log reports on the state of the cell.
@@ -37,7 +39,7 @@
 		zap.Int64("millicores", total), zap.Int64("freeMillicores", free), zap.Int64("keptMillicores", setAside),
 		zap.Int64("reservedMillicores", reserved), zap.Int("works", len(t.entries)), zap.Int("runs", runs),
 		zap.Int("waitingSteps", len(t.waitingStages)), zap.Int("waitingGangs", gangs), zap.Int("waitingTasks", waiting),
-		zap.Int("questions", openRequests), zap.Duration("lag", time.Duration(t.lag.mean.Load())),
+		zap.Int("questions", openRequests), zap.Duration("lag", t.lag.Mean()),
 		zap.Float64("turnedAway", t.overloadDetector.RejectRatio()),
 		zap.Int64("passes", t.pass.number), zap.Int("stagesInPass", t.pass.triedStages),
 		zap.Int("looksInPass", t.pass.examined),
@@ -55,9 +57,9 @@
 		steps, inTime int
 		gangs         map[gangWaitReason]int
 	}
-	found := make(map[sizeClass]*waiting)
+	found := make(map[tally.Class]*waiting)
 	for s := range t.waitingStages {
-		key := sizeClass{s.entry.work.Queue.Name, s.entry.class}
+		key := tally.Class{Queue: s.entry.work.Queue.Name, Size: s.entry.class}
 		w := found[key]
 		if w == nil {
 			w = &waiting{gangs: make(map[gangWaitReason]int)}
@@ -71,15 +73,8 @@
 			w.gangs[s.waitReason]++
 		}
 	}
-	for key, tally := range t.tallies {
-		if tally.logged && found[key] == nil {
-			continue
-		}
-		tally.logged = true
-		fields := []zap.Field{zap.String("queue", key.queue), zap.Stringer("class", key.class)}
-		for _, o := range []workOutcome{outcomeTaken, outcomeInTime, outcomeLate, outcomeLost, outcomeFailed, outcomeCancelled} {
-			fields = append(fields, zap.Int(string(o), tally.counts[o]))
-		}
+	for key, counts := range t.tallies.Changed(func(key tally.Class) bool { return found[key] != nil }) {
+		fields := []zap.Field{zap.String("queue", key.Queue), zap.Stringer("class", key.Size), zap.Inline(counts)}
 		if w := found[key]; w != nil {
 			fields = append(fields, zap.Int("waitingSteps", w.steps), zap.Int("waitingInTime", w.inTime))
 			for reason, n := range w.gangs {
--- a/dispatch/report_test.go
+++ b/dispatch/report_test.go
@@ -11,6 +11,7 @@
 	"turmericgap/aging"
 	"turmericgap/job"
 	"turmericgap/metric"
+	"turmericgap/tally"
 )
 
 // Guards against filling the log with a line per second for each queue that ever existed: only queues with waiting
@@ -19,7 +20,7 @@
 	is := is.New(t)
 	core, logs := observer.New(zap.InfoLevel)
 	tm := &term{
-		o: &Options{Metrics: metric.New()}, log: zap.New(core), sizes: aging.New(), tallies: make(map[sizeClass]*tally),
+		o: &Options{Metrics: metric.New()}, log: zap.New(core), sizes: aging.New(), tallies: make(tally.Table),
 		waitingStages: make(map[*stage]struct{}),
 	}
 	lines := func() int {
@@ -36,7 +37,7 @@
 	is.Equal(lines(), 1) // the roster still waits
 	delete(tm.waitingStages, s)
 	is.Equal(lines(), 0)
-	tm.countOutcomeOnce(s.entry, outcomeLost)
+	tm.countOutcomeOnce(s.entry, tally.Lost)
 	is.Equal(lines(), 1)
 	is.Equal(lines(), 0)
 }
--- a/dispatch/size.go
+++ b/dispatch/size.go
@@ -5,72 +5,25 @@
 
 	"go.uber.org/zap"
 
-	"turmericgap/aging"
 	"turmericgap/job"
+	"turmericgap/tally"
 )
 
-// acceleratorCores is the number of cores that an accelerator counts as in the size of a work.
-const acceleratorCores = 8
-
-// size returns the resource use of a work in core-seconds, by its caller's estimates.
-func size(w *job.Work) float64 {
-	sum := 0.0
-	for i := range w.Steps {
-		s := &w.Steps[i]
-		cores := float64(s.TaskResources.Millicores)/1000 + acceleratorCores*float64(s.TaskResources.Accelerators)
-		sum += cores * float64(s.Tasks) * s.Estimate.Seconds()
-	}
-	return sum
-}
-
-// workOutcome is the outcome of a work, as written to logs and metrics.
-type workOutcome string
-
-const (
-	outcomeTaken     workOutcome = "taken"
-	outcomeInTime    workOutcome = "inTime"
-	outcomeLate      workOutcome = "late"
-	outcomeLost      workOutcome = "lost" // expired before it was done
-	outcomeFailed    workOutcome = "failed"
-	outcomeCancelled workOutcome = "cancelled"
-)
-
-// sizeClass identifies the works of one size class in one queue.
-type sizeClass struct {
-	queue string
-	class aging.Class
-}
-
-// tally counts the outcomes of a class of works under this owner.
-type tally struct {
-	counts map[workOutcome]int
-	// logged is true if all counts were logged. The queues of a cell come and go, and a line each second for every
-	// queue that ever existed would fill the log.
-	logged bool
-}
+// acceleratorCores is the number of cores that an accelerator counts as.
+const acceleratorCores = tally.AcceleratorCores
 
 // countOutcome counts an outcome of a work, by queue for the log and by class alone for the metrics.
-func (t *term) countOutcome(e *entry, outcome workOutcome) {
-	key := sizeClass{e.work.Queue.Name, e.class}
-	tally := t.tallyOf(key)
-	tally.counts[outcome]++
-	tally.logged = false
+func (t *term) countOutcome(e *entry, outcome tally.Outcome) {
+	t.tallies.Count(tally.Class{Queue: e.work.Queue.Name, Size: e.class}, outcome)
 	t.o.Metrics.Counter("dispatch.works." + e.class.String() + "." + string(outcome)).Inc(1)
 }
 
-func (t *term) tallyOf(key sizeClass) *tally {
-	if t.tallies[key] == nil {
-		t.tallies[key] = &tally{counts: make(map[workOutcome]int)}
-	}
-	return t.tallies[key]
-}
-
 // recordSize records the size and class of a work that is new to the term.
 func (t *term) recordSize(e *entry) {
 	name := e.work.Queue.Name
 	t.sizes.Observe(name, e.size)
 	e.class = t.sizes.Class(name, e.size)
-	t.countOutcome(e, outcomeTaken)
+	t.countOutcome(e, tally.Taken)
 	tasks := 0
 	for i := range e.work.Steps {
 		tasks += e.work.Steps[i].Tasks
@@ -82,7 +35,7 @@
 }
 
 // countOutcomeOnce counts the outcome of a work unless one was counted before.
-func (t *term) countOutcomeOnce(e *entry, outcome workOutcome) {
+func (t *term) countOutcomeOnce(e *entry, outcome tally.Outcome) {
 	if e.outcomeCounted {
 		return
 	}
@@ -94,13 +47,13 @@
 func (t *term) countEnded(e *entry, now time.Time) {
 	switch {
 	case e.state == job.WorkCancelled:
-		t.countOutcomeOnce(e, outcomeCancelled)
+		t.countOutcomeOnce(e, tally.Cancelled)
 	case e.state == job.WorkFailed:
-		t.countOutcomeOnce(e, outcomeFailed)
+		t.countOutcomeOnce(e, tally.Failed)
 	case now.After(e.lastDue()):
-		t.countOutcomeOnce(e, outcomeLate)
+		t.countOutcomeOnce(e, tally.Late)
 	default:
-		t.countOutcomeOnce(e, outcomeInTime)
+		t.countOutcomeOnce(e, tally.InTime)
 	}
 }
 
@@ -111,7 +64,7 @@
 			now.After(e.work.DueAt(0).Add(expiryFactor*e.objective)) {
 			t.log.Info("dispatch: work is worth nothing any more", zap.String("id", e.work.ID),
 				zap.Stringer("class", e.class), zap.Bool("started", e.started))
-			t.countOutcomeOnce(e, outcomeLost)
+			t.countOutcomeOnce(e, tally.Lost)
 		}
 	}
 }
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -9,11 +9,15 @@
 
 	"turmericgap/admission"
 	"turmericgap/aging"
+	"turmericgap/calllimit"
+	"turmericgap/capacity"
 	"turmericgap/crash"
 	"turmericgap/job"
+	"turmericgap/lag"
 	"turmericgap/owner"
 	"turmericgap/permit"
 	"turmericgap/rule"
+	"turmericgap/tally"
 )
 
 // term is one tenure, from loading the cell's state until it ends.
@@ -39,7 +43,7 @@
 	// capacities.
 	sortedNodes  []*node
 	nodesVersion int
-	capacity     capacityIndex
+	capacity     capacity.Index[*node]
 	// capacities is the set of the workers' total resources, computed when nodesVersion was capacitiesVersion.
 	capacities        map[resources]struct{}
 	capacitiesVersion int
@@ -59,12 +63,12 @@
 	unsent           []*entry
 	committer        committer
 	vmSelector       *permit.VMSelector
-	callLimiter      callLimiter
+	callLimiter      calllimit.Limiter
 	permitVMs        permitVMs
 	config           *job.Config
 	rules            *rule.List
 	passNeeded       bool
-	lag              lag
+	lag              lag.Meter
 	overloadDetector admission.OverloadDetector
 	refusals         refusals
 	// reportedAt is when the state of the cell was last logged.
@@ -84,7 +88,7 @@
 	grantShares map[string]float64
 	sizes       *aging.SizeStats
 	// tallies counts the outcomes of works by queue and size class.
-	tallies     map[sizeClass]*tally
+	tallies     tally.Table
 	maintenance maintenanceState
 	// outages holds the workers that have stopped answering lately, silentLosses the runs lost with workers of unknown
 	// fate, by address.
@@ -101,12 +105,12 @@
 		events: make(chan func(), eventBuffer), entries: make(map[string]*entry), ended: make(map[string]Ended),
 		nodes: make(map[string]*node), unreadable: make(map[string]bool), waitingStages: make(map[*stage]struct{}),
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
-		vmSelector: permit.NewVMSelector(), callLimiter: newCallLimiter(), grantShares: make(map[string]float64),
-		sizes: aging.New(), tallies: make(map[sizeClass]*tally), ruleCapacity: make(map[string]int),
+		vmSelector: permit.NewVMSelector(), callLimiter: calllimit.New(), grantShares: make(map[string]float64),
+		sizes: aging.New(), tallies: make(tally.Table), ruleCapacity: make(map[string]int),
 		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun),
-		refusals: refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
+		refusals:  refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
+		committer: newCommitter(),
 	}
-	t.committer.init()
 	t.ctx, t.cancelCtx = context.WithCancel(ctx)
 	return t
 }
@@ -123,7 +127,7 @@
 			f()
 			t.drainEvents()
 		case at := <-tick.C:
-			t.lag.observe(time.Since(at))
+			t.lag.Observe(time.Since(at))
 			t.overloadDetector.Observe(
 				time.Now(), max(time.Since(at), t.passLatency(time.Now()), t.lateHoldLag(time.Now())))
 			t.onTick(time.Now())
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,16 +35,13 @@
 	// maxOwnershipAge is the maximum age of the store's confirmation that this VM owns the cell when a maintenance
 	// order is sent, by a clock that includes suspends. It is a third of the shortest lease that the platform grants.
 	maxOwnershipAge = 300 * time.Millisecond
-	// maintenanceOverhead is the duration of a maintenance in addition to the VM's absence: the calls, and the first hold
-	// afterwards.
-	maintenanceOverhead = time.Second
 	// readyPercent is the progress of a service task that is ready.
 	readyPercent = 100
 )
 
 // maintenanceState is the owner's state of maintenance waves and VMs.
 type maintenanceState struct {
-	waves map[int64]*wave
+	waves map[int64]*maintenance.Progress
 	// vms is the last list of VMs, which was requested at listRequestedAt. listInFlight is true while a request is
 	// pending; listAnsweredAt is when the last one ended.
 	vms                             map[string]maintenance.VM
@@ -57,7 +53,7 @@
 func (t *term) advanceWaves(now time.Time) {
 	open := false
 	for _, w := range t.maintenance.waves {
-		open = open || w.loaded && !w.completionSaved
+		open = open || w.IsOpen()
 	}
 	if !open || t.maintenance.listInFlight || now.Sub(t.maintenance.listAnsweredAt) < vmListInterval ||
 		now.Sub(t.startedAt) < t.o.Waves.Lease {
@@ -85,7 +81,7 @@
 		t.maintenance.vms[vm.ID] = vm
 	}
 	for _, w := range t.maintenance.waves {
-		if w.loaded && !w.completionSaved {
+		if w.IsOpen() {
 			t.advanceWave(w, now)
 		}
 	}
@@ -93,57 +89,23 @@
 
 // advanceWave drains VMs and orders their maintenance as far as the wave's limit allows. It completes the wave once
 // maintenance has begun on every VM that still exists.
-func (t *term) advanceWave(w *wave, now time.Time) {
-	pending, unavailable := t.pendingVMs(w)
-	if len(pending) == 0 && len(w.orderPending) == 0 {
-		t.completeWave(w)
-		return
-	}
-	slices.SortFunc(pending, func(a, b maintenance.VM) int { return t.runCount(a) - t.runCount(b) })
-	for _, vm := range pending {
-		since, draining := w.draining[vm.ID]
-		if !draining && (unavailable >= w.MaxUnavailable || vm.State != maintenance.Up) {
-			continue
+func (t *term) advanceWave(w *maintenance.Progress, now time.Time) {
+	drained, released, finished := w.Advance(&maintenance.Observation{
+		VMs: t.maintenance.vms, RequestedAt: t.maintenance.listRequestedAt, Runs: t.runCount,
+		OwnerSince: t.startedAt, Duration: t.o.Waves.MaintenanceDuration,
+	}, now)
+	for _, id := range released {
+		t.stopDraining(id)
+	}
+	for _, d := range drained {
+		if d.New {
+			t.log.Info("dispatch: VM is cleared for its upkeep", zap.Int64("wave", w.Number), zap.String("vm", d.VM.ID), zap.Int("runs", t.runCount(d.VM)))
 		}
-		if !draining {
-			unavailable++
-			since = now
-			w.draining[vm.ID] = now
-			t.log.Info("dispatch: VM is cleared for its upkeep", zap.Int64("wave", w.Number), zap.String("vm", vm.ID), zap.Int("runs", t.runCount(vm)))
-		}
-		t.drainVM(w, vm, now.Sub(since))
+		t.drainVM(w, d.VM, d.For)
 	}
-}
-
-// pendingVMs returns the VMs of a wave whose maintenance has not begun, and counts those that are unavailable or will
-// be soon.
-func (t *term) pendingVMs(w *wave) (pending []maintenance.VM, unavailable int) {
-	unavailable = len(w.draining) + len(w.orderPending)
-	for _, id := range w.VMs {
-		vm, exists := t.maintenance.vms[id]
-		switch {
-		case !exists:
-			t.stopDraining(w, id) // it was removed from the platform
-		case w.begun[id]:
-			t.stopDraining(w, id)
-			if vm.State != maintenance.Up || t.maintenance.listRequestedAt.Before(t.earliestReturn(w, id)) {
-				unavailable++
-			}
-		case !w.orderPending[id]:
-			pending = append(pending, vm)
-		}
-	}
-	return pending, unavailable
-}
-
-// earliestReturn returns when a VM whose maintenance has begun is back at the earliest. A list requested before that
-// may still show the VM as up, as of a time before the order was carried out.
-func (t *term) earliestReturn(w *wave, id string) time.Time {
-	at, known := w.answeredAt[id]
-	if !known {
-		at = t.startedAt
+	if finished {
+		t.completeWave(w)
 	}
-	return at.Add(t.o.Waves.MaintenanceDuration)
 }
 
 // runCount returns the number of runs on a VM.
@@ -154,23 +116,17 @@
 	return 0
 }
 
-// drainTimeout returns how long a VM may take to become empty if the wave is to finish in time.
-func (w *wave) drainTimeout(upkeepDuration time.Duration) time.Duration {
-	rounds := (len(w.VMs) + w.MaxUnavailable - 1) / w.MaxUnavailable
-	return max(w.TimeLimit/time.Duration(max(rounds, 1))-upkeepDuration-maintenanceOverhead, maintenanceOverhead)
-}
-
 // drainVM drains a VM and orders its maintenance. In the first half of the timeout, runs may end by themselves. In the
 // second half, runs with checkpoints are moved, and services as far as they may be unavailable. After the timeout, the
 // maintenance ends all remaining runs, but it waits for services that may not be unavailable.
-func (t *term) drainVM(w *wave, vm maintenance.VM, waited time.Duration) {
+func (t *term) drainVM(w *maintenance.Progress, vm maintenance.VM, waited time.Duration) {
 	n := t.nodes[vm.Worker]
 	if n == nil {
 		t.orderMaintenance(w, vm)
 		return
 	}
 	n.draining = true
-	timeout := w.drainTimeout(t.o.Waves.MaintenanceDuration)
+	timeout := w.DrainTimeout(t.o.Waves.MaintenanceDuration)
 	blocked := false
 	for _, r := range n.runs {
 		if r.stage.spec.Service && !t.canBeUnavailable(r) {
@@ -202,9 +158,8 @@
 	return unavailable < limit
 }
 
-// stopDraining stops the draining of a VM.
-func (t *term) stopDraining(w *wave, id string) {
-	delete(w.draining, id)
+// stopDraining lets new runs be placed on a VM again.
+func (t *term) stopDraining(id string) {
 	if n := t.nodes[t.maintenance.vms[id].Worker]; n != nil {
 		n.draining = false
 	}
@@ -213,17 +168,15 @@
 // orderMaintenance orders the maintenance of a VM. The platform may not compare fencing tokens, and this VM may have been
 // suspended since its ownership was last confirmed. The store therefore confirms it first, and the order is sent only
 // if that confirmation is fresh by a clock that includes suspends.
-func (t *term) orderMaintenance(w *wave, vm maintenance.VM) {
-	if w.orderPending[vm.ID] {
+func (t *term) orderMaintenance(w *maintenance.Progress, vm maintenance.VM) {
+	if !w.BeginOrder(vm.ID) {
 		return
 	}
-	w.orderPending[vm.ID] = true
-	delete(w.draining, vm.ID)
-	record := encode(&waveRecord{Begun: w.begun})
+	record := encode(&waveRecord{Begun: w.Begun})
 	waves := t.o.Waves
 	t.wg.Go(func() {
 		confirmStart := waves.SinceBoot()
-		err := t.writeAsOwner(w.key(), record)
+		err := t.writeAsOwner(waveKey(w), record)
 		if err == nil && waves.SinceBoot()-confirmStart > maxOwnershipAge {
 			err = errOwnershipStale
 		}
@@ -239,34 +192,32 @@
 var errOwnershipStale = errors.New("the store took too long to confirm the ownership")
 
 // onMaintenanceOrdered processes the answer to a maintenance order.
-func (t *term) onMaintenanceOrdered(w *wave, vm maintenance.VM, err error) {
-	delete(w.orderPending, vm.ID)
+func (t *term) onMaintenanceOrdered(w *maintenance.Progress, vm maintenance.VM, err error) {
 	t.log.Info("dispatch: upkeep ordered", zap.Int64("wave", w.Number), zap.String("vm", vm.ID), zap.String("worker", vm.Worker), zap.Error(err))
+	notInWave := errors.Is(err, maintenance.ErrNotInWave)
+	w.EndOrder(vm.ID, !notInWave, err == nil, time.Now())
 	switch {
 	case err == nil:
 		// The runs on the VM have ended only if this order was carried out and not an earlier one; the worker's next
 		// hold shows that.
-		w.begun[vm.ID], w.answeredAt[vm.ID] = true, time.Now()
 		t.recordWave(w)
 	case errors.Is(err, maintenance.ErrFenced), errors.Is(err, errTermClosed):
 		t.loseOwnership("an order for upkeep was refused", err)
-	case errors.Is(err, maintenance.ErrNotInWave):
-		w.VMs = slices.DeleteFunc(slices.Clone(w.VMs), func(id string) bool { return id == vm.ID })
-		t.stopDraining(w, vm.ID)
+	case notInWave:
+		t.stopDraining(vm.ID)
 	default:
-		w.draining[vm.ID] = time.Now() // it may have been carried out; repeating the order shows that
 	}
 }
 
 // completeWave reports to the operators that maintenance has begun on every VM of a wave that still exists.
-func (t *term) completeWave(w *wave) {
-	w.completionSaved = true
+func (t *term) completeWave(w *maintenance.Progress) {
+	w.Completed = true
 	key, value := t.o.Waves.Status(w.Number, true)
 	t.wg.Go(func() {
 		err := t.writeAsOwner(key, value)
 		t.post(func() {
-			w.completionSaved = err == nil
-			t.log.Info("dispatch: wave of upkeep is completed", zap.Int64("wave", w.Number), zap.Int("vms", len(w.begun)), zap.Error(err))
+			w.Completed = err == nil
+			t.log.Info("dispatch: wave of upkeep is completed", zap.Int64("wave", w.Number), zap.Int("vms", len(w.Begun)), zap.Error(err))
 		})
 	})
 }
--- a/dispatch/wave.go
+++ b/dispatch/wave.go
@@ -5,7 +5,6 @@
 	"context"
 	"maps"
 	"strconv"
-	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
@@ -15,23 +14,6 @@
 	"turmericgap/store/retry"
 )
 
-// wave is the state of an open maintenance wave.
-type wave struct {
-	maintenance.Wave
-	// since is when this owner first read the wave.
-	since time.Time
-	// begun holds the VMs whose maintenance has begun.
-	begun map[string]bool
-	// answeredAt is when this owner's order for each VM was answered.
-	answeredAt map[string]time.Time
-	// draining holds the VMs that are being drained, and since when.
-	draining map[string]time.Time
-	// orderPending holds the VMs with a pending order.
-	orderPending map[string]bool
-	// loaded is true once the record of former owners was read, completionSaved once the completion is stored.
-	loaded, completionSaved bool
-}
-
 // waveRecord is the stored progress of a wave.
 type waveRecord struct {
 	Begun map[string]bool `msgpack:"b"`
@@ -55,25 +37,22 @@
 // openWave begins a wave, or continues one that a former owner began.
 func (t *term) openWave(m maintenance.Wave) {
 	if t.maintenance.waves == nil {
-		t.maintenance.waves = make(map[int64]*wave)
+		t.maintenance.waves = make(map[int64]*maintenance.Progress)
 	}
 	if t.maintenance.waves[m.Number] != nil {
 		return
 	}
-	w := &wave{
-		Wave: m, since: time.Now(), begun: make(map[string]bool), draining: make(map[string]time.Time), orderPending: make(map[string]bool),
-		answeredAt: make(map[string]time.Time),
-	}
+	w := maintenance.NewProgress(m)
 	t.maintenance.waves[m.Number] = w
 	t.log.Info("dispatch: wave of upkeep", zap.Int64("wave", m.Number), zap.Int("vms", len(m.VMs)), zap.Duration("within", m.TimeLimit), zap.Int("most", m.MaxUnavailable))
 	t.wg.Go(func() { t.readWave(w) })
 }
 
-func (w *wave) key() string { return wavePrefix + strconv.FormatInt(w.Number, 10) }
+func waveKey(w *maintenance.Progress) string { return wavePrefix + strconv.FormatInt(w.Number, 10) }
 
 // readWave reads the record of former owners for a wave, and whether they completed it.
-func (t *term) readWave(w *wave) {
-	record, err := t.readKey(w.key())
+func (t *term) readWave(w *maintenance.Progress) {
+	record, err := t.readKey(waveKey(w))
 	if err != nil {
 		return // the term has ended
 	}
@@ -89,8 +68,8 @@
 		}
 	}
 	t.post(func() {
-		maps.Copy(w.begun, r.Begun)
-		w.loaded, w.completionSaved = true, bytes.Equal(status, completed)
+		maps.Copy(w.Begun, r.Begun)
+		w.Loaded, w.Completed = true, bytes.Equal(status, completed)
 		if status == nil {
 			key, value := t.o.Waves.Status(w.Number, false)
 			t.writeAsync(w, key, value)
@@ -114,10 +93,12 @@
 
 // recordWave stores which VMs have begun their maintenance. A successor that misses one drains that VM again and
 // repeats the order, which has no effect if it was carried out.
-func (t *term) recordWave(w *wave) { t.writeAsync(w, w.key(), encode(&waveRecord{Begun: w.begun})) }
+func (t *term) recordWave(w *maintenance.Progress) {
+	t.writeAsync(w, waveKey(w), encode(&waveRecord{Begun: w.Begun}))
+}
 
 // writeAsync writes a record of a wave that may be out of date for a while.
-func (t *term) writeAsync(w *wave, key string, value []byte) {
+func (t *term) writeAsync(w *maintenance.Progress, key string, value []byte) {
 	t.wg.Go(func() {
 		if err := t.writeAsOwner(key, value); err != nil {
 			t.log.Info("dispatch: record of the wave could not be written", zap.Int64("wave", w.Number), zap.String("key", key), zap.Error(err))
--- a/front/front.go
+++ b/front/front.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/account"
 	"turmericgap/dispatch"
 	"turmericgap/job"
 	"turmericgap/metric"
@@ -330,7 +331,7 @@
 }
 
 // Accounts returns the owner's reports on the client accounts.
-func (f *Front) Accounts(ctx context.Context) (*dispatch.AccountReports, error) {
+func (f *Front) Accounts(ctx context.Context) (*account.Reports, error) {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	if f.opts.Dispatcher.IsOwner() {
@@ -340,5 +341,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return rpc.Call[empty, dispatch.AccountReports](ctx, f.opts.Peers.Get(peer.Address), methodAccounts, &empty{})
+	return rpc.Call[empty, account.Reports](ctx, f.opts.Peers.Get(peer.Address), methodAccounts, &empty{})
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"turmericgap/dispatch"
+	"turmericgap/account"
 	"turmericgap/job"
 	"turmericgap/permit"
 	"turmericgap/rpc"
@@ -79,7 +79,7 @@
 		return &waitingReply{Waiting: n}, err
 	})
 	rpc.Handle(s, methodOwner, f.handleOwner)
-	rpc.Handle(s, methodAccounts, func(ctx context.Context, _ *empty) (*dispatch.AccountReports, error) {
+	rpc.Handle(s, methodAccounts, func(ctx context.Context, _ *empty) (*account.Reports, error) {
 		return f.opts.Dispatcher.Accounts(ctx)
 	})
 	rpc.Handle(s, MethodRequestPermit, func(ctx context.Context, in *permit.Request) (*permit.Response, error) {
