--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -74,7 +74,10 @@
 		}
 	}
 	for key, counts := range t.tallies.Changed(func(key tally.Class) bool { return found[key] != nil }) {
-		fields := []zap.Field{zap.String("queue", key.Queue), zap.Stringer("class", key.Size), zap.Inline(counts)}
+		fields := []zap.Field{zap.String("queue", key.Queue), zap.Stringer("class", key.Size)}
+		for _, o := range tally.Outcomes() {
+			fields = append(fields, zap.Int(string(o), counts.Count(o)))
+		}
 		if w := found[key]; w != nil {
 			fields = append(fields, zap.Int("waitingSteps", w.steps), zap.Int("waitingInTime", w.inTime))
 			for reason, n := range w.gangs {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -1,8 +1,6 @@
 package tally
 
 import (
-	"go.uber.org/zap/zapcore"
-
 	"turmericgap/aging"
 	"turmericgap/job"
 )
@@ -20,6 +18,9 @@
 	Cancelled Outcome = "cancelled"
 )
 
+// Outcomes returns all outcomes.
+func Outcomes() []Outcome { return []Outcome{Taken, InTime, Late, Lost, Failed, Cancelled} }
+
 // Class identifies the works of one size class in one queue.
 type Class struct {
 	Queue string
@@ -33,13 +34,8 @@
 	logged bool
 }
 
-// MarshalLogObject adds the counts to a log line.
-func (t *Tally) MarshalLogObject(enc zapcore.ObjectEncoder) error {
-	for _, o := range []Outcome{Taken, InTime, Late, Lost, Failed, Cancelled} {
-		enc.AddInt(string(o), t.counts[o])
-	}
-	return nil
-}
+// Count returns the number of works with an outcome.
+func (t *Tally) Count(o Outcome) int { return t.counts[o] }
 
 // Table holds the tallies of all classes.
 type Table map[Class]*Tally
