Publish the state of the optional parts at /features, and print it with ctl features

feature.Status records, for each feature, the operator's mode, whether it is in effect, why and since when, and the learned speeds of workers. The owner's term has one (term.features); a part calls term.features.Decide(name, auto, why, now) on the loop, which also writes one log line at each change, and RecordSpeeds with the factors by worker. Until a part has called it, its feature is shown as undecided.

/features on the metrics address of cmd/entry is served like /accounts; a VM that does not own the cell asks the owner. ctl accounts and ctl features share the code that reads a page.

--- a/cmd/ctl/account.go
+++ b/cmd/ctl/account.go
@@ -1,23 +1,13 @@
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strconv"
-	"time"
 
 	"turmericgap/account"
-	"turmericgap/finding"
 	"turmericgap/job"
 )
 
-// maxAccountsBytes limits the answer about accounts: 10,000 of them take about 3 MB.
-const maxAccountsBytes = 16 << 20
-
 type accounts struct {
 	opts *commonOptions
 	Ops  string `long:"ops" value-name:"ADDRESS" required:"yes" description:"operators' address of any entry VM, IP number and port"`
@@ -25,12 +15,9 @@
 
 // Execute lists the client accounts with their use, caps and waiting steps.
 func (a *accounts) Execute([]string) error {
-	if host, _, err := net.SplitHostPort(a.Ops); err != nil || net.ParseIP(host) == nil {
-		return finding.List{{Path: "--ops", Reason: fmt.Sprintf("%q is not an IP number with a port", a.Ops)}}
-	}
-	reports, err := a.fetch()
+	reports, err := fetchPage[account.Reports](a.opts, a.Ops, "/accounts")
 	if err != nil {
-		return &exitError{exitFailed, err}
+		return err
 	}
 	if a.opts.JSON {
 		return printJSON(reports)
@@ -42,32 +29,6 @@
 	return t.print()
 }
 
-func (a *accounts) fetch() (*account.Reports, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.opts.Seconds)*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Ops+"/accounts", nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAccountsBytes))
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("entry VM %s answered with status %d: %s", a.Ops, resp.StatusCode, stripControls(string(raw)))
-	}
-	var reports account.Reports
-	if err := json.Unmarshal(raw, &reports); err != nil {
-		return nil, fmt.Errorf("answer of entry VM %s: %w", a.Ops, err)
-	}
-	return &reports, nil
-}
-
 func accountCells(r *account.Report) []string {
 	limit := "none"
 	if r.Cap != (job.Resources{}) {
--- a/cmd/ctl/cell.go
+++ b/cmd/ctl/cell.go
@@ -24,6 +24,7 @@
 		{"workers", "list workers", "Lists the workers of the VM list with what their tasks are charged.", &workers{opts: c}},
 		{"targets", "list targets", "Lists the targets of the VM list.", &targets{opts: c}},
 		{"accounts", "list client accounts", "Lists the client accounts of a cell on the users' platform with what they use, their caps, what waits and why, and how many submissions the present owner has refused. An entry VM that does not own the cell asks the owner.", &accounts{opts: c}},
+		{"features", "list optional parts", "Lists the optional parts of a cell on the users' platform: the operators' mode, whether each is in effect, why and since when, and how the learned speeds of workers are distributed. With --json it lists the speed of each worker. An entry VM that does not own the cell asks the owner.", &features{opts: c}},
 		{"day", "report a day from logs", "Reads the JSON log lines of entry VMs, in any order, and reports what became of works by queue, zone and size, how long they spent in each stage of their path, what they waited for, what was refused and why, how late versions of the configuration came into force, owners and outages, and the works that were lost or slowest. Lines that cannot be read are reported after it, with exit code 2.", &dayReport{opts: c}},
 		{"zones", "show the zones", "Shows owner, queues, packing, ejections and last failed jobs of each zone.", &zones{opts: c}},
 	}
--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -105,7 +105,8 @@
 	p.relay.Register(p.server)
 	rpc.Handle(p.server, methodConfig, p.serveConfig)
 	p.serve(listeners)
-	service.Init(turmericgap.Ready(p.checkReady), turmericgap.Stop(p.stop), turmericgap.AddPage(accountsPath, p.serveAccounts))
+	service.Init(turmericgap.Ready(p.checkReady), turmericgap.Stop(p.stop),
+		turmericgap.AddPage(accountsPath, servePage(p.log, p.front.Accounts)), turmericgap.AddPage(featuresPath, servePage(p.log, p.front.Features)))
 	return nil
 }
 
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -12,6 +12,7 @@
 	"turmericgap/calllimit"
 	"turmericgap/capacity"
 	"turmericgap/crash"
+	"turmericgap/feature"
 	"turmericgap/job"
 	"turmericgap/lag"
 	"turmericgap/owner"
@@ -95,6 +96,8 @@
 	outages      crash.Outages
 	silentLosses map[string][]silentLoss
 	accounts     accounts
+	// features records which optional parts are in effect.
+	features *feature.Status
 	// ruleCapacity is, for each rule with a limit, how many more tasks may run under it in the present pass.
 	ruleCapacity map[string]int
 }
@@ -111,6 +114,7 @@
 		refusals:  refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
 		committer: newCommitter(),
 	}
+	t.features = feature.NewStatus(o.Features, t.logFeature)
 	t.ctx, t.cancelCtx = context.WithCancel(ctx)
 	return t
 }
--- a/front/front.go
+++ b/front/front.go
@@ -10,6 +10,7 @@
 
 	"turmericgap/account"
 	"turmericgap/dispatch"
+	"turmericgap/feature"
 	"turmericgap/job"
 	"turmericgap/metric"
 	"turmericgap/owner"
@@ -332,14 +333,28 @@
 
 // Accounts returns the owner's reports on the client accounts.
 func (f *Front) Accounts(ctx context.Context) (*account.Reports, error) {
+	return askOwner(ctx, f, methodAccounts, f.opts.Dispatcher.Accounts)
+}
+
+// Features returns the owner's report on the optional parts.
+func (f *Front) Features(ctx context.Context) (*feature.Report, error) {
+	return askOwner(ctx, f, methodFeatures, f.ownFeatures)
+}
+
+func (f *Front) ownFeatures(context.Context) (*feature.Report, error) {
+	return f.opts.Dispatcher.Features()
+}
+
+// askOwner calls own if this VM owns the cell, or else the given method of the owner.
+func askOwner[T any](ctx context.Context, f *Front, method string, own func(context.Context) (*T, error)) (*T, error) {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	if f.opts.Dispatcher.IsOwner() {
-		return f.opts.Dispatcher.Accounts(ctx)
+		return own(ctx)
 	}
 	peer, err := f.owner(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return rpc.Call[empty, account.Reports](ctx, f.opts.Peers.Get(peer.Address), methodAccounts, &empty{})
+	return rpc.Call[empty, T](ctx, f.opts.Peers.Get(peer.Address), method, &empty{})
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericgap/account"
+	"turmericgap/feature"
 	"turmericgap/job"
 	"turmericgap/permit"
 	"turmericgap/rpc"
@@ -20,6 +21,7 @@
 	methodWaiting  = "Front.Waiting"
 	methodOwner    = "Front.Owner"
 	methodAccounts = "Front.Accounts"
+	methodFeatures = "Front.Features"
 	// MethodRequestPermit sends a permit request to the policy service from the callee's VM.
 	MethodRequestPermit = "Front.Ask"
 )
@@ -82,6 +84,9 @@
 	rpc.Handle(s, methodAccounts, func(ctx context.Context, _ *empty) (*account.Reports, error) {
 		return f.opts.Dispatcher.Accounts(ctx)
 	})
+	rpc.Handle(s, methodFeatures, func(ctx context.Context, _ *empty) (*feature.Report, error) {
+		return f.ownFeatures(ctx)
+	})
 	rpc.Handle(s, MethodRequestPermit, func(ctx context.Context, in *permit.Request) (*permit.Response, error) {
 		return f.opts.RequestPermit(ctx, in)
 	})
