--- a/day/account.go
+++ b/day/account.go
@@ -76,7 +76,7 @@
 	for i := range r.Accounts[:min(len(r.Accounts), maxPrintedAccounts)] {
 		a := &r.Accounts[i]
 		cells := []string{a.Name, fmt.Sprint(a.Works), fmt.Sprint(a.Surplus)}
-		for _, f := range []Outcome{InTime, Late, Lost, Failed, Cancelled, Open} {
+		for _, f := range outcomes {
 			cells = append(cells, fmt.Sprint(a.Outcomes[f]))
 		}
 		mark := ""
--- a/day/day.go
+++ b/day/day.go
@@ -67,6 +67,9 @@
 	// capSeconds sums the waiting time of steps that the caps of their accounts held back, in step-seconds.
 	capSeconds    map[string]int
 	configuration configurationLines
+	// workers numbers the workers, runs counts the recorded starts and runs.
+	workers map[string]int32
+	runs    int
 }
 
 // gangWait is the number of gangs of a class that waited for one reason in one second.
@@ -95,7 +98,7 @@
 	d := &Analyzer{
 		opts:  Options{MaxWorks: DefaultMaxWorks, MaxNamed: DefaultMaxNamed},
 		works: make(map[string]*work), tenures: make(map[int64]*Tenure), storeFailures: make(map[int64]*Outage), loads: make(map[time.Time]*Load), refusals: make(map[string]*Refusal),
-		capSeconds: make(map[string]int), configuration: newConfigurationLines(),
+		capSeconds: make(map[string]int), configuration: newConfigurationLines(), workers: make(map[string]int32),
 	}
 	for _, f := range opts {
 		f(&d.opts)
@@ -197,6 +200,7 @@
 	default:
 		if w := d.findWork(l.ID); w != nil {
 			w.add(l)
+			d.addRun(w, l)
 		}
 	}
 }
--- a/day/group.go
+++ b/day/group.go
@@ -15,6 +15,8 @@
 	Class    string          `json:"class,omitempty"`
 	Works    int             `json:"works"`
 	Outcomes map[Outcome]int `json:"fates"`
+	// CoreSeconds sums the sizes of the works by outcome, by their callers' estimates.
+	CoreSeconds map[Outcome]float64 `json:"coreSeconds"`
 	// Owed counts the works that ended or were lost, except cancelled ones; Served is the completed share of them.
 	Owed   int     `json:"owed"`
 	Served float64 `json:"served"`
@@ -77,7 +79,7 @@
 }
 
 func (d *Analyzer) newGroup(key groupKey, works []classifiedWork) Group {
-	g := Group{Queue: key.queue, Zone: key.zone, Class: key.class, Outcomes: make(map[Outcome]int), GangSeconds: make(map[string]int)}
+	g := Group{Queue: key.queue, Zone: key.zone, Class: key.class, Outcomes: make(map[Outcome]int), CoreSeconds: make(map[Outcome]float64), GangSeconds: make(map[string]int)}
 	times := make(map[Stage][]float64)
 	windows := make(map[int][]classifiedWork)
 	for _, w := range works {
@@ -86,6 +88,7 @@
 		}
 		g.Works++
 		g.Outcomes[w.outcome]++
+		g.CoreSeconds[w.outcome] += w.size
 		for s, t := range w.stages {
 			times[s] = append(times[s], t)
 		}
--- a/day/line.go
+++ b/day/line.go
@@ -35,6 +35,21 @@
 	Recorded float64 `json:"recorded"`
 	Ordered  float64 `json:"ordered"`
 
+	// Fields of a permit response: the workers named and allowed, those of them without room, the waiting tasks, and how
+	// many of these fit on allowed workers. Full and Room are nil if the line does not have them.
+	Named   int  `json:"named"`
+	Allowed int  `json:"allowed"`
+	Full    *int `json:"full"`
+	Tasks   int  `json:"tasks"`
+	Room    *int `json:"room"`
+
+	// Fields of a run: After is its duration. Gang is nil if the line does not tell.
+	Worker string  `json:"worker"`
+	Run    int64   `json:"run"`
+	How    string  `json:"how"`
+	After  float64 `json:"after"`
+	Gang   *bool   `json:"gang"`
+
 	// Fields of a work that was given up because of crashes.
 	Occurrence int `json:"occurrence"`
 	Step       int `json:"step"`
--- a/day/page.go
+++ b/day/page.go
@@ -131,7 +131,7 @@
 
 func stageCurves(g *Group) []curve {
 	var out []curve
-	for _, s := range []Stage{StageTurn, StagePermits, StageAgain, StageRoom} {
+	for _, s := range stagesBeforeStart {
 		c := curve{name: string(s)}
 		for _, w := range g.Windows {
 			if t, ok := w.Stages[s]; ok {
--- a/day/print.go
+++ b/day/print.go
@@ -56,8 +56,11 @@
 	p.row(fmt.Sprintf("%s to %s, %d lines, %d others, %d unreadable, %d of works beyond the bound",
 		r.From.Format(time.RFC3339), r.Until.Format(time.RFC3339), r.Lines, r.Others, r.Unreadable, r.LeftOut))
 	r.printGroups(p)
+	r.printCoreSeconds(p)
 	r.printAccounts(p)
 	r.printStages(p)
+	r.printRuns(p)
+	r.printPermits(p)
 	r.printWaits(p)
 	r.printWindows(p)
 	r.printConfiguration(p)
@@ -111,7 +114,7 @@
 	for i := range r.Groups {
 		g := &r.Groups[i]
 		cells := []string{g.Queue, g.scope(), fmt.Sprint(g.Works), formatShare(g.Owed, g.Served)}
-		for _, f := range []Outcome{InTime, Late, Lost, Failed, Cancelled, Open} {
+		for _, f := range outcomes {
 			cells = append(cells, fmt.Sprint(g.Outcomes[f]))
 		}
 		cells = append(cells, fmt.Sprintf("%.2f", g.Done), fmt.Sprintf("%.2f", g.Margin))
@@ -119,6 +122,46 @@
 	}
 }
 
+// printCoreSeconds prints the sizes of the works of whole queues by outcome.
+func (r *Report) printCoreSeconds(p *printer) {
+	all := make(map[Outcome]float64)
+	var queues []*Group
+	for i := range r.Groups {
+		if g := &r.Groups[i]; g.Zone == "" && g.Class == "" {
+			queues = append(queues, g)
+			for o, n := range g.CoreSeconds {
+				all[o] += n
+			}
+		}
+	}
+	if sumOutcomes(all) == 0 {
+		return
+	}
+	p.beginTable("Core-seconds by outcome, with their share", "QUEUE", "TOTAL", "IN TIME", "LATE", "LOST", "FAILED", "CANCELLED", "OPEN")
+	for _, g := range queues {
+		p.row(coreSecondCells(g.Queue, g.CoreSeconds)...)
+	}
+	p.row(coreSecondCells("all", all)...)
+}
+
+func coreSecondCells(name string, byOutcome map[Outcome]float64) []string {
+	total := sumOutcomes(byOutcome)
+	cells := []string{name, fmt.Sprintf("%.0f", total)}
+	for _, o := range outcomes {
+		cells = append(cells, formatPart(byOutcome[o], total))
+	}
+	return cells
+}
+
+// sumOutcomes sums in a fixed order, which keeps the result reproducible.
+func sumOutcomes(byOutcome map[Outcome]float64) float64 {
+	sum := 0.0
+	for _, o := range outcomes {
+		sum += byOutcome[o]
+	}
+	return sum
+}
+
 func (r *Report) printStages(p *printer) {
 	columns := []string{"QUEUE", "WORKS"}
 	for _, s := range Stages {
@@ -182,10 +225,10 @@
 		if g.Zone != "" || g.Class != "" {
 			continue
 		}
-		p.beginTable("Queue "+g.Queue+" by when works were accepted", append([]string{"SECOND", "WORKS", "SERVED", "TURN", "PERMITS", "AGAIN", "ROOM"}, waitColumns()...)...)
+		p.beginTable("Queue "+g.Queue+" by when works were accepted", append([]string{"SECOND", "WORKS", "SERVED", "TURN", "PERMITS", "BATCH", "AGAIN", "FULL", "ROOM"}, waitColumns()...)...)
 		for _, w := range g.Windows {
 			cells := []string{fmt.Sprintf("%.0f", w.After/1000), fmt.Sprint(w.Works), formatShare(w.Owed, w.Served)}
-			for _, s := range []Stage{StageTurn, StagePermits, StageAgain, StageRoom} {
+			for _, s := range stagesBeforeStart {
 				cells = append(cells, fmt.Sprintf("%.0f", w.Stages[s]))
 			}
 			p.row(append(cells, waitCells(w.GangSeconds)...)...)
--- a/day/report.go
+++ b/day/report.go
@@ -15,7 +15,7 @@
 	From  time.Time `json:"from"`
 	Until time.Time `json:"until"`
 	// Lines counts the log lines, Others the lines that are not log lines, Unreadable those that cannot be parsed, and
-	// LeftOut those about works beyond MaxWorks.
+	// LeftOut those about works beyond MaxWorks and about further runs.
 	Lines      int          `json:"lines"`
 	Others     int          `json:"others"`
 	Unreadable int          `json:"unreadable"`
@@ -25,6 +25,13 @@
 	Groups []Group `json:"groups"`
 	// Accounts has one entry for each client account, the worst served first.
 	Accounts []Account `json:"accounts,omitempty"`
+	// Permits has one entry for each queue with permits, RunTimes one for each queue with runs.
+	Permits  []Permits  `json:"permits,omitempty"`
+	RunTimes []RunTimes `json:"runTimes,omitempty"`
+	// LongRuns lists the runs that took longest, compared with the median of their queue.
+	LongRuns []LongRun `json:"longRuns,omitempty"`
+	// Speeds has one entry for each queue and third of the workers by speed.
+	Speeds []SpeedGroup `json:"speeds,omitempty"`
 	// Configuration is nil if no log line tells of a version of the configuration.
 	Configuration *Configuration `json:"configuration,omitempty"`
 	Tenures       []Tenure       `json:"tenures"`
@@ -113,6 +120,9 @@
 	}
 	setMargins(r.Groups)
 	r.Accounts = d.accounts(works)
+	r.Permits = d.permits(works)
+	r.RunTimes, r.LongRuns = d.runTimes(works)
+	r.Speeds = d.speedGroups(works)
 	r.Configuration = d.configuration.report(d.opts.MaxNamed)
 	r.Lost, r.Slowest = d.namedWorks(works)
 	return r
--- a/day/work.go
+++ b/day/work.go
@@ -1,10 +1,6 @@
 package day
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Outcome is the final state of a work in a report.
 type Outcome string
@@ -26,7 +22,9 @@
 const (
 	StageTurn     Stage = "turn"     // from acceptance to the first permit request
 	StagePermits  Stage = "permits"  // until the first permit response
-	StageAgain    Stage = "again"    // time before the first start with at least one further permit request pending
+	StageBatch    Stage = "batch"    // from then to the first start, while requests sent before that response are pending
+	StageAgain    Stage = "again"    // other time with a further permit request pending, sent after the first response
+	StageFull     Stage = "full"     // other time in which the permitted workers had no room when the latest response came
 	StageRoom     Stage = "room"     // other time until the first start is decided; from acceptance if no permit is needed
 	StageRecorded Stage = "recorded" // until the intent to start is durable, mean over the runs
 	StageOrdered  Stage = "ordered"  // until the worker has answered the order, mean over the runs
@@ -35,7 +33,13 @@
 )
 
 // Stages lists all stages in the order of processing.
-var Stages = []Stage{StageTurn, StagePermits, StageAgain, StageRoom, StageRecorded, StageOrdered, StageRun, StageShown}
+var Stages = []Stage{StageTurn, StagePermits, StageBatch, StageAgain, StageFull, StageRoom, StageRecorded, StageOrdered, StageRun, StageShown}
+
+// outcomes lists all outcomes in the order of the tables, stagesBeforeStart the stages until the first start is decided.
+var (
+	outcomes          = []Outcome{InTime, Late, Lost, Failed, Cancelled, Open}
+	stagesBeforeStart = []Stage{StageTurn, StagePermits, StageBatch, StageAgain, StageFull, StageRoom}
+)
 
 // work collects the data of one work from log lines.
 type work struct {
@@ -53,9 +57,12 @@
 	accepted, firstRequest, firstPermit, started, ended, published time.Time
 	state                                                          string
 	// permitRequests holds the answered permit requests.
-	permitRequests []span
-	beforeGoal     float64
-	lost           bool
+	permitRequests []permitRequest
+	// starts holds the decided starts, done the runs that were done.
+	starts     []start
+	done       []taskRun
+	beforeGoal float64
+	lost       bool
 	// recordedSum and orderedSum are sums over the runs, in milliseconds.
 	recordedSum, orderedSum float64
 	runs                    int
@@ -85,7 +92,7 @@
 	case "dispatch: permits":
 		keepEarliest(&w.firstRequest, l.millisBefore(l.Took))
 		keepEarliest(&w.firstPermit, l.Time)
-		w.permitRequests = append(w.permitRequests, span{l.millisBefore(l.Took), l.Time})
+		w.permitRequests = append(w.permitRequests, newPermitRequest(l))
 	case "dispatch: start decided":
 		keepEarliest(&w.started, l.Time)
 	case "dispatch: run ended":
@@ -139,9 +146,11 @@
 		ready = w.accepted
 	}
 	record(StageRoom, ready, w.started)
-	if room, ok := out[StageRoom]; ok && !w.firstPermit.IsZero() {
-		out[StageAgain] = millis(w.requestTime(ready, w.started))
-		out[StageRoom] = room - out[StageAgain]
+	if _, ok := out[StageRoom]; ok && !w.firstPermit.IsZero() {
+		for _, s := range []Stage{StageBatch, StageAgain, StageFull, StageRoom} {
+			out[s] = 0
+		}
+		w.addWaits(out, ready, w.started)
 	}
 	if w.runs > 0 {
 		out[StageRecorded] = w.recordedSum / float64(w.runs)
@@ -157,28 +166,6 @@
 	return out
 }
 
-// span is a time interval.
-type span struct{ from, to time.Time }
-
-// requestTime returns how long at least one permit request was pending in the given interval.
-func (w *work) requestTime(from, to time.Time) time.Duration {
-	spans := slices.SortedFunc(slices.Values(w.permitRequests), func(a, b span) int { return cmp.Or(a.from.Compare(b.from), a.to.Compare(b.to)) })
-	sum := time.Duration(0)
-	for _, s := range spans {
-		if s.from.Before(from) {
-			s.from = from
-		}
-		if s.to.After(to) {
-			s.to = to
-		}
-		if s.to.After(s.from) {
-			sum += s.to.Sub(s.from)
-			from = s.to
-		}
-	}
-	return sum
-}
-
 // classifiedWork is a work with its outcome and stage times, which are computed once for all groups.
 type classifiedWork struct {
 	*work
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -27,7 +27,7 @@
 	t.log.Info("dispatch: run ended", zap.String("id", e.work.ID), zap.Int("occurrence", r.stage.occurrence.number),
 		zap.Int("step", r.stage.index), zap.Int("task", r.index), zap.Int64("run", r.number),
 		zap.String("worker", r.node.id),
-		zap.String("how", string(how)), zap.Duration("after", time.Since(r.sentAt)),
+		zap.String("how", string(how)), zap.Bool("gang", r.stage.spec.Gang), zap.Duration("after", time.Since(r.sentAt)),
 		zap.Duration("recorded", elapsed(r.decidedAt, r.sentAt)),
 		zap.Duration("ordered", elapsed(r.sentAt, r.confirmedAt)))
 	switch {
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -195,7 +195,8 @@
 	t.updateGrantShare(s.entry.queue.Name, len(resp.Grants), len(req.Workers))
 	t.log.Info("dispatch: permits", zap.String("id", req.Work), zap.Int("step", req.Step), zap.String("from", from.ID),
 		zap.Int("named", len(req.Workers)), zap.Int("allowed", len(resp.Grants)), zap.Duration("took", now.Sub(sent)),
-		zap.Duration("waited", now.Sub(s.readySince)), zap.Int("tasks", s.waiting), zap.Int("room", t.tasksFittingAllowed(s, now)))
+		zap.Duration("waited", now.Sub(s.readySince)), zap.Int("tasks", s.waiting), zap.Int("room", t.tasksFittingAllowed(s, now)),
+		zap.Int("full", t.countFull(s, resp.Grants, now)))
 }
 
 // tasksFittingAllowed returns how many waiting tasks of a stage fit on its allowed workers now.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/permit"
 	"turmericgap/tally"
 )
 
@@ -87,3 +88,19 @@
 		t.log.Info("dispatch: works by size", fields...)
 	}
 }
+
+// countFull counts the workers of a permit response on which no task of the stage could start now.
+func (t *term) countFull(s *stage, grants []permit.Grant, now time.Time) int {
+	own := make(map[string]bool, len(s.setAside))
+	for _, k := range s.setAside {
+		own[k.node.id] = true
+	}
+	full := 0
+	for i := range grants {
+		n := t.nodes[grants[i].Worker]
+		if n == nil || !n.usable(now) || !own[n.id] && t.tasksFitting(s, n, now) == 0 {
+			full++
+		}
+	}
+	return full
+}
