Extend the soak by workers of unlike speed, notices and bursts of one account

With -uneven (additional runs, and the new fixed run of seed 7) a third of the workers is slow and a third fast, workers leave after a notice of 1.8 to 3.6 s, and an account submits 30 works within half a second. The former fixed runs draw the same faults as before. floor.Cluster.SlownessOf sets the speed of workers; a gang is as slow as its slowest one.

--- a/soak/accounts_test.go
+++ b/soak/accounts_test.go
@@ -20,8 +20,11 @@
 	capGrace = 8 * time.Second
 	// capOverrun is the fraction by which an account may exceed its cap.
 	capOverrun = 0.1
-	// floodRate is how many works per second a flooding account submits in addition to its usual ones.
-	floodRate = 20
+	// floodRate is how many works per second a flooding account submits in addition to its usual ones, burstRate how many
+	// during a burst, which lasts for burstDuration.
+	floodRate     = 20
+	burstRate     = 60
+	burstDuration = 500 * time.Millisecond
 	// firstCapMillicores is the cap of the capped account at the start, loweredCapMillicores the lowest later one.
 	firstCapMillicores, loweredCapMillicores = 16000, 4000
 )
@@ -210,12 +213,12 @@
 }
 
 // flood lets one account submit many more works for a time.
-func (p *faultPlan) flood(d time.Duration) {
+func (p *faultPlan) flood(rate int, d time.Duration) {
 	c := p.cell
 	r := rand.New(rand.NewPCG(p.rand.Uint64(), 0))
 	name := c.accounts.accounts[p.rand.IntN(len(c.accounts.accounts))].Name
 	p.wg.Go(func() {
-		tick := time.NewTicker(time.Second / floodRate)
+		tick := time.NewTicker(time.Second / time.Duration(rate))
 		defer tick.Stop()
 		for end := time.Now().Add(d); time.Now().Before(end); <-tick.C {
 			w := c.newWork(r, -2)
@@ -237,7 +240,7 @@
 	}},
 	{"a cap is lowered", func(p *faultPlan, _ time.Duration) func() { return p.lowerCap() }},
 	{"an account floods the cell", func(p *faultPlan, d time.Duration) func() {
-		p.flood(d)
+		p.flood(floodRate, d)
 		return nil
 	}},
 	{"half of the VMs are cut off from the store", func(p *faultPlan, _ time.Duration) func() { return p.storeProxies(len(p.cell.vms)/2, Blackholing) }},
--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -85,6 +85,9 @@
 	mu        sync.Mutex
 	instances int
 	current   *floor.Worker
+	// leaving is true from the notice of the current instance until the start of the next one, leavesAt is when it leaves.
+	leaving  bool
+	leavesAt time.Time
 	// down is true from the crash of the current instance until the start of the next one.
 	down bool
 }
@@ -94,6 +97,9 @@
 	c := &Cell{opts: o, standin: platform.NewStandin(), works: make(map[string]*job.Work), queues: append(queues(), idleQueues(o.IdleQueues)...), accounts: newAccountBook(o.Seed)}
 	c.cluster = floor.New(c.behave)
 	c.cluster.OnCrash, c.cluster.ShrinkGrace = c.restartCrashed, shrinkGrace
+	if o.Uneven {
+		c.cluster.SlownessOf = slownessOf
+	}
 	if o.Accounts {
 		c.cluster.CapOf, c.cluster.CapOverrun = c.accounts.highestCap, capOverrun
 	}
@@ -235,17 +241,27 @@
 	w.current = w.cell.cluster.Add(info)
 	h := platform.WorkerHandler(info.ID, w.cell.cluster.Client(info))
 	w.handler.Store(&h)
-	w.down = false
+	w.down, w.leaving = false, false
 	return w.list()
 }
 
+// slownessOf makes a third of the workers fast and a third slow. A worker that comes back is as fast as before.
+func slownessOf(info worker.Info) float64 {
+	name, _, _ := strings.Cut(info.ID, "-")
+	return []float64{0.6, 1, 1.6}[hashOf("slowness", name)%3]
+}
+
 func capacity(millicores int64) job.Resources {
 	return job.Resources{Millicores: millicores, MemoryMB: 32000}
 }
 
 // list writes the entry of the current instance.
 func (w *workerSlot) list() error {
-	key, raw, err := platform.EncodeWorker(&worker.ListedWorker{Info: w.current.Info(), Pool: "desk", Labels: []string{"a", w.rack}})
+	listed := worker.ListedWorker{Info: w.current.Info(), Pool: "desk", Labels: []string{"a", w.rack}, Clock: w.current.Clock()}
+	if w.leaving {
+		listed.Leaving, listed.TimeLeft = true, time.Until(w.leavesAt)
+	}
+	key, raw, err := platform.EncodeWorker(&listed)
 	if err != nil {
 		return err
 	}
@@ -281,6 +297,24 @@
 	w.restart(old, restartDelay)
 }
 
+// leave announces that the current instance leaves after the notice, when everything that still runs on it ends, and
+// starts another one after the delay.
+func (w *workerSlot) leave(notice, restartDelay time.Duration) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down || w.leaving {
+		return nil
+	}
+	old := w.current
+	w.leaving, w.leavesAt = true, time.Now().Add(notice)
+	time.AfterFunc(notice, func() {
+		if w.currentWorker() == old {
+			w.crash(restartDelay)
+		}
+	})
+	return w.list()
+}
+
 // restart starts the next instance after the delay, unless that is under way.
 func (w *workerSlot) restart(old *floor.Worker, restartDelay time.Duration) {
 	w.mu.Lock()
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -18,6 +18,9 @@
 	maxFaultDuration = 4 * time.Second
 )
 
+// minNotice is the shortest notice of a worker that leaves, that of spot workers on the platform.
+const minNotice = 1800 * time.Millisecond
+
 // faultPlan injects random faults and reverts them.
 type faultPlan struct {
 	cell      *Cell
@@ -78,12 +81,28 @@
 	}},
 }
 
+// unevenFaults are the faults of cells with uneven workers and load, in addition to the others.
+var unevenFaults = []fault{
+	{"a worker leaves with notice", func(p *faultPlan, duration time.Duration) func() {
+		notice := minNotice + time.Duration(p.rand.Int64N(int64(minNotice)))
+		p.cell.addError(p.cell.workers[p.rand.IntN(len(p.cell.workers))].leave(notice, duration))
+		return nil
+	}},
+	{"an account submits a burst", func(p *faultPlan, _ time.Duration) func() {
+		p.flood(burstRate, burstDuration)
+		return nil
+	}},
+}
+
 // run injects faults for the duration of the run, then waits until all of them have been reverted.
 func (p *faultPlan) run() []string {
 	kinds := faults
 	if p.cell.opts.Accounts {
 		kinds = slices.Concat(faults, accountFaults, accountFaults)
 	}
+	if p.cell.opts.Uneven {
+		kinds = slices.Concat(kinds, unevenFaults, unevenFaults, unevenFaults)
+	}
 	for {
 		pause := time.Duration(p.rand.Int64N(int64(maxFaultInterval)))
 		if time.Since(p.startedAt)+pause+maxFaultDuration > p.cell.opts.Duration || p.cell.opts.Context.Err() != nil {
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -18,6 +18,9 @@
 	Faults bool
 	// Accounts gives the works client accounts with keys and caps, and adds the faults that concern them.
 	Accounts bool
+	// Uneven makes a third of the workers slow and a third fast, and adds the faults of such cells: workers that leave with
+	// notice, and bursts of one account.
+	Uneven bool
 	// Duration is how long works are submitted and faults are injected. Works that remain have settleTimeout to end.
 	Duration time.Duration
 	// VMs and Workers are the numbers of entry VMs and workers, Rate is the number of works per second.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,7 @@
 	secondsFlag  = flag.Int("seconds", 30, "duration of each additional run in seconds")
 	accountsFlag = flag.Bool("accounts", true, "additional runs use client accounts with keys and caps")
 	calmFlag     = flag.Bool("calm", false, "additional runs inject no faults")
+	unevenFlag   = flag.Bool("uneven", true, "additional runs have workers of unlike speed, which may leave with notice, and bursts of one account")
 	vmsFlag      = flag.Int("vms", 4, "entry VMs of additional runs")
 	workersFlag  = flag.Int("workers", 9, "workers of additional runs")
 	rateFlag     = flag.Int("rate", 8, "works per second of additional runs")
@@ -43,12 +44,13 @@
 		{Seed: 1, Duration: 4 * time.Second, VMs: 3, Workers: 6, Rate: 6},
 		{Seed: 3, Faults: true, Duration: 12 * time.Second, VMs: 3, Workers: 6, Rate: 6},
 		{Seed: 5, Faults: true, Accounts: true, Duration: 12 * time.Second, VMs: 4, Workers: 6, Rate: 6},
+		{Seed: 7, Faults: true, Accounts: true, Uneven: true, Duration: 12 * time.Second, VMs: 4, Workers: 9, Rate: 8},
 		// A work stayed queued: the stand-in's watch told of one change at a time.
 		{Seed: 425, Faults: true, Accounts: true, Duration: 25 * time.Second, VMs: 4, Workers: 9, Rate: 8},
 	}
 	for i := range *seedsFlag {
 		out = append(out, Options{
-			Seed: *seedFlag + uint64(i), Faults: !*calmFlag, Accounts: *accountsFlag, Duration: time.Duration(*secondsFlag) * time.Second,
+			Seed: *seedFlag + uint64(i), Faults: !*calmFlag, Accounts: *accountsFlag, Uneven: *unevenFlag, Duration: time.Duration(*secondsFlag) * time.Second,
 			VMs: *vmsFlag, Workers: *workersFlag, Rate: *rateFlag, IdleQueues: *idleFlag,
 		})
 	}
--- a/standin/floor/floor.go
+++ b/standin/floor/floor.go
@@ -45,6 +45,9 @@
 	// fraction by which an account may exceed it.
 	CapOf      func(account string) job.Resources
 	CapOverrun float64
+	// SlownessOf returns how many times longer than usual runs take on a worker, a gang as long as on its slowest one; nil
+	// means that all workers are alike. The progress in a checkpoint counts as run time on any worker.
+	SlownessOf func(worker.Info) float64
 	// OnCrash is called after a run has crashed its worker; may be nil.
 	OnCrash func(w *Worker)
 
--- a/standin/floor/gang.go
+++ b/standin/floor/gang.go
@@ -23,7 +23,12 @@
 	if len(members) < size {
 		return
 	}
+	slowest := 0.0
+	for _, w := range members {
+		slowest = max(slowest, w.slowness())
+	}
 	for r, w := range members {
+		r.behaviour.Duration = scale(r.behaviour.Duration, slowest)
 		w.startWork(r)
 	}
 }
--- a/standin/floor/worker.go
+++ b/standin/floor/worker.go
@@ -288,6 +288,7 @@
 		return nil
 	}
 	if behaviour.GangSize == 0 {
+		r.behaviour.Duration = scale(behaviour.Duration, w.slowness())
 		w.startWork(r)
 		return nil
 	}
@@ -296,6 +297,16 @@
 	return nil
 }
 
+// slowness returns how many times longer than usual runs take on the worker.
+func (w *Worker) slowness() float64 {
+	if w.cluster.SlownessOf == nil {
+		return 1
+	}
+	return w.cluster.SlownessOf(w.info)
+}
+
+func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
+
 // checkCapacity records a violation if the runs use more than the worker has.
 func (w *Worker) checkCapacity() {
 	var sum job.Resources
