Place tasks by the learned speed of workers

Cause: workers of unlike speed got tasks evenly, so lookups were late on the slow third, and gangs ran at the pace of their slowest member. Tasks that are in time on any worker now take slow ones first, others fast ones; gangs and their permit requests prefer fast workers. In effect once the factors at the 10 and 90 % quantiles differ by 2.25.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -118,9 +118,10 @@
 // choice is a worker with its sort keys.
 type choice struct {
 	node *node
-	// suspicion, dataDistance and outsideZone are penalties of the worker for the stage; available is its available CPU.
-	suspicion, dataDistance, outsideZone int
-	available                            int64
+	// suspicion, dataDistance, outsideZone and slowness are penalties of the worker for the stage; gangSlowness takes the
+	// place of slowness for gangs. available is its available CPU.
+	suspicion, dataDistance, gangSlowness, outsideZone, slowness int
+	available                                                    int64
 }
 
 // compare orders choices best first. emptiestFirst prefers the workers with the most available CPU.
@@ -130,8 +131,12 @@
 		return c.suspicion - o.suspicion
 	case c.dataDistance != o.dataDistance:
 		return c.dataDistance - o.dataDistance
+	case c.gangSlowness != o.gangSlowness:
+		return c.gangSlowness - o.gangSlowness
 	case c.outsideZone != o.outsideZone:
 		return c.outsideZone - o.outsideZone
+	case c.slowness != o.slowness:
+		return c.slowness - o.slowness
 	case emptiestFirst:
 		c, o = o, c
 	}
@@ -139,7 +144,8 @@
 }
 
 // sortedCandidates returns the usable workers that may run the stage and that keep accepts, best first. It prefers, in
-// this order, workers with fewer failures, workers near the stage's data, and workers in the caller's zone. Among
+// this order, workers with fewer failures, workers near the stage's data, workers in the caller's zone, and workers of
+// the speed that suits it. For a gang, which runs at the pace of its slowest member, speed goes before the zone. Among
 // equals, workers with less available CPU come first, so that large blocks of capacity stay whole; for gangs and rules
 // with the spread strategy, those with the most come first. The list is valid until the next call.
 func (t *term) sortedCandidates(s *stage, now time.Time, keep func(*node) bool) []*node {
@@ -147,9 +153,19 @@
 	choices := p.choices[:0]
 	candidates := t.allowedNodes(s)
 	p.examined += len(candidates)
+	slowFirst := t.prefersSlow(s, now)
 	for _, n := range candidates {
 		if keep(n) && t.usable(n, now) && t.matches(s, n) && !s.interferes(n) {
-			choices = append(choices, choice{n, s.suspicion(n), s.dataDistance(n), s.outsideZone(n), n.available().Millicores})
+			c := choice{node: n, suspicion: s.suspicion(n), dataDistance: s.dataDistance(n), outsideZone: s.outsideZone(n), available: n.available().Millicores}
+			switch {
+			case s.spec.Gang:
+				c.gangSlowness = n.slowness
+			case slowFirst:
+				c.slowness = -n.slowness
+			default:
+				c.slowness = n.slowness
+			}
+			choices = append(choices, c)
 		}
 	}
 	emptiestFirst := s.emptiestFirst()
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -24,6 +24,7 @@
 		r.stage.keepCheckpoint(r.index, checkpoint)
 	}
 	t.recordEnding(r, how)
+	t.learnRunTime(r, how)
 	t.log.Info("dispatch: run ended", zap.String("id", e.work.ID), zap.Int("occurrence", r.stage.occurrence.number),
 		zap.Int("step", r.stage.index), zap.Int("task", r.index), zap.Int64("run", r.number),
 		zap.String("worker", r.node.id),
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -7,6 +7,7 @@
 	"turmericgap/job"
 	"turmericgap/presence"
 	"turmericgap/rule"
+	"turmericgap/speed"
 	"turmericgap/worker"
 )
 
@@ -94,6 +95,8 @@
 	reservedCapacity []allocation
 	// suspects holds the tasks that were lost with a worker, by index.
 	suspects map[int]*suspect
+	// runTimes holds the run times of the stage's tasks, to learn the speed of their workers.
+	runTimes speed.Step
 	// failuresByWorker counts the failures of the stage's tasks by worker ID.
 	failuresByWorker map[string]int
 }
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -84,6 +84,8 @@
 	silentSince time.Time
 	// replaced is true once another instance answers at the address and the runs are about to end.
 	replaced bool
+	// slowness is the worker's learned factor in steps, 0 while tasks are not placed by speed.
+	slowness int
 	// addedAt is when the term first knew of the worker.
 	addedAt time.Time
 	// brokenMembers holds the ended gang members that were on the worker when it fell silent.
@@ -346,5 +348,6 @@
 		n.stop()
 	}
 	n.agent.Release()
+	t.speeds.Forget(n.id)
 	t.removeNode(n)
 }
--- a/dispatch/permitrequest.go
+++ b/dispatch/permitrequest.go
@@ -19,13 +19,25 @@
 	sortKey int
 }
 
-// zoneRank is 0 for a candidate with capacity in the caller's zone, 1 for one with capacity elsewhere, and 2 for one
-// without capacity.
-func (c *candidate) zoneRank(s *stage) int {
-	if c.fits <= 0 {
-		return 2
-	}
-	return s.outsideZone(c.node)
+// speedBits is the size of the part of a rank that stands for the speed of a worker.
+const speedBits = 6
+
+// rank orders candidates by capacity, the caller's zone and speed: first those with capacity in the zone, then those with
+// capacity elsewhere, then the others. For a gang, which runs at the pace of its slowest member, speed goes before the
+// zone.
+func (c *candidate) rank(s *stage, slowFirst bool) int {
+	slowness := c.node.slowness
+	if slowFirst {
+		slowness = -slowness
+	}
+	slowness = min(max(slowness+1<<(speedBits-1), 0), 1<<speedBits-1)
+	switch {
+	case c.fits <= 0:
+		return 2<<speedBits | slowness
+	case s.spec.Gang:
+		return slowness<<1 | s.outsideZone(c.node)
+	}
+	return s.outsideZone(c.node)<<speedBits | slowness
 }
 
 // maxFullScan is the largest number of workers that are all examined for a first request. In larger cells a full scan
@@ -38,18 +50,18 @@
 	return len(t.sortedNodes) <= maxFullScan || s.spec.DataRack != ""
 }
 
-// unnamedCandidates returns workers that were not yet named, sorted by distance from the data, zone rank and free
+// unnamedCandidates returns workers that were not yet named, sorted by distance from the data, rank and free
 // capacity. In a small cell it returns all of them, in a large one as many as a request may need. The list is valid
 // until the next call.
 func (t *term) unnamedCandidates(s *stage, now time.Time) []candidate {
-	list := t.pass.unnamed[:0]
+	list, slowFirst := t.pass.unnamed[:0], t.prefersSlow(s, now)
 	if t.scansAll(s) {
 		for i, n := range t.sortedNodes {
-			list = t.appendCandidate(list, s, n, i, now)
+			list = t.appendCandidate(list, s, n, i, slowFirst, now)
 		}
 		t.pass.examined += len(t.sortedNodes)
 	} else {
-		list = t.findCandidates(list, s, now)
+		list = t.findCandidates(list, s, slowFirst, now)
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.sortKey, b.sortKey) })
 	t.pass.unnamed = list
@@ -57,7 +69,7 @@
 }
 
 // appendCandidate appends a worker to the candidates if it may be named; i breaks ties between equal candidates.
-func (t *term) appendCandidate(list []candidate, s *stage, n *node, i int, now time.Time) []candidate {
+func (t *term) appendCandidate(list []candidate, s *stage, n *node, i int, slowFirst bool, now time.Time) []candidate {
 	if _, known := s.tickets[n.id]; known || !t.matches(s, n) || !n.listed || n.listing.Leaving {
 		return list
 	}
@@ -69,20 +81,20 @@
 	if !t.usable(n, now) {
 		c.fits = -1
 	}
-	c.sortKey = s.dataDistance(n)<<distanceShift | c.zoneRank(s)<<rankShift | (maxFits-min(c.fits, maxFits))<<fitsShift | i
+	c.sortKey = s.dataDistance(n)<<distanceShift | c.rank(s, slowFirst)<<rankShift | (maxFits-min(c.fits, maxFits))<<fitsShift | i
 	return append(list, c)
 }
 
 // findCandidates searches the workers with the most free capacity first, until it has as many candidates as a request
 // may need.
-func (t *term) findCandidates(list []candidate, s *stage, now time.Time) []candidate {
+func (t *term) findCandidates(list []candidate, s *stage, slowFirst bool, now time.Time) []candidate {
 	names, tasks := t.namesNeeded(s)
 	withCapacity, free, visited := 0, 0, 0
 	collectUntil := func(enough func() bool) func(*node) bool {
 		return func(n *node) bool {
 			visited++
 			before := len(list)
-			if list = t.appendCandidate(list, s, n, visited, now); len(list) > before && list[before].fits > 0 {
+			if list = t.appendCandidate(list, s, n, visited, slowFirst, now); len(list) > before && list[before].fits > 0 {
 				withCapacity++
 				free += list[before].fits
 			}
@@ -106,13 +118,13 @@
 	return list
 }
 
-// The parts of a sort key from its highest bits: data distance, zone rank, maxFits minus the number of tasks that fit,
+// The parts of a sort key from its highest bits: data distance, rank, maxFits minus the number of tasks that fit,
 // and position among the workers, which are sorted by ID.
 const (
 	fitsShift     = 24
 	maxFits       = 1 << 16
 	rankShift     = fitsShift + 18
-	distanceShift = rankShift + 2
+	distanceShift = rankShift + 2 + speedBits
 )
 
 // sendFirstRequests requests permits for workers that were not yet named. It splits a long list into several concurrent
--- /dev/null
+++ b/dispatch/speed.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"turmericgap/feature"
+	"turmericgap/speed"
+	"turmericgap/worker"
+)
+
+const (
+	// minSpread is the spread of the workers' factors from which tasks are placed by them: 1.5 on either side of a typical
+	// worker, so that a task with an objective of 1.5 times its run time misses it on a slow one. Placing by speed ends
+	// below keptSpread.
+	minSpread, keptSpread = 2.25, 2
+	// speedsInterval is how often passes take over what was learned of all workers.
+	speedsInterval = 500 * time.Millisecond
+	// toleranceMargin divides the time that a task has left when slow workers are considered for it, as the slowest of
+	// its step takes longer than a usual one.
+	toleranceMargin = 1.5
+)
+
+// kind returns the key by which the run times of a stage's tasks are learned.
+func (s *stage) kind() string { return s.entry.work.Queue.Name + "/" + s.spec.Image }
+
+// learnRunTime records the run time of a task that is done. The members of a gang end together, so the first of them to
+// be reported stands for all.
+func (t *term) learnRunTime(r *run, how worker.RunOutcome) {
+	s, now := r.stage, time.Now()
+	if how != worker.OutcomeDone || s.spec.Service || r.Resumed || !r.Confirmed || r.sentAt.IsZero() || s.dataDistance(r.node) > 0 {
+		return
+	}
+	ran := now.Sub(r.sentAt)
+	if !s.spec.Gang {
+		t.speeds.Observe(r.node.id, s.kind(), &s.runTimes, s.spec.Estimate, ran, now)
+		if t.placesBySpeed {
+			r.node.slowness = t.speeds.Slowness(r.node.id)
+		}
+		return
+	}
+	if s.gang == nil || s.gang.done {
+		return
+	}
+	slowest := 0.0
+	for i := range s.tasks {
+		if member := s.tasks[i].run; member != nil {
+			slowest = max(slowest, t.speeds.Factor(member.node.id))
+		}
+	}
+	t.speeds.ObserveGang(s.kind(), max(slowest, t.speeds.Factor(r.node.id)), s.spec.Estimate, ran, now)
+}
+
+// refreshSpeeds updates what passes use of the learned speeds.
+func (t *term) refreshSpeeds(now time.Time) {
+	t.speedsRefreshedAt = now
+	spread, before := t.speeds.Spread(now), t.placesBySpeed
+	observed := spread >= minSpread || before && spread >= keptSpread
+	t.placesBySpeed = len(t.sortedNodes) > 0 && t.o.Features.Enabled(feature.Speed, observed)
+	if t.placesBySpeed != before {
+		t.log.Info("dispatch: placing by speed has changed", zap.Bool("inEffect", t.placesBySpeed), zap.Float64("spread", spread))
+	}
+	for _, n := range t.sortedNodes {
+		n.slowness = 0
+		if t.placesBySpeed {
+			n.slowness = t.speeds.Slowness(n.id)
+		}
+	}
+	t.slowest = 0
+	if t.placesBySpeed {
+		known := make([]int, 0, len(t.sortedNodes))
+		for _, n := range t.sortedNodes {
+			known = append(known, n.slowness)
+		}
+		slices.Sort(known)
+		t.slowest = known[len(known)*9/10]
+	}
+}
+
+// expectedRun returns how long a task of the stage will probably run on a typical worker.
+func (t *term) expectedRun(s *stage) time.Duration {
+	if !t.placesBySpeed {
+		return s.spec.Estimate
+	}
+	return t.speeds.Expect(s.kind(), s.spec.Estimate)
+}
+
+// toleratedSlowness returns how slow a worker may be for a task of the stage to be in time if it starts now.
+func (t *term) toleratedSlowness(s *stage, now time.Time, margin float64) int {
+	left := s.occurrence.deadline(s.entry).Sub(now) - s.entry.remainingAfter[s.index]
+	expected := t.expectedRun(s)
+	if left <= 0 || expected <= 0 {
+		return speed.MaxSlowness
+	}
+	return speed.SlownessOf(left.Seconds() / expected.Seconds() / margin)
+}
+
+// prefersSlow reports whether a stage takes slow workers first: single tasks that are in time on any of them, or late on
+// all. Fast workers stay free for the tasks that need them.
+func (t *term) prefersSlow(s *stage, now time.Time) bool {
+	return t.placesBySpeed && !s.spec.Gang && t.toleratedSlowness(s, now, toleranceMargin) >= t.slowest
+}
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -14,6 +14,7 @@
 	"turmericgap/owner"
 	"turmericgap/permit"
 	"turmericgap/rule"
+	"turmericgap/speed"
 )
 
 // term is one tenure, from loading the cell's state until it ends.
@@ -83,6 +84,12 @@
 	// grantShares is the expected share of named workers that the policy service allows, by queue.
 	grantShares map[string]float64
 	sizes       *aging.SizeStats
+	// speeds holds the learned speeds of workers and run times of tasks. placesBySpeed is true while tasks are placed by
+	// them, slowest is the slowness that nine workers in ten do not exceed.
+	speeds            *speed.Stats
+	placesBySpeed     bool
+	slowest           int
+	speedsRefreshedAt time.Time
 	// tallies counts the outcomes of works by queue and size class.
 	tallies     map[sizeClass]*tally
 	maintenance maintenanceState
@@ -102,7 +109,7 @@
 		nodes: make(map[string]*node), unreadable: make(map[string]bool), waitingStages: make(map[*stage]struct{}),
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
 		vmSelector: permit.NewVMSelector(), callLimiter: newCallLimiter(), grantShares: make(map[string]float64),
-		sizes: aging.New(), tallies: make(map[sizeClass]*tally), ruleCapacity: make(map[string]int),
+		sizes: aging.New(), speeds: speed.New(), tallies: make(map[sizeClass]*tally), ruleCapacity: make(map[string]int),
 		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun),
 		refusals: refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
 	}
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -13,6 +13,9 @@
 	t.clearSurvivors(now)
 	t.retryHalts(now)
 	t.probeOverdue(now)
+	if now.Sub(t.speedsRefreshedAt) >= speedsInterval {
+		t.refreshSpeeds(now)
+	}
 	t.stopStalled(now)
 	for e := range t.timed {
 		t.beginDue(e, now)
--- a/speed/duration.go
+++ b/speed/duration.go
@@ -25,10 +25,17 @@
 	sorted         []float64
 	// added counts the values since the statistics were computed.
 	added int
+	// errorMean and errorVariance describe the logarithm of the run time over the caller's estimate.
+	errorMean, errorVariance float64
+	errors                   int
 	at    time.Time
 }
 
-func (d *durations) add(logSeconds float64, now time.Time) {
+// record adds a run time at factor 1, in logarithms of seconds, and the error of its estimate.
+func (d *durations) record(logSeconds float64, estimate time.Duration, now time.Time) {
+	if estimate > 0 {
+		d.addError(logSeconds - math.Log(estimate.Seconds()))
+	}
 	if len(d.recent) < recentRuns {
 		d.recent = append(d.recent, logSeconds)
 	} else {
@@ -71,4 +78,30 @@
 		d.sorted[i] += offset
 	}
 	d.mean += offset
+	d.errorMean += offset
+}
+
+// errorWeight is the weight of the newest run in the moments of the estimates' errors.
+const errorWeight = 0.05
+
+// addError records the logarithm of a run time at factor 1 over the caller's estimate.
+func (d *durations) addError(logRatio float64) {
+	weight := max(errorWeight, 1/float64(d.errors+1))
+	d.errors++
+	residual := logRatio - d.errorMean
+	d.errorMean += weight * residual
+	d.errorVariance += weight * ((1-weight)*residual*residual - d.errorVariance)
+}
+
+// expect combines a caller's estimate, less its usual error, with the usual run time, each by how well it predicts. It
+// returns the logarithm of the run time and its variance.
+func (d *durations) expect(estimate time.Duration) (mean, variance float64) {
+	d.refresh()
+	if estimate <= 0 || d.errors < minRuns {
+		return d.mean, d.variance
+	}
+	byEstimate := 1 / max(d.errorVariance, minBaseVariance)
+	byKind := 1 / d.variance
+	logRun := math.Log(estimate.Seconds()) + d.errorMean
+	return (byEstimate*logRun + byKind*d.mean) / (byEstimate + byKind), 1 / (byEstimate + byKind)
 }
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -13,7 +13,7 @@
 	// unlike inputs.
 	mateVariance = 0.06
 	// minSamples is how many runs of a worker must be known for it to count in Spread.
-	minSamples = 3
+	minSamples = 5
 )
 
 // Stats learns the factors of workers and the run times of kinds of tasks. A factor is how many times longer tasks run on
@@ -40,19 +40,16 @@
 	runs int
 }
 
-// Observe records that a task of a kind has run on a worker for a time until it was done.
-func (s *Stats) Observe(worker, kind string, step *Step, ran time.Duration, now time.Time) {
+// Observe records that a task of a kind, with a caller's estimate, has run on a worker for a time until it was done.
+func (s *Stats) Observe(worker, kind string, step *Step, estimate, ran time.Duration, now time.Time) {
 	if ran <= 0 {
 		return
 	}
 	logRan := math.Log(ran.Seconds())
 	d := s.kindOf(kind, now)
-	base, baseVar := d.mean, baseVariance
+	base, baseVar := logRan, baseVariance
 	if len(d.recent) > 0 {
-		d.refresh()
-		base, baseVar = d.mean, d.variance
-	} else {
-		base = logRan
+		base, baseVar = d.expect(estimate)
 	}
 	weight := 1/baseVar + float64(step.runs)/mateVariance
 	base = (base/baseVar + step.sum/mateVariance) / weight
@@ -68,7 +65,25 @@
 	atTypical := logRan - e.mean
 	step.sum += atTypical
 	step.runs++
-	d.add(atTypical, now)
+	d.record(atTypical, estimate, now)
+}
+
+// ObserveGang records that the tasks of a gang have run together for a time until they were done, on workers of which the
+// slowest has a factor.
+func (s *Stats) ObserveGang(kind string, slowest float64, estimate, ran time.Duration, now time.Time) {
+	if ran > 0 {
+		s.kindOf(kind, now).record(math.Log(ran.Seconds()/slowest), estimate, now)
+	}
+}
+
+// Expect returns how long a task of a kind with a caller's estimate will probably run on a typical worker.
+func (s *Stats) Expect(kind string, estimate time.Duration) time.Duration {
+	d := s.kinds[kind]
+	if d == nil || len(d.recent) < minRuns || estimate <= 0 {
+		return estimate
+	}
+	mean, _ := d.expect(estimate)
+	return time.Duration(math.Exp(mean) * float64(time.Second))
 }
 
 // maxOffset is how far the mean logarithm of the factors may be from 0.
@@ -135,8 +150,13 @@
 // are below. Workers that differ by less than the estimates can tell apart share a step.
 func (s *Stats) Slowness(worker string) int { return int(math.Round(stepsPerE * s.logFactor(worker))) }
 
-// SlownessOf returns the number of steps of a factor.
-func SlownessOf(factor float64) int { return int(math.Floor(stepsPerE * math.Log(factor))) }
+// MaxSlowness is more steps than any worker has.
+const MaxSlowness = 100
+
+// SlownessOf returns the number of whole steps of a factor, at most MaxSlowness either way.
+func SlownessOf(factor float64) int {
+	return int(max(min(math.Floor(stepsPerE*math.Log(factor)), MaxSlowness), -MaxSlowness))
+}
 
 // Typical returns the median run time of a kind of task on a typical worker; ok is false while too few runs are known.
 func (s *Stats) Typical(kind string) (median time.Duration, ok bool) { return s.Quantile(kind, 0.5) }
