--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -8,6 +8,7 @@
 	"turmericgap/presence"
 	"turmericgap/rule"
 	"turmericgap/speed"
+	"turmericgap/tally"
 	"turmericgap/worker"
 )
 
@@ -151,7 +152,7 @@
 }
 
 func newEntry(w *job.Work) *entry {
-	e := &entry{work: w, queue: &w.Queue, state: job.WorkQueued, durableState: job.WorkQueued, size: size(w)}
+	e := &entry{work: w, queue: &w.Queue, state: job.WorkQueued, durableState: job.WorkQueued, size: tally.Size(w)}
 	e.updateObjective()
 	return e
 }
--- a/dispatch/permitrequest.go
+++ b/dispatch/permitrequest.go
@@ -102,8 +102,7 @@
 		}
 	}
 	offset := int(t.pass.number)
-	minBucket := bucketOf(s.taskResources().Millicores)
-	t.capacity.visit(s.entry.work.Zone, minBucket, offset,
+	t.capacity.Visit(s.entry.work.Zone, s.taskResources().Millicores, offset,
 		collectUntil(func() bool { return withCapacity >= names && free >= tasks }))
 	if withCapacity < names || free < tasks {
 		// Gangs must also know workers without capacity in order to wait for them. Skip the ones already found.
@@ -112,7 +111,7 @@
 			seen[c.node] = true
 		}
 		more := collectUntil(func() bool { return len(list) >= names+permit.MaxWorkers })
-		t.capacity.visit(s.entry.work.Zone, 0, offset, func(n *node) bool { return seen[n] || more(n) })
+		t.capacity.Visit(s.entry.work.Zone, 0, offset, func(n *node) bool { return seen[n] || more(n) })
 	}
 	t.pass.examined += visited
 	return list
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"turmericgap/feature"
 	"turmericgap/speed"
 	"turmericgap/worker"
@@ -58,10 +56,7 @@
 	t.speedsRefreshedAt = now
 	spread, before := t.speeds.Spread(now), t.placesBySpeed
 	observed := spread >= minSpread || before && spread >= keptSpread
-	t.placesBySpeed = len(t.sortedNodes) > 0 && t.o.Features.Enabled(feature.Speed, observed)
-	if t.placesBySpeed != before {
-		t.log.Info("dispatch: placing by speed has changed", zap.Bool("inEffect", t.placesBySpeed), zap.Float64("spread", spread))
-	}
+	t.placesBySpeed = t.features.Decide(feature.Speed, observed, feature.Observed, now) && len(t.sortedNodes) > 0
 	for _, n := range t.sortedNodes {
 		n.slowness = 0
 		if t.placesBySpeed {
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -9,12 +9,17 @@
 
 	"turmericgap/admission"
 	"turmericgap/aging"
+	"turmericgap/calllimit"
+	"turmericgap/capacity"
 	"turmericgap/crash"
+	"turmericgap/feature"
 	"turmericgap/job"
+	"turmericgap/lag"
 	"turmericgap/owner"
 	"turmericgap/permit"
 	"turmericgap/rule"
 	"turmericgap/speed"
+	"turmericgap/tally"
 )
 
 // term is one tenure, from loading the cell's state until it ends.
@@ -40,7 +45,7 @@
 	// capacities.
 	sortedNodes  []*node
 	nodesVersion int
-	capacity     capacityIndex
+	capacity     capacity.Index[*node]
 	// capacities is the set of the workers' total resources, computed when nodesVersion was capacitiesVersion.
 	capacities        map[resources]struct{}
 	capacitiesVersion int
@@ -60,12 +65,12 @@
 	unsent           []*entry
 	committer        committer
 	vmSelector       *permit.VMSelector
-	callLimiter      callLimiter
+	callLimiter      calllimit.Limiter
 	permitVMs        permitVMs
 	config           *job.Config
 	rules            *rule.List
 	passNeeded       bool
-	lag              lag
+	lag              lag.Meter
 	overloadDetector admission.OverloadDetector
 	refusals         refusals
 	// reportedAt is when the state of the cell was last logged.
@@ -91,13 +96,15 @@
 	slowest           int
 	speedsRefreshedAt time.Time
 	// tallies counts the outcomes of works by queue and size class.
-	tallies     map[sizeClass]*tally
+	tallies     tally.Table
 	maintenance maintenanceState
 	// outages holds the workers that have stopped answering lately, silentLosses the runs lost with workers of unknown
 	// fate, by address.
 	outages      crash.Outages
 	silentLosses map[string][]silentLoss
 	accounts     accounts
+	// features records which optional parts are in effect.
+	features *feature.Status
 	// ruleCapacity is, for each rule with a limit, how many more tasks may run under it in the present pass.
 	ruleCapacity map[string]int
 }
@@ -108,12 +115,13 @@
 		events: make(chan func(), eventBuffer), entries: make(map[string]*entry), ended: make(map[string]Ended),
 		nodes: make(map[string]*node), unreadable: make(map[string]bool), waitingStages: make(map[*stage]struct{}),
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
-		vmSelector: permit.NewVMSelector(), callLimiter: newCallLimiter(), grantShares: make(map[string]float64),
-		sizes: aging.New(), speeds: speed.New(), tallies: make(map[sizeClass]*tally), ruleCapacity: make(map[string]int),
+		vmSelector: permit.NewVMSelector(), callLimiter: calllimit.New(), grantShares: make(map[string]float64),
+		sizes: aging.New(), speeds: speed.New(), tallies: make(tally.Table), ruleCapacity: make(map[string]int),
 		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun),
-		refusals: refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
+		refusals:  refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
+		committer: newCommitter(),
 	}
-	t.committer.init()
+	t.features = feature.NewStatus(o.Features, t.logFeature)
 	t.ctx, t.cancelCtx = context.WithCancel(ctx)
 	return t
 }
@@ -130,7 +138,7 @@
 			f()
 			t.drainEvents()
 		case at := <-tick.C:
-			t.lag.observe(time.Since(at))
+			t.lag.Observe(time.Since(at))
 			t.overloadDetector.Observe(
 				time.Now(), max(time.Since(at), t.passLatency(time.Now()), t.lateHoldLag(time.Now())))
 			t.onTick(time.Now())
--- a/speed/duration.go
+++ b/speed/duration.go
@@ -28,7 +28,7 @@
 	// errorMean and errorVariance describe the logarithm of the run time over the caller's estimate.
 	errorMean, errorVariance float64
 	errors                   int
-	at    time.Time
+	at                       time.Time
 }
 
 // record adds a run time at factor 1, in logarithms of seconds, and the error of its estimate.
