--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -21,6 +21,8 @@
 	refusedPrefix = root + "refused/"
 	// wavePrefix holds, for each maintenance wave, the VMs whose maintenance has begun.
 	wavePrefix = root + "wave/"
+	// speedsKey holds the learned speeds of the workers.
+	speedsKey = root + "speeds"
 	// commitPrefix holds one key per commit stream, which every commit of that stream compares and rewrites.
 	commitPrefix = root + "commit/"
 )
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -21,12 +21,12 @@
 // Entry VMs offer new work directly; the watch only finds what they could not deliver.
 const worksWatchInterval = 300 * time.Millisecond
 
-// recover loads the cell's state; false means that the tenure ended first. The three reads run concurrently: with a
-// store latency of a third of a second a takeover then takes that long, not three times as long. This is safe because
+// recover loads the cell's state; false means that the tenure ended first. The reads run concurrently: with a
+// store latency of a third of a second a takeover then takes that long, not several times as long. This is safe because
 // nobody else writes progress or commit keys during this tenure, and the watch over accepted work finds works that are
 // created meanwhile.
 func (t *term) recover() bool {
-	prefixes := []string{commitPrefix, statePrefix, workPrefix}
+	prefixes := []string{commitPrefix, statePrefix, workPrefix, speedsKey}
 	found := make([][]store.Pair, len(prefixes))
 	var reads sync.WaitGroup
 	for i, prefix := range prefixes {
@@ -50,6 +50,7 @@
 	t.config, t.rules = t.o.Config(), t.o.Rules()
 	t.applyAccounts()
 	t.restore(works, states)
+	t.restoreSpeeds(found[3])
 	t.wg.Go(t.loadEnded)
 	t.followAll()
 	return true
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -1,11 +1,16 @@
 package dispatch
 
 import (
+	"context"
 	"slices"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
 	"turmericgap/feature"
 	"turmericgap/speed"
+	"turmericgap/store"
 	"turmericgap/worker"
 )
 
@@ -63,6 +68,7 @@
 			n.slowness = t.speeds.Slowness(n.id)
 		}
 	}
+	t.storeSpeeds(now)
 	t.slowest = 0
 	if t.placesBySpeed {
 		known := make([]int, 0, len(t.sortedNodes))
@@ -74,6 +80,41 @@
 	}
 }
 
+// speedsStoreInterval is how often the learned speeds are stored for a new owner, which would otherwise place tasks
+// evenly for some ten seconds.
+const speedsStoreInterval = 5 * time.Second
+
+// storeSpeeds stores what was learned while tasks are placed by it.
+func (t *term) storeSpeeds(now time.Time) {
+	if !t.placesBySpeed || now.Sub(t.speedsStoredAt) < speedsStoreInterval {
+		return
+	}
+	t.speedsStoredAt = now
+	t.features.RecordSpeeds(t.speeds.Factors())
+	txn := store.Txn{Compares: []store.Compare{t.tenure.Compare()}, Then: []store.Op{{Key: speedsKey, Value: encode(t.speeds.Snapshot())}}}
+	t.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
+		defer cancel()
+		if _, err := t.o.Store.Txn(ctx, txn); err != nil {
+			t.log.Info("dispatch: learned speeds were not stored", zap.Error(err))
+		}
+	})
+}
+
+// restoreSpeeds takes over what a former owner has learned.
+func (t *term) restoreSpeeds(found []store.Pair) {
+	if len(found) == 0 {
+		return
+	}
+	var snapshot speed.Snapshot
+	if err := msgpack.Unmarshal(found[0].Value, &snapshot); err != nil {
+		t.log.Warn("dispatch: cannot decode the learned speeds", zap.Error(err))
+		return
+	}
+	t.speeds.Restore(&snapshot, time.Now())
+	t.log.Info("dispatch: learned speeds were read", zap.Int("workers", len(snapshot.Workers)), zap.Int("kinds", len(snapshot.Kinds)))
+}
+
 // expectedRun returns how long a task of the stage will probably run on a typical worker.
 func (t *term) expectedRun(s *stage) time.Duration {
 	if !t.placesBySpeed {
--- a/speed/duration.go
+++ b/speed/duration.go
@@ -36,6 +36,10 @@
 	if estimate > 0 {
 		d.addError(logSeconds - math.Log(estimate.Seconds()))
 	}
+	d.add(logSeconds, now)
+}
+
+func (d *durations) add(logSeconds float64, now time.Time) {
 	if len(d.recent) < recentRuns {
 		d.recent = append(d.recent, logSeconds)
 	} else {
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -38,6 +38,24 @@
 type Step struct {
 	sum  float64 // of the logarithms of the run times at factor 1
 	runs int
+	// worker is the first worker of the step, mixed is true once there was another one.
+	worker string
+	mixed  bool
+}
+
+// mates returns the sum and number of the runs that tell something about a worker: none while all were on that worker.
+func (s *Step) mates(worker string) (sum float64, runs int) {
+	if !s.mixed && s.worker == worker {
+		return 0, 0
+	}
+	return s.sum, s.runs
+}
+
+func (s *Step) add(worker string, logSeconds float64) {
+	s.mixed = s.mixed || s.runs > 0 && s.worker != worker
+	s.worker = worker
+	s.sum += logSeconds
+	s.runs++
 }
 
 // Observe records that a task of a kind, with a caller's estimate, has run on a worker for a time until it was done.
@@ -51,8 +69,9 @@
 	if len(d.recent) > 0 {
 		base, baseVar = d.expect(estimate)
 	}
-	weight := 1/baseVar + float64(step.runs)/mateVariance
-	base = (base/baseVar + step.sum/mateVariance) / weight
+	sum, runs := step.mates(worker)
+	weight := 1/baseVar + float64(runs)/mateVariance
+	base = (base/baseVar + sum/mateVariance) / weight
 	e := s.workers[worker]
 	if e == nil {
 		e = newEstimate(now)
@@ -63,8 +82,7 @@
 	s.sum += e.mean
 	s.recenter()
 	atTypical := logRan - e.mean
-	step.sum += atTypical
-	step.runs++
+	step.add(worker, atTypical)
 	d.record(atTypical, estimate, now)
 }
 
@@ -136,6 +154,17 @@
 // Factor returns how many times longer tasks run on a worker than on a typical one; 1 if nothing is known.
 func (s *Stats) Factor(worker string) float64 { return math.Exp(s.logFactor(worker)) }
 
+// Factors returns the factors of the workers of which enough runs are known.
+func (s *Stats) Factors() map[string]float64 {
+	out := make(map[string]float64, len(s.workers))
+	for id, e := range s.workers {
+		if e.samples >= minSamples {
+			out[id] = math.Exp(e.mean)
+		}
+	}
+	return out
+}
+
 func (s *Stats) logFactor(worker string) float64 {
 	if e := s.workers[worker]; e != nil {
 		return e.mean
