Move tasks away from workers that announce when they leave

Package evacuation decides without clock and I/O which runs on a leaving worker stay, and which are stopped now or later. The owner asks it at each tick for workers whose entry shows a time left, and stops runs and whole gangs accordingly; their tasks are queued again with their newest checkpoint. Services keep to MaxUnavailable of their step. feature.Notice set to off leaves runs where they are; workers that announce no time left are treated as before. The platform's CheckpointS and RestoreMs are decoded and passed on.

In the random faults, half of the leaving workers now announce a time left.

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -85,7 +85,7 @@
 		dispatch.Config(func() *job.Config { return p.config.Current() }), dispatch.Rules(p.rules.Current),
 		dispatch.Permits(func() []owner.Node { return p.group.Nodes() }, p.requestPermitFrom(requestPermit)),
 		dispatch.Maintenance(maintenanceWaves(p.client, s)),
-		dispatch.CapOverrun(s.CapOverrun), dispatch.Features(features, s.Pressure),
+		dispatch.CapOverrun(s.CapOverrun), dispatch.Features(features, s.Pressure), dispatch.Checkpoints(s.CheckpointEvery, s.RestoreTakes),
 		dispatch.Limits(s.MostHold, s.StopWithin, s.KeepEnded),
 		dispatch.Logger(logger.Part(p.log, "dispatch")), dispatch.Metrics(service.Metrics()))
 	p.config = configuration.New(kv, platform.ConfigKey, platform.DecodeConfig, configuration.Peers(s.Peers, p.listPeers, p.askPeerConfig), configuration.ExchangeRules(p.rules),
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -20,6 +20,7 @@
 	if how == worker.OutcomeDone || how == worker.OutcomeFailed {
 		e.started = true
 	}
+	t.countEvacuated(r, how, checkpoint)
 	if checkpoint != "" {
 		r.stage.keepCheckpoint(r.index, checkpoint)
 	}
@@ -29,7 +30,7 @@
 		zap.String("worker", r.node.id),
 		zap.String("how", string(how)), zap.Duration("after", time.Since(r.sentAt)),
 		zap.Duration("recorded", elapsed(r.decidedAt, r.sentAt)),
-		zap.Duration("ordered", elapsed(r.sentAt, r.confirmedAt)))
+		zap.Duration("ordered", elapsed(r.sentAt, r.confirmedAt)), zap.Inline(&r.evacuation))
 	switch {
 	case r.stage.gang != nil && r.stage.gang.number == r.number:
 		t.endMember(r, how)
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"turmericgap/aging"
+	"turmericgap/evacuation"
 	"turmericgap/job"
 	"turmericgap/presence"
 	"turmericgap/rule"
@@ -141,6 +142,8 @@
 	// percent is the last reported progress; progressAt is when it last changed.
 	percent    int
 	progressAt time.Time
+	// evacuation is what its reports show of its remaining time, and the decision on it if its worker leaves.
+	evacuation evacuation.Record
 }
 
 func (r *run) task() worker.Task {
--- a/dispatch/faultsteps_test.go
+++ b/dispatch/faultsteps_test.go
@@ -233,7 +233,8 @@
 }
 
 // leave makes a worker announce that it leaves. It then either removes its entry as it exits, or loses the store: the
-// entry lapses while it runs on, and comes back if it reaches the store again before it exits.
+// entry lapses while it runs on, and comes back if it reaches the store again before it exits. Half of the workers announce
+// how much time is left.
 func (c *faultyCell) leave(slot *workerSlot, unlisted bool, after time.Duration, r *rand.Rand) {
 	leaving := slot.instance
 	slot.leaving = true
@@ -242,6 +243,9 @@
 	if unlisted {
 		last = after / 2
 	}
+	if c.lives%2 == 0 {
+		slot.leavesAt = time.Now().Add(last)
+	}
 	for at := time.Duration(0); at < last; at += listInterval {
 		c.after(at, func() {
 			if present() {
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -256,6 +256,7 @@
 func (t *term) updateRun(r *run, a *worker.ActiveRun, now time.Time) {
 	r.confirm()
 	r.Recovered, r.seenAt = false, now
+	r.evacuation.Observe(a.Percent, a.Checkpoint, now)
 	if g := r.stage.gang; g != nil && g.number == r.number && !r.stage.spec.Service && r.HasWorked(r.percent, a.Percent) {
 		g.Complete = true // members work only together, but a service may report its startup
 	}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/evacuation"
 	"turmericgap/job"
 	"turmericgap/presence"
 	"turmericgap/store"
@@ -99,6 +100,8 @@
 	unhealthyUntil time.Time
 	// draining is true while the worker's VM is prepared for maintenance; nothing new is placed there.
 	draining bool
+	// announced is what its entry shows of when it leaves.
+	announced evacuation.Announcement
 	health
 }
 
@@ -312,11 +315,12 @@
 	n := t.nodeFor(l.ID)
 	if !n.listed || n.listing.Leaving != l.Leaving {
 		t.log.Info("dispatch: worker listed", zap.String("worker", l.ID), zap.String("pool", l.Pool),
-			zap.Bool("leaving", l.Leaving), zap.String("rack", l.Rack))
+			zap.Bool("leaving", l.Leaving), zap.Duration("timeLeft", l.TimeLeft), zap.String("rack", l.Rack))
 	}
 	if n.listing.Has != l.Has {
 		t.nodesVersion++
 	}
+	n.announced.Update(l.Leaving, l.TimeLeft, l.Clock, time.Now())
 	n.free = n.free.Plus(l.Has).Minus(n.listing.Has)
 	n.listing, n.listed = l, true
 	n.updateIndex()
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"turmericgap/evacuation"
 	"turmericgap/feature"
 	"turmericgap/job"
 	"turmericgap/metric"
@@ -45,6 +46,8 @@
 	OnExamined func(examined int)
 	// MaxHold is the longest lease that a worker grants; StopTimeout is how long a worker takes to stop a run.
 	MaxHold, StopTimeout time.Duration
+	// Evacuation holds what is known of checkpoints and stops; StopTime is set from StopTimeout.
+	Evacuation evacuation.Bounds
 	// CapOverrun is the fraction by which a client account may exceed its cap.
 	CapOverrun float64
 	// Features holds the operators' choices of optional parts; nil chooses none. Pressure is true if the deployment
@@ -155,6 +158,11 @@
 	return func(o *Options) { o.MaxHold, o.StopTimeout, o.EndedRetention = maxHold, stopTimeout, endedRetention }
 }
 
+// Checkpoints sets the time between two checkpoints of a run and how long it takes to resume from one; zero is unknown.
+func Checkpoints(period, restore time.Duration) Option {
+	return func(o *Options) { o.Evacuation.CheckpointPeriod, o.Evacuation.RestoreTime = period, restore }
+}
+
 // CapOverrun sets the fraction by which a client account may exceed its cap.
 func CapOverrun(overrun float64) Option { return func(o *Options) { o.CapOverrun = overrun } }
 
@@ -178,6 +186,7 @@
 	for _, f := range opts {
 		f(o)
 	}
+	o.Evacuation = o.Evacuation.WithDefaults(o.StopTimeout)
 	if o.Metrics == nil {
 		o.Metrics = metric.New()
 	}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -38,6 +38,7 @@
 	}
 	task := &r.stage.tasks[r.index]
 	r.sentAt, r.Uncertain, r.Resumed = now, true, task.checkpoint != ""
+	r.evacuation.Begin(r.Resumed, r.stage.spec.Gang, now)
 	r.Expires = r.node.clockNow(now) + launchValidity
 	if end := r.node.lastTimeOf(r.Expires); end.After(r.node.leaseEnd) {
 		r.node.leaseEnd = end // the order extends the lease of the whole worker
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -14,6 +14,7 @@
 	t.retryHalts(now)
 	t.probeOverdue(now)
 	t.stopStalled(now)
+	t.evacuateLeaving(now)
 	for e := range t.timed {
 		t.beginDue(e, now)
 	}
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -190,16 +190,18 @@
 // step must be below the limit that the caller set.
 func (t *term) canBeUnavailable(r *run) bool {
 	limit := r.stage.spec.MaxUnavailable
-	if limit == 0 || r.stopping {
-		return true
-	}
+	return limit == 0 || r.stopping || unavailableBeside(r) < limit
+}
+
+// unavailableBeside counts the other tasks of a run's step that are not available.
+func unavailableBeside(r *run) int {
 	unavailable := 0
 	for i := range r.stage.tasks {
 		if o := r.stage.tasks[i].run; i != r.index && (o == nil || o.ended || o.stopping || o.percent < readyPercent || o.node.misses > 0) {
 			unavailable++
 		}
 	}
-	return unavailable < limit
+	return unavailable
 }
 
 // stopDraining stops the draining of a VM.
--- /dev/null
+++ b/evacuation/outcome.go
@@ -0,0 +1,88 @@
+package evacuation
+
+import (
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"turmericgap/worker"
+)
+
+// Outcome is what became of a run on a worker that leaves.
+type Outcome string
+
+// The outcomes.
+const (
+	// Moved means that the run was stopped, and its task goes on elsewhere.
+	Moved Outcome = "moved"
+	// Stayed means that the run ended by itself.
+	Stayed Outcome = "stayed"
+	// Lost means that the worker has left with the run.
+	Lost Outcome = "lost"
+)
+
+// Record is what the reports of a run have shown, the latest decision on it, and its outcome.
+type Record struct {
+	Progress
+	// Notice and Run are what the decision was based on.
+	Notice   Notice
+	Run      Run
+	Decision Decision
+	// Outcome is empty until the run has ended, and if nothing was decided. LostWork is the work that was lost.
+	Outcome  Outcome
+	LostWork time.Duration
+}
+
+// Decide records a decision.
+func (r *Record) Decide(n *Notice, run *Run, d Decision) { r.Notice, r.Run, r.Decision = *n, *run, d }
+
+// End records how the run has ended and the checkpoint in its end. It reports whether there is an outcome: there is none
+// if nothing was decided, and if the run was stopped for another reason.
+func (r *Record) End(how worker.RunOutcome, checkpoint string) bool {
+	switch {
+	case r.Decision.Action == "":
+		return false
+	case how == worker.OutcomeDone || how == worker.OutcomeFailed:
+		r.Outcome = Stayed
+		return true
+	case how == worker.OutcomeLeaseExpired:
+		r.Outcome = Lost
+	case r.Decision.Action == Move:
+		r.Outcome = Moved
+	default:
+		return false
+	}
+	r.LostWork = r.Run.Worked
+	if r.Run.Saves {
+		r.LostWork = r.Run.Unsaved
+	}
+	if r.hasSaved(checkpoint) {
+		r.LostWork = 0
+	}
+	return true
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler. It writes nothing unless the run has an outcome.
+func (r *Record) MarshalLogObject(out zapcore.ObjectEncoder) error {
+	if r.Outcome == "" {
+		return nil
+	}
+	out.AddString("evacuation", string(r.Outcome))
+	out.AddDuration("lostWork", r.LostWork)
+	out.AddString("action", string(r.Decision.Action))
+	out.AddDuration("stopAfter", r.Decision.After)
+	out.AddFloat64("chance", r.Decision.Chance)
+	out.AddDuration("timeLeft", r.Notice.TimeLeft)
+	out.AddBool("remainingKnown", r.Run.Remaining.Known)
+	out.AddDuration("remainingMin", r.Run.Remaining.Min)
+	out.AddDuration("remainingMax", r.Run.Remaining.Max)
+	out.AddBool("saves", r.Run.Saves)
+	out.AddDuration("worked", r.Run.Worked)
+	out.AddDuration("unsaved", r.Run.Unsaved)
+	out.AddBool("gang", r.Run.Gang)
+	out.AddInt("tasks", r.Run.Tasks)
+	out.AddBool("service", r.Run.Service)
+	out.AddInt("unavailable", r.Run.Unavailable)
+	out.AddBool("useful", r.Run.Useful)
+	return nil
+}
