--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -104,8 +104,12 @@
 			out[i] = n.decide(&r)
 			continue
 		}
+		away := r.Unavailable + stopped[r.Step] + 1
+		if r.Gang {
+			away = r.Tasks
+		}
 		out[i].Action = Stay
-		if r.MaxUnavailable == 0 || r.Unavailable+stopped[r.Step] < r.MaxUnavailable {
+		if r.MaxUnavailable == 0 || away <= r.MaxUnavailable {
 			out[i].Action = Move
 			stopped[r.Step]++
 		}
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -52,6 +52,8 @@
 		{"services, two may be away", []Run{service, service, service}},
 		{"services, one is away", []Run{change(service, func(r *Run) { r.Unavailable = 1 }), service}},
 		{"services without a limit", []Run{change(service, func(r *Run) { r.MaxUnavailable = 0 }), service}},
+		{"a service that is a gang of 20", []Run{gang(service), gang(service)}},
+		{"and may be away as a whole", []Run{change(gang(service), func(r *Run) { r.MaxUnavailable = 20 })}},
 		{"services of two steps", []Run{service, service, change(service, func(r *Run) { r.Step = 2 })}},
 	} {
 		fmt.Fprint(w, c.name)
