--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -17,6 +17,7 @@
 		t.refreshSpeeds(now)
 	}
 	t.stopStalled(now)
+	t.evacuateLeaving(now)
 	for e := range t.timed {
 		t.beginDue(e, now)
 	}
