--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -27,8 +27,12 @@
 	// startedAt is the start of the load; decisions are logged relative to it.
 	startedAt time.Time
 	decisions bytes.Buffer
-	// endedCount is the number of completed works.
+	// endedCount is the number of completed works, inTime that of those in time, by queue.
 	endedCount int
+	inTime     map[string]int
+	// factorOf returns how many times longer tasks run on a worker; nil stands for 1. A gang runs at the pace of its
+	// slowest member.
+	factorOf func(worker string) float64
 }
 
 // timedEvent is an event that is due at a time.
@@ -72,8 +76,9 @@
 	}
 	opts = append(opts, Permits(func() []owner.Node { return nodes }, requestPermit))
 	tenure := &owner.Tenure{Fence: 1, Confirmed: func(time.Duration) bool { return true }}
-	r := &replay{term: newTerm(ctx, newOptions(opts), tenure), runTimes: make(map[string]time.Duration), startedAt: time.Now()}
+	r := &replay{term: newTerm(ctx, newOptions(opts), tenure), runTimes: make(map[string]time.Duration), inTime: make(map[string]int), startedAt: time.Now()}
 	r.term.endedLoaded = true
+	r.term.speedsStoredAt = r.startedAt.Add(time.Hour) // there is no store
 	return r
 }
 
@@ -126,6 +131,9 @@
 			r.term.drainEvents()
 		case <-r.ticker.C:
 			r.markAnswered()
+			if r.factorOf != nil {
+				r.term.refreshSpeeds(time.Now())
+			}
 			r.term.passNeeded = r.term.passNeeded || len(r.term.waitingStages) > 0
 		case <-next.C:
 			heap.Pop(&r.events).(timedEvent).do()
@@ -165,8 +173,27 @@
 			s.entry.endQueued = true
 			delete(t.entries, s.entry.work.ID)
 			r.endedCount++
+			if !time.Now().After(s.entry.lastDue()) {
+				r.inTime[s.entry.queue.Name]++
+			}
+		}
+	}
+}
+
+// runTime returns how long a run takes.
+func (r *replay) runTime(k *run) time.Duration {
+	k.Confirmed = true
+	duration := r.runTimes[k.task().Work]
+	if r.factorOf == nil {
+		return duration
+	}
+	factor := r.factorOf(k.node.id)
+	for i := range k.stage.tasks {
+		if member := k.stage.tasks[i].run; k.stage.spec.Gang && member != nil {
+			factor = max(factor, r.factorOf(member.node.id))
 		}
 	}
+	return time.Duration(factor * float64(duration))
 }
 
 // scheduleEnds logs the runs of a stage that have just been decided and schedules their ends.
@@ -179,6 +206,6 @@
 		task := k.task()
 		now := time.Since(r.startedAt)
 		fmt.Fprintf(&r.decisions, "%9.3f ms %s.%d.%d run %d on %s\n", float64(now.Microseconds())/1000, task.Work, task.Step, task.Index, k.number, k.node.id)
-		r.at(now+r.runTimes[task.Work]+jitter(task, k.number), func() { r.term.endRun(k, worker.OutcomeDone, "") })
+		r.at(now+r.runTime(k)+jitter(task, k.number), func() { r.term.endRun(k, worker.OutcomeDone, "") })
 	}
 }
