Judge lateness and reservations by learned run times

Callers' estimates are off by up to 0.9; where tasks are placed by speed, the run time expected from the estimate and the queue's usual run time decides which works can still be in time, and when running tasks free their capacity.

--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -97,6 +97,8 @@
 	reservedCapacity []allocation
 	// suspects holds the tasks that were lost with a worker, by index.
 	suspects map[int]*suspect
+	// expectedRun is how long its tasks will probably run on a typical worker, zero until the stage was first examined.
+	expectedRun time.Duration
 	// runTimes holds the run times of the stage's tasks, to learn the speed of their workers.
 	runTimes speed.Step
 	// failuresByWorker counts the failures of the stage's tasks by worker ID.
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -36,7 +36,7 @@
 
 // plannedEnd returns when a run is expected to end.
 func (r *run) plannedEnd(now time.Time) time.Time {
-	estimate := r.stage.spec.Estimate
+	estimate := r.stage.runsOn(r.node)
 	start := r.sentAt
 	if start.IsZero() {
 		start = now
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -115,18 +116,23 @@
 	t.log.Info("dispatch: learned speeds were read", zap.Int("workers", len(snapshot.Workers)), zap.Int("kinds", len(snapshot.Kinds)))
 }
 
-// expectedRun returns how long a task of the stage will probably run on a typical worker.
-func (t *term) expectedRun(s *stage) time.Duration {
+// expectRun returns how long a task of the stage will probably run on a typical worker.
+func (t *term) expectRun(s *stage) time.Duration {
 	if !t.placesBySpeed {
 		return s.spec.Estimate
 	}
 	return t.speeds.Expect(s.kind(), s.spec.Estimate)
 }
 
+// runsOn returns how long tasks of the stage will probably run on a worker.
+func (s *stage) runsOn(n *node) time.Duration {
+	return time.Duration(speed.FactorOf(n.slowness) * float64(cmp.Or(s.expectedRun, s.spec.Estimate)))
+}
+
 // toleratedSlowness returns how slow a worker may be for a task of the stage to be in time if it starts now.
 func (t *term) toleratedSlowness(s *stage, now time.Time, margin float64) int {
 	left := s.occurrence.deadline(s.entry).Sub(now) - s.entry.remainingAfter[s.index]
-	expected := t.expectedRun(s)
+	expected := t.expectRun(s)
 	if left <= 0 || expected <= 0 {
 		return speed.MaxSlowness
 	}
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -36,6 +36,7 @@
 // urgencyOf returns the urgency of a stage if it starts now.
 func (t *term) urgencyOf(s *stage, now time.Time) urgency {
 	e := s.entry
+	s.expectedRun = t.expectRun(s)
 	deadline := s.occurrence.deadline(e)
 	wait := time.Duration(t.sizes.WaitFactor(e.work.Queue.Name, e.size) * float64(e.objective))
 	u := urgency{stage: s, priority: e.priority(), sortTime: e.work.DueAt(s.occurrence.number).Add(wait).UnixNano()}
@@ -55,9 +56,10 @@
 // task, while a single task may take much less than its estimate. It includes the permit request and the later steps;
 // without them, gangs that can no longer be on time would go before those that can.
 func (s *stage) minRemaining() time.Duration {
-	duration := s.spec.Estimate / 2
+	expected := cmp.Or(s.expectedRun, s.spec.Estimate)
+	duration := expected / 2
 	if s.spec.Gang {
-		duration = s.spec.Estimate
+		duration = expected
 		if s.needsPermit() && s.tickets == nil {
 			p := s.entry.queue.Permit
 			duration += p.Base + assumedPermitWorkers*p.PerWorker
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -179,6 +179,9 @@
 // are below. Workers that differ by less than the estimates can tell apart share a step.
 func (s *Stats) Slowness(worker string) int { return int(math.Round(stepsPerE * s.logFactor(worker))) }
 
+// FactorOf returns the factor of a number of steps of slowness.
+func FactorOf(slowness int) float64 { return math.Exp(float64(slowness) / stepsPerE) }
+
 // MaxSlowness is more steps than any worker has.
 const MaxSlowness = 100
 
