--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -4,9 +4,11 @@
 	"time"
 
 	"turmericgap/aging"
+	"turmericgap/evacuation"
 	"turmericgap/job"
 	"turmericgap/presence"
 	"turmericgap/rule"
+	"turmericgap/speed"
 	"turmericgap/tally"
 	"turmericgap/worker"
 )
@@ -95,6 +97,10 @@
 	reservedCapacity []allocation
 	// suspects holds the tasks that were lost with a worker, by index.
 	suspects map[int]*suspect
+	// expectedRun is how long its tasks will probably run on a typical worker, zero until the stage was first examined.
+	expectedRun time.Duration
+	// runTimes holds the run times of the stage's tasks, to learn the speed of their workers.
+	runTimes speed.Step
 	// failuresByWorker counts the failures of the stage's tasks by worker ID.
 	failuresByWorker map[string]int
 }
@@ -142,6 +148,8 @@
 	// percent is the last reported progress; progressAt is when it last changed.
 	percent    int
 	progressAt time.Time
+	// evacuation is what its reports show of its remaining time, and the decision on it if its worker leaves.
+	evacuation evacuation.Record
 }
 
 func (r *run) task() worker.Task {
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/capacity"
+	"turmericgap/evacuation"
 	"turmericgap/job"
 	"turmericgap/lag"
 	"turmericgap/presence"
@@ -86,6 +87,8 @@
 	silentSince time.Time
 	// replaced is true once another instance answers at the address and the runs are about to end.
 	replaced bool
+	// slowness is the worker's learned factor in steps, 0 while tasks are not placed by speed.
+	slowness int
 	// addedAt is when the term first knew of the worker.
 	addedAt time.Time
 	// brokenMembers holds the ended gang members that were on the worker when it fell silent.
@@ -101,6 +104,8 @@
 	unhealthyUntil time.Time
 	// draining is true while the worker's VM is prepared for maintenance; nothing new is placed there.
 	draining bool
+	// announced is what its entry shows of when it leaves.
+	announced evacuation.Announcement
 	health
 }
 
@@ -314,11 +319,12 @@
 	n := t.nodeFor(l.ID)
 	if !n.listed || n.listing.Leaving != l.Leaving {
 		t.log.Info("dispatch: worker listed", zap.String("worker", l.ID), zap.String("pool", l.Pool),
-			zap.Bool("leaving", l.Leaving), zap.String("rack", l.Rack))
+			zap.Bool("leaving", l.Leaving), zap.Duration("timeLeft", l.TimeLeft), zap.String("rack", l.Rack))
 	}
 	if n.listing.Has != l.Has {
 		t.nodesVersion++
 	}
+	n.announced.Update(l.Leaving, l.TimeLeft, l.Clock, time.Now())
 	n.free = n.free.Plus(l.Has).Minus(n.listing.Has)
 	n.listing, n.listed = l, true
 	n.updateIndex()
@@ -348,5 +354,6 @@
 		n.stop()
 	}
 	n.agent.Release()
+	t.speeds.Forget(n.id)
 	t.removeNode(n)
 }
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -18,6 +18,7 @@
 	"turmericgap/owner"
 	"turmericgap/permit"
 	"turmericgap/rule"
+	"turmericgap/speed"
 	"turmericgap/tally"
 )
 
@@ -88,6 +89,13 @@
 	// grantShares is the expected share of named workers that the policy service allows, by queue.
 	grantShares map[string]float64
 	sizes       *aging.SizeStats
+	// speeds holds the learned speeds of workers and run times of tasks. placesBySpeed is true while tasks are placed by
+	// them, slowest is the slowness that nine workers in ten do not exceed.
+	speeds            *speed.Stats
+	placesBySpeed     bool
+	slowest           int
+	speedsRefreshedAt time.Time
+	speedsStoredAt    time.Time
 	// tallies counts the outcomes of works by queue and size class.
 	tallies     tally.Table
 	maintenance maintenanceState
@@ -109,7 +117,7 @@
 		nodes: make(map[string]*node), unreadable: make(map[string]bool), waitingStages: make(map[*stage]struct{}),
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
 		vmSelector: permit.NewVMSelector(), callLimiter: calllimit.New(), grantShares: make(map[string]float64),
-		sizes: aging.New(), tallies: make(tally.Table), ruleCapacity: make(map[string]int),
+		sizes: aging.New(), speeds: speed.New(), tallies: make(tally.Table), ruleCapacity: make(map[string]int),
 		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun),
 		refusals:  refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
 		committer: newCommitter(),
