Refuse submissions by forecast at accept

The owner asks the gate before it accepts a work. Refusals take the path of refusals for overload: the answer follows the record in the store. A repeat of a refused ID is ordered by its first arrival.

--- /dev/null
+++ b/admission/gate.go
@@ -0,0 +1,216 @@
+package admission
+
+import (
+	"fmt"
+	"iter"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"turmericgap/job"
+)
+
+const (
+	// observationTime is how long a gate observes the rate before it refuses anything.
+	observationTime = 2 * time.Second
+	// maxObservationAge is how old the backlog may be for a refusal. The owner observes it ten times as often.
+	maxObservationAge = time.Second
+)
+
+// Reason tells why a submission was refused.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonBacklog means that the work ahead takes too long.
+	ReasonBacklog Reason = "backlog"
+	// ReasonShare means that the backlog of the submission's own account takes too long at its part of the rate.
+	ReasonShare Reason = "share"
+)
+
+// Gate refuses submissions that can no longer be useful when they would end.
+//
+// Load pattern: for seconds more work arrives than the cell holds, or one account sends many times its usual. Whatever
+// is accepted beyond what can be served in time ends late or not at all, and its callers wait for that. The gate holds
+// what it has observed; it is not safe for concurrent use.
+type Gate struct {
+	// startedAt is the time of the first observation, observedAt that of the latest.
+	startedAt, observedAt time.Time
+	cores                 map[string]peak
+	freed                 flow[string]
+	asked                 flow[demandKey]
+	weights               map[string]float64
+	backlog               []Work
+	// freedPerSecond and demand are the averages as of the latest observation.
+	freedPerSecond map[string]float64
+	demand         map[string][]Demand
+	returns        returns
+	// admitted is the submission that was admitted last, unless it was accepted.
+	admitted *Submission
+}
+
+type demandKey struct {
+	pool, account string
+	priority      int
+}
+
+// NewGate returns a Gate without observations.
+func NewGate() *Gate {
+	return &Gate{cores: make(map[string]peak), weights: make(map[string]float64), returns: newReturns()}
+}
+
+// Observe replaces the workers and the backlog. The gate uses the slice until the next call.
+func (g *Gate) Observe(now time.Time, workers iter.Seq[Worker], backlog []Work) {
+	cores := make(map[string]float64)
+	for w := range workers {
+		cores[w.Pool] += w.Capacity.Cores()
+	}
+	if g.startedAt.IsZero() && len(cores) > 0 {
+		g.startedAt = now
+	}
+	g.observedAt, g.backlog = now, backlog
+	for pool, p := range g.cores {
+		if g.cores[pool] = p.update(now, cores[pool]); g.cores[pool].cores == 0 {
+			delete(g.cores, pool)
+		}
+	}
+	for pool, n := range cores {
+		g.cores[pool] = g.cores[pool].update(now, n)
+	}
+	g.freedPerSecond = g.freed.perSecond(now, g.startedAt)
+	g.demand = make(map[string][]Demand)
+	weights := make(map[string]float64)
+	for k, perSecond := range g.asked.perSecond(now, g.startedAt) {
+		weights[k.account] = g.weights[k.account]
+		g.demand[k.pool] = append(g.demand[k.pool], Demand{k.account, weights[k.account], k.priority, perSecond})
+	}
+	g.weights = weights
+	g.returns.forget(now)
+}
+
+// RecordFreed counts the core-seconds of a task that has ended, by its caller's estimate.
+func (g *Gate) RecordFreed(now time.Time, pool string, coreSeconds float64) {
+	g.freed.add(now, pool, coreSeconds)
+}
+
+// RecordAccepted counts the submission that was admitted last if it was accepted, and returns how long before it the ID
+// arrived first.
+func (g *Gate) RecordAccepted(now time.Time, id string) time.Duration {
+	s := g.admitted
+	if s == nil || s.ID != id {
+		return 0
+	}
+	g.admitted = nil
+	g.asked.add(now, demandKey{s.Pool, s.Account, s.Priority}, s.CoreSeconds)
+	g.weights[s.Account] = s.Weight
+	g.backlog = append(g.backlog, s.Work)
+	return g.returns.remove(s.ID, s.Accepted)
+}
+
+// Decision is what a gate has decided about a submission, and why.
+type Decision struct {
+	Admitted bool
+	Reason   Reason
+	Forecast Forecast
+	// RetryAfter is when the submission may be repeated, in whole seconds. PastObjective is true if its objective will be
+	// over by then, counted from its first arrival.
+	RetryAfter    time.Duration
+	PastObjective bool
+
+	submission *Submission
+	now        time.Time
+	// inputs are the core-seconds that end in a second, the cores, and for how long they were observed.
+	freed, cores float64
+	rateAge      time.Duration
+	// firstArrival is how long ago the ID arrived first, booked the core-seconds whose return comes first.
+	firstArrival time.Duration
+	booked       float64
+}
+
+// Decide decides about a submission. It admits everything until it has observed the rate for a while.
+func (g *Gate) Decide(now time.Time, s *Submission) Decision {
+	g.admitted = s
+	cores := g.cores[s.Pool].cores
+	if g.startedAt.IsZero() || now.Sub(g.startedAt) < observationTime || now.Sub(g.observedAt) > maxObservationAge ||
+		cores == 0 || s.Service {
+		return Decision{Admitted: true}
+	}
+	// A busy core frees one core-second a second, whatever ended lately.
+	freed := g.freedPerSecond[s.Pool]
+	in := Inputs{Now: now, Cores: cores, Rate: max(cores, freed), Backlog: g.backlog, Demand: g.demand[s.Pool]}
+	first := g.returns.firstArrival(s)
+	asFirst := *s
+	asFirst.SortTime = s.SortTime.Add(first.Sub(s.Accepted))
+	d := Decision{
+		Forecast: NewForecast(&in, &asFirst), Reason: ReasonBacklog, submission: s, now: now, freed: freed, cores: cores,
+		rateAge: now.Sub(g.startedAt), firstArrival: now.Sub(first),
+	}
+	if d.Admitted = !d.Forecast.End.After(s.Expiry); d.Admitted {
+		return d
+	}
+	g.admitted = nil
+	if d.Forecast.ByShare {
+		d.Reason = ReasonShare
+	}
+	g.returns.book(&d, first)
+	return d
+}
+
+// Exempt reports whether a work is admitted whatever is ahead: one that is not due yet, that runs until it is cancelled,
+// or that uses what others leave.
+func Exempt(w *job.Work) bool {
+	for i := range w.Steps {
+		if w.Steps[i].Service || w.Steps[i].BestEffort {
+			return true
+		}
+	}
+	return w.Occurrences > 0 || len(w.Steps) == 0
+}
+
+// String returns the reason for callers.
+func (d Decision) String() string {
+	hint := "may be in time then"
+	if d.PastObjective {
+		hint = "its objective will be over by then"
+	}
+	return fmt.Sprintf("the work would end in %.1f s at the earliest and be worth nothing after %.1f s (%s); retry in %.0f s: %s",
+		d.Forecast.End.Sub(d.now).Seconds(), d.submission.Expiry.Sub(d.now).Seconds(), d.Reason, d.RetryAfter.Seconds(), hint)
+}
+
+// ReasonRepeated is the reason for callers who repeat a refused submission before its answer can have reached them.
+const ReasonRepeated = "the work was refused just now"
+
+// UntilReturn returns how long a refused ID should still wait, or false if that is not known.
+func (g *Gate) UntilReturn(id string, now time.Time) (time.Duration, bool) {
+	r := g.returns.byID[id]
+	if r == nil || !r.at.After(now) {
+		return 0, false
+	}
+	return roundUp(r.at.Sub(now)), true
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (d Decision) MarshalLogObject(out zapcore.ObjectEncoder) error {
+	s := d.submission
+	out.AddString("id", s.ID)
+	out.AddString("queue", s.Queue)
+	out.AddString("account", s.Account)
+	out.AddBool("surplus", s.Surplus)
+	out.AddString("reason", string(d.Reason))
+	out.AddFloat64("coreSeconds", s.CoreSeconds)
+	out.AddFloat64("ahead", d.Forecast.Ahead)
+	out.AddFloat64("aheadLate", d.Forecast.AheadLate)
+	out.AddFloat64("rate", d.Forecast.Rate)
+	out.AddFloat64("share", d.Forecast.Share)
+	out.AddFloat64("cores", d.cores)
+	out.AddFloat64("freed", d.freed)
+	out.AddDuration("rateAge", d.rateAge)
+	out.AddDuration("earliestEnd", d.Forecast.End.Sub(d.now))
+	out.AddDuration("deadline", s.Deadline.Sub(d.now))
+	out.AddDuration("expiry", s.Expiry.Sub(d.now))
+	out.AddDuration("firstArrival", d.firstArrival)
+	out.AddFloat64("returnsAhead", d.booked)
+	out.AddDuration("retryAfter", d.RetryAfter)
+	out.AddBool("pastObjective", d.PastObjective)
+	return nil
+}
--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -51,11 +51,11 @@
 			done <- rpc.Refused(0, "%s", reason)
 			return true, done
 		}
-		if t.refuseIfOverloaded(w, done) {
+		if e = t.newEntry(w); t.refuseIfNeeded(e, done) {
 			return true, done
 		}
-		t.addWork(w)
-		e = t.entries[w.ID]
+		e.refusedFor = t.gate.RecordAccepted(time.Now(), w.ID)
+		t.addEntry(e)
 		_, e.wasRefused = t.refusals.writtenAt[w.ID]
 		e.needsCreate = true
 		t.unsent = append(t.unsent, e)
@@ -90,13 +90,16 @@
 		time.Since(t.unlistedAt) < workerListSettleTime {
 		return ""
 	}
-	return admission.InfeasibleReason(w.Queue.Pool, w.Steps, func(yield func(admission.Worker) bool) {
-		for _, n := range t.nodes {
-			if !yield(admission.Worker{Pool: n.listing.Pool, Labels: n.listing.Labels, Capacity: n.listing.Has}) {
-				return
-			}
+	return admission.InfeasibleReason(w.Queue.Pool, w.Steps, t.eachWorker)
+}
+
+// eachWorker yields the workers for package admission.
+func (t *term) eachWorker(yield func(admission.Worker) bool) {
+	for _, n := range t.nodes {
+		if !yield(admission.Worker{Pool: n.listing.Pool, Labels: n.listing.Labels, Capacity: n.listing.Has}) {
+			return
 		}
-	})
+	}
 }
 
 // errStoreUnavailable is returned to a caller whose work was not sent because the store is failing.
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -20,6 +20,7 @@
 
 	"turmericgap/configuration"
 	"turmericgap/dispatch"
+	"turmericgap/feature"
 	"turmericgap/front"
 	"turmericgap/job"
 	"turmericgap/owner"
@@ -58,6 +59,9 @@
 	directWorkers int
 	// cloud carries out maintenance orders; nil if the test has no maintenance.
 	cloud *fakeCloud
+	// features holds the operators' choices, pressure whether callers are expected to compete for too little capacity.
+	features *feature.Set
+	pressure bool
 	// log receives the logs of the VMs.
 	log *zap.Logger
 
@@ -173,7 +177,7 @@
 		NewClient: func(address string) *rpc.Client { return rpc.NewClient(address, dial) },
 	})
 	v.dispatcher = dispatch.New(
-		dispatch.Maintenance(waves), dispatch.OnExamined(c.onExamined),
+		dispatch.Maintenance(waves), dispatch.OnExamined(c.onExamined), dispatch.Features(c.features, c.pressure),
 		dispatch.Store(kv), dispatch.StoreFailing(monitor.Failing), dispatch.StoreContact(monitor.Contact), dispatch.Config(c.currentConfig), dispatch.Rules(rules.Current), dispatch.Logger(log),
 		dispatch.Workers(workersPrefix, decodeWorker, v.relays.Agent),
 		dispatch.Permits(func() []owner.Node { return v.group.Nodes() },
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -20,6 +20,9 @@
 	if how == worker.OutcomeDone || how == worker.OutcomeFailed {
 		e.started = true
 	}
+	if how == worker.OutcomeDone {
+		t.gate.RecordFreed(time.Now(), e.queue.Pool, r.stage.share().Cost)
+	}
 	if checkpoint != "" {
 		r.stage.keepCheckpoint(r.index, checkpoint)
 	}
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -37,6 +37,8 @@
 	class aging.Class
 	// surplus is true if the submission exceeded the rate of its client account.
 	surplus bool
+	// refusedFor is how long before the work was accepted its ID was first refused; it is ordered as if it had come then.
+	refusedFor time.Duration
 	// weight is the weight of its account.
 	weight float64
 	// failure is why the work failed; empty unless it did.
@@ -148,7 +150,7 @@
 }
 
 func newEntry(w *job.Work) *entry {
-	e := &entry{work: w, queue: &w.Queue, state: job.WorkQueued, durableState: job.WorkQueued, size: size(w)}
+	e := &entry{work: w, queue: &w.Queue, state: job.WorkQueued, durableState: job.WorkQueued, size: w.CoreSeconds()}
 	e.updateObjective()
 	return e
 }
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -106,9 +106,7 @@
 
 // restoreEntry rebuilds an entry that had started and returns how many of its runs may exist on workers.
 func (t *term) restoreEntry(w *job.Work, p *progress) int {
-	e := newEntry(w)
-	t.applyQueueConfig(e)
-	t.applyAccount(e)
+	e := t.newEntry(w)
 	e.surplus = t.accounts.rates.Exceeds(w.Account, e.weight, w.Accepted)
 	e.lastRun, e.occurrencesBegun = p.Runs, p.Begun
 	e.state = job.WorkQueued
--- a/dispatch/refuse.go
+++ b/dispatch/refuse.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"turmericgap/admission"
-	"turmericgap/job"
 	"turmericgap/rpc"
 	"turmericgap/store"
 )
@@ -25,7 +24,7 @@
 	refusalHold   = 500 * time.Millisecond
 )
 
-// refusals are the works that the owner refuses because it has more to decide than it can. An earlier submission of the
+// refusals are the works that the owner refuses by forecast or because it has more to decide than it can. An earlier submission of the
 // same work may still be on its way into the store through another VM, so a caller is told that its work never runs only
 // once a record in the store excludes that.
 type refusals struct {
@@ -44,9 +43,9 @@
 
 // refusal is an ID that is being refused, with the callers that wait for that.
 type refusal struct {
-	id         string
-	retryAfter time.Duration
-	waiters    []chan error
+	id      string
+	fault   *rpc.Fault
+	waiters []chan error
 }
 
 // errOverloaded returns the answer to a work that the owner has durably refused.
@@ -57,30 +56,38 @@
 // errRefusalUnknown is returned to a caller whose work could not be refused durably.
 var errRefusalUnknown = &rpc.Fault{Code: rpc.CodeUnknown, Reason: "the owner of the cell is overloaded and could not refuse the work"}
 
-// refuseIfOverloaded refuses a new work if the owner has more to decide than it can. It returns false if the work is to
-// be accepted.
-func (t *term) refuseIfOverloaded(w *job.Work, done chan error) bool {
-	r := &t.refusals
+// refuseIfNeeded refuses a new work if it could only end worthless, or if the owner has more to decide than it can. It
+// returns false if the work is to be accepted.
+func (t *term) refuseIfNeeded(e *entry, done chan error) bool {
+	r, w := &t.refusals, e.work
 	if open := r.open[w.ID]; open != nil {
 		open.waiters = append(open.waiters, done)
 		return true
 	}
 	since := time.Since(r.refusedAt[w.ID])
 	if since < refusalHold {
+		if left, known := t.gate.UntilReturn(w.ID, time.Now()); known {
+			done <- &rpc.Fault{Code: rpc.CodeBusy, Reason: admission.ReasonRepeated, RetryAfter: left}
+			return true
+		}
 		done <- errOverloaded(ownerRetryAfter)
 		return true
 	}
-	admitted, retryAfter := r.shedder.Admit(w.Queue.Name, t.overloadDetector.RejectRatio(), t.exceedsRate(w))
-	if admitted {
-		return false
+	fault := t.refusalByForecast(e)
+	if fault == nil {
+		admitted, retryAfter := r.shedder.Admit(w.Queue.Name, t.overloadDetector.RejectRatio(), t.exceedsRate(w))
+		if admitted {
+			return false
+		}
+		t.o.Metrics.Counter("dispatch.refusedOverloaded").Inc(1)
+		fault = errOverloaded(retryAfter)
 	}
-	t.o.Metrics.Counter("dispatch.refusedOverloaded").Inc(1)
 	t.countRefused(w)
 	if since < refusalRepeat {
-		done <- errOverloaded(retryAfter)
+		done <- fault
 		return true
 	}
-	open := &refusal{id: w.ID, retryAfter: retryAfter, waiters: []chan error{done}}
+	open := &refusal{id: w.ID, fault: fault, waiters: []chan error{done}}
 	r.open[w.ID] = open
 	r.pending = append(r.pending, open)
 	return true
@@ -150,7 +157,7 @@
 		switch {
 		case err == nil && res.Succeeded:
 			r.refusedAt[open.id] = time.Now()
-			open.answer(errOverloaded(open.retryAfter))
+			open.answer(open.fault)
 		case existing[open.id]:
 			open.answer(nil) // an earlier submission has created it
 		case len(existing) > 0:
--- a/dispatch/size.go
+++ b/dispatch/size.go
@@ -9,20 +9,6 @@
 	"turmericgap/job"
 )
 
-// acceleratorCores is the number of cores that an accelerator counts as in the size of a work.
-const acceleratorCores = 8
-
-// size returns the resource use of a work in core-seconds, by its caller's estimates.
-func size(w *job.Work) float64 {
-	sum := 0.0
-	for i := range w.Steps {
-		s := &w.Steps[i]
-		cores := float64(s.TaskResources.Millicores)/1000 + acceleratorCores*float64(s.TaskResources.Accelerators)
-		sum += cores * float64(s.Tasks) * s.Estimate.Seconds()
-	}
-	return sum
-}
-
 // workOutcome is the outcome of a work, as written to logs and metrics.
 type workOutcome string
 
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -67,6 +67,9 @@
 	lag              lag
 	overloadDetector admission.OverloadDetector
 	refusals         refusals
+	gate             *admission.Gate
+	// waitingWorks is the buffer of observeForGate.
+	waitingWorks []admission.Work
 	// reportedAt is when the state of the cell was last logged.
 	reportedAt time.Time
 	// endedToRemove lists records of ended work that the next commits delete.
@@ -103,7 +106,7 @@
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
 		vmSelector: permit.NewVMSelector(), callLimiter: newCallLimiter(), grantShares: make(map[string]float64),
 		sizes: aging.New(), tallies: make(map[sizeClass]*tally), ruleCapacity: make(map[string]int),
-		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun),
+		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun), gate: admission.NewGate(),
 		refusals: refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
 	}
 	t.committer.init()
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -21,6 +21,7 @@
 	t.forgetEnded(now)
 	t.forgetRefusals(now)
 	t.advanceWaves(now)
+	t.observeForGate(now)
 	if now.Sub(t.reportedAt) >= reportInterval {
 		t.reportedAt = now
 		t.countExpired(now)
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -38,7 +38,7 @@
 	e := s.entry
 	deadline := s.occurrence.deadline(e)
 	wait := time.Duration(t.sizes.WaitFactor(e.work.Queue.Name, e.size) * float64(e.objective))
-	u := urgency{stage: s, priority: e.priority(), sortTime: e.work.DueAt(s.occurrence.number).Add(wait).UnixNano()}
+	u := urgency{stage: s, priority: e.priority(), sortTime: e.work.DueAt(s.occurrence.number).Add(wait - e.refusedFor).UnixNano()}
 	if s.spec.Service {
 		u.service = 1
 	}
@@ -143,8 +143,7 @@
 // share returns what one task of the stage takes of the share of its account.
 func (s *stage) share() account.Waiting {
 	e := s.entry
-	cores := float64(s.spec.TaskResources.Millicores)/1000 + acceleratorCores*float64(s.spec.TaskResources.Accelerators)
-	return account.Waiting{Account: e.work.Account, Weight: e.weight, Cost: cores * s.spec.Estimate.Seconds()}
+	return account.Waiting{Account: e.work.Account, Weight: e.weight, Cost: s.spec.TaskResources.Cores() * s.spec.Estimate.Seconds()}
 }
 
 // recordFirstStart counts the first start of an occurrence for its size class, unless a former owner started it.
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -18,9 +18,19 @@
 	if _, ended := t.ended[w.ID]; ended {
 		return
 	}
+	t.addEntry(t.newEntry(w))
+}
+
+// newEntry returns the entry of a work under the newest configuration, without adding it.
+func (t *term) newEntry(w *job.Work) *entry {
 	e := newEntry(w)
 	t.applyQueueConfig(e)
 	t.applyAccount(e)
+	return e
+}
+
+func (t *term) addEntry(e *entry) {
+	w := e.work
 	e.surplus = t.accounts.rates.Exceeds(w.Account, e.weight, w.Accepted)
 	t.entries[w.ID] = e
 	t.recordSize(e)
--- a/job/job.go
+++ b/job/job.go
@@ -50,6 +50,14 @@
 	Accelerators int64 `json:"accelerators" msgpack:"a"`
 }
 
+// acceleratorCores is the number of cores that an accelerator counts as.
+const acceleratorCores = 8
+
+// Cores returns the resources as a number of cores.
+func (r Resources) Cores() float64 {
+	return float64(r.Millicores)/1000 + acceleratorCores*float64(r.Accelerators)
+}
+
 // Plus returns the sum of r and o.
 func (r Resources) Plus(o Resources) Resources {
 	return Resources{r.Millicores + o.Millicores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
--- a/job/work.go
+++ b/job/work.go
@@ -76,6 +76,16 @@
 	MaxUnavailable int `msgpack:"w,omitempty"`
 }
 
+// CoreSeconds returns the resource use of one occurrence by its caller's estimates.
+func (w *Work) CoreSeconds() float64 {
+	sum := 0.0
+	for i := range w.Steps {
+		s := &w.Steps[i]
+		sum += s.TaskResources.Cores() * float64(s.Tasks) * s.Estimate.Seconds()
+	}
+	return sum
+}
+
 // NumOccurrences returns how often the work runs, at least once.
 func (w *Work) NumOccurrences() int { return max(w.Occurrences, 1) }
 
