--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -14,6 +14,7 @@
 	"turmericgap/owner"
 	"turmericgap/permit"
 	"turmericgap/rule"
+	"turmericgap/worker"
 )
 
 // term is one tenure, from loading the cell's state until it ends.
@@ -59,12 +60,12 @@
 	unsent           []*entry
 	committer        committer
 	vmSelector       *permit.VMSelector
-	callLimiter      callLimiter
+	callLimiter      worker.CallLimiter
 	permitVMs        permitVMs
 	config           *job.Config
 	rules            *rule.List
 	passNeeded       bool
-	lag              lag
+	lag              admission.Lag
 	overloadDetector admission.OverloadDetector
 	refusals         refusals
 	gate             *admission.Gate
@@ -104,7 +105,7 @@
 		events: make(chan func(), eventBuffer), entries: make(map[string]*entry), ended: make(map[string]Ended),
 		nodes: make(map[string]*node), unreadable: make(map[string]bool), waitingStages: make(map[*stage]struct{}),
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
-		vmSelector: permit.NewVMSelector(), callLimiter: newCallLimiter(), grantShares: make(map[string]float64),
+		vmSelector: permit.NewVMSelector(), callLimiter: worker.NewCallLimiter(), grantShares: make(map[string]float64),
 		sizes: aging.New(), tallies: make(map[sizeClass]*tally), ruleCapacity: make(map[string]int),
 		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun), gate: admission.NewGate(),
 		refusals: refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
@@ -126,7 +127,7 @@
 			f()
 			t.drainEvents()
 		case at := <-tick.C:
-			t.lag.observe(time.Since(at))
+			t.lag.Observe(time.Since(at))
 			t.overloadDetector.Observe(
 				time.Now(), max(time.Since(at), t.passLatency(time.Now()), t.lateHoldLag(time.Now())))
 			t.onTick(time.Now())
