--- a/dispatch/refuse.go
+++ b/dispatch/refuse.go
@@ -1,48 +1,40 @@
 package dispatch
 
 import (
-	"context"
 	"time"
 
 	"turmericgap/admission"
+	"turmericgap/refusal"
 	"turmericgap/rpc"
 	"turmericgap/store"
 )
 
 const (
-	// opsPerRefusal is the number of operations of a transaction for one refused ID: two compares and a write.
-	opsPerRefusal = 3
 	// refusalsPerTxn is how many refusals fit into one transaction beside the compare of the owner's key.
-	refusalsPerTxn = (maxTxnOps - 1) / opsPerRefusal
-	// refusalLease is how long the record of a refusal lives at most, refusalLeaseUse how long new records are added to
-	// the same lease. Each record outlives any creation of the work that was sent before the refusal.
-	refusalLease    = time.Minute
-	refusalLeaseUse = 30 * time.Second
+	refusalsPerTxn = (maxTxnOps - 1) / refusal.OpsPerRecord
 	// refusalRepeat is how long a refused ID is refused again without a new record, refusalHold how long it is refused
 	// whatever the load is: submissions that come sooner were sent before the refusal.
 	refusalRepeat = 10 * time.Second
 	refusalHold   = 500 * time.Millisecond
 )
 
-// refusals are the works that the owner refuses by forecast or because it has more to decide than it can. An earlier submission of the
-// same work may still be on its way into the store through another VM, so a caller is told that its work never runs only
-// once a record in the store excludes that.
+// refusals are the works that the owner refuses by forecast or because it has more to decide than it can. An earlier
+// submission of the same work may still be on its way into the store through another VM, so a caller is told that its
+// work never runs only once a record in the store excludes that.
 type refusals struct {
-	shedder admission.Shedder
+	shedder  admission.Shedder
+	recorder *refusal.Recorder
 	// pending holds the refusals that are not sent yet; open holds them and those in flight, by ID.
-	pending  []*refusal
-	open     map[string]*refusal
+	pending  []*openRefusal
+	open     map[string]*openRefusal
 	inFlight bool
 	// refusedAt is when the record of a refusal became durable, by ID; writtenAt is when one was sent, which may exist
 	// even if no answer came.
 	refusedAt, writtenAt map[string]time.Time
-	// lease is the lease of new records, granted at leaseAt.
-	lease   int64
-	leaseAt time.Time
 }
 
-// refusal is an ID that is being refused, with the callers that wait for that.
-type refusal struct {
+// openRefusal is an ID that is being refused, with the callers that wait for that.
+type openRefusal struct {
 	id      string
 	fault   *rpc.Fault
 	waiters []chan error
@@ -87,7 +79,7 @@
 		done <- fault
 		return true
 	}
-	open := &refusal{id: w.ID, fault: fault, waiters: []chan error{done}}
+	open := &openRefusal{id: w.ID, fault: fault, waiters: []chan error{done}}
 	r.open[w.ID] = open
 	r.pending = append(r.pending, open)
 	return true
@@ -102,52 +94,22 @@
 	n := min(len(r.pending), refusalsPerTxn)
 	batch := r.pending[:n:n]
 	r.pending, r.inFlight = r.pending[n:], true
+	records := make([]refusal.Record, 0, n)
 	for _, open := range batch {
 		r.writtenAt[open.id] = time.Now()
+		records = append(records, refusal.Record{Key: refusedPrefix + open.id, Absent: [2]string{workPrefix + open.id, endedPrefix + open.id}})
 	}
-	lease, leaseAt := r.lease, r.leaseAt
 	t.wg.Go(func() {
-		var res store.TxnResult
-		var err error
-		if lease == 0 || time.Since(leaseAt) > refusalLeaseUse {
-			leaseAt = time.Now()
-			lease, err = t.grantRefusalLease()
-		}
-		if err == nil {
-			res, err = t.writeRefusals(batch, lease)
-		}
+		res, err := r.recorder.Write(t.ctx, records)
 		t.post(func() {
 			r.inFlight = false
-			if err == nil {
-				r.lease, r.leaseAt = lease, leaseAt
-			}
 			t.onRefusalsWritten(batch, &res, err)
 		})
 	})
 }
 
-func (t *term) grantRefusalLease() (int64, error) {
-	ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
-	defer cancel()
-	return t.o.Store.Grant(ctx, refusalLease)
-}
-
-// writeRefusals writes records that keep the works of a batch from being created. It fails if one of them exists.
-func (t *term) writeRefusals(batch []*refusal, lease int64) (store.TxnResult, error) {
-	ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
-	defer cancel()
-	txn := store.Txn{Compares: []store.Compare{t.tenure.Compare()}}
-	for _, r := range batch {
-		txn.Compares = append(txn.Compares,
-			store.Compare{Key: workPrefix + r.id, Target: store.ModRevision},
-			store.Compare{Key: endedPrefix + r.id, Target: store.ModRevision})
-		txn.Then = append(txn.Then, store.Op{Key: refusedPrefix + r.id, Value: []byte(t.tenure.Key), Lease: lease})
-	}
-	return t.o.Store.Txn(ctx, txn)
-}
-
 // onRefusalsWritten answers the callers of a batch of refusals.
-func (t *term) onRefusalsWritten(batch []*refusal, res *store.TxnResult, err error) {
+func (t *term) onRefusalsWritten(batch []*openRefusal, res *store.TxnResult, err error) {
 	r := &t.refusals
 	var existing map[string]bool
 	if err == nil && !res.Succeeded {
@@ -170,7 +132,7 @@
 	}
 }
 
-func (r *refusal) answer(err error) {
+func (r *openRefusal) answer(err error) {
 	for _, done := range r.waiters {
 		if err == nil {
 			close(done)
@@ -183,7 +145,7 @@
 // forgetRefusals drops refusals whose records have expired, also those of a write that was executed late.
 func (t *term) forgetRefusals(now time.Time) {
 	for id, at := range t.refusals.writtenAt {
-		if now.Sub(at) > 2*refusalLease {
+		if now.Sub(at) > 2*refusal.Lease {
 			delete(t.refusals.refusedAt, id)
 			delete(t.refusals.writtenAt, id)
 		}
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -13,6 +13,7 @@
 	"turmericgap/job"
 	"turmericgap/owner"
 	"turmericgap/permit"
+	"turmericgap/refusal"
 	"turmericgap/rule"
 	"turmericgap/worker"
 )
@@ -108,7 +109,10 @@
 		vmSelector: permit.NewVMSelector(), callLimiter: worker.NewCallLimiter(), grantShares: make(map[string]float64),
 		sizes: aging.New(), tallies: make(map[sizeClass]*tally), ruleCapacity: make(map[string]int),
 		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun), gate: admission.NewGate(),
-		refusals: refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
+		refusals: refusals{
+			open: make(map[string]*openRefusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time),
+			recorder: refusal.NewRecorder(o.Store, tenure.Compare(), storeTimeout),
+		},
 	}
 	t.committer.init()
 	t.ctx, t.cancelCtx = context.WithCancel(ctx)
--- /dev/null
+++ b/refusal/doc.go
@@ -0,0 +1,2 @@
+// Package refusal records refused works in the store, so that no earlier submission can create them.
+package refusal
