Stop runs for urgent tasks that would be late

A stage of Priority 0 that finds no capacity and has little slack left takes the place of tasks of lower priority that save their progress or have hardly begun.

--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -94,6 +94,8 @@
 	waitsForCap bool
 	// reservedCapacity is the capacity reserved for the gang in the latest pass.
 	reservedCapacity []allocation
+	// preempted holds the workers on which runs were stopped for its tasks.
+	preempted []preempted
 	// suspects holds the tasks that were lost with a worker, by index.
 	suspects map[int]*suspect
 	// failuresByWorker counts the failures of the stage's tasks by worker ID.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -182,6 +182,7 @@
 		t.placeGang(s, now)
 	} else {
 		t.placeTasks(s, now)
+		t.preemptFor(s, now)
 	}
 	if s.waiting == 0 {
 		delete(t.waitingStages, s)
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -13,6 +13,7 @@
 	"turmericgap/job"
 	"turmericgap/owner"
 	"turmericgap/permit"
+	"turmericgap/preemption"
 	"turmericgap/refusal"
 	"turmericgap/rule"
 	"turmericgap/worker"
@@ -70,6 +71,7 @@
 	overloadDetector admission.OverloadDetector
 	refusals         refusals
 	gate             *admission.Gate
+	preemptor        preemption.Preemptor
 	// waitingWorks is the buffer of observeForGate.
 	waitingWorks []admission.Work
 	// reportedAt is when the state of the cell was last logged.
--- a/preemption/preemption.go
+++ b/preemption/preemption.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap/zapcore"
+
 	"turmericgap/job"
 )
 
@@ -23,19 +25,17 @@
 	lead = 400 * time.Millisecond
 )
 
-// IsDue reports whether an urgent task must take the place of others now: with more slack it may still find capacity, and
-// with less than a stop takes it is late whatever is stopped.
-func IsDue(slack, stop time.Duration) bool { return slack >= stop && slack <= stop+lead }
-
-// Worker is a worker that may run the urgent task.
-type Worker struct {
+// Worker is a worker that may run the urgent task; Ref and that of its runs are the caller's.
+type Worker[W, R any] struct {
+	Ref W
 	// Free is what new tasks may use.
 	Free job.Resources
-	Runs []Run
+	Runs []Run[R]
 }
 
 // Run is a running task.
-type Run struct {
+type Run[R any] struct {
+	Ref           R
 	Needs         job.Resources
 	Priority      int
 	Gang, Service bool
@@ -47,7 +47,7 @@
 }
 
 // lost returns the core-seconds that are lost if a run is stopped.
-func (r *Run) lost() float64 {
+func (r *Run[R]) lost() float64 {
 	if r.Saves {
 		return r.Needs.Cores() * min(r.Age, restoreTime).Seconds()
 	}
@@ -56,14 +56,23 @@
 
 // mayStop reports whether a run may be stopped for a task of a priority. A gang loses the work of all its members, and a
 // service is missed at once.
-func (r *Run) mayStop(priority int) bool {
+func (r *Run[R]) mayStop(priority int) bool {
 	return !r.Gang && !r.Service && r.Priority > priority && (r.Saves || r.Age <= littleWork)
 }
 
-// Choice is a worker and the runs to stop there for one urgent task, as indices.
-type Choice struct {
-	Worker int
-	Runs   []int
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (r Run[R]) MarshalLogObject(out zapcore.ObjectEncoder) error {
+	out.AddInt("priority", r.Priority)
+	out.AddBool("saves", r.Saves)
+	out.AddDuration("age", r.Age)
+	out.AddDuration("slack", r.Slack)
+	return nil
+}
+
+// Choice is a worker and the runs to stop there for one urgent task.
+type Choice[W, R any] struct {
+	Worker W
+	Runs   []Run[R]
 	// Lost is the work that is lost in core-seconds, slack the least slack of the runs.
 	Lost  float64
 	slack time.Duration
@@ -92,26 +101,33 @@
 	return left
 }
 
+// IsDue reports whether an urgent task must take the place of others now, and work may still be lost for it. With more
+// slack the task may still find capacity, and with less than a stop takes it is late whatever is stopped.
+func (p *Preemptor) IsDue(now time.Time, cores float64, slack, stop time.Duration) bool {
+	return slack >= stop && slack <= stop+lead && p.left(now, cores) > 0
+}
+
 // Choose returns the runs to stop so that tasks of a priority can start, one choice for each task, and counts what is
 // lost by that. It prefers the least work lost, then the most slack.
-func (p *Preemptor) Choose(now time.Time, cores float64, task job.Resources, priority, tasks int, workers []Worker) []Choice {
+func Choose[W, R any](p *Preemptor, now time.Time, cores float64, task job.Resources, priority, tasks int, workers []Worker[W, R]) []Choice[W, R] {
 	left := p.left(now, cores)
-	var out []Choice
+	var out []Choice[W, R]
 	used := make(map[int]bool)
 	for range tasks {
-		var best *Choice
+		var best *Choice[W, R]
+		bestAt := 0
 		for i := range workers {
 			if used[i] {
 				continue
 			}
 			if c := workers[i].cheapest(task, priority); c != nil && c.Lost <= left && (best == nil || c.compare(best) < 0) {
-				c.Worker, best = i, c
+				best, bestAt = c, i
 			}
 		}
 		if best == nil {
 			break
 		}
-		used[best.Worker] = true // a second task there waits for the next choice, when the runs have ended
+		used[bestAt] = true // a second task there waits for the next choice, when the runs have ended
 		left -= best.Lost
 		p.losses = append(p.losses, loss{now, best.Lost})
 		out = append(out, *best)
@@ -119,41 +135,40 @@
 	return out
 }
 
-func (c *Choice) compare(o *Choice) int {
+func (c *Choice[W, R]) compare(o *Choice[W, R]) int {
 	return cmp.Or(cmp.Compare(c.Lost, o.Lost), cmp.Compare(o.slack, c.slack))
 }
 
 // cheapest returns the runs to stop on a worker for a task, or nil if stopping is of no use there.
-func (w *Worker) cheapest(task job.Resources, priority int) *Choice {
-	var order []int
+func (w *Worker[W, R]) cheapest(task job.Resources, priority int) *Choice[W, R] {
+	var order []Run[R]
 	for i := range w.Runs {
 		if w.Runs[i].mayStop(priority) {
-			order = append(order, i)
+			order = append(order, w.Runs[i])
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(w.Runs[a].lost(), w.Runs[b].lost()), cmp.Compare(w.Runs[b].Slack, w.Runs[a].Slack))
+	slices.SortStableFunc(order, func(a, b Run[R]) int {
+		return cmp.Or(cmp.Compare(a.lost(), b.lost()), cmp.Compare(b.Slack, a.Slack))
 	})
 	free, n := w.Free, 0
 	for n < len(order) && !task.FitsIn(free) {
-		free = free.Plus(w.Runs[order[n]].Needs)
+		free = free.Plus(order[n].Needs)
 		n++
 	}
 	if n == 0 || !task.FitsIn(free) {
 		return nil
 	}
-	c := &Choice{}
+	c := &Choice[W, R]{Worker: w.Ref}
 	for k := n - 1; k >= 0; k-- {
-		r := &w.Runs[order[k]]
+		r := &order[k]
 		if without := free.Minus(r.Needs); task.FitsIn(without) {
 			free = without // smaller ones before it suffice
 			continue
 		}
-		if c.Runs = append(c.Runs, order[k]); len(c.Runs) == 1 || r.Slack < c.slack {
+		if c.Runs = append(c.Runs, *r); len(c.Runs) == 1 || r.Slack < c.slack {
 			c.slack = r.Slack
 		}
 		c.Lost += r.lost()
 	}
-	slices.Sort(c.Runs)
 	return c
 }
