--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -60,8 +60,9 @@
 	directWorkers int
 	// cloud carries out maintenance orders; nil if the test has no maintenance.
 	cloud *fakeCloud
-	// features holds the choices of optional parts for VMs that are started later.
+	// features holds the operators' choices, pressure whether callers are expected to compete for too little capacity.
 	features *feature.Set
+	pressure bool
 	// log receives the logs of the VMs.
 	log *zap.Logger
 
@@ -73,6 +74,7 @@
 type vm struct {
 	id         string
 	store      memory.Faults
+	monitor    *health.Monitor
 	metrics    *metric.Registry
 	group      *owner.Group
 	dispatcher *dispatch.Dispatcher
@@ -153,6 +155,7 @@
 func (c *cell) startVMWithStrength(id string, strength int) *vm {
 	v := &vm{id: id, server: rpc.NewServer(), metrics: metric.New()}
 	monitor, kv := health.New(c.kv.Client(&v.store))
+	v.monitor = monitor
 	kv = v.disturbCommits(v.silenceReads(v.cutWorkersList(kv)))
 	dial := rpc.Dial(func(ctx context.Context, address string) (net.Conn, error) {
 		if v.peersCut.Load() {
@@ -179,7 +182,7 @@
 	})
 	v.dispatcher = dispatch.New(
 		dispatch.Maintenance(waves), dispatch.OnExamined(c.onExamined), dispatch.Metrics(v.metrics),
-		dispatch.Features(c.features, false), dispatch.Checkpoints(checkpointInterval, 250*time.Millisecond),
+		dispatch.Features(c.features, c.pressure), dispatch.Checkpoints(checkpointInterval, 250*time.Millisecond),
 		dispatch.Store(kv), dispatch.StoreFailing(monitor.Failing), dispatch.StoreContact(monitor.Contact), dispatch.Config(c.currentConfig), dispatch.Rules(rules.Current), dispatch.Logger(log),
 		dispatch.Workers(workersPrefix, decodeWorker, v.relays.Agent),
 		dispatch.Permits(func() []owner.Node { return v.group.Nodes() },
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -17,6 +17,8 @@
 	"turmericgap/lag"
 	"turmericgap/owner"
 	"turmericgap/permit"
+	"turmericgap/preemption"
+	"turmericgap/refusal"
 	"turmericgap/rule"
 	"turmericgap/speed"
 	"turmericgap/tally"
@@ -73,6 +75,10 @@
 	lag              lag.Meter
 	overloadDetector admission.OverloadDetector
 	refusals         refusals
+	gate             *admission.Gate
+	preemptor        preemption.Preemptor
+	// waitingWorks is the buffer of observeForGate.
+	waitingWorks []admission.Work
 	// reportedAt is when the state of the cell was last logged.
 	reportedAt time.Time
 	// endedToRemove lists records of ended work that the next commits delete.
@@ -118,8 +124,11 @@
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
 		vmSelector: permit.NewVMSelector(), callLimiter: calllimit.New(), grantShares: make(map[string]float64),
 		sizes: aging.New(), speeds: speed.New(), tallies: make(tally.Table), ruleCapacity: make(map[string]int),
-		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun),
-		refusals:  refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
+		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun), gate: admission.NewGate(),
+		refusals: refusals{
+			open: make(map[string]*openRefusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time),
+			recorder: refusal.NewRecorder(o.Store, tenure.Compare(), storeTimeout),
+		},
 		committer: newCommitter(),
 	}
 	t.features = feature.NewStatus(o.Features, t.logFeature)
