--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -21,6 +21,9 @@
 		e.started = true
 	}
 	t.countEvacuated(r, how, checkpoint)
+	if how == worker.OutcomeDone {
+		t.gate.RecordFreed(time.Now(), e.queue.Pool, r.stage.share().Cost)
+	}
 	if checkpoint != "" {
 		r.stage.keepCheckpoint(r.index, checkpoint)
 	}
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -9,7 +9,6 @@
 	"turmericgap/presence"
 	"turmericgap/rule"
 	"turmericgap/speed"
-	"turmericgap/tally"
 	"turmericgap/worker"
 )
 
@@ -40,6 +39,8 @@
 	class aging.Class
 	// surplus is true if the submission exceeded the rate of its client account.
 	surplus bool
+	// refusedFor is how long before the work was accepted its ID was first refused; it is ordered as if it had come then.
+	refusedFor time.Duration
 	// weight is the weight of its account.
 	weight float64
 	// failure is why the work failed; empty unless it did.
@@ -95,6 +96,8 @@
 	waitsForCap bool
 	// reservedCapacity is the capacity reserved for the gang in the latest pass.
 	reservedCapacity []allocation
+	// preempted holds the workers on which runs were stopped for its tasks.
+	preempted []preempted
 	// suspects holds the tasks that were lost with a worker, by index.
 	suspects map[int]*suspect
 	// expectedRun is how long its tasks will probably run on a typical worker, zero until the stage was first examined.
@@ -157,7 +160,7 @@
 }
 
 func newEntry(w *job.Work) *entry {
-	e := &entry{work: w, queue: &w.Queue, state: job.WorkQueued, durableState: job.WorkQueued, size: tally.Size(w)}
+	e := &entry{work: w, queue: &w.Queue, state: job.WorkQueued, durableState: job.WorkQueued, size: w.CoreSeconds()}
 	e.updateObjective()
 	return e
 }
--- a/dispatch/size.go
+++ b/dispatch/size.go
@@ -9,9 +9,6 @@
 	"turmericgap/tally"
 )
 
-// acceleratorCores is the number of cores that an accelerator counts as.
-const acceleratorCores = tally.AcceleratorCores
-
 // countOutcome counts an outcome of a work, by queue for the log and by class alone for the metrics.
 func (t *term) countOutcome(e *entry, outcome tally.Outcome) {
 	t.tallies.Count(tally.Class{Queue: e.work.Queue.Name, Size: e.class}, outcome)
--- a/straggler/straggler_test.go
+++ b/straggler/straggler_test.go
@@ -84,7 +84,7 @@
 			used += end
 			longest = max(longest, end)
 			now = now.Add(10 * time.Millisecond)
-			stats.Observe(workers[w], "batch", &step, ran, now)
+			stats.Observe(workers[w], "batch", &step, ran, ran, now)
 		}
 		took = append(took, longest)
 	}
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -1,9 +1,6 @@
 package tally
 
-import (
-	"turmericgap/aging"
-	"turmericgap/job"
-)
+import "turmericgap/aging"
 
 // Outcome is the outcome of a work, as written to logs and metrics.
 type Outcome string
@@ -61,17 +58,3 @@
 	}
 	return out
 }
-
-// AcceleratorCores is the number of cores that an accelerator counts as in the size of a work.
-const AcceleratorCores = 8
-
-// Size returns the resource use of a work in core-seconds, by its caller's estimates.
-func Size(w *job.Work) float64 {
-	sum := 0.0
-	for i := range w.Steps {
-		s := &w.Steps[i]
-		cores := float64(s.TaskResources.Millicores)/1000 + AcceleratorCores*float64(s.TaskResources.Accelerators)
-		sum += cores * float64(s.Tasks) * s.Estimate.Seconds()
-	}
-	return sum
-}
