Record the decisions on admission, preemption and notice for /features

They asked the operators' choices only, so /features showed them as undecided. The learned speeds are published while tasks are not placed by them as well.

--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -11,7 +11,7 @@
 // evacuateLeaving stops runs on workers that have announced when they leave, as far as their tasks end earlier elsewhere.
 func (t *term) evacuateLeaving(now time.Time) {
 	for _, n := range t.sortedNodes {
-		if n.announced.Announced() && n.listed && t.o.Features.Enabled(feature.Notice, true) {
+		if n.announced.Announced() && n.listed && t.features.Decide(feature.Notice, true, feature.Observed, now) {
 			t.evacuate(n, now)
 		}
 	}
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -10,7 +10,9 @@
 	"turmericgap/rpc"
 )
 
-func (t *term) usesGate() bool { return t.o.Features.Enabled(feature.Admission, t.o.Pressure) }
+func (t *term) usesGate() bool {
+	return t.features.Decide(feature.Admission, t.o.Pressure, feature.Settings, time.Now())
+}
 
 // observeForGate passes the workers and the waiting work to the gate. Steps that a rule keeps waiting take no capacity
 // from others and are left out.
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -22,8 +22,8 @@
 	s.preempted = slices.DeleteFunc(s.preempted, func(p preempted) bool {
 		return !slices.ContainsFunc(p.runs, func(r *run) bool { return !r.ended })
 	})
-	if e := s.entry; s.waiting == 0 || s.spec.Service || e.priority() != 0 || !t.o.Features.Enabled(feature.Preemption, t.o.Pressure) ||
-		t.urgencyOf(s, now).lateness != latenessOnTime {
+	if e := s.entry; s.waiting == 0 || s.spec.Service || e.priority() != 0 ||
+		!t.features.Decide(feature.Preemption, t.o.Pressure, feature.Settings, now) || t.urgencyOf(s, now).lateness != latenessOnTime {
 		s.preempted = nil
 		return
 	}
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -85,13 +85,16 @@
 // evenly for some ten seconds.
 const speedsStoreInterval = 5 * time.Second
 
-// storeSpeeds stores what was learned while tasks are placed by it.
+// storeSpeeds publishes what was learned, and stores it while tasks are placed by it.
 func (t *term) storeSpeeds(now time.Time) {
-	if !t.placesBySpeed || now.Sub(t.speedsStoredAt) < speedsStoreInterval {
+	if now.Sub(t.speedsStoredAt) < speedsStoreInterval {
 		return
 	}
 	t.speedsStoredAt = now
 	t.features.RecordSpeeds(t.speeds.Factors())
+	if !t.placesBySpeed {
+		return
+	}
 	txn := store.Txn{Compares: []store.Compare{t.tenure.Compare()}, Then: []store.Op{{Key: speedsKey, Value: encode(t.speeds.Snapshot())}}}
 	t.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
