--- a/admission/returns.go
+++ b/admission/returns.go
@@ -75,12 +75,16 @@
 		r.late++
 	}
 	d.RetryAfter = roundUp(after)
-	r.byID[s.ID] = &plannedReturn{
+	r.remember(s.ID, &plannedReturn{
 		pool: s.Pool, account: s.Account, priority: s.Priority, coreSeconds: s.CoreSeconds, byShare: f.ByShare,
 		first: first, refusedAt: d.now, at: d.now.Add(after),
-	}
-	r.refused = append(r.refused, refusedID{s.ID, d.now})
-	r.forget(d.now)
+	})
+}
+
+func (r *returns) remember(id string, p *plannedReturn) {
+	r.byID[id] = p
+	r.refused = append(r.refused, refusedID{id, p.refusedAt})
+	r.forget(p.refusedAt)
 }
 
 // bookedBefore returns the core-seconds of the returns that come before that of a submission. Returns of an account that
