--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -4,14 +4,13 @@
 	"time"
 
 	"turmericgap/evacuation"
-	"turmericgap/feature"
 	"turmericgap/worker"
 )
 
 // evacuateLeaving stops runs on workers that have announced when they leave, as far as their tasks end earlier elsewhere.
 func (t *term) evacuateLeaving(now time.Time) {
 	for _, n := range t.sortedNodes {
-		if n.announced.Announced() && n.listed && t.o.Features.Enabled(feature.Notice, true) {
+		if n.announced.Announced() && n.listed {
 			t.evacuate(n, now)
 		}
 	}
@@ -34,12 +33,14 @@
 		}
 		if g == nil {
 			t.halt(r)
+			n.wakeHold()
 			continue
 		}
 		t.abortGang(r.stage)
 		for k := range r.stage.tasks {
 			if o := r.stage.tasks[k].run; o != nil {
 				o.evacuation.Decide(&notice, &inputs[i], d)
+				o.node.wakeHold()
 			}
 		}
 	}
@@ -57,7 +58,7 @@
 
 // countEvacuated counts the outcome of a run on a leaving worker, and the core-milliseconds that were lost.
 func (t *term) countEvacuated(r *run, how worker.RunOutcome, checkpoint string) {
-	if r.evacuation.End(how, checkpoint) {
+	if r.evacuation.End(how, r.stage.gang != nil && r.stage.gang.done, checkpoint) {
 		t.o.Metrics.Counter("dispatch.evacuated." + string(r.evacuation.Outcome)).Inc(1)
 		t.o.Metrics.Histogram("dispatch.evacuated.coreMillisLost").Update(r.evacuation.LostWork.Milliseconds() * r.need.Millicores / 1000)
 	}
--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 		c.register(worker.ListedWorker{Info: withLeaving(w.Info()), Pool: pool, Clock: w.Clock(), TimeLeft: left})
 		time.Sleep(min(left, time.Second))
 	}
+	time.Sleep(100 * time.Millisecond) // the time left is the least
 	w.Crash(false)
 	c.put(store.Op{Delete: true, Key: workersPrefix + w.Info().ID})
 }
@@ -46,6 +48,11 @@
 // newEvacuation starts a work of one step on workers of two cores. The work has run for two seconds when one of its
 // workers announces that it leaves.
 func newEvacuation(t *testing.T, workers int, s job.Step, b floor.Behaviour, notice time.Duration, vms ...string) *evacuation {
+	return newEvacuationAfter(t, 2*time.Second, workers, s, b, notice, vms...)
+}
+
+// newEvacuationAfter is like newEvacuation for a work that has run for a given time.
+func newEvacuationAfter(t *testing.T, age time.Duration, workers int, s job.Step, b floor.Behaviour, notice time.Duration, vms ...string) *evacuation {
 	b.Ending, b.Resources = worker.OutcomeDone, job.Resources{Millicores: 1000, MemoryMB: 100}
 	c := newCell(t, func(worker.Task, int64) floor.Behaviour { return b })
 	c.config.Queues[0].Objective = time.Minute
@@ -56,7 +63,7 @@
 	e := &evacuation{I: is.New(t), cell: c, v: c.waitForOwner()}
 	time.Sleep(5 * time.Second)
 	c.submit(e.v, c.newWork("roster", s))
-	time.Sleep(2 * time.Second)
+	time.Sleep(age)
 	for _, w := range ws {
 		if e.leaving == nil && w.ActiveRuns() > 0 {
 			e.leaving = w
@@ -81,7 +88,7 @@
 func (e *evacuation) finish(within time.Duration) []floor.Run {
 	e.t.Helper()
 	e.waitForState(e.v, "roster", job.WorkCompleted, within)
-	time.Sleep(100 * time.Millisecond) // one member of a gang ends the work, and the others report their ends later
+	time.Sleep(2 * time.Second) // one member of a gang ends the work, and the others report their ends later
 	e.checkHistory()
 	return e.cluster.History()
 }
@@ -157,23 +164,36 @@
 	})
 }
 
+// Guards against losing a gang because too little is known of it during a short notice, as holds show its progress once a
+// second.
+func TestLeavingWorkerGangIsProbed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := floor.Behaviour{Duration: 5 * time.Second, CheckpointInterval: checkpointInterval, GangSize: 4, StopTime: 200 * time.Millisecond}
+		e := newEvacuationAfter(t, 300*time.Millisecond, 4, job.Step{Tasks: 4, Gang: true, Checkpoints: true}, b, 1800*time.Millisecond)
+		e.Equal(len(e.finish(8*time.Second)), 8)
+		e.Equal(e.counts(), [3]int64{4, 0, 0})
+	})
+}
+
 // Guards against more unavailable tasks of a service than its caller allows, and against losing them with the worker
 // although the notice leaves time to move them one after the other.
 func TestLeavingWorkerServiceKeepsLimit(t *testing.T) {
-	for limit, lowest := range map[int]int{1: 3, 0: 2} {
+	for _, limit := range []int{0, 1} {
 		inBubble(t, func(t *testing.T) {
 			b := floor.Behaviour{Duration: time.Hour, FullProgress: true}
 			e := newEvacuation(t, 4, job.Step{Tasks: 4, Service: true, MaxUnavailable: limit}, b, 5*time.Second)
-			fewest := 4
-			for range 300 {
-				time.Sleep(20 * time.Millisecond)
-				running := e.leaving.ActiveRuns()
-				for _, w := range e.others {
-					running += w.ActiveRuns()
+			time.Sleep(6 * time.Second)
+			var stopped, again []floor.Run
+			for _, r := range e.cluster.History() {
+				switch {
+				case r.Worker == e.leaving.Info().ID:
+					stopped = append(stopped, r)
+				case r.Number > 4:
+					again = append(again, r)
 				}
-				fewest = min(fewest, running)
 			}
-			e.Equal(fewest, lowest)
+			slices.SortFunc(stopped, func(a, b floor.Run) int { return a.Ended.Compare(b.Ended) })
+			e.Equal(stopped[1].Ended.After(again[0].Started), limit == 1) // one waits for the other, or none does
 			e.Equal(e.counts(), [3]int64{2, 0, 0})
 			e.checkHistory()
 		})
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/evacuation"
+	"turmericgap/feature"
 	"turmericgap/job"
 	"turmericgap/presence"
 	"turmericgap/store"
@@ -320,7 +321,7 @@
 	if n.listing.Has != l.Has {
 		t.nodesVersion++
 	}
-	n.announced.Update(l.Leaving, l.TimeLeft, l.Clock, time.Now())
+	n.announced.Update(l.Leaving && t.o.Features.Enabled(feature.Notice, true), l.TimeLeft, l.Clock, time.Now())
 	n.free = n.free.Plus(l.Has).Minus(n.listing.Has)
 	n.listing, n.listed = l, true
 	n.updateIndex()
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -23,10 +23,11 @@
 
 // probeOverdue probes workers whose hold should have reported an end by now. A hold whose answer is lost or delayed
 // times out only after its full wait, and no end on its worker is reported meanwhile: even if only some holds are lost,
-// half of the checks would be late because of that.
+// half of the checks would be late because of that. Workers that have announced when they leave are probed as well: holds
+// show the progress and the checkpoints of their runs only once a second.
 func (t *term) probeOverdue(now time.Time) {
 	for _, n := range t.nodes {
-		if n.holding && n.synced && n.misses == 0 && now.Sub(n.probedAt) > probeInterval && n.overdue(now) {
+		if n.holding && n.synced && n.misses == 0 && now.Sub(n.probedAt) > probeInterval && (n.announced.Announced() || n.overdue(now)) {
 			n.probedAt = now
 			// The hold in flight shows whether the worker is reachable, so a probe without an answer is only repeated.
 			t.probeRuns(n, probeTimeout, func(error) { n.probedAt = time.Time{} })
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -117,32 +117,34 @@
 func TestOutcome(t *testing.T) {
 	is := is.New(t)
 	start := time.Unix(1000, 0)
-	end := func(action Action, how worker.RunOutcome, checkpoint string) (Outcome, time.Duration) {
+	end := func(action Action, how worker.RunOutcome, gangDone bool, checkpoint string) (Outcome, time.Duration) {
 		var r Record
 		r.Begin(false, false, start)
 		r.Observe(30, "first", start.Add(2*time.Second))
 		in := r.Input(0, start.Add(3*time.Second))
 		in.Saves = true
 		r.Decide(&Notice{}, &in, Decision{Action: action})
-		r.End(how, checkpoint)
+		r.End(how, gangDone, checkpoint)
 		return r.Outcome, r.LostWork
 	}
 	for _, c := range []struct {
 		action     Action
 		how        worker.RunOutcome
+		gangDone   bool
 		checkpoint string
 		want       Outcome
 		lost       time.Duration
 	}{
-		{Move, worker.OutcomeStopped, "second", Moved, 0},
-		{Move, worker.OutcomeGangBroken, "first", Moved, time.Second},
-		{Move, worker.OutcomeDone, "", Stayed, 0},
-		{Move, worker.OutcomeLeaseExpired, "", Lost, time.Second},
-		{Stay, worker.OutcomeDone, "", Stayed, 0},
-		{MoveLater, worker.OutcomeStopped, "", "", 0},
-		{"", worker.OutcomeDone, "", "", 0},
+		{Move, worker.OutcomeStopped, false, "second", Moved, 0},
+		{Move, worker.OutcomeGangBroken, false, "first", Moved, time.Second},
+		{Move, worker.OutcomeDone, false, "", Stayed, 0},
+		{Move, worker.OutcomeLeaseExpired, false, "", Lost, time.Second},
+		{Stay, worker.OutcomeLeaseExpired, true, "", Stayed, 0},
+		{Stay, worker.OutcomeDone, false, "", Stayed, 0},
+		{MoveLater, worker.OutcomeStopped, false, "", "", 0},
+		{"", worker.OutcomeDone, false, "", "", 0},
 	} {
-		outcome, lost := end(c.action, c.how, c.checkpoint)
+		outcome, lost := end(c.action, c.how, c.gangDone, c.checkpoint)
 		is.Equal(outcome, c.want)
 		is.Equal(lost, c.lost)
 	}
--- a/evacuation/outcome.go
+++ b/evacuation/outcome.go
@@ -36,13 +36,14 @@
 // Decide records a decision.
 func (r *Record) Decide(n *Notice, run *Run, d Decision) { r.Notice, r.Run, r.Decision = *n, *run, d }
 
-// End records how the run has ended and the checkpoint in its end. It reports whether there is an outcome: there is none
-// if nothing was decided, and if the run was stopped for another reason.
-func (r *Record) End(how worker.RunOutcome, checkpoint string) bool {
+// End records how the run has ended and the checkpoint in its end. gangDone is true if its gang is done, by the report of
+// another member. It reports whether there is an outcome: there is none if nothing was decided, and if the run was stopped
+// for another reason.
+func (r *Record) End(how worker.RunOutcome, gangDone bool, checkpoint string) bool {
 	switch {
 	case r.Decision.Action == "":
 		return false
-	case how == worker.OutcomeDone || how == worker.OutcomeFailed:
+	case gangDone || how == worker.OutcomeDone || how == worker.OutcomeFailed:
 		r.Outcome = Stayed
 		return true
 	case how == worker.OutcomeLeaseExpired:
