Tell instances of a worker apart that share an ID

A worker that restarts under its ID shows a larger born in its entry and in its answers to holds. Its node is then replaced: runs that may still be started by a late order move to the new instance and are stopped there, the others are over by the proof replaced.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -20,6 +20,7 @@
 
 	"turmericgap/configuration"
 	"turmericgap/dispatch"
+	"turmericgap/feature"
 	"turmericgap/front"
 	"turmericgap/job"
 	"turmericgap/owner"
@@ -58,6 +59,8 @@
 	directWorkers int
 	// cloud carries out maintenance orders; nil if the test has no maintenance.
 	cloud *fakeCloud
+	// features holds the operators' choices; nil chooses none.
+	features *feature.Set
 	// log receives the logs of the VMs.
 	log *zap.Logger
 
@@ -183,7 +186,7 @@
 				}
 				return rpc.Call[permit.Request, permit.Response](ctx, v.peers.Get(from.Address), front.MethodRequestPermit, req)
 			}),
-		dispatch.Limits(maxHold, 200*time.Millisecond, 2*time.Minute))
+		dispatch.Limits(maxHold, 200*time.Millisecond, 2*time.Minute), dispatch.Features(c.features, false))
 	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id, Strength: strength}, owner.Logger(log), owner.RunTenure(v.dispatcher.RunTenure), owner.Rules(rules.Apply),
 		owner.StoreFailing(monitor.Failing), owner.Overloaded(v.overloaded.Load), owner.CPUProbe(v.probeCPU), owner.Dial(func(address string) *rpc.Client { return rpc.NewClient(address, dial) }))
 	v.front = front.New(front.Options{
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -231,13 +231,13 @@
 		for _, s := range o.stages {
 			sr := stageRecord{Fails: s.failures, Failing: s.gang != nil && s.gang.failed, Tasks: make([]taskRecord, len(s.tasks)), Crashes: s.recordsOfCrashes()}
 			for _, u := range s.unresolved {
-				sr.Unresolved = append(sr.Unresolved, unresolvedRecord{Run: u.number, Worker: u.worker})
+				sr.Unresolved = append(sr.Unresolved, unresolvedRecord{Run: u.number, Worker: u.node.id})
 			}
 			for i := range s.tasks {
 				t := &s.tasks[i]
 				tr := taskRecord{Phase: t.phase, Run: t.number, Fails: t.failures, Checkpoint: t.checkpoint}
 				if t.run != nil {
-					tr.Worker = t.run.node.id
+					tr.Worker, tr.Born = t.run.node.id, t.run.Born
 				}
 				sr.Tasks[i] = tr
 			}
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -95,6 +95,9 @@
 // onHold processes the answer to a hold.
 func (t *term) onHold(n *node, held *worker.HoldReply, arrived time.Time, err error) {
 	n.holding = false
+	if err == nil && !t.isAnswerOf(n, held, arrived) {
+		err = errOtherInstance
+	}
 	if err != nil {
 		t.onHoldFailed(n, err)
 		return
@@ -106,7 +109,7 @@
 	}
 	if n.misses > 0 {
 		t.outages.Remove(n.id)
-		n.brokenMembers = nil
+		n.formerRuns = nil
 	}
 	n.misses, n.silentSince = 0, time.Time{}
 	t.applyHeld(n, held, arrived)
@@ -175,6 +178,10 @@
 
 // onHoldFailed processes the error of a hold.
 func (t *term) onHoldFailed(n *node, err error) {
+	if n.isRemoved(t) {
+		n.stop()
+		return
+	}
 	var refused *worker.Refusal
 	switch {
 	case errors.Is(err, worker.ErrReplaced):
@@ -190,7 +197,7 @@
 	if n.misses++; n.misses == extendMissLimit {
 		t.log.Warn("dispatch: worker does not answer", zap.String("worker", n.id), zap.Int("runs", len(n.runs)), zap.Error(err))
 	}
-	if n.isRemoved(t) {
+	if t.forgetIfIdle(n); n.isRemoved(t) {
 		return
 	}
 	pause := min(holdRetryMin<<min(n.misses, 3), holdRetryMax)
@@ -246,7 +253,7 @@
 		if listed[key] {
 			continue
 		}
-		if proof, ok := r.Unlisted(held.Clock); ok {
+		if proof, ok := r.Unlisted(held.Clock, now); ok {
 			t.onNeverStarted(r, proof, "the worker does not list it")
 		}
 	}
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -28,7 +28,7 @@
 		t.noteSilence(n)
 	}
 	wait := time.Until(n.silentSince.Add(crash.Moment))
-	if cause == presence.Left || wait <= 0 || n.lastAnswerAt.IsZero() || len(n.runs)+len(n.brokenMembers) == 0 {
+	if cause == presence.Left || wait <= 0 || n.lastAnswerAt.IsZero() || len(n.runs)+len(n.formerRuns) == 0 {
 		t.endAllRuns(n, cause)
 		return
 	}
@@ -36,7 +36,7 @@
 		n.replaced = true
 		time.AfterFunc(wait, func() {
 			t.post(func() {
-				if !n.isRemoved(t) {
+				if !n.isRemoved(t) || len(n.runs)+len(n.formerRuns) > 0 {
 					t.endAllRuns(n, cause)
 				}
 			})
@@ -52,8 +52,8 @@
 		zap.Duration("lastWord", elapsed(n.lastAnswerAt, now)), zap.Duration("silent", elapsed(n.silentSince, now)))
 	t.o.Metrics.Counter("dispatch.workersLost." + string(cause)).Inc(1)
 	t.recordLoss(n, cause, now)
-	lost := slices.Clone(n.brokenMembers)
-	n.brokenMembers = nil
+	lost := slices.Clone(n.formerRuns)
+	n.formerRuns = nil
 	for _, r := range n.runs {
 		lost = append(lost, r)
 		t.log.Info("dispatch: run lost", append(r.evidence(cause, now), zap.Duration("age", elapsed(r.sentAt, now)))...)
@@ -69,7 +69,7 @@
 // endExpired ends the runs on workers that were silent for longer than any lease that they may hold.
 func (t *term) endExpired(now time.Time) {
 	for _, n := range t.nodes {
-		if (len(n.runs) > 0 || len(n.brokenMembers) > 0) && (n.misses > 0 || !n.synced) && now.After(n.leaseEnd) {
+		if (len(n.runs) > 0 || len(n.formerRuns) > 0) && (n.misses > 0 || !n.synced) && now.After(n.leaseEnd) {
 			t.endAllRuns(n, presence.Silent)
 		}
 	}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -23,7 +25,9 @@
 
 // node is the owner's state of one worker instance.
 type node struct {
-	id      string
+	id string
+	// born is when the instance started, in Unix milliseconds; zero if unknown.
+	born    int64
 	listing worker.ListedWorker
 	// listed is true while the worker's entry is in the store.
 	listed bool
@@ -86,8 +90,8 @@
 	replaced bool
 	// addedAt is when the term first knew of the worker.
 	addedAt time.Time
-	// brokenMembers holds the ended gang members that were on the worker when it fell silent.
-	brokenMembers []*run
+	// formerRuns holds the runs that were on the worker when it fell silent, and have been ended or moved since.
+	formerRuns []*run
 	// exclusiveRuns is the number of runs beside which nothing may be placed.
 	exclusiveRuns int
 	// vacatedFor is the suspect for which the worker is kept from new runs until vacatedUntil.
@@ -95,6 +99,11 @@
 	vacatedUntil time.Time
 	// leaseEnd is when everything on the worker has surely ended if the worker stays silent.
 	leaseEnd time.Time
+	// startsUntil is when the start orders that were sent to the worker can no longer arrive at another instance under its
+	// ID, quietUntil when no call to an earlier instance can arrive at this one; it gets no new work before.
+	startsUntil, quietUntil time.Time
+	// removedAt is when the term has forgotten the instance.
+	removedAt time.Time
 	// unhealthyUntil is when the worker may get new work again after it declined an order or a run on it stalled.
 	unhealthyUntil time.Time
 	// draining is true while the worker's VM is prepared for maintenance; nothing new is placed there.
@@ -113,7 +122,7 @@
 // usable reports whether new runs may be placed on the worker.
 func (n *node) usable(now time.Time) bool {
 	return n.listed && !n.unreadable && n.synced && !n.listing.Leaving && n.unknownRuns == 0 && n.misses == 0 &&
-		now.After(n.unhealthyUntil) && n.lastAnswerAt.After(n.noAnswerAt) && (!n.holding || now.Before(n.holdDue.Add(n.slack()))) &&
+		now.After(n.unhealthyUntil) && now.After(n.quietUntil) && n.lastAnswerAt.After(n.noAnswerAt) && (!n.holding || now.Before(n.holdDue.Add(n.slack()))) &&
 		!n.isQuarantined(now) && !n.draining
 }
 
@@ -254,6 +263,16 @@
 		t.log.Info("dispatch: worker's entry can be read again", zap.String("key", key))
 		delete(t.unreadable, id)
 	}
+	l.Born = t.knownBorn(l.Born)
+	if known := cmp.Or(n, t.forgotten[id]); known != nil {
+		switch presence.Compare(known.born, l.Born) {
+		case presence.Earlier:
+			return
+		case presence.Newer:
+			t.replaceNode(known, l, true, "entry")
+		case presence.Same:
+		}
+	}
 	t.updateListing(l)
 	t.nodes[l.ID].unreadable = false
 }
@@ -280,6 +299,9 @@
 	n := t.nodes[id]
 	if n == nil {
 		n = &node{id: id, addedAt: time.Now(), runs: make(map[runKey]*run), holdOrders: make(chan holdOrder, 1), wake: make(chan struct{}, 1)}
+		if f := t.forgotten[id]; f != nil {
+			n.born = f.born
+		}
 		t.addNode(n)
 	}
 	return n
@@ -294,7 +316,13 @@
 	t.nodesVersion++
 }
 
+// removeNode removes a node. A hold in flight goes on, as it may still return ends, but none is sent any more.
 func (t *term) removeNode(n *node) {
+	if n.stop != nil && (!n.holding || time.Now().Before(n.holdSentAt)) {
+		n.stop()
+	}
+	n.agent.Release()
+	n.removedAt = time.Now()
 	delete(t.nodes, n.id)
 	n.leaveIndex()
 	n.position.index = nil
@@ -318,7 +346,7 @@
 		t.nodesVersion++
 	}
 	n.free = n.free.Plus(l.Has).Minus(n.listing.Has)
-	n.listing, n.listed = l, true
+	n.listing, n.listed, n.born = l, true, max(n.born, l.Born)
 	n.updateIndex()
 	if n.agent == nil {
 		t.startHolds(n)
@@ -337,14 +365,13 @@
 
 // forgetIfIdle removes a worker that is not listed and has no runs. It keeps a worker with ends that are not durable
 // yet. If the entry of such a worker came back, the worker would be added as a new one, list these ends again, and be
-// told that they were observed, since the new node has no pending save.
+// told that they were observed, since the new node has no pending save. It also keeps a worker that may carry out a start
+// late, to see and stop it.
 func (t *term) forgetIfIdle(n *node) {
-	if n.listed || len(n.runs) > 0 || n.unsaved > 0 || len(n.brokenMembers) > 0 || n.isRemoved(t) {
+	if n.listed || len(n.runs) > 0 || n.unsaved > 0 || len(n.formerRuns) > 0 || n.isRemoved(t) || time.Now().Before(n.startsUntil) {
 		return
 	}
-	if n.stop != nil {
-		n.stop()
-	}
-	n.agent.Release()
 	t.removeNode(n)
+	maps.DeleteFunc(t.forgotten, func(_ string, o *node) bool { return time.Since(o.removedAt) > presence.LateCallWindow })
+	t.forgotten[n.id] = n
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -42,11 +42,16 @@
 	if end := r.node.lastTimeOf(r.Expires); end.After(r.node.leaseEnd) {
 		r.node.leaseEnd = end // the order extends the lease of the whole worker
 	}
+	if r.node.born > 0 {
+		// The second attempt is sent after the time-out of the first one.
+		r.LateUntil = now.Add(firstLaunchTimeout + relaySlack + t.lag.slack() + presence.LateCallWindow)
+		r.node.startsUntil = r.LateUntil
+	}
 	order := &worker.Launch{
 		Task: r.task(), Run: r.number, Spec: r.stage.entry.work.Spec, Until: r.Expires, Fence: t.tenure.Fence,
 		Permit: r.stage.ticket(r.node.id), Checkpoint: task.checkpoint,
 	}
-	agent := r.node.agent
+	n, agent := r.node, r.node.agent
 	t.wg.Go(func() {
 		var clock time.Duration
 		send := func(ctx context.Context) (err error) {
@@ -59,13 +64,15 @@
 		if unanswered && t.ctx.Err() == nil {
 			// A start sent to an unreachable worker stays charged there until the connection recovers or the lease
 			// expires. Giving the worker no new work early keeps the number of affected callers small.
-			t.post(func() { r.node.noAnswerAt = time.Now() })
+			t.post(func() { n.noAnswerAt = time.Now() })
 			err = t.call(t.ctx, agent, orderTimeout, send)
 			delivered = delivered || !errors.Is(err, worker.ErrNotSent)
 		}
 		t.post(func() {
 			r.undelivered = !delivered
-			t.onLaunched(r, clock, err, unanswered)
+			if r.node == n { // else a newer instance is asked to stop the run
+				t.onLaunched(r, clock, err, unanswered)
+			}
 		})
 	})
 }
@@ -143,7 +150,7 @@
 	if !r.Confirmed && !r.Recovered && r.sentAt.IsZero() {
 		return // its start was not sent yet, and will not be
 	}
-	agent := r.node.agent
+	n, agent := r.node, r.node.agent
 	order := &worker.Halt{Task: r.task(), Run: r.number, Fence: t.tenure.Fence}
 	t.wg.Go(func() {
 		var clock time.Duration
@@ -151,7 +158,11 @@
 			clock, err = agent.Halt(ctx, order)
 			return err
 		})
-		t.post(func() { t.onHalted(r, clock, err) })
+		t.post(func() {
+			if r.node == n { // else the answer may be that of an earlier instance
+				t.onHalted(r, clock, err)
+			}
+		})
 	})
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -8,6 +8,7 @@
 
 	"turmericgap/crash"
 	"turmericgap/job"
+	"turmericgap/presence"
 )
 
 type resources = job.Resources
@@ -285,7 +286,7 @@
 func (t *term) startRun(s *stage, index int, n *node, number int64) {
 	e, k := s.entry, &s.tasks[index]
 	t.recordFirstStart(s.occurrence)
-	r := &run{stage: s, index: index, number: number, node: n, need: s.taskResources(), decidedAt: time.Now()}
+	r := &run{stage: s, index: index, number: number, node: n, need: s.taskResources(), Run: presence.Run{Born: n.born}, decidedAt: time.Now()}
 	r.exclusive = s.verdictOf(index) >= crash.Isolate
 	k.phase, k.run, k.number = phaseStarted, r, number
 	s.waiting--
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -86,7 +86,7 @@
 			switch {
 			case err != nil:
 				onFailed(err)
-			case !n.isRemoved(t):
+			case t.isAnswerOf(n, held, arrived):
 				before := n.lastEndSeen
 				t.applyHeld(n, held, arrived)
 				if n.lastEndSeen > before {
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -81,6 +81,22 @@
 	Worker     string
 	Fails      int
 	Checkpoint string
+	// Born is the worker instance that the run was started on; records of older versions lack it.
+	Born int64
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder, as the codec rejects an array with fewer fields.
+func (r *taskRecord) DecodeMsgpack(d *msgpack.Decoder) error {
+	fields, err := d.DecodeArrayLen()
+	if err != nil || fields <= 0 {
+		return err
+	}
+	into := []any{&r.Phase, &r.Run, &r.Worker, &r.Fails, &r.Checkpoint, &r.Born}
+	err = d.DecodeMulti(into[:min(fields, len(into))]...)
+	for i := len(into); err == nil && i < fields; i++ {
+		err = d.Skip()
+	}
+	return err
 }
 
 // Ended is the record that remains of a work after its end.
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -157,7 +157,7 @@
 	s.occurrence.started = s.occurrence.started ||
 		slices.ContainsFunc(sr.Tasks, func(tr taskRecord) bool { return tr.Run > 0 })
 	for _, u := range sr.Unresolved {
-		s.unresolved = append(s.unresolved, unresolvedRun{u.Run, u.Worker, t.initialLeaseEnd()})
+		s.unresolved = append(s.unresolved, unresolvedRun{u.Run, &node{id: u.Worker}, t.initialLeaseEnd()})
 	}
 	for i := range sr.Tasks {
 		if i >= len(s.tasks) {
@@ -194,7 +194,10 @@
 	if n.leaseEnd.IsZero() {
 		n.leaseEnd = t.initialLeaseEnd()
 	}
-	r := &run{stage: s, index: index, number: tr.Run, node: n, need: s.taskResources(), Run: presence.Run{Recovered: true, Resumed: true}, sentAt: t.startedAt}
+	r := &run{stage: s, index: index, number: tr.Run, node: n, need: s.taskResources(), Run: presence.Run{Recovered: true, Resumed: true, Born: t.knownBorn(tr.Born)}, sentAt: t.startedAt}
+	if n.born == 0 || r.Born > 0 && r.Born < n.born {
+		n.born = r.Born // the earliest one: the entry or an answer shows the present one, which replaces it
+	}
 	r.exclusive = s.verdictOf(index) >= crash.Isolate
 	s.tasks[index].run = r
 	s.entry.activeRuns++
--- /dev/null
+++ b/dispatch/restart_test.go
@@ -0,0 +1,296 @@
+package dispatch_test
+
+import (
+	"cmp"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"turmericgap/feature"
+	"turmericgap/job"
+	"turmericgap/standin/floor"
+	"turmericgap/store"
+	"turmericgap/worker"
+)
+
+// restartCell is a cell of two workers with four cores that tell when they started, and of two VMs. Each worker has run
+// tasks and has been told that their ends were observed.
+type restartCell struct {
+	*cell
+	is *is.I
+	v  *vm
+	ws []*floor.Worker
+}
+
+func newRestartCell(t *testing.T, behave func(worker.Task, int64) floor.Behaviour, features ...string) *restartCell {
+	c := &restartCell{cell: newCell(t, behave), is: is.New(t)}
+	var err error
+	c.features, err = feature.Parse(features)
+	c.is.NoErr(err)
+	c.cluster.MaxLease = maxHold
+	for i := range 2 {
+		c.startVM(fmt.Sprint("vm", i+1))
+		w := c.cluster.Add(worker.Info{ID: fmt.Sprint("w", i), Address: fmt.Sprint("w", i), Rack: "r1", Has: job.Resources{Millicores: 4000, MemoryMB: 64000}, Born: time.Now().UnixMilli()})
+		c.ws = append(c.ws, w)
+		c.list(w)
+	}
+	c.v = c.waitForOwner()
+	time.Sleep(time.Second)
+	c.submit(c.v, c.newWork("earlier", job.Step{Tasks: 8}))
+	c.waitForState(c.v, "earlier", job.WorkCompleted, 10*time.Second)
+	time.Sleep(20 * time.Second)
+	return c
+}
+
+// list writes the entry of a worker instance.
+func (c *restartCell) list(w *floor.Worker) {
+	i := w.Info()
+	c.register(worker.ListedWorker{Info: i, Pool: pool, Labels: []string{"a", "r1", i.ID}, Clock: w.Clock()})
+}
+
+// restart restarts a worker and writes the entry of the new instance.
+func (c *restartCell) restart(i int) {
+	c.ws[i] = c.ws[i].Reborn()
+	c.list(c.ws[i])
+}
+
+// submitTo submits a work whose tasks run on one of the workers only.
+func (c *restartCell) submitTo(i int, id string, tasks int) {
+	c.submit(c.v, c.newWork(id, job.Step{Tasks: tasks, Label: c.ws[i].Info().ID}))
+}
+
+// holdBack makes the network hold back all calls of a kind to a worker; their sender gets no answer.
+func (c *restartCell) holdBack(i int, kind floor.CallKind, by time.Duration) {
+	c.ws[i].SetFaults(floor.Faults{TransitOf: func(k floor.CallKind, _ int) floor.Transit {
+		if k == kind {
+			return floor.Transit{Late: by}
+		}
+		return floor.Transit{}
+	}})
+}
+
+// takeOver kills the owner and waits for the next one.
+func (c *restartCell) takeOver() {
+	c.kill(c.v)
+	c.v = c.waitForSuccessor(c.v)
+}
+
+// restartCase is a restart of worker 0 and what the work "x" needs because of it.
+type restartCase struct {
+	// guards is the failure that the case guards against.
+	guards string
+	// play submits the work "x" and restarts the worker.
+	play func(c *restartCell)
+	// runsFor is the run time of a task.
+	runsFor time.Duration
+	// within bounds the time from the end of play until x is completed, and runs the number of its starts.
+	within time.Duration
+	runs   int
+	// unaffected is true if the case passes as well if instances are not told apart.
+	unaffected bool
+}
+
+var restartCases = map[string]restartCase{
+	"idle, before a hold": {
+		guards: "ignoring the answers of the new instance, whose clock is behind, so that its tasks are never heard of",
+		play: func(c *restartCell) {
+			c.restart(0)
+			c.submitTo(0, "x", 4)
+		},
+		within: 9 * time.Second, runs: 4,
+	},
+	"idle, shown by answers only": {
+		guards: "relying on the entry, which a store outage delays",
+		play: func(c *restartCell) {
+			c.ws[0] = c.ws[0].Reborn()
+			time.Sleep(1200 * time.Millisecond)
+			c.submitTo(0, "x", 4)
+		},
+		within: 9 * time.Second, runs: 4,
+	},
+	"with runs": {
+		guards: "waiting for runs that have ended with the earlier instance",
+		play: func(c *restartCell) {
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
+			time.Sleep(time.Second)
+			c.restart(0)
+		},
+		within: 6 * time.Second, runs: 12,
+	},
+	"with old runs": {
+		guards: "waiting for runs that were started too long ago for a late order",
+		play: func(c *restartCell) {
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
+			time.Sleep(6 * time.Second)
+			c.restart(0)
+		},
+		runsFor: 8 * time.Second, within: 12 * time.Second, runs: 12,
+	},
+	"order is late": {
+		guards: "starting the task elsewhere while its order may still start it on the new instance",
+		play: func(c *restartCell) {
+			c.holdBack(0, floor.CallLaunch, 3*time.Second)
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
+			time.Sleep(500 * time.Millisecond)
+			c.restart(0)
+		},
+		within: 8 * time.Second, runs: 8,
+	},
+	"order is late and void on the earlier instance": {
+		guards: "starting the task elsewhere because its order was void on the clock of the earlier instance",
+		play: func(c *restartCell) {
+			c.holdBack(0, floor.CallLaunch, 4*time.Second)
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
+			time.Sleep(3500 * time.Millisecond)
+			c.restart(0)
+			c.is.True(c.countRuns("x") == 4)
+		},
+		within: 8 * time.Second, runs: 8,
+	},
+	"order is carried out before the restart is known": {
+		guards: "leaving a run on the new instance that the owner counts as ended with the earlier one",
+		play: func(c *restartCell) {
+			c.holdBack(0, floor.CallLaunch, time.Second)
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
+			time.Sleep(900 * time.Millisecond)
+			c.ws[0] = c.ws[0].Reborn()
+			c.ws[0].SetFaults(floor.Faults{Unreachable: true})
+			time.Sleep(800 * time.Millisecond)
+			c.is.Equal(c.ws[0].ActiveRuns(), 4)
+			c.ws[0].SetFaults(floor.Faults{})
+			c.list(c.ws[0])
+		},
+		within: 8 * time.Second, runs: 12,
+	},
+	"answers to starts are lost": {
+		guards: "waiting for starts that the earlier instance has carried out without an answer",
+		play: func(c *restartCell) {
+			c.ws[0].SetFaults(floor.Faults{DropReplies: true})
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
+			time.Sleep(300 * time.Millisecond)
+			c.restart(0)
+		},
+		within: 8 * time.Second, runs: 12,
+	},
+	"holds are late": {
+		guards: "starting tasks while a hold to the earlier instance may make the new one forget their ends",
+		play: func(c *restartCell) {
+			c.holdBack(0, floor.CallHold, 4*time.Second)
+			time.Sleep(1200 * time.Millisecond)
+			c.restart(0)
+			time.Sleep(500 * time.Millisecond)
+			c.submitTo(0, "x", 4)
+		},
+		within: 12 * time.Second, runs: 4,
+	},
+	"entry is gone and holds are late": {
+		guards: "forgetting with the worker that its holds may be under way",
+		play: func(c *restartCell) {
+			c.holdBack(0, floor.CallHold, 4*time.Second)
+			time.Sleep(1200 * time.Millisecond)
+			c.put(store.Op{Delete: true, Key: workersPrefix + "w0"})
+			time.Sleep(400 * time.Millisecond)
+			c.restart(0)
+			c.submitTo(0, "x", 4)
+		},
+		within: 12 * time.Second, runs: 4,
+	},
+	"stop is under way": {
+		guards: "taking the answer of the earlier instance to a stop for one of the new instance",
+		play: func(c *restartCell) {
+			c.holdBack(0, floor.CallLaunch, 2*time.Second)
+			c.submit(c.v, c.newWork("y", job.Step{Tasks: 8}))
+			time.Sleep(300 * time.Millisecond)
+			c.is.NoErr(c.v.dispatcher.Cancel(c.t.Context(), "y", ""))
+			time.Sleep(50 * time.Millisecond)
+			c.restart(0)
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 4}))
+			time.Sleep(4 * time.Second)
+			c.is.Equal(c.ws[0].ActiveRuns(), 0)
+		},
+		within: 8 * time.Second, runs: 4, unaffected: true,
+	},
+	"before a take-over": {
+		guards: "waiting for runs that a former owner has started on the earlier instance",
+		play: func(c *restartCell) {
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
+			time.Sleep(time.Second)
+			c.restart(0)
+			c.takeOver()
+		},
+		within: 6 * time.Second, runs: 12,
+	},
+	"after a take-over": {
+		guards: "taking the runs of a former owner for lost ones only if it has been seen what became of them",
+		play: func(c *restartCell) {
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
+			time.Sleep(100 * time.Millisecond)
+			c.takeOver()
+			time.Sleep(time.Second)
+			c.restart(0)
+		},
+		runsFor: 8 * time.Second, within: 15 * time.Second, runs: 12,
+	},
+	"take-over with a late order": {
+		guards: "starting a task elsewhere while the order of a former owner may start it on the new instance, which knows no fence",
+		play: func(c *restartCell) {
+			c.holdBack(0, floor.CallLaunch, 3*time.Second)
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
+			time.Sleep(100 * time.Millisecond)
+			c.kill(c.v)
+			c.restart(0)
+			c.v = c.waitForSuccessor(c.v)
+		},
+		within: 8 * time.Second, runs: 8,
+	},
+	"twice": {
+		guards: "taking the second restart for the first one",
+		play: func(c *restartCell) {
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
+			time.Sleep(time.Second)
+			c.restart(0)
+			time.Sleep(300 * time.Millisecond)
+			c.restart(0)
+		},
+		within: 6 * time.Second, runs: 12,
+	},
+	"entries of other writers": {
+		guards: "believing an entry that is out of date, lacks the field or cannot be read",
+		play: func(c *restartCell) {
+			former, i := c.ws[0], c.ws[0].Info()
+			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
+			time.Sleep(time.Second)
+			c.restart(0)
+			time.Sleep(time.Second)
+			c.list(former)
+			time.Sleep(500 * time.Millisecond)
+			c.put(store.Op{Key: workersPrefix + i.ID, Value: []byte{0xc1}})
+			time.Sleep(500 * time.Millisecond)
+			i.Born = 0
+			c.register(worker.ListedWorker{Info: i, Pool: pool, Labels: []string{"a", "r1", i.ID}})
+		},
+		within: 4 * time.Second, runs: 12,
+	},
+}
+
+// Guards against each failure that a case names: nothing runs twice, no end is lost that could be known, and nothing waits
+// for the earlier instance of a worker.
+func TestRestartedWorker(t *testing.T) {
+	for name, rc := range restartCases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				c := newRestartCell(t, runsFor(cmp.Or(rc.runsFor, 2*time.Second)))
+				rc.play(c)
+				c.waitForState(c.v, "x", job.WorkCompleted, rc.within)
+				time.Sleep(10 * time.Second) // the last late order has arrived
+				if runs := c.countRuns("x"); runs != rc.runs {
+					t.Errorf("%d runs, want %d; guards against %s", runs, rc.runs, rc.guards)
+				}
+				c.is.Equal(c.ws[0].ActiveRuns()+c.ws[1].ActiveRuns(), 0)
+				c.checkHistory()
+			})
+		})
+	}
+}
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -48,7 +48,7 @@
 	if cause == presence.Left {
 		return
 	}
-	present := slices.Clone(n.brokenMembers)
+	present := slices.Clone(n.formerRuns)
 	for _, r := range n.runs {
 		if r.wasPresent(n) {
 			present = append(present, r)
@@ -189,7 +189,7 @@
 	for _, l := range losses {
 		s := l.run.stage
 		u := s.suspects[l.run.index]
-		if l.run.node.id == n.id || u == nil || s.entry.state.Final() || time.Since(l.at) > silentLossRetention {
+		if l.run.node.id == n.id && presence.Compare(l.run.node.born, n.born) != presence.Newer || u == nil || s.entry.state.Final() || time.Since(l.at) > silentLossRetention {
 			continue
 		}
 		u.Resolve()
@@ -205,7 +205,7 @@
 func (t *term) breakMember(r *run, proof presence.Proof) {
 	n := r.node
 	if r.wasPresent(n) {
-		n.brokenMembers = append(n.brokenMembers, r)
+		n.formerRuns = append(n.formerRuns, r)
 	}
 	r.stage.addUnresolved(r.number, n)
 	t.log.Info("dispatch: run over with its gang", r.evidence(proof, time.Now())...)
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -45,6 +45,8 @@
 	capacitiesVersion int
 	// totalMillicores is the total CPU of the workers.
 	totalMillicores int64
+	// forgotten holds the nodes that were removed in the last LateCallWindow, and maybe some older ones, by worker ID.
+	forgotten map[string]*node
 	// unreadable holds the IDs of workers whose entries cannot be decoded.
 	unreadable map[string]bool
 	// workersUnreadSince is when the workers' entries could no longer be read, zero while they can.
@@ -99,7 +101,7 @@
 	t := &term{
 		o: o, log: o.Logger.With(zap.Int64("fence", tenure.Fence)), tenure: tenure, startedAt: time.Now(),
 		events: make(chan func(), eventBuffer), entries: make(map[string]*entry), ended: make(map[string]Ended),
-		nodes: make(map[string]*node), unreadable: make(map[string]bool), waitingStages: make(map[*stage]struct{}),
+		nodes: make(map[string]*node), forgotten: make(map[string]*node), unreadable: make(map[string]bool), waitingStages: make(map[*stage]struct{}),
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
 		vmSelector: permit.NewVMSelector(), callLimiter: newCallLimiter(), grantShares: make(map[string]float64),
 		sizes: aging.New(), tallies: make(map[sizeClass]*tally), ruleCapacity: make(map[string]int),
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -14,7 +14,7 @@
 // first.
 type unresolvedRun struct {
 	number int64
-	worker string
+	node   *node
 	// until is when the worker's lease has certainly expired.
 	until time.Time
 }
@@ -23,7 +23,7 @@
 func (s *stage) attemptsLeft(now time.Time) bool {
 	remaining := s.unresolved[:0]
 	for _, u := range s.unresolved {
-		if now.Before(u.until) {
+		if now.Before(u.until) && !u.node.replaced {
 			remaining = append(remaining, u)
 		}
 	}
@@ -46,15 +46,16 @@
 // addUnresolved records that a worker could not report how a run of the gang ended. Several workers may be in this
 // state, and any of them may report the failure, so each is recorded.
 func (s *stage) addUnresolved(number int64, n *node) {
-	if !slices.ContainsFunc(s.unresolved, func(o unresolvedRun) bool { return o.number == number && o.worker == n.id }) {
-		s.unresolved = append(s.unresolved, unresolvedRun{number, n.id, n.leaseEnd})
+	if !slices.ContainsFunc(s.unresolved, func(o unresolvedRun) bool { return o.number == number && o.node.id == n.id }) {
+		s.unresolved = append(s.unresolved, unresolvedRun{number, n, n.leaseEnd})
 	}
 }
 
 // endMembersOfEndedGangs ends gang members on silent workers if another member has proved that the run is over. A
 // worker that crashed reports nothing; without this the gang would wait until its lease expires although no member can
 // still be running. A gang with a suspect waits for the worker's fate: a member that crashes its workers would otherwise be
-// started several times before its first crash is known.
+// started several times before its first crash is known. A start that was sent to an earlier instance of a worker may be
+// carried out again.
 func (t *term) endMembersOfEndedGangs() {
 	for _, n := range t.nodes {
 		if n.misses < extendMissLimit {
@@ -62,7 +63,7 @@
 		}
 		for _, r := range n.runs {
 			g := r.stage.gang
-			if g == nil || g.number != r.number || len(r.stage.suspects) > 0 {
+			if g == nil || g.number != r.number || len(r.stage.suspects) > 0 || r.Born != n.born {
 				continue
 			}
 			if proof, ok := g.Ended(); ok {
@@ -92,7 +93,7 @@
 
 // countLateFailure counts the failure of an unresolved run.
 func (t *term) countLateFailure(n *node, s *stage, number int64) {
-	if !slices.ContainsFunc(s.unresolved, func(u unresolvedRun) bool { return u.number == number && u.worker == n.id }) {
+	if !slices.ContainsFunc(s.unresolved, func(u unresolvedRun) bool { return u.number == number && u.node.id == n.id }) {
 		return
 	}
 	s.unresolved = slices.DeleteFunc(s.unresolved, func(u unresolvedRun) bool { return u.number == number })
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -34,8 +34,14 @@
 	Uncertain bool
 	// Recovered is true if a former owner sent the start order.
 	Recovered bool
-	// Expires is when the start order becomes void, on the worker's clock; zero if none was sent.
+	// Expires is when the start order becomes void, on the worker's clock; zero if none was sent, or if the clock it was
+	// given for is that of an earlier instance.
 	Expires time.Duration
+	// Born is the instance that the start order was sent to; zero if unknown.
+	Born int64
+	// LateUntil is when the start order can no longer arrive, if the worker may restart under its ID; a newer instance
+	// would take the order for valid although it was void on the clock of the earlier one.
+	LateUntil time.Time
 	// Resumed is true if the run may have begun with the progress of a checkpoint.
 	Resumed bool
 }
@@ -50,12 +56,13 @@
 }
 
 // Unlisted returns the proof, if there is one, that a run can no longer be on a worker that does not list it in an
-// answer to this owner. clock is the reading of the worker's clock in that answer.
-func (r *Run) Unlisted(clock time.Duration) (Proof, bool) {
+// answer to this owner. clock is the reading of the worker's clock in that answer, which arrived now.
+func (r *Run) Unlisted(clock time.Duration, now time.Time) (Proof, bool) {
 	switch {
+	case now.Before(r.LateUntil):
 	case r.Recovered:
 		return Fenced, true
-	case r.Uncertain && clock > r.Expires:
+	case r.Uncertain && r.Expires > 0 && clock > r.Expires:
 		return Unlisted, true
 	}
 	return "", false
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -22,7 +22,7 @@
 	for i := range 8 {
 		r := presence.Run{Confirmed: i&4 > 0, Uncertain: i&2 > 0, Recovered: i&1 > 0, Expires: expires}
 		for _, clock := range []time.Duration{expires - time.Millisecond, expires, expires + time.Millisecond} {
-			proof, _ := r.Unlisted(clock)
+			proof, _ := r.Unlisted(clock, time.Time{})
 			fmt.Fprintf(w, "%v\t%v\t%v\t%+v\t%s\n", r.Confirmed, r.Uncertain, r.Recovered, clock-expires, cmp.Or(proof, "none"))
 		}
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -86,13 +86,14 @@
 }
 
 func (s *Server) agentFor(l *servedLink, o *order) *worker.Agent {
-	a := l.agents[o.Worker]
+	key := o.Worker + " " + o.Address // a worker that restarts under its ID may have another address
+	a := l.agents[key]
 	if a == nil {
 		if len(l.agents) >= maxAgentsPerLink {
 			clear(l.agents) // Most of these workers are gone.
 		}
 		a = s.direct(worker.Info{ID: o.Worker, Address: o.Address})
-		l.agents[o.Worker] = a
+		l.agents[key] = a
 	}
 	return a
 }
--- a/standin/floor/floor.go
+++ b/standin/floor/floor.go
@@ -39,6 +39,8 @@
 	GangTimeout time.Duration
 	// ClockRate is the speed of the workers' clocks; below 1 they are slow.
 	ClockRate float64
+	// MaxLease is the longest lease that a worker grants from its present time; zero is no limit.
+	MaxLease time.Duration
 	// ShrinkGrace is how long after its capacity has shrunk a worker may still be filled up to the former one.
 	ShrinkGrace time.Duration
 	// CapOf returns the highest cap of an account that may be in force; nil means that there are none. CapOverrun is the
@@ -98,6 +100,10 @@
 func (c *Cluster) Add(info worker.Info) *Worker {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.add(info)
+}
+
+func (c *Cluster) add(info worker.Info) *Worker {
 	w := &Worker{cluster: c, info: info, startedAt: time.Now(), runs: make(map[runKey]*activeRun), maxRun: make(map[worker.Task]int64), changed: make(chan struct{}), calls: make(map[CallKind]int)}
 	c.workers[info.ID] = w
 	return w
--- a/standin/floor/hold.go
+++ b/standin/floor/hold.go
@@ -8,12 +8,12 @@
 )
 
 func (w *Worker) hold(ctx context.Context, h *worker.Hold) (*worker.HoldReply, error) {
-	do := func() error {
-		if err := w.checkFence(h.Fence); err != nil {
+	do := func(p *Worker) error {
+		if err := p.checkFence(h.Fence); err != nil {
 			return err
 		}
-		w.extendLease(h.Until)
-		w.acknowledge(h.Observed)
+		p.extendLease(h.Until)
+		p.acknowledge(h.Observed)
 		return nil
 	}
 	transit := w.transitOf(CallHold)
@@ -23,7 +23,7 @@
 	if err := w.checkReachable(ctx); err != nil {
 		return nil, err
 	}
-	if _, err := w.withLock(do); err != nil {
+	if _, err := w.withLock(func() error { return do(w) }); err != nil {
 		return nil, err
 	}
 	w.awaitEnd(ctx, h.Wait)
@@ -68,7 +68,7 @@
 func (w *Worker) holdReply() *worker.HoldReply {
 	w.cluster.mu.Lock()
 	defer w.cluster.mu.Unlock()
-	h := &worker.HoldReply{Clock: w.clock(), Ended: append([]worker.EndedRun(nil), w.pendingEnds[:min(len(w.pendingEnds), maxEnds)]...)}
+	h := &worker.HoldReply{Clock: w.clock(), Ended: append([]worker.EndedRun(nil), w.pendingEnds[:min(len(w.pendingEnds), maxEnds)]...), Born: w.info.Born}
 	for key, r := range w.runs {
 		w.cluster.saveProgress(r)
 		h.Active = append(h.Active, worker.ActiveRun{Task: key.task, Run: key.run, Checkpoint: r.checkpoint, Percent: r.percent()})
--- a/standin/floor/transit.go
+++ b/standin/floor/transit.go
@@ -35,24 +35,28 @@
 }
 
 // transmit makes a call as the network treats it. do is told whether the call is late.
-func (w *Worker) transmit(ctx context.Context, kind CallKind, do func(late bool) error) (time.Duration, error) {
+func (w *Worker) transmit(ctx context.Context, kind CallKind, do func(p *Worker, late bool) error) (time.Duration, error) {
+	w = w.present()
 	t := w.transitOf(kind)
 	if t.Late > 0 {
-		return 0, w.executeLate(ctx, t.Late, func() error { return do(true) })
+		return 0, w.executeLate(ctx, t.Late, func(p *Worker) error { return do(p, true) })
 	}
-	clock, err := w.call(ctx, func() error { return do(false) })
+	clock, err := w.call(ctx, func() error { return do(w, false) })
 	if lost := waitFor(ctx, t.Reply); lost != nil {
 		return 0, lost
 	}
 	return clock, err
 }
 
-// executeLate executes a call after a delay. The caller gets no answer, and an error at once if connections are reset.
-func (w *Worker) executeLate(ctx context.Context, delay time.Duration, do func() error) error {
-	time.AfterFunc(delay, func() { _, _ = w.withLock(do) })
+// executeLate executes a call after a delay, on the instance that is there by then. The caller gets no answer, and an error at once if connections are reset.
+func (w *Worker) executeLate(ctx context.Context, delay time.Duration, do func(p *Worker) error) error {
+	time.AfterFunc(delay, func() {
+		p := w.present()
+		_, _ = p.withLock(func() error { return do(p) })
+	})
 	for {
 		w.cluster.mu.Lock()
-		reset, changed := w.faults.ResetConnections, w.changed
+		reset, changed := w.faults.ResetConnections || w.next != nil, w.changed
 		w.cluster.mu.Unlock()
 		if reset {
 			return errNoAnswer
--- a/standin/floor/worker.go
+++ b/standin/floor/worker.go
@@ -73,9 +73,11 @@
 	changed     chan struct{}
 	crashed     bool
 	replaced    bool
-	faults      Faults
-	holdCount   int
-	calls       map[CallKind]int
+	// next is the instance that has taken the worker's place under its ID; nil if there is none.
+	next      *Worker
+	faults    Faults
+	holdCount int
+	calls     map[CallKind]int
 	// formerCapacity is the capacity until capacityChangedAt.
 	formerCapacity    job.Resources
 	capacityChangedAt time.Time
@@ -134,6 +136,31 @@
 	w.pendingEnds = nil
 }
 
+// Reborn ends the instance and all its runs, and returns a new instance under the same ID. The new one knows no run and no
+// fencing token, and its clock and the numbers of its ends begin again. Calls that were sent to the earlier instance and
+// have not been carried out, or are made by its clients, reach the new one.
+func (w *Worker) Reborn() *Worker {
+	c := w.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.crash(false)
+	info := w.info
+	info.Born = max(info.Born+1, time.Now().UnixMilli())
+	w.next = c.add(info)
+	w.wakeHolds()
+	return w.next
+}
+
+// present returns the latest instance under the worker's ID.
+func (w *Worker) present() *Worker {
+	w.cluster.mu.Lock()
+	defer w.cluster.mu.Unlock()
+	for w.next != nil {
+		w = w.next
+	}
+	return w
+}
+
 // crashUnder crashes the worker unless the run has ended.
 func (w *Worker) crashUnder(r *activeRun) {
 	w.cluster.mu.Lock()
@@ -165,17 +192,20 @@
 func (w *Worker) client() *worker.Agent {
 	return &worker.Agent{
 		Launch: func(ctx context.Context, l *worker.Launch) (time.Duration, error) {
-			if delay := w.launchDelay(); delay > 0 {
-				time.AfterFunc(delay, func() { _, _ = w.withLock(func() error { return w.launch(l, true) }) })
+			if delay := w.present().launchDelay(); delay > 0 {
+				time.AfterFunc(delay, func() {
+					p := w.present()
+					_, _ = p.withLock(func() error { return p.launch(l, true) })
+				})
 				<-ctx.Done()
 				return 0, errNoAnswer
 			}
-			return w.transmit(ctx, CallLaunch, func(late bool) error { return w.launch(l, late) })
+			return w.transmit(ctx, CallLaunch, func(p *Worker, late bool) error { return p.launch(l, late) })
 		},
 		Halt: func(ctx context.Context, h *worker.Halt) (time.Duration, error) {
-			return w.transmit(ctx, CallHalt, func(bool) error { return w.halt(h) })
+			return w.transmit(ctx, CallHalt, func(p *Worker, _ bool) error { return p.halt(h) })
 		},
-		Hold: w.hold,
+		Hold: func(ctx context.Context, h *worker.Hold) (*worker.HoldReply, error) { return w.present().hold(ctx, h) },
 	}
 }
 
@@ -229,7 +259,7 @@
 func (w *Worker) checkReachable(ctx context.Context) error {
 	w.cluster.mu.Lock()
 	unreachable, crashed, replaced, unwell := w.faults.Unreachable, w.crashed, w.replaced, w.faults.Unwell
-	reset := w.faults.ResetConnections
+	reset := w.faults.ResetConnections || w.next != nil
 	w.cluster.mu.Unlock()
 	switch {
 	case replaced:
@@ -365,6 +395,9 @@
 }
 
 func (w *Worker) extendLease(until time.Duration) {
+	if most := w.cluster.MaxLease; most > 0 {
+		until = min(until, w.clock()+most)
+	}
 	if until <= w.leaseEnd {
 		return
 	}
--- a/worker/agent.go
+++ b/worker/agent.go
@@ -121,6 +121,8 @@
 	Clock  time.Duration `msgpack:"c"`
 	Active []ActiveRun   `msgpack:"a,omitempty"`
 	Ended  []EndedRun    `msgpack:"e,omitempty"`
+	// Born is the Unix time in milliseconds at which the answering instance started; zero if unknown.
+	Born int64 `msgpack:"b,omitempty"`
 }
 
 // Agent calls the program that runs tasks on one worker. After an error other than ErrNotSent,
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -24,6 +24,8 @@
 	Has job.Resources `json:"has"`
 	// Leaving is set when the VM is about to stop; the worker gets no new tasks.
 	Leaving bool `json:"leaving,omitempty"`
+	// Born is the Unix time in milliseconds at which the worker instance started; zero if unknown.
+	Born int64 `json:"-"`
 }
 
 // State is the state of an attempt on its worker.
