--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -97,6 +97,7 @@
 		guards: "ignoring the answers of the new instance, whose clock is behind, so that its tasks are never heard of",
 		play: func(c *restartCell) {
 			c.restart(0)
+			time.Sleep(500 * time.Millisecond)
 			c.submitTo(0, "x", 4)
 		},
 		within: 9 * time.Second, runs: 4,
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -35,8 +35,8 @@
 // wasPresent reports whether a run may have been on a worker when it was lost.
 func (r *run) wasPresent(n *node) bool {
 	switch {
-	case r.sentAt.IsZero() || r.undelivered:
-		return false
+	case r.sentAt.IsZero() || r.undelivered || r.Born > 0 && r.Born < n.born && !r.seenAt.After(n.addedAt):
+		return false // not sent, or weighed when an earlier instance was lost and not listed since
 	case r.Confirmed || r.Recovered || n.silentSince.IsZero():
 		return true
 	}
