--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -212,7 +212,7 @@
 			continue
 		}
 		n.lastEndSeen = e.Number
-		if r := n.runs[runKey{e.Task, e.Run}]; r != nil {
+		if r := t.endedRun(n, e); r != nil {
 			t.countEndOfSuspect(r, e.Outcome)
 			t.endRun(r, e.Outcome, e.Checkpoint)
 			t.giveUpIfDecided(r.stage, r.index)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -11,29 +11,32 @@
 	"turmericgap/worker"
 )
 
-// launch sends the start order of a run whose intent is durable.
-func (t *term) launch(r *run) {
-	now := time.Now()
-	if r.ended {
-		return
-	}
-	if r.stage.entry.state.Final() || r.stopping || r.node.isRemoved(t) || r.node.clockAt.IsZero() {
-		// Nothing was sent, and only this term could have sent it.
-		t.onNeverStarted(r, presence.NotSent, "it was given up before it was sent")
-		return
-	}
+// withheldBecause returns why the start order of a run must not be sent; empty if it may be.
+func (t *term) withheldBecause(r *run, now time.Time) string {
 	switch {
+	case r.stage.entry.state.Final() || r.stopping || r.node.isRemoved(t) || r.node.clockAt.IsZero():
+		return "it was given up before it was sent"
 	case r.node.isOverfilledBy(r):
-		t.onNeverStarted(r, presence.NotSent, "the worker's capacity has shrunk")
-		return
+		return "the worker's capacity has shrunk"
 	case t.accounts.ledger.Exceeds(r.stage.entry.work.Account, r.stage.spec.TaskResources):
-		t.onNeverStarted(r, presence.NotSent, "the cap of its account was lowered")
-		return
+		return "the cap of its account was lowered"
 	case t.isWorkerListStale(now):
-		t.onNeverStarted(r, presence.NotSent, "the worker's capacity may have shrunk unnoticed")
-		return
+		return "the worker's capacity may have shrunk unnoticed"
 	case !t.tenure.Confirmed(extendGrace):
-		t.onNeverStarted(r, presence.NotSent, "the tenure is not confirmed")
+		return "the tenure is not confirmed"
+	}
+	return ""
+}
+
+// launch sends the start order of a run whose intent is durable. What is withheld is certainly not sent, as only this term
+// could have sent it.
+func (t *term) launch(r *run) {
+	now := time.Now()
+	if r.ended {
+		return
+	}
+	if reason := t.withheldBecause(r, now); reason != "" {
+		t.onNeverStarted(r, presence.NotSent, reason)
 		return
 	}
 	task := &r.stage.tasks[r.index]
@@ -150,19 +153,24 @@
 	if !r.Confirmed && !r.Recovered && r.sentAt.IsZero() {
 		return // its start was not sent yet, and will not be
 	}
-	n, agent := r.node, r.node.agent
-	order := &worker.Halt{Task: r.task(), Run: r.number, Fence: t.tenure.Fence}
+	n := r.node
+	t.sendHalt(n, r.task(), r.number, func(clock time.Duration, err error) {
+		if r.node == n { // else the answer may be that of an earlier instance
+			t.onHalted(r, clock, err)
+		}
+	})
+}
+
+// sendHalt sends an order to stop a run, and calls onAnswer on the loop.
+func (t *term) sendHalt(n *node, task worker.Task, number int64, onAnswer func(clock time.Duration, err error)) {
+	agent, order := n.agent, &worker.Halt{Task: task, Run: number, Fence: t.tenure.Fence}
 	t.wg.Go(func() {
 		var clock time.Duration
 		err := t.call(t.ctx, agent, orderTimeout, func(ctx context.Context) (err error) {
 			clock, err = agent.Halt(ctx, order)
 			return err
 		})
-		t.post(func() {
-			if r.node == n { // else the answer may be that of an earlier instance
-				t.onHalted(r, clock, err)
-			}
-		})
+		t.post(func() { onAnswer(clock, err) })
 	})
 }
 
@@ -187,15 +195,9 @@
 // haltUnknown stops a run that this term has no record of: a former owner started it, but the end of its work has
 // removed the intent.
 func (t *term) haltUnknown(n *node, a *worker.ActiveRun) {
-	agent := n.agent
-	order := &worker.Halt{Task: a.Task, Run: a.Run, Fence: t.tenure.Fence}
-	t.wg.Go(func() {
-		err := t.call(t.ctx, agent, orderTimeout, func(ctx context.Context) error {
-			_, err := agent.Halt(ctx, order)
-			return err
-		})
+	t.sendHalt(n, a.Task, a.Run, func(_ time.Duration, err error) {
 		if err != nil {
-			t.log.Info("dispatch: stop order for an unknown run failed", zap.String("id", order.Task.Work),
+			t.log.Info("dispatch: stop order for an unknown run failed", zap.String("id", a.Task.Work),
 				zap.String("worker", n.id), zap.Error(err))
 		}
 	})
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -8,6 +8,7 @@
 
 	"turmericgap/crash"
 	"turmericgap/job"
+	"turmericgap/tuple"
 )
 
 // Keys of the store. A work is stored under workPrefix from acceptance until its end, and its progress under
@@ -87,16 +88,7 @@
 
 // DecodeMsgpack implements msgpack.CustomDecoder, as the codec rejects an array with fewer fields.
 func (r *taskRecord) DecodeMsgpack(d *msgpack.Decoder) error {
-	fields, err := d.DecodeArrayLen()
-	if err != nil || fields <= 0 {
-		return err
-	}
-	into := []any{&r.Phase, &r.Run, &r.Worker, &r.Fails, &r.Checkpoint, &r.Born}
-	err = d.DecodeMulti(into[:min(fields, len(into))]...)
-	for i := len(into); err == nil && i < fields; i++ {
-		err = d.Skip()
-	}
-	return err
+	return tuple.Decode(d, &r.Phase, &r.Run, &r.Worker, &r.Fails, &r.Checkpoint, &r.Born)
 }
 
 // Ended is the record that remains of a work after its end.
--- /dev/null
+++ b/dispatch/record_test.go
@@ -0,0 +1,22 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Guards against losing the progress of works at an upgrade: records of started tasks lacked the worker's instance.
+func TestTaskRecordOfOlderVersion(t *testing.T) {
+	is := is.New(t)
+	raw, err := msgpack.Marshal(map[string]any{"t": [][]any{{1, 7, "w1", 2, "c"}, {0, 0, "", 0, ""}}})
+	is.NoErr(err)
+	var older stageRecord
+	is.NoErr(msgpack.Unmarshal(raw, &older))
+	is.Equal(older.Tasks, []taskRecord{{Phase: phaseStarted, Run: 7, Worker: "w1", Fails: 2, Checkpoint: "c"}, {}})
+	present := stageRecord{Tasks: []taskRecord{{Phase: phaseStarted, Run: 7, Worker: "w1", Born: 1764800000123}}}
+	var got stageRecord
+	is.NoErr(msgpack.Unmarshal(encode(&present), &got))
+	is.Equal(got, present)
+}
--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -44,6 +44,16 @@
 	return false
 }
 
+// endedRun returns the run that a worker reports as ended; nil if there is none. A run that was moved to a newer instance
+// is over if the earlier one has completed it. Another end lets the task start again, which must wait for the newer one.
+func (t *term) endedRun(n *node, e *worker.EndedRun) *run {
+	key := runKey{e.Task, e.Run}
+	if r := n.runs[key]; r != nil || !n.isRemoved(t) || e.Outcome != worker.OutcomeDone || t.nodes[n.id] == nil {
+		return r
+	}
+	return t.nodes[n.id].runs[key]
+}
+
 // replaceNode replaces the node of a worker instance, which may be forgotten already, by that of a newer one. Runs whose
 // start may still arrive are moved there and stopped; the others have ended with the earlier instance.
 func (t *term) replaceNode(old *node, l worker.ListedWorker, listed bool, source string) *node {
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -50,9 +50,11 @@
 	c.register(worker.ListedWorker{Info: i, Pool: pool, Labels: []string{"a", "r1", i.ID}, Clock: w.Clock()})
 }
 
-// restart restarts a worker and writes the entry of the new instance.
+// restart restarts a worker and writes the entry of the new instance. Its answers take a moment, so that calls that are
+// answered at once cannot stop the virtual time.
 func (c *restartCell) restart(i int) {
 	c.ws[i] = c.ws[i].Reborn()
+	c.ws[i].SetFaults(floor.Faults{TransitOf: func(floor.CallKind, int) floor.Transit { return floor.Transit{Reply: time.Millisecond} }})
 	c.list(c.ws[i])
 }
 
@@ -88,8 +90,6 @@
 	// within bounds the time from the end of play until x is completed, and runs the number of its starts.
 	within time.Duration
 	runs   int
-	// unaffected is true if the case passes as well if instances are not told apart.
-	unaffected bool
 }
 
 var restartCases = map[string]restartCase{
@@ -198,6 +198,27 @@
 		},
 		within: 12 * time.Second, runs: 4,
 	},
+	"last answer is late": {
+		guards: "losing the ends in an answer of the earlier instance that a later one has overtaken",
+		play: func(c *restartCell) {
+			c.submitTo(0, "x", 1)
+			time.Sleep(500 * time.Millisecond)
+			c.ws[0].SetFaults(floor.Faults{TransitOf: func(floor.CallKind, int) floor.Transit { return floor.Transit{Reply: 300 * time.Millisecond} }})
+			time.Sleep(1550 * time.Millisecond)
+			c.restart(0)
+		},
+		within: 6 * time.Second, runs: 1,
+	},
+	"a member of a gang": {
+		guards: "letting a gang wait for a member that has ended with the earlier instance",
+		play: func(c *restartCell) {
+			c.cluster.BehaviourOf = gangBehaviour(2, 2*time.Second, worker.OutcomeDone)
+			c.submit(c.v, c.newWork("x", gangStep(2)))
+			time.Sleep(time.Second)
+			c.restart(0)
+		},
+		within: 12 * time.Second, runs: 4,
+	},
 	"stop is under way": {
 		guards: "taking the answer of the earlier instance to a stop for one of the new instance",
 		play: func(c *restartCell) {
@@ -211,7 +232,7 @@
 			time.Sleep(4 * time.Second)
 			c.is.Equal(c.ws[0].ActiveRuns(), 0)
 		},
-		within: 8 * time.Second, runs: 4, unaffected: true,
+		within: 8 * time.Second, runs: 4,
 	},
 	"before a take-over": {
 		guards: "waiting for runs that a former owner has started on the earlier instance",
@@ -295,3 +316,128 @@
 		})
 	}
 }
+
+// Guards against telling instances apart although the operator has switched that off.
+func TestRestartOff(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newRestartCell(t, runsFor(2*time.Second), "restart=off")
+		restartCases["with runs"].play(c)
+		time.Sleep(15 * time.Second) // the clock of the new instance is still behind
+		c.is.Equal(c.countRuns("x"), 8)
+	})
+}
+
+// Guards against starting a task that crashes its workers again and again because they restart under their IDs, also if
+// the owner is lost with a crash.
+func TestTaskThatCrashesRestartingWorkers(t *testing.T) {
+	for _, takeOver := range []bool{false, true} {
+		t.Run(fmt.Sprint("owner is lost ", takeOver), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				c := newRestartCell(t, func(task worker.Task, _ int64) floor.Behaviour {
+					return floor.Behaviour{Duration: 200 * time.Millisecond, Ending: worker.OutcomeDone, Resources: job.Resources{Millicores: 1000}, CrashesWorker: task.Work == "x"}
+				})
+				crashes := 0
+				c.cluster.OnCrash = func(w *floor.Worker) {
+					c.list(w.Reborn())
+					if crashes++; takeOver && crashes == 1 {
+						c.kill(c.v)
+					}
+				}
+				c.submit(c.v, c.newWork("x", job.Step{Tasks: 1}))
+				time.Sleep(time.Second)
+				c.waitForState(c.waitForOwner(), "x", job.WorkFailed, time.Minute)
+				c.is.True(crashes >= 2)
+				c.checkHistory()
+			})
+		})
+	}
+}
+
+// Guards against the orders of a relay, which it makes late, that start tasks on a restarted worker.
+func TestRestartedWorkerBehindRelay(t *testing.T) {
+	for _, delay := range []time.Duration{0, 300 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				c, v, workers := newCellWithRelay(t, delay)
+				c.cluster.MaxLease = maxHold
+				for i, w := range workers {
+					workers[i] = w.Reborn() // they tell when they started from now on
+				}
+				time.Sleep(8 * time.Second)
+				c.submit(v, c.newWork("x", job.Step{Tasks: 30}))
+				time.Sleep(500 * time.Millisecond)
+				for i := range workers {
+					workers[i] = workers[i].Reborn()
+				}
+				c.waitForState(v, "x", job.WorkCompleted, 20*time.Second)
+				time.Sleep(10 * time.Second)
+				for _, w := range workers {
+					is.Equal(w.ActiveRuns(), 0)
+				}
+				c.checkHistory()
+			})
+		})
+	}
+}
+
+// Guards against a cancelled task that goes on because its worker started it late: after a restart, under another owner,
+// without an entry, or when no record of the work is left.
+func TestCancelledTaskStartsLate(t *testing.T) {
+	for name, p := range map[string]struct {
+		// late is the delay of the order; the others are when the worker restarts, its entry is written and the owner is
+		// killed. Without a restart the entry stays.
+		late, restart, list, kill time.Duration
+		// stopsLate delays the other calls to the first instance as well; starts is true if tasks surely start late.
+		stopsLate, starts bool
+	}{
+		"after its stop":                       {late: 1200 * time.Millisecond},
+		"on the same instance":                 {late: 1200 * time.Millisecond, stopsLate: true, starts: true},
+		"after a restart":                      {late: 3 * time.Second, restart: time.Second, list: time.Second},
+		"before a restart is known":            {late: 1200 * time.Millisecond, restart: 1190 * time.Millisecond, list: 3 * time.Second, starts: true},
+		"without an entry":                     {late: 3 * time.Second, restart: 2900 * time.Millisecond, list: time.Hour},
+		"without a record":                     {late: 8 * time.Second, restart: 7 * time.Second, list: 7 * time.Second, starts: true},
+		"during a take-over":                   {late: 1200 * time.Millisecond, stopsLate: true, kill: 500 * time.Millisecond, starts: true},
+		"after a restart, during a take-over":  {late: 2 * time.Second, restart: time.Second, list: time.Second, stopsLate: true, kill: 500 * time.Millisecond},
+		"without an entry, during a take-over": {late: 2 * time.Second, restart: time.Second, list: 6 * time.Second, kill: 500 * time.Millisecond, starts: true},
+		"without a record, during a take-over": {late: 8 * time.Second, restart: 7 * time.Second, list: 7 * time.Second, kill: 7500 * time.Millisecond, starts: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				c := newRestartCell(t, runsFor(2*time.Second))
+				c.cluster.BehaviourOf = runsFor(time.Minute)
+				began := time.Now()
+				c.holdBack(0, floor.CallLaunch, p.late)
+				if p.stopsLate {
+					c.ws[0].SetFaults(floor.Faults{TransitOf: func(floor.CallKind, int) floor.Transit { return floor.Transit{Late: p.late} }})
+				}
+				c.submitTo(0, "x", 2)
+				time.Sleep(100 * time.Millisecond)
+				c.is.NoErr(c.v.dispatcher.Cancel(c.t.Context(), "x", ""))
+				for at := time.Duration(0); at < p.late+10*time.Second; at = time.Since(began) {
+					if p.restart > 0 && at >= p.restart {
+						p.restart = 0
+						c.put(store.Op{Delete: true, Key: workersPrefix + "w0"})
+						c.ws[0] = c.ws[0].Reborn()
+					}
+					if p.list > 0 && at >= p.list {
+						p.list = 0
+						c.list(c.ws[0])
+					}
+					if p.kill > 0 && at >= p.kill {
+						p.kill = 0
+						c.kill(c.v)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				const mayLast = 8200 * time.Millisecond // contact, cancel and stop
+				c.is.Equal(c.ws[0].ActiveRuns(), 0)
+				c.is.True(!p.starts || c.countRuns("x") > 0)
+				for _, r := range c.cluster.History() {
+					c.is.True(r.Task.Work != "x" || r.Ended.Sub(r.Started) <= mayLast)
+				}
+				c.checkHistory()
+			})
+		})
+	}
+}
--- /dev/null
+++ b/tuple/doc.go
@@ -0,0 +1,2 @@
+// Package tuple decodes msgpack arrays whose number of elements has grown over time.
+package tuple
