--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -8,6 +8,7 @@
 
 	"turmericgap/crash"
 	"turmericgap/job"
+	"turmericgap/tuple"
 )
 
 // Keys of the store. A work is stored under workPrefix from acceptance until its end, and its progress under
@@ -83,6 +84,13 @@
 	Worker     string
 	Fails      int
 	Checkpoint string
+	// Born is the worker instance that the run was started on; records of older versions lack it.
+	Born int64
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder, as the codec rejects an array with fewer fields.
+func (r *taskRecord) DecodeMsgpack(d *msgpack.Decoder) error {
+	return tuple.Decode(d, &r.Phase, &r.Run, &r.Worker, &r.Fails, &r.Checkpoint, &r.Born)
 }
 
 // Ended is the record that remains of a work after its end.
