--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -33,6 +33,7 @@
 	"turmericgap/store/health"
 	"turmericgap/store/memory"
 	"turmericgap/worker"
+	"turmericgap/workrecord"
 )
 
 const (
@@ -605,7 +606,7 @@
 	}
 	at := make(map[string]time.Time, len(res.Pairs))
 	for i := range res.Pairs {
-		var end dispatch.Ended
+		var end workrecord.Ended
 		if err := msgpack.Unmarshal(res.Pairs[i].Value, &end); err != nil {
 			c.t.Fatal(err)
 		}
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -12,6 +12,7 @@
 	"turmericgap/job"
 	"turmericgap/store"
 	"turmericgap/store/retry"
+	"turmericgap/workrecord"
 )
 
 // pendingSave is an entry that waits for a commit, with the effects that run after it.
@@ -82,7 +83,7 @@
 // buildBatch builds a transaction from as many pending changes as fit.
 func (t *term) buildBatch(stream *commitstream.Stream, number int64) *batch {
 	c := &t.committer
-	b := &batch{stream: stream, marker: encode(&marker{t.tenure.Fence, number}), states: make(map[*entry]job.WorkState)}
+	b := &batch{stream: stream, marker: workrecord.Encode(&marker{t.tenure.Fence, number}), states: make(map[*entry]job.WorkState)}
 	b.txn.Compares = []store.Compare{
 		t.tenure.Compare(),
 		{Key: stream.Key, Target: store.ModRevision, Revision: stream.Revision},
@@ -101,7 +102,7 @@
 	}
 	c.queue = left
 	for len(t.endedToRemove) > 0 && len(b.txn.Then) < maxTxnOps-commitOverhead+1 {
-		b.txn.Then = append(b.txn.Then, store.Op{Delete: true, Key: endedPrefix + t.endedToRemove[0]})
+		b.txn.Then = append(b.txn.Then, store.Op{Delete: true, Key: workrecord.EndedPrefix + t.endedToRemove[0]})
 		b.removed = append(b.removed, t.endedToRemove[0])
 		t.endedToRemove = t.endedToRemove[1:]
 	}
@@ -142,28 +143,28 @@
 	if e.needsCreate && !e.isRemovable() {
 		e.needsCreate = false
 		b.created = append(b.created, e)
-		b.txn.Then = append(b.txn.Then, store.Op{Key: workPrefix + id, Value: encode(e.work)})
+		b.txn.Then = append(b.txn.Then, store.Op{Key: workrecord.WorkPrefix + id, Value: workrecord.Encode(e.work)})
 		if e.wasRefused {
-			b.txn.Then = append(b.txn.Then, store.Op{Delete: true, Key: refusedPrefix + id})
+			b.txn.Then = append(b.txn.Then, store.Op{Delete: true, Key: workrecord.RefusedPrefix + id})
 		}
 		if e.lastRun == 0 && e.occurrencesBegun <= 1 && !e.state.Final() {
 			return // a work without progress has not started
 		}
 	}
 	if !e.isRemovable() {
-		b.txn.Then = append(b.txn.Then, store.Op{Key: statePrefix + id, Value: encode(e.toProgress())})
+		b.txn.Then = append(b.txn.Then, store.Op{Key: workrecord.StatePrefix + id, Value: workrecord.Encode(e.toProgress())})
 		return
 	}
 	if e.endQueued {
 		return
 	}
 	e.endQueued = true
-	end := Ended{State: e.state, At: time.Now(), Queue: e.work.Queue.Name, Account: e.work.Account, Failure: e.failure}
+	end := workrecord.Ended{State: e.state, At: time.Now(), Queue: e.work.Queue.Name, Account: e.work.Account, Failure: e.failure}
 	b.finished = append(b.finished, e)
 	b.txn.Then = append(b.txn.Then,
-		store.Op{Delete: true, Key: workPrefix + id},
-		store.Op{Delete: true, Key: statePrefix + id},
-		store.Op{Key: endedPrefix + id, Value: encode(&end)})
+		store.Op{Delete: true, Key: workrecord.WorkPrefix + id},
+		store.Op{Delete: true, Key: workrecord.StatePrefix + id},
+		store.Op{Key: workrecord.EndedPrefix + id, Value: workrecord.Encode(&end)})
 }
 
 // reportedState is the state that callers see once it is durable.
@@ -190,7 +191,7 @@
 	for _, e := range b.finished {
 		delete(t.entries, e.work.ID)
 		t.countEnded(e, time.Now())
-		t.addEnded(e.work.ID, Ended{State: e.state, At: time.Now(), Queue: e.work.Queue.Name, Account: e.work.Account, Failure: e.failure})
+		t.addEnded(e.work.ID, workrecord.Ended{State: e.state, At: time.Now(), Queue: e.work.Queue.Name, Account: e.work.Account, Failure: e.failure})
 		t.log.Info("dispatch: work ended", zap.String("id", e.work.ID), zap.String("queue", e.work.Queue.Name),
 			zap.String("state", string(e.state)), zap.String("failure", string(e.failure)), zap.Duration("took", time.Since(e.work.Accepted)),
 			zap.Stringer("class", e.class), zap.Duration("beforeGoal", time.Until(e.lastDue())))
@@ -205,7 +206,7 @@
 	}
 }
 
-func (t *term) addEnded(id string, end Ended) {
+func (t *term) addEnded(id string, end workrecord.Ended) {
 	if _, known := t.ended[id]; known {
 		return
 	}
--- a/dispatch/committer.go
+++ b/dispatch/committer.go
@@ -5,6 +5,7 @@
 
 	"turmericgap/commitstream"
 	"turmericgap/store/retry"
+	"turmericgap/workrecord"
 )
 
 // committer groups entry changes into transactions. An entry is in at most one transaction in flight.
@@ -16,7 +17,7 @@
 }
 
 func newCommitter() committer {
-	return committer{streams: commitstream.New(commitPrefix, retry.New(retry.Bounds(commitRetryMin, commitRetryMax)))}
+	return committer{streams: commitstream.New(workrecord.CommitPrefix, retry.New(retry.Bounds(commitRetryMin, commitRetryMax)))}
 }
 
 // flush sends the commits that are due.
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -8,6 +8,7 @@
 	"turmericgap/job"
 	"turmericgap/presence"
 	"turmericgap/worker"
+	"turmericgap/workrecord"
 )
 
 // endRun handles the end of a run that has certainly ended.
@@ -99,7 +100,7 @@
 	task.run = nil
 	switch {
 	case how == worker.OutcomeDone && !s.spec.Service:
-		task.phase = phaseDone
+		task.phase = workrecord.Done
 		s.done++
 		t.onTasksDone(s, 1)
 		return
@@ -110,7 +111,7 @@
 			t.failWork(s)
 		}
 	}
-	task.phase = phaseWaiting
+	task.phase = workrecord.Waiting
 	s.waiting++
 	t.requeue(s)
 }
@@ -148,7 +149,7 @@
 		}
 	}
 	for i := range s.tasks {
-		s.tasks[i].phase, s.tasks[i].run = phaseWaiting, nil
+		s.tasks[i].phase, s.tasks[i].run = workrecord.Waiting, nil
 	}
 	s.waiting = len(s.tasks)
 	t.requeue(s)
@@ -167,7 +168,7 @@
 
 func (t *term) onGangDone(s *stage) {
 	for i := range s.tasks {
-		s.tasks[i].phase = phaseDone
+		s.tasks[i].phase = workrecord.Done
 	}
 	s.done = len(s.tasks)
 	t.onTasksDone(s, len(s.tasks))
@@ -197,7 +198,7 @@
 	}
 	t.log.Info("dispatch: work failed", zap.String("id", e.work.ID), zap.Int("step", s.index),
 		zap.Int("attempts", e.queue.MaxAttempts))
-	e.failure = failureAttempts
+	e.failure = workrecord.AttemptsFailed
 	t.finish(e, job.WorkFailed)
 }
 
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -10,6 +10,7 @@
 	"turmericgap/rule"
 	"turmericgap/speed"
 	"turmericgap/worker"
+	"turmericgap/workrecord"
 )
 
 // entry is a work that has not ended, with its progress.
@@ -44,7 +45,7 @@
 	// weight is the weight of its account.
 	weight float64
 	// failure is why the work failed; empty unless it did.
-	failure failureReason
+	failure workrecord.Failure
 	// outcomeCounted is true once the outcome of the work has been counted.
 	outcomeCounted bool
 	// remainingAfter is, for each step, the estimated duration of the longest chain of steps after it.
@@ -109,7 +110,7 @@
 }
 
 type task struct {
-	phase      phase
+	phase      workrecord.Phase
 	run        *run
 	number     int64 // of the latest run
 	failures   int
@@ -236,18 +237,18 @@
 }
 
 // toProgress returns the durable form of the entry.
-func (e *entry) toProgress() *progress {
-	p := &progress{State: e.state, Runs: e.lastRun, Begun: e.occurrencesBegun, Failure: e.failure}
+func (e *entry) toProgress() *workrecord.Progress {
+	p := &workrecord.Progress{State: e.state, Runs: e.lastRun, Begun: e.occurrencesBegun, Failure: e.failure}
 	for _, o := range e.occurrences {
-		or := occurrenceRecord{Number: o.number}
+		or := workrecord.Occurrence{Number: o.number}
 		for _, s := range o.stages {
-			sr := stageRecord{Fails: s.failures, Failing: s.gang != nil && s.gang.failed, Tasks: make([]taskRecord, len(s.tasks)), Crashes: s.recordsOfCrashes()}
+			sr := workrecord.Stage{Fails: s.failures, Failing: s.gang != nil && s.gang.failed, Tasks: make([]workrecord.Task, len(s.tasks)), Crashes: s.recordsOfCrashes()}
 			for _, u := range s.unresolved {
-				sr.Unresolved = append(sr.Unresolved, unresolvedRecord{Run: u.number, Worker: u.node.id})
+				sr.Unresolved = append(sr.Unresolved, workrecord.Unresolved{Run: u.number, Worker: u.node.id})
 			}
 			for i := range s.tasks {
 				t := &s.tasks[i]
-				tr := taskRecord{Phase: t.phase, Run: t.number, Fails: t.failures, Checkpoint: t.checkpoint}
+				tr := workrecord.Task{Phase: t.phase, Run: t.number, Fails: t.failures, Checkpoint: t.checkpoint}
 				if t.run != nil {
 					tr.Worker, tr.Born = t.run.node.id, t.run.Born
 				}
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"turmericgap/workrecord"
 )
 
 // gangWaitReason is why a gang waits, as written to the log.
@@ -146,7 +148,7 @@
 	i := 0
 	for _, p := range plan {
 		for left := p.tasks; left > 0 && p.suspect == nil; i++ {
-			if s.tasks[i].phase == phaseWaiting {
+			if s.tasks[i].phase == workrecord.Waiting {
 				t.startRun(s, i, p.node, number)
 				left--
 			}
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/crash"
+	"turmericgap/workrecord"
 )
 
 const (
@@ -25,7 +26,7 @@
 func (s *stage) isolatedTasks() []*suspect {
 	var out []*suspect
 	for i, u := range s.suspects {
-		if s.tasks[i].phase == phaseWaiting && u.Verdict() == crash.Isolate {
+		if s.tasks[i].phase == workrecord.Waiting && u.Verdict() == crash.Isolate {
 			out = append(out, u)
 		}
 	}
--- a/dispatch/large_test.go
+++ b/dispatch/large_test.go
@@ -13,6 +13,7 @@
 
 	"turmericgap/job"
 	"turmericgap/worker"
+	"turmericgap/workrecord"
 )
 
 // examineCost is the CPU time of examining one worker on a VM with a fifth of a core.
@@ -49,7 +50,7 @@
 				t.runPass(time.Now())
 				if r := s.tasks[0].run; r != nil {
 					t.releaseRun(r)
-					s.tasks[0].phase, s.tasks[0].run = phaseWaiting, nil
+					s.tasks[0].phase, s.tasks[0].run = workrecord.Waiting, nil
 					s.waiting++
 					t.requeue(s)
 				}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -19,6 +19,7 @@
 	"turmericgap/store"
 	"turmericgap/store/follow"
 	"turmericgap/worker"
+	"turmericgap/workrecord"
 )
 
 // runKey identifies a run on a worker.
@@ -219,7 +220,7 @@
 func (t *term) resetWorkers(pairs []store.Pair) {
 	present := make(map[string]bool, len(pairs))
 	for i := range pairs {
-		present[idFromKey(pairs[i].Key, t.o.WorkersPrefix)] = true
+		present[workrecord.IDFromKey(pairs[i].Key, t.o.WorkersPrefix)] = true
 		t.onListing(pairs[i].Key, pairs[i].Value)
 	}
 	for id, n := range t.nodes {
@@ -238,7 +239,7 @@
 	for i := range events {
 		e := &events[i]
 		if e.Deleted {
-			id := idFromKey(e.Pair.Key, t.o.WorkersPrefix)
+			id := workrecord.IDFromKey(e.Pair.Key, t.o.WorkersPrefix)
 			delete(t.unreadable, id)
 			if n := t.nodes[id]; n != nil {
 				t.onUnlisted(n)
@@ -254,7 +255,7 @@
 // starts on the worker; its runs, its lease and the ends that it lists stay valid, as they do not depend on the entry.
 // This is logged once, not for each write of the entry.
 func (t *term) onListing(key string, raw []byte) {
-	id := idFromKey(key, t.o.WorkersPrefix)
+	id := workrecord.IDFromKey(key, t.o.WorkersPrefix)
 	l, err := t.o.DecodeWorker(key, raw)
 	n := t.nodes[id]
 	if err != nil {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -9,6 +9,7 @@
 	"turmericgap/crash"
 	"turmericgap/job"
 	"turmericgap/presence"
+	"turmericgap/workrecord"
 )
 
 type resources = job.Resources
@@ -216,7 +217,7 @@
 // between: a node that got a task has less capacity than before and stays the first choice until it is full.
 func (t *term) placeOn(s *stage, nodes []*node, now time.Time, fitting func(*stage, *node, time.Time) int) {
 	for i := range s.tasks {
-		if s.tasks[i].phase != phaseWaiting || s.verdictOf(i) >= crash.Isolate {
+		if s.tasks[i].phase != workrecord.Waiting || s.verdictOf(i) >= crash.Isolate {
 			continue
 		}
 		if !t.mayStart(s) {
@@ -289,7 +290,7 @@
 	t.recordFirstStart(s.occurrence)
 	r := &run{stage: s, index: index, number: number, node: n, need: s.taskResources(), Run: presence.Run{Born: n.born}, decidedAt: time.Now()}
 	r.exclusive = s.verdictOf(index) >= crash.Isolate
-	k.phase, k.run, k.number = phaseStarted, r, number
+	k.phase, k.run, k.number = workrecord.Started, r, number
 	s.waiting--
 	e.activeRuns++
 	n.charge(r)
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -15,6 +15,7 @@
 	"turmericgap/store"
 	"turmericgap/store/follow"
 	"turmericgap/store/retry"
+	"turmericgap/workrecord"
 )
 
 // worksWatchInterval is the minimum interval between updates from the watches over accepted work and maintenance waves.
@@ -26,7 +27,7 @@
 // nobody else writes progress or commit keys during this tenure, and the watch over accepted work finds works that are
 // created meanwhile.
 func (t *term) recover() bool {
-	prefixes := []string{commitPrefix, statePrefix, workPrefix, speedsKey}
+	prefixes := []string{workrecord.CommitPrefix, workrecord.StatePrefix, workrecord.WorkPrefix, workrecord.SpeedsKey}
 	found := make([][]store.Pair, len(prefixes))
 	var reads sync.WaitGroup
 	for i, prefix := range prefixes {
@@ -59,14 +60,14 @@
 // restore rebuilds the entries. A work without progress has not started; progress without a work belongs to a work that
 // has ended since. A work whose progress cannot be decoded stays as it is until its caller cancels it.
 func (t *term) restore(works, states []store.Pair) {
-	progressOf := make(map[string]*progress, len(states))
+	progressOf := make(map[string]*workrecord.Progress, len(states))
 	for i := range states {
-		p := &progress{}
+		p := &workrecord.Progress{}
 		if err := msgpack.Unmarshal(states[i].Value, p); err != nil {
 			t.log.Error("dispatch: cannot decode the progress of a work", zap.String("key", states[i].Key), zap.Error(err))
 			p = nil
 		}
-		progressOf[idFromKey(states[i].Key, statePrefix)] = p
+		progressOf[workrecord.IDFromKey(states[i].Key, workrecord.StatePrefix)] = p
 	}
 	runs := 0
 	for _, w := range t.decodeWorks(works) {
@@ -106,7 +107,7 @@
 }
 
 // restoreEntry rebuilds an entry that had started and returns how many of its runs may exist on workers.
-func (t *term) restoreEntry(w *job.Work, p *progress) int {
+func (t *term) restoreEntry(w *job.Work, p *workrecord.Progress) int {
 	e := t.newEntry(w)
 	e.surplus = t.accounts.rates.Exceeds(w.Account, e.weight, w.Accepted)
 	e.lastRun, e.occurrencesBegun = p.Runs, p.Begun
@@ -139,7 +140,7 @@
 	return e.activeRuns
 }
 
-func (t *term) restoreOccurrence(e *entry, or *occurrenceRecord) {
+func (t *term) restoreOccurrence(e *entry, or *workrecord.Occurrence) {
 	begun := e.occurrencesBegun
 	o := e.openOccurrence(or.Number)
 	e.occurrencesBegun = begun
@@ -150,11 +151,11 @@
 	}
 }
 
-func (t *term) restoreStage(s *stage, sr *stageRecord) {
+func (t *term) restoreStage(s *stage, sr *workrecord.Stage) {
 	s.failures = sr.Fails
 	s.restoreSuspects(sr.Crashes)
 	s.occurrence.started = s.occurrence.started ||
-		slices.ContainsFunc(sr.Tasks, func(tr taskRecord) bool { return tr.Run > 0 })
+		slices.ContainsFunc(sr.Tasks, func(tr workrecord.Task) bool { return tr.Run > 0 })
 	for _, u := range sr.Unresolved {
 		s.unresolved = append(s.unresolved, unresolvedRun{u.Run, &node{id: u.Worker}, t.initialLeaseEnd()})
 	}
@@ -166,12 +167,12 @@
 		task := &s.tasks[i]
 		task.failures, task.number, task.checkpoint = tr.Fails, tr.Run, tr.Checkpoint
 		switch tr.Phase {
-		case phaseStarted:
-			task.phase = phaseStarted
+		case workrecord.Started:
+			task.phase = workrecord.Started
 			s.waiting--
 			t.restoreRun(s, i, tr)
-		case phaseDone:
-			task.phase = phaseDone
+		case workrecord.Done:
+			task.phase = workrecord.Done
 			s.waiting--
 			s.done++
 			s.occurrence.tasksLeft--
@@ -188,7 +189,7 @@
 }
 
 // restoreRun charges a run that a former owner may have started.
-func (t *term) restoreRun(s *stage, index int, tr *taskRecord) {
+func (t *term) restoreRun(s *stage, index int, tr *workrecord.Task) {
 	n := t.nodeFor(tr.Worker)
 	if n.leaseEnd.IsZero() {
 		n.leaseEnd = t.initialLeaseEnd()
@@ -215,20 +216,20 @@
 // store.
 func (t *term) loadEnded() {
 	res, err := retry.Read(t.ctx, func(ctx context.Context) (store.RangeResult, error) {
-		return t.o.Store.Range(ctx, store.Range{Key: endedPrefix, End: store.PrefixEnd(endedPrefix)})
+		return t.o.Store.Range(ctx, store.Range{Key: workrecord.EndedPrefix, End: store.PrefixEnd(workrecord.EndedPrefix)})
 	})
 	if err != nil {
 		return
 	}
-	found := make(map[string]Ended, len(res.Pairs))
+	found := make(map[string]workrecord.Ended, len(res.Pairs))
 	for i := range res.Pairs {
-		var end Ended
+		var end workrecord.Ended
 		if err := msgpack.Unmarshal(res.Pairs[i].Value, &end); err != nil {
 			t.log.Error("dispatch: cannot decode the record of an ended work", zap.String("key", res.Pairs[i].Key),
 				zap.Error(err))
 			continue
 		}
-		found[idFromKey(res.Pairs[i].Key, endedPrefix)] = end
+		found[workrecord.IDFromKey(res.Pairs[i].Key, workrecord.EndedPrefix)] = end
 	}
 	t.post(func() {
 		for id, end := range found {
@@ -253,7 +254,7 @@
 			}
 		})
 	}
-	t.followWritten(workPrefix, onPairs)
+	t.followWritten(workrecord.WorkPrefix, onPairs)
 }
 
 // followWritten watches the keys below a prefix and calls onPairs with existing and newly written ones.
--- a/dispatch/refuse.go
+++ b/dispatch/refuse.go
@@ -7,6 +7,7 @@
 	"turmericgap/refusal"
 	"turmericgap/rpc"
 	"turmericgap/store"
+	"turmericgap/workrecord"
 )
 
 const (
@@ -97,7 +98,7 @@
 	records := make([]refusal.Record, 0, n)
 	for _, open := range batch {
 		r.writtenAt[open.id] = time.Now()
-		records = append(records, refusal.Record{Key: refusedPrefix + open.id, Absent: [2]string{workPrefix + open.id, endedPrefix + open.id}})
+		records = append(records, refusal.Record{Key: workrecord.RefusedPrefix + open.id, Absent: [2]string{workrecord.WorkPrefix + open.id, workrecord.EndedPrefix + open.id}})
 	}
 	t.wg.Go(func() {
 		res, err := r.recorder.Write(t.ctx, records)
@@ -113,7 +114,7 @@
 	r := &t.refusals
 	var existing map[string]bool
 	if err == nil && !res.Succeeded {
-		existing = ExistingIDs(res.Existing)
+		existing = workrecord.ExistingIDs(res.Existing)
 	}
 	for _, open := range batch {
 		switch {
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -13,6 +13,7 @@
 	"turmericgap/speed"
 	"turmericgap/store"
 	"turmericgap/worker"
+	"turmericgap/workrecord"
 )
 
 const (
@@ -95,7 +96,7 @@
 	if !t.placesBySpeed {
 		return
 	}
-	txn := store.Txn{Compares: []store.Compare{t.tenure.Compare()}, Then: []store.Op{{Key: speedsKey, Value: encode(t.speeds.Snapshot())}}}
+	txn := store.Txn{Compares: []store.Compare{t.tenure.Compare()}, Then: []store.Op{{Key: workrecord.SpeedsKey, Value: workrecord.Encode(t.speeds.Snapshot())}}}
 	t.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
 		defer cancel()
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -11,6 +11,7 @@
 	"turmericgap/job"
 	"turmericgap/presence"
 	"turmericgap/worker"
+	"turmericgap/workrecord"
 )
 
 // unknownAge is the least age that is assumed of a run that a former owner had started.
@@ -152,11 +153,11 @@
 		return
 	}
 	u := s.suspects[index]
-	s.entry.failure = failureCrashes
+	s.entry.failure = workrecord.WorkersCrashed
 	t.o.Metrics.Counter("dispatch.worksGivenUp").Inc(1)
 	t.log.Warn("dispatch: work given up", zap.String("id", s.entry.work.ID), zap.String("queue", s.entry.work.Queue.Name),
 		zap.Int("occurrence", s.occurrence.number), zap.Int("step", s.index), zap.Int("task", index),
-		zap.String("reason", string(failureCrashes)), zap.Int("crashes", u.Crashes), zap.Int("losses", u.Losses),
+		zap.String("reason", string(workrecord.WorkersCrashed)), zap.Int("crashes", u.Crashes), zap.Int("losses", u.Losses),
 		zap.Int("evidence", u.Evidence), zap.Int("starts", u.Starts), zap.Int64("run", s.tasks[index].number))
 	t.finish(s.entry, job.WorkFailed)
 }
@@ -214,17 +215,17 @@
 }
 
 // recordsOfCrashes returns the durable form of what is held against the tasks of a stage.
-func (s *stage) recordsOfCrashes() []crashRecord {
-	var out []crashRecord
+func (s *stage) recordsOfCrashes() []workrecord.Crash {
+	var out []workrecord.Crash
 	for i, u := range s.suspects {
-		out = append(out, crashRecord{Task: i, Record: u.Record})
+		out = append(out, workrecord.Crash{Task: i, Record: u.Record})
 	}
-	slices.SortFunc(out, func(a, b crashRecord) int { return cmp.Compare(a.Task, b.Task) })
+	slices.SortFunc(out, func(a, b workrecord.Crash) int { return cmp.Compare(a.Task, b.Task) })
 	return out
 }
 
 // restoreSuspects restores what a former owner held against the tasks of a stage.
-func (s *stage) restoreSuspects(records []crashRecord) {
+func (s *stage) restoreSuspects(records []workrecord.Crash) {
 	for _, c := range records {
 		if c.Task < 0 || c.Task >= len(s.tasks) {
 			continue
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -22,6 +22,7 @@
 	"turmericgap/rule"
 	"turmericgap/speed"
 	"turmericgap/tally"
+	"turmericgap/workrecord"
 )
 
 // term is one tenure, from loading the cell's state until it ends.
@@ -37,7 +38,7 @@
 
 	// All fields below are accessed only by the loop.
 	entries map[string]*entry
-	ended   map[string]Ended
+	ended   map[string]workrecord.Ended
 	// endedLoaded is true once the records of work that ended under former owners have been read.
 	endedLoaded bool
 	// endedOrder holds the IDs of ended works, oldest end first.
@@ -121,7 +122,7 @@
 func newTerm(ctx context.Context, o *Options, tenure *owner.Tenure) *term {
 	t := &term{
 		o: o, log: o.Logger.With(zap.Int64("fence", tenure.Fence)), tenure: tenure, startedAt: time.Now(),
-		events: make(chan func(), eventBuffer), entries: make(map[string]*entry), ended: make(map[string]Ended),
+		events: make(chan func(), eventBuffer), entries: make(map[string]*entry), ended: make(map[string]workrecord.Ended),
 		nodes: make(map[string]*node), forgotten: make(map[string]*node), unreadable: make(map[string]bool), waitingStages: make(map[*stage]struct{}),
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
 		vmSelector: permit.NewVMSelector(), callLimiter: calllimit.New(), grantShares: make(map[string]float64),
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/maintenance"
+	"turmericgap/workrecord"
 )
 
 // Waves configures where maintenance waves are stored, how they are decoded and reported, and which service carries
@@ -174,7 +175,7 @@
 	if !w.BeginOrder(vm.ID) {
 		return
 	}
-	record := encode(&waveRecord{Begun: w.Begun})
+	record := workrecord.Encode(&waveRecord{Begun: w.Begun})
 	waves := t.o.Waves
 	t.wg.Go(func() {
 		confirmStart := waves.SinceBoot()
--- a/dispatch/urgency_test.go
+++ b/dispatch/urgency_test.go
@@ -9,6 +9,7 @@
 
 	"turmericgap/aging"
 	"turmericgap/job"
+	"turmericgap/workrecord"
 )
 
 // newTestStage returns the first stage of the last occurrence of a work.
@@ -106,10 +107,10 @@
 func TestResumedWorkCountsAsStarted(t *testing.T) {
 	is := is.New(t)
 	s := newTestStage(&job.Work{ID: "roster", Steps: []job.Step{{Tasks: 1, Estimate: time.Second}}})
-	(&term{}).restoreStage(s, &stageRecord{Tasks: []taskRecord{{Phase: phaseDone, Run: 1}}})
+	(&term{}).restoreStage(s, &workrecord.Stage{Tasks: []workrecord.Task{{Phase: workrecord.Done, Run: 1}}})
 	is.True(s.occurrence.started)
 	fresh := newTestStage(&job.Work{ID: "fresh", Steps: []job.Step{{Tasks: 1, Estimate: time.Second}}})
-	(&term{}).restoreStage(fresh, &stageRecord{Tasks: []taskRecord{{}}})
+	(&term{}).restoreStage(fresh, &workrecord.Stage{Tasks: []workrecord.Task{{}}})
 	is.True(!fresh.occurrence.started)
 }
 
--- a/dispatch/wave.go
+++ b/dispatch/wave.go
@@ -12,6 +12,7 @@
 	"turmericgap/maintenance"
 	"turmericgap/store"
 	"turmericgap/store/retry"
+	"turmericgap/workrecord"
 )
 
 // waveRecord is the stored progress of a wave.
@@ -48,7 +49,9 @@
 	t.wg.Go(func() { t.readWave(w) })
 }
 
-func waveKey(w *maintenance.Progress) string { return wavePrefix + strconv.FormatInt(w.Number, 10) }
+func waveKey(w *maintenance.Progress) string {
+	return workrecord.WavePrefix + strconv.FormatInt(w.Number, 10)
+}
 
 // readWave reads the record of former owners for a wave, and whether they completed it.
 func (t *term) readWave(w *maintenance.Progress) {
@@ -94,7 +97,7 @@
 // recordWave stores which VMs have begun their maintenance. A successor that misses one drains that VM again and
 // repeats the order, which has no effect if it was carried out.
 func (t *term) recordWave(w *maintenance.Progress) {
-	t.writeAsync(w, waveKey(w), encode(&waveRecord{Begun: w.Begun}))
+	t.writeAsync(w, waveKey(w), workrecord.Encode(&waveRecord{Begun: w.Begun}))
 }
 
 // writeAsync writes a record of a wave that may be out of date for a while.
--- a/front/accept.go
+++ b/front/accept.go
@@ -13,6 +13,7 @@
 	"turmericgap/rpc"
 	"turmericgap/store"
 	"turmericgap/store/retry"
+	"turmericgap/workrecord"
 )
 
 // submission is a work that waits to be created in the store.
@@ -89,7 +90,7 @@
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, probeTimeout)
 	defer cancel()
-	return dispatch.Probe(ctx, a.opts.Store, w.ID)
+	return workrecord.Probe(ctx, a.opts.Store, w.ID)
 }
 
 var errBusy = errors.New("too many submissions wait")
@@ -195,7 +196,7 @@
 	for _, s := range batch {
 		if !seen[s.work.ID] {
 			seen[s.work.ID] = true
-			dispatch.AddCreate(&txn, s.work)
+			workrecord.AddCreate(&txn, s.work)
 		}
 	}
 	started := time.Now()
@@ -213,7 +214,7 @@
 // resolveExisting completes the submissions whose work exists, because the ID was repeated or an earlier
 // transaction succeeded, and those that the owner has refused. It returns the others.
 func (a *acceptor) resolveExisting(batch []*submission, existing []store.Pair) []*submission {
-	found, refused := dispatch.ExistingIDs(existing), dispatch.RefusedIDs(existing)
+	found, refused := workrecord.ExistingIDs(existing), workrecord.RefusedIDs(existing)
 	var left []*submission
 	for _, s := range batch {
 		if found[s.work.ID] {
@@ -232,7 +233,7 @@
 // repeated returns the outcome of a submission whose work exists. An earlier transaction without an answer may have
 // created the work, so the owner must be told of it.
 func (a *acceptor) repeated(s *submission, existing []store.Pair) result {
-	account, err := dispatch.AccountOf(existing, s.work.ID)
+	account, err := workrecord.AccountOf(existing, s.work.ID)
 	switch {
 	case err != nil:
 		return result{err: unknownOutcome(err)}
--- a/front/front.go
+++ b/front/front.go
@@ -9,13 +9,13 @@
 	"go.uber.org/zap"
 
 	"turmericgap/account"
-	"turmericgap/dispatch"
 	"turmericgap/feature"
 	"turmericgap/job"
 	"turmericgap/metric"
 	"turmericgap/owner"
 	"turmericgap/rpc"
 	"turmericgap/rule"
+	"turmericgap/workrecord"
 )
 
 // Front serves callers on one entry VM.
@@ -268,9 +268,9 @@
 func (f *Front) statusFromStore(ctx context.Context, id, account string) (job.WorkState, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	state, err := dispatch.ReadState(ctx, f.opts.Store, id, account)
+	state, err := workrecord.ReadState(ctx, f.opts.Store, id, account)
 	switch {
-	case errors.Is(err, dispatch.ErrNoWork):
+	case errors.Is(err, workrecord.ErrNoWork):
 		return "", &rpc.Fault{Code: rpc.CodeNotFound, Reason: err.Error()}
 	case err != nil:
 		return "", rpc.Refused(ownerRetryAfter, "neither the owner nor the store can be asked: %v", err)
@@ -285,9 +285,9 @@
 		return err
 	}
 	// The owner may not know a work yet that was accepted very recently.
-	w, state, err := dispatch.ReadWork(ctx, f.opts.Store, id, account)
+	w, state, err := workrecord.ReadWork(ctx, f.opts.Store, id, account)
 	switch {
-	case errors.Is(err, dispatch.ErrNoWork):
+	case errors.Is(err, workrecord.ErrNoWork):
 		return &rpc.Fault{Code: rpc.CodeNotFound, Reason: err.Error()}
 	case err != nil:
 		return rpc.Refused(ownerRetryAfter, "the store cannot be asked: %v", err)
--- a/dispatch/read.go
+++ b/workrecord/read.go
@@ -1,4 +1,4 @@
-package dispatch
+package workrecord
 
 import (
 	"context"
@@ -18,10 +18,10 @@
 // refused shortly before.
 func AddCreate(txn *store.Txn, w *job.Work) {
 	txn.Compares = append(txn.Compares,
-		store.Compare{Key: workPrefix + w.ID, Target: store.ModRevision},
-		store.Compare{Key: endedPrefix + w.ID, Target: store.ModRevision},
-		store.Compare{Key: refusedPrefix + w.ID, Target: store.ModRevision})
-	txn.Then = append(txn.Then, store.Op{Key: workPrefix + w.ID, Value: encode(w)})
+		store.Compare{Key: WorkPrefix + w.ID, Target: store.ModRevision},
+		store.Compare{Key: EndedPrefix + w.ID, Target: store.ModRevision},
+		store.Compare{Key: RefusedPrefix + w.ID, Target: store.ModRevision})
+	txn.Then = append(txn.Then, store.Op{Key: WorkPrefix + w.ID, Value: Encode(w)})
 }
 
 // ExistingIDs returns the IDs whose work or record of its end is among the keys found by a failed creation.
@@ -32,11 +32,11 @@
 			continue
 		}
 		key := found[i].Key
-		if strings.HasPrefix(key, workPrefix) {
-			out[idFromKey(key, workPrefix)] = true
+		if strings.HasPrefix(key, WorkPrefix) {
+			out[IDFromKey(key, WorkPrefix)] = true
 		}
-		if strings.HasPrefix(key, endedPrefix) {
-			out[idFromKey(key, endedPrefix)] = true
+		if strings.HasPrefix(key, EndedPrefix) {
+			out[IDFromKey(key, EndedPrefix)] = true
 		}
 	}
 	return out
@@ -49,11 +49,11 @@
 			continue
 		}
 		switch found[i].Key {
-		case workPrefix + id:
+		case WorkPrefix + id:
 			var w job.Work
 			err := msgpack.Unmarshal(found[i].Value, &w)
 			return w.Account, err
-		case endedPrefix + id:
+		case EndedPrefix + id:
 			var end Ended
 			err := msgpack.Unmarshal(found[i].Value, &end)
 			return end.Account, err
@@ -66,8 +66,8 @@
 func RefusedIDs(found []store.Pair) map[string]bool {
 	out := make(map[string]bool)
 	for i := range found {
-		if key := found[i].Key; found[i].ModRevision > 0 && strings.HasPrefix(key, refusedPrefix) {
-			out[idFromKey(key, refusedPrefix)] = true
+		if key := found[i].Key; found[i].ModRevision > 0 && strings.HasPrefix(key, RefusedPrefix) {
+			out[IDFromKey(key, RefusedPrefix)] = true
 		}
 	}
 	return out
@@ -86,7 +86,7 @@
 	if end, err := readEnd(ctx, kv, id, account); err != nil || end != "" {
 		return nil, end, err
 	}
-	res, err := kv.Range(ctx, store.Range{Key: workPrefix + id})
+	res, err := kv.Range(ctx, store.Range{Key: WorkPrefix + id})
 	if err != nil {
 		return nil, "", err
 	}
@@ -109,7 +109,7 @@
 }
 
 func readEnd(ctx context.Context, kv *store.Store, id, account string) (job.WorkState, error) {
-	res, err := kv.Range(ctx, store.Range{Key: endedPrefix + id})
+	res, err := kv.Range(ctx, store.Range{Key: EndedPrefix + id})
 	if err != nil || len(res.Pairs) == 0 {
 		return "", err
 	}
@@ -124,14 +124,14 @@
 }
 
 func readProgress(ctx context.Context, kv *store.Store, id string) (job.WorkState, error) {
-	res, err := kv.Range(ctx, store.Range{Key: statePrefix + id})
+	res, err := kv.Range(ctx, store.Range{Key: StatePrefix + id})
 	if err != nil {
 		return "", err
 	}
 	if len(res.Pairs) == 0 {
 		return job.WorkQueued, nil
 	}
-	var p progress
+	var p Progress
 	if err := msgpack.Unmarshal(res.Pairs[0].Value, &p); err != nil {
 		return "", err
 	}
@@ -143,6 +143,6 @@
 
 // Probe reads the key of a work to check whether the store answers.
 func Probe(ctx context.Context, kv *store.Store, id string) error {
-	_, err := kv.Range(ctx, store.Range{Key: workPrefix + id})
+	_, err := kv.Range(ctx, store.Range{Key: WorkPrefix + id})
 	return err
 }
--- /dev/null
+++ b/workrecord/record.go
@@ -0,0 +1,133 @@
+package workrecord
+
+import (
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"turmericgap/crash"
+	"turmericgap/job"
+	"turmericgap/tuple"
+)
+
+// Keys of the store. A work is stored under WorkPrefix from acceptance until its end, and its progress under
+// StatePrefix from its first start. At the end a short record under EndedPrefix replaces both.
+const (
+	root        = "turmericgap/"
+	WorkPrefix  = root + "work/"
+	StatePrefix = root + "state/"
+	EndedPrefix = root + "ended/"
+	// RefusedPrefix holds the IDs of refused works for a while, so that no earlier submission can create them.
+	RefusedPrefix = root + "refused/"
+	// WavePrefix holds, for each maintenance wave, the VMs whose maintenance has begun.
+	WavePrefix = root + "wave/"
+	// SpeedsKey holds the learned speeds of the workers.
+	SpeedsKey = root + "speeds"
+	// CommitPrefix holds one key per commit stream, which every commit of that stream compares and rewrites.
+	CommitPrefix = root + "commit/"
+)
+
+// Phase is how far a task has got.
+type Phase uint8
+
+// The phases of a task.
+const (
+	Waiting Phase = iota
+	// Started means that the task may be running on its worker.
+	Started
+	Done
+)
+
+// Progress is the durable state of a work that has not ended.
+type Progress struct {
+	State job.WorkState `msgpack:"s"`
+	// Runs is the highest run number used by any of its tasks.
+	Runs int64 `msgpack:"r"`
+	// Begun counts the occurrences that have begun; Live holds those that have not ended.
+	Begun int          `msgpack:"b"`
+	Live  []Occurrence `msgpack:"l"`
+	// Failure is why the work failed; empty unless it did.
+	Failure Failure `msgpack:"f,omitempty"`
+}
+
+// Occurrence is the progress of one occurrence of a work.
+type Occurrence struct {
+	Number int     `msgpack:"k"`
+	Steps  []Stage `msgpack:"s"`
+}
+
+// Stage is the progress of one step.
+type Stage struct {
+	// Fails counts the failed runs of a gang; Failing is true if a member of its present run has failed.
+	Fails   int  `msgpack:"f,omitempty"`
+	Failing bool `msgpack:"g,omitempty"`
+	// Unresolved lists ended runs of a gang that a worker may still report as failed.
+	Unresolved []Unresolved `msgpack:"u,omitempty"`
+	// Crashes lists the tasks that were lost with a worker.
+	Crashes []Crash `msgpack:"c,omitempty"`
+	Tasks   []Task  `msgpack:"t"`
+}
+
+// Crash is what is held against a task because of crashes.
+type Crash struct {
+	Task   int          `msgpack:"t"`
+	Record crash.Record `msgpack:"r"`
+}
+
+// Unresolved is an ended run of a gang that a worker may still report as failed.
+type Unresolved struct {
+	Run    int64  `msgpack:"r"`
+	Worker string `msgpack:"w"`
+}
+
+// Task is the progress of one task.
+type Task struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Phase      Phase
+	Run        int64
+	Worker     string
+	Fails      int
+	Checkpoint string
+	// Born is the worker instance that the run was started on; records of older versions lack it.
+	Born int64
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder, as the codec rejects an array with fewer fields.
+func (r *Task) DecodeMsgpack(d *msgpack.Decoder) error {
+	return tuple.Decode(d, &r.Phase, &r.Run, &r.Worker, &r.Fails, &r.Checkpoint, &r.Born)
+}
+
+// Ended is the record that remains of a work after its end.
+type Ended struct {
+	State job.WorkState `msgpack:"s"`
+	At    time.Time     `msgpack:"a"`
+	// Queue is the name of the work's queue, Account that of its client account.
+	Queue   string `msgpack:"q"`
+	Account string `msgpack:"u,omitempty"`
+	// Failure is why the work failed; empty unless it did.
+	Failure Failure `msgpack:"f,omitempty"`
+}
+
+// Failure is why a work failed, as written to the log and to the record of its end.
+type Failure string
+
+const (
+	// AttemptsFailed means that a task has failed in all permitted attempts.
+	AttemptsFailed Failure = "attemptsFailed"
+	// WorkersCrashed means that a task has crashed the workers that started it.
+	WorkersCrashed Failure = "workersCrashed"
+)
+
+// Encode returns the stored form of a record.
+func Encode(v any) []byte {
+	raw, err := msgpack.Marshal(v)
+	if err != nil {
+		// Encoding fails only for unsupported types, which no input can cause.
+		panic(err)
+	}
+	return raw
+}
+
+// IDFromKey returns the ID in a key with a prefix.
+func IDFromKey(key, prefix string) string { return strings.TrimPrefix(key, prefix) }
--- a/dispatch/record_test.go
+++ b/workrecord/record_test.go
@@ -1,4 +1,4 @@
-package dispatch
+package workrecord
 
 import (
 	"testing"
@@ -12,11 +12,11 @@
 	is := is.New(t)
 	raw, err := msgpack.Marshal(map[string]any{"t": [][]any{{1, 7, "w1", 2, "c"}, {0, 0, "", 0, ""}}})
 	is.NoErr(err)
-	var older stageRecord
+	var older Stage
 	is.NoErr(msgpack.Unmarshal(raw, &older))
-	is.Equal(older.Tasks, []taskRecord{{Phase: phaseStarted, Run: 7, Worker: "w1", Fails: 2, Checkpoint: "c"}, {}})
-	present := stageRecord{Tasks: []taskRecord{{Phase: phaseStarted, Run: 7, Worker: "w1", Born: 1764800000123}}}
-	var got stageRecord
-	is.NoErr(msgpack.Unmarshal(encode(&present), &got))
+	is.Equal(older.Tasks, []Task{{Phase: Started, Run: 7, Worker: "w1", Fails: 2, Checkpoint: "c"}, {}})
+	present := Stage{Tasks: []Task{{Phase: Started, Run: 7, Worker: "w1", Born: 1764800000123}}}
+	var got Stage
+	is.NoErr(msgpack.Unmarshal(Encode(&present), &got))
 	is.Equal(got, present)
 }
