Keep the log out of packages of decisions

admission, evacuation and preemption return names and values of their inputs; the test that decisions do no I/O now covers the new packages too.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -5,8 +5,6 @@
 	"iter"
 	"time"
 
-	"go.uber.org/zap/zapcore"
-
 	"turmericgap/job"
 )
 
@@ -205,28 +203,29 @@
 	return roundUp(r.at.Sub(now)), true
 }
 
-// MarshalLogObject implements zapcore.ObjectMarshaler.
-func (d Decision) MarshalLogObject(out zapcore.ObjectEncoder) error {
+// LogFields returns names and values for the log.
+func (d Decision) LogFields() []any {
 	s := d.submission
-	out.AddString("id", s.ID)
-	out.AddString("queue", s.Queue)
-	out.AddString("account", s.Account)
-	out.AddBool("surplus", s.Surplus)
-	out.AddString("reason", string(d.Reason))
-	out.AddFloat64("coreSeconds", s.CoreSeconds)
-	out.AddFloat64("ahead", d.Forecast.Ahead)
-	out.AddFloat64("aheadLate", d.Forecast.AheadLate)
-	out.AddFloat64("rate", d.Forecast.Rate)
-	out.AddFloat64("share", d.Forecast.Share)
-	out.AddFloat64("cores", d.cores)
-	out.AddFloat64("freed", d.freed)
-	out.AddDuration("rateAge", d.rateAge)
-	out.AddDuration("earliestEnd", d.Forecast.End.Sub(d.now))
-	out.AddDuration("deadline", s.Deadline.Sub(d.now))
-	out.AddDuration("expiry", s.Expiry.Sub(d.now))
-	out.AddDuration("firstArrival", d.firstArrival)
-	out.AddFloat64("returnsAhead", d.booked)
-	out.AddDuration("retryAfter", d.RetryAfter)
-	out.AddBool("pastObjective", d.PastObjective)
-	return nil
+	return []any{
+		"id", s.ID,
+		"queue", s.Queue,
+		"account", s.Account,
+		"surplus", s.Surplus,
+		"reason", string(d.Reason),
+		"coreSeconds", s.CoreSeconds,
+		"ahead", d.Forecast.Ahead,
+		"aheadLate", d.Forecast.AheadLate,
+		"rate", d.Forecast.Rate,
+		"share", d.Forecast.Share,
+		"cores", d.cores,
+		"freed", d.freed,
+		"rateAge", d.rateAge,
+		"earliestEnd", d.Forecast.End.Sub(d.now),
+		"deadline", s.Deadline.Sub(d.now),
+		"expiry", s.Expiry.Sub(d.now),
+		"firstArrival", d.firstArrival,
+		"returnsAhead", d.booked,
+		"retryAfter", d.RetryAfter,
+		"pastObjective", d.PastObjective,
+	}
 }
--- a/decisions_test.go
+++ b/decisions_test.go
@@ -12,7 +12,7 @@
 )
 
 // pureDirs lists the packages whose decisions use no I/O or clock, so that a recorded load can be replayed.
-var pureDirs = []string{"admission", "aging", "capacity", "crash", "heartbeat", "quarantine", "tally"}
+var pureDirs = []string{"admission", "aging", "capacity", "crash", "evacuation", "heartbeat", "preemption", "quarantine", "speed", "straggler", "tally"}
 
 // Imports and functions of package time that these packages must not use.
 var (
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/job"
+	"turmericgap/logger"
 	"turmericgap/presence"
 	"turmericgap/worker"
 	"turmericgap/workrecord"
@@ -30,12 +31,13 @@
 	}
 	t.recordEnding(r, how)
 	t.learnRunTime(r, how)
-	t.log.Info("dispatch: run ended", zap.String("id", e.work.ID), zap.Int("occurrence", r.stage.occurrence.number),
+	t.log.Info("dispatch: run ended", append(logger.Fields(r.evacuation.LogFields()),
+		zap.String("id", e.work.ID), zap.Int("occurrence", r.stage.occurrence.number),
 		zap.Int("step", r.stage.index), zap.Int("task", r.index), zap.Int64("run", r.number),
 		zap.String("worker", r.node.id),
 		zap.String("how", string(how)), zap.Bool("gang", r.stage.spec.Gang), zap.Duration("after", time.Since(r.sentAt)),
 		zap.Duration("recorded", elapsed(r.decidedAt, r.sentAt)),
-		zap.Duration("ordered", elapsed(r.sentAt, r.confirmedAt)), zap.Inline(&r.evacuation))
+		zap.Duration("ordered", elapsed(r.sentAt, r.confirmedAt)))...)
 	switch {
 	case r.stage.gang != nil && r.stage.gang.number == r.number:
 		t.endMember(r, how)
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -3,10 +3,9 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"turmericgap/admission"
 	"turmericgap/feature"
+	"turmericgap/logger"
 	"turmericgap/rpc"
 )
 
@@ -68,7 +67,7 @@
 	if d.Admitted {
 		return nil
 	}
-	t.log.Info("dispatch: refused by forecast", zap.Inline(d))
+	t.log.Info("dispatch: refused by forecast", logger.Fields(d.LogFields())...)
 	t.o.Metrics.Counter("dispatch.refusedByForecast." + string(d.Reason)).Inc(1)
 	t.o.Metrics.Histogram("dispatch.retryAfterSeconds").Update(int64(d.RetryAfter / time.Second))
 	return &rpc.Fault{Code: rpc.CodeBusy, Reason: d.String(), RetryAfter: d.RetryAfter}
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/feature"
+	"turmericgap/logger"
 	"turmericgap/preemption"
 )
 
@@ -60,9 +61,9 @@
 		p := preempted{node: c.Worker}
 		for _, v := range c.Runs {
 			r := v.Ref
-			t.log.Info("dispatch: run stopped for an urgent task", zap.String("id", r.stage.entry.work.ID), zap.Int("step", r.stage.index),
+			t.log.Info("dispatch: run stopped for an urgent task", append(logger.Fields(v.LogFields()), zap.String("id", r.stage.entry.work.ID), zap.Int("step", r.stage.index),
 				zap.Int("task", r.index), zap.Int64("run", r.number), zap.String("worker", p.node.id),
-				zap.String("for", s.entry.work.ID), zap.Float64("lost", c.Lost), zap.Inline(v))
+				zap.String("for", s.entry.work.ID), zap.Float64("lost", c.Lost))...)
 			t.o.Metrics.Counter("dispatch.preempted").Inc(1)
 			t.halt(r)
 			p.runs = append(p.runs, r)
--- a/evacuation/outcome.go
+++ b/evacuation/outcome.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"go.uber.org/zap/zapcore"
-
 	"turmericgap/worker"
 )
 
@@ -63,27 +61,28 @@
 	return true
 }
 
-// MarshalLogObject implements zapcore.ObjectMarshaler. It writes nothing unless the run has an outcome.
-func (r *Record) MarshalLogObject(out zapcore.ObjectEncoder) error {
+// LogFields returns names and values for the log, none unless the run has an outcome.
+func (r *Record) LogFields() []any {
 	if r.Outcome == "" {
 		return nil
 	}
-	out.AddString("evacuation", string(r.Outcome))
-	out.AddDuration("lostWork", r.LostWork)
-	out.AddString("action", string(r.Decision.Action))
-	out.AddDuration("stopAfter", r.Decision.After)
-	out.AddFloat64("chance", r.Decision.Chance)
-	out.AddDuration("timeLeft", r.Notice.TimeLeft)
-	out.AddBool("remainingKnown", r.Run.Remaining.Known)
-	out.AddDuration("remainingMin", r.Run.Remaining.Min)
-	out.AddDuration("remainingMax", r.Run.Remaining.Max)
-	out.AddBool("saves", r.Run.Saves)
-	out.AddDuration("worked", r.Run.Worked)
-	out.AddDuration("unsaved", r.Run.Unsaved)
-	out.AddBool("gang", r.Run.Gang)
-	out.AddInt("tasks", r.Run.Tasks)
-	out.AddBool("service", r.Run.Service)
-	out.AddInt("unavailable", r.Run.Unavailable)
-	out.AddBool("useful", r.Run.Useful)
-	return nil
+	return []any{
+		"evacuation", string(r.Outcome),
+		"lostWork", r.LostWork,
+		"action", string(r.Decision.Action),
+		"stopAfter", r.Decision.After,
+		"chance", r.Decision.Chance,
+		"timeLeft", r.Notice.TimeLeft,
+		"remainingKnown", r.Run.Remaining.Known,
+		"remainingMin", r.Run.Remaining.Min,
+		"remainingMax", r.Run.Remaining.Max,
+		"saves", r.Run.Saves,
+		"worked", r.Run.Worked,
+		"unsaved", r.Run.Unsaved,
+		"gang", r.Run.Gang,
+		"tasks", r.Run.Tasks,
+		"service", r.Run.Service,
+		"unavailable", r.Run.Unavailable,
+		"useful", r.Run.Useful,
+	}
 }
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -26,3 +26,13 @@
 
 // Part returns the logger of one part of the system, named with its prefix.
 func Part(l *zap.Logger, prefix string) *zap.Logger { return l.Named(prefix) }
+
+// Fields returns log fields from alternating names and values. Packages whose decisions do no I/O return them like this.
+func Fields(pairs []any) []zap.Field {
+	fields := make([]zap.Field, 0, len(pairs)/2)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		name, _ := pairs[i].(string)
+		fields = append(fields, zap.Any(name, pairs[i+1]))
+	}
+	return fields
+}
--- a/preemption/preemption.go
+++ b/preemption/preemption.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"go.uber.org/zap/zapcore"
-
 	"turmericgap/job"
 )
 
@@ -60,13 +58,14 @@
 	return !r.Gang && !r.Service && r.Priority > priority && (r.Saves || r.Age <= littleWork)
 }
 
-// MarshalLogObject implements zapcore.ObjectMarshaler.
-func (r Run[R]) MarshalLogObject(out zapcore.ObjectEncoder) error {
-	out.AddInt("priority", r.Priority)
-	out.AddBool("saves", r.Saves)
-	out.AddDuration("age", r.Age)
-	out.AddDuration("slack", r.Slack)
-	return nil
+// LogFields returns names and values for the log.
+func (r Run[R]) LogFields() []any {
+	return []any{
+		"priority", r.Priority,
+		"saves", r.Saves,
+		"age", r.Age,
+		"slack", r.Slack,
+	}
 }
 
 // Choice is a worker and the runs to stop there for one urgent task.
