--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,7 +155,9 @@
 		play: func(c *restartCell) {
 			c.holdBack(0, floor.CallLaunch, 3500*time.Millisecond)
 			c.submit(c.v, c.newWork("x", job.Step{Tasks: 8}))
-			time.Sleep(3200 * time.Millisecond)
+			time.Sleep(time.Second)
+			c.register(worker.ListedWorker{Info: withLeaving(c.ws[0].Info()), Pool: pool, Labels: []string{"a", "r1"}}) // nothing new
+			time.Sleep(2200 * time.Millisecond)
 			c.restart(0)
 			c.is.True(c.countRuns("x") == 4)
 		},
@@ -345,17 +348,20 @@
 				c := newRestartCell(t, func(task worker.Task, _ int64) floor.Behaviour {
 					return floor.Behaviour{Duration: 200 * time.Millisecond, Ending: worker.OutcomeDone, Resources: job.Resources{Millicores: 1000}, CrashesWorker: task.Work == "x"}
 				})
-				crashes := 0
+				var crashes atomic.Int64
 				c.cluster.OnCrash = func(w *floor.Worker) {
+					crashes.Add(1)
 					c.list(w.Reborn())
-					if crashes++; takeOver && crashes == 1 {
-						c.kill(c.v)
-					}
 				}
 				c.submit(c.v, c.newWork("x", job.Step{Tasks: 1}))
-				time.Sleep(time.Second)
-				c.waitForState(c.waitForOwner(), "x", job.WorkFailed, time.Minute)
-				c.is.True(crashes >= 2)
+				for crashes.Load() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				if takeOver {
+					c.takeOver()
+				}
+				c.waitForState(c.v, "x", job.WorkFailed, time.Minute)
+				c.is.True(crashes.Load() >= 2)
 				c.checkHistory()
 			})
 		})
