--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -74,7 +74,7 @@
 		})
 		return held, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, h.Wait+holdTimeoutSlack+t.lag.slack())
+	ctx, cancel := context.WithTimeout(ctx, h.Wait+holdTimeoutSlack+t.lag.Slack())
 	defer cancel()
 	return n.agent.Hold(ctx, h)
 }
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"turmericgap/job"
+	"turmericgap/looplag"
 	"turmericgap/presence"
 	"turmericgap/store"
 	"turmericgap/store/follow"
@@ -47,7 +48,7 @@
 	runsByEnd              []*run
 	position               indexPosition
 	// ownerLag is the lag of the owner's loop, nil in tests without an owner.
-	ownerLag *lag
+	ownerLag *looplag.Lag
 	// free is the capacity less what is charged. setAside is the part of free that stages have set aside while their
 	// permit requests are pending.
 	free     job.Resources
@@ -131,7 +132,7 @@
 	if n.ownerLag == nil {
 		return 0
 	}
-	return n.ownerLag.slack()
+	return n.ownerLag.Slack()
 }
 
 // usable returns n.usable, cached for each part of a pass.
@@ -285,7 +286,7 @@
 	}
 	t.log.Info("dispatch: worker's entry removed", zap.String("worker", n.id), zap.Inline(d))
 	if _, ok := d.Left(); ok && !n.isRemoved(t) {
-		t.probeRuns(n, holdTimeoutSlack+relaySlack+t.lag.slack(), func(err error) {
+		t.probeRuns(n, holdTimeoutSlack+relaySlack+t.lag.Slack(), func(err error) {
 			d.Answered = isDefinite(err)
 			if proof, ok := d.Left(); ok && !n.listed && !n.isRemoved(t) {
 				t.endAllRuns(n, proof)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -47,7 +47,7 @@
 	}
 	if r.node.born > 0 {
 		// The second attempt is sent after the time-out of the first one.
-		r.LateUntil = now.Add(firstLaunchTimeout + relaySlack + t.lag.slack() + presence.LateCallWindow)
+		r.LateUntil = now.Add(firstLaunchTimeout + relaySlack + t.lag.Slack() + presence.LateCallWindow)
 		r.node.startsUntil = r.LateUntil
 	}
 	order := &worker.Launch{
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -156,7 +156,7 @@
 	s.openRequests++
 	t.o.Metrics.Counter("dispatch.questions").Inc(1)
 	t.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(t.ctx, time.Until(until)+requestTimeoutSlack+t.lag.slack())
+		ctx, cancel := context.WithTimeout(t.ctx, time.Until(until)+requestTimeoutSlack+t.lag.Slack())
 		defer cancel()
 		resp, err := t.o.RequestPermit(ctx, from, req)
 		t.post(func() { t.onResponse(s, from, req, now, resp, err) })
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -9,8 +9,10 @@
 
 	"turmericgap/admission"
 	"turmericgap/aging"
+	"turmericgap/callslot"
 	"turmericgap/crash"
 	"turmericgap/job"
+	"turmericgap/looplag"
 	"turmericgap/owner"
 	"turmericgap/permit"
 	"turmericgap/rule"
@@ -61,12 +63,12 @@
 	unsent           []*entry
 	committer        committer
 	vmSelector       *permit.VMSelector
-	callLimiter      callLimiter
+	callLimiter      callslot.Limiter
 	permitVMs        permitVMs
 	config           *job.Config
 	rules            *rule.List
 	passNeeded       bool
-	lag              lag
+	lag              looplag.Lag
 	overloadDetector admission.OverloadDetector
 	refusals         refusals
 	// reportedAt is when the state of the cell was last logged.
@@ -103,7 +105,7 @@
 		events: make(chan func(), eventBuffer), entries: make(map[string]*entry), ended: make(map[string]Ended),
 		nodes: make(map[string]*node), forgotten: make(map[string]*node), unreadable: make(map[string]bool), waitingStages: make(map[*stage]struct{}),
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
-		vmSelector: permit.NewVMSelector(), callLimiter: newCallLimiter(), grantShares: make(map[string]float64),
+		vmSelector: permit.NewVMSelector(), callLimiter: callslot.New(), grantShares: make(map[string]float64),
 		sizes: aging.New(), tallies: make(map[sizeClass]*tally), ruleCapacity: make(map[string]int),
 		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun),
 		refusals: refusals{open: make(map[string]*refusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time)},
@@ -125,7 +127,7 @@
 			f()
 			t.drainEvents()
 		case at := <-tick.C:
-			t.lag.observe(time.Since(at))
+			t.lag.Observe(time.Since(at))
 			t.overloadDetector.Observe(
 				time.Now(), max(time.Since(at), t.passLatency(time.Now()), t.lateHoldLag(time.Now())))
 			t.onTick(time.Now())
