--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -238,6 +238,9 @@
 	info := worker.Info{
 		ID: fmt.Sprintf("%s-%d", w.name, w.instances), Address: w.proxy.Address(), Zone: "kochi-hall", Rack: w.rack, Has: capacity(fullMillicores),
 	}
+	if w.cell.opts.Uneven {
+		info.Born = time.Now().UnixMilli()
+	}
 	w.current = w.cell.cluster.Add(info)
 	h := platform.WorkerHandler(info.ID, w.cell.cluster.Client(info))
 	w.handler.Store(&h)
@@ -315,6 +318,17 @@
 	return w.list()
 }
 
+// startAgain ends the current instance with all its runs, and starts another one under its ID.
+func (w *workerSlot) startAgain() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down || w.leaving {
+		return nil
+	}
+	w.current = w.current.Reborn()
+	return w.list()
+}
+
 // restart starts the next instance after the delay, unless that is under way.
 func (w *workerSlot) restart(old *floor.Worker, restartDelay time.Duration) {
 	w.mu.Lock()
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -88,6 +88,10 @@
 		p.cell.addError(p.cell.workers[p.rand.IntN(len(p.cell.workers))].leave(notice, duration))
 		return nil
 	}},
+	{"a worker starts again under its ID", func(p *faultPlan, _ time.Duration) func() {
+		p.cell.addError(p.cell.workers[p.rand.IntN(len(p.cell.workers))].startAgain())
+		return nil
+	}},
 	{"an account submits a burst", func(p *faultPlan, _ time.Duration) func() {
 		p.flood(burstRate, burstDuration)
 		return nil
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -19,7 +19,7 @@
 	// Accounts gives the works client accounts with keys and caps, and adds the faults that concern them.
 	Accounts bool
 	// Uneven makes a third of the workers slow and a third fast, and adds the faults of such cells: workers that leave with
-	// notice, and bursts of one account.
+	// notice or start again under their ID, and bursts of one account. The workers then show when they were started.
 	Uneven bool
 	// Duration is how long works are submitted and faults are injected. Works that remain have settleTimeout to end.
 	Duration time.Duration
