Let all members show progress in the tests of failing gangs

Completeness is known from progress. Member 0 takes 2 s, and the others took an hour, so only member 0 ever showed a progress above 0 %; if its worker was cut off before a hold had shown it, no proof was possible. Members of a real gang progress together, so the fake behaviour was wrong, not the product. The other members now take twice as long as member 0. Assertions and attempts are unchanged.

--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -16,14 +16,14 @@
 )
 
 // gangBehaviour returns the behaviour of gang members that end together after d; how is the outcome of member 0. If it
-// fails, the others run until the gang breaks.
+// fails, the others run until the gang breaks, and show progress as members of one gang do.
 func gangBehaviour(size int, d time.Duration, how worker.RunOutcome) func(worker.Task, int64) floor.Behaviour {
 	return func(task worker.Task, _ int64) floor.Behaviour {
 		b := floor.Behaviour{Duration: d, Ending: worker.OutcomeDone, GangSize: size, MaxAttempts: 2, Resources: job.Resources{Millicores: 3000}}
 		if task.Index == 0 {
 			b.Ending = how
 		} else if how == worker.OutcomeFailed {
-			b.Duration = time.Hour
+			b.Duration = 2 * d // long enough not to end before, and short enough to show progress before
 		}
 		return b
 	}
