Correct what is stored and forgotten of learned speeds, and test it

- Publish the factors also while placing by speed is not in effect, and right after a takeover.
Operators saw none, or old ones, with speed=off.
- Restore workers whose variance is above the prior, as it is after a change of speed; they were left out.
Drop duplicates and values that no run can have.
- Store the error of estimates as unknown while too few are known; a new owner took such estimates for exact.
- Evict an eighth of the kinds at once.
With a new image for each work, each end scanned 10,000 kinds.
- Expect the median of the kind for tasks without an estimate.
Without either, such tasks no longer take slow workers first; services always do.
- Rename internals of package speed, and describe slowness in levels, as a step is a part of a work.

--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -88,7 +88,7 @@
 	silentSince time.Time
 	// replaced is true once another instance answers at the address and the runs are about to end.
 	replaced bool
-	// slowness is the worker's learned factor in steps, 0 while tasks are not placed by speed.
+	// slowness is the level of the worker's learned factor (speed.Stats.Slowness), 0 while tasks are not placed by speed.
 	slowness int
 	// addedAt is when the term first knew of the worker.
 	addedAt time.Time
--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -78,7 +78,7 @@
 	tenure := &owner.Tenure{Fence: 1, Confirmed: func(time.Duration) bool { return true }}
 	r := &replay{term: newTerm(ctx, newOptions(opts), tenure), runTimes: make(map[string]time.Duration), inTime: make(map[string]int), startedAt: time.Now()}
 	r.term.endedLoaded = true
-	r.term.speedsStoredAt = r.startedAt.Add(time.Hour) // there is no store
+	r.term.speedsSavedAt = r.startedAt.Add(time.Hour) // there is no store
 	return r
 }
 
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -18,7 +18,7 @@
 const (
 	// minSpread is the spread of the workers' factors from which tasks are placed by them: 1.5 on either side of a typical
 	// worker, so that a task with an objective of 1.5 times its run time misses it on a slow one. Placing by speed ends
-	// below keptSpread.
+	// below keptSpread, so that a spread near the bound does not switch it back and forth.
 	minSpread, keptSpread = 2.25, 2
 	// speedsInterval is how often passes take over what was learned of all workers.
 	speedsInterval = 500 * time.Millisecond
@@ -69,7 +69,9 @@
 			n.slowness = t.speeds.Slowness(n.id)
 		}
 	}
-	t.storeSpeeds(now)
+	if now.Sub(t.speedsSavedAt) >= speedsSaveInterval {
+		t.saveSpeeds(now)
+	}
 	t.slowest = 0
 	if t.placesBySpeed {
 		known := make([]int, 0, len(t.sortedNodes))
@@ -81,17 +83,19 @@
 	}
 }
 
-// speedsStoreInterval is how often the learned speeds are stored for a new owner, which would otherwise place tasks
-// evenly for some ten seconds.
-const speedsStoreInterval = 5 * time.Second
+// speedsSaveInterval is how often the learned speeds are published and stored. Without the stored ones, a new owner would
+// place tasks evenly for some ten seconds.
+const speedsSaveInterval = 5 * time.Second
 
-// storeSpeeds stores what was learned while tasks are placed by it.
-func (t *term) storeSpeeds(now time.Time) {
-	if !t.placesBySpeed || now.Sub(t.speedsStoredAt) < speedsStoreInterval {
+// saveSpeeds publishes what was learned, and stores it for the next owner while tasks are placed by it.
+func (t *term) saveSpeeds(now time.Time) {
+	t.speedsSavedAt = now
+	// A restored snapshot may name workers that left before this owner's term. They would be passed on for ever.
+	t.speeds.Retain(func(id string) bool { return t.nodes[id] != nil })
+	t.features.RecordSpeeds(t.speeds.Factors())
+	if !t.placesBySpeed {
 		return
 	}
-	t.speedsStoredAt = now
-	t.features.RecordSpeeds(t.speeds.Factors())
 	txn := store.Txn{Compares: []store.Compare{t.tenure.Compare()}, Then: []store.Op{{Key: speedsKey, Value: encode(t.speeds.Snapshot())}}}
 	t.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
@@ -113,12 +117,14 @@
 		return
 	}
 	t.speeds.Restore(&snapshot, time.Now())
+	t.speedsSavedAt = time.Now() // the workers are listed only after the recovery
+	t.features.RecordSpeeds(t.speeds.Factors())
 	t.log.Info("dispatch: learned speeds were read", zap.Int("workers", len(snapshot.Workers)), zap.Int("kinds", len(snapshot.Kinds)))
 }
 
 // expectRun returns how long a task of the stage will probably run on a typical worker.
 func (t *term) expectRun(s *stage) time.Duration {
-	if !t.placesBySpeed {
+	if !t.placesBySpeed || s.spec.Service {
 		return s.spec.Estimate
 	}
 	return t.speeds.Expect(s.kind(), s.spec.Estimate)
@@ -129,18 +135,22 @@
 	return time.Duration(speed.FactorOf(n.slowness) * float64(cmp.Or(s.expectedRun, s.spec.Estimate)))
 }
 
-// toleratedSlowness returns how slow a worker may be for a task of the stage to be in time if it starts now.
+// toleratedSlowness returns how slow a worker may be for a task of the stage to be in time if it starts now. Services and
+// tasks that are late anywhere tolerate any worker, tasks of unknown run time no slow one.
 func (t *term) toleratedSlowness(s *stage, now time.Time, margin float64) int {
 	left := s.occurrence.deadline(s.entry).Sub(now) - s.entry.remainingAfter[s.index]
 	expected := t.expectRun(s)
-	if left <= 0 || expected <= 0 {
+	switch {
+	case left <= 0 || s.spec.Service:
 		return speed.MaxSlowness
+	case expected <= 0:
+		return -speed.MaxSlowness
 	}
 	return speed.SlownessOf(left.Seconds() / expected.Seconds() / margin)
 }
 
-// prefersSlow reports whether a stage takes slow workers first: single tasks that are in time on any of them, or late on
-// all. Fast workers stay free for the tasks that need them.
+// prefersSlow reports whether a stage takes slow workers first: single tasks that are in time on any of them, or whose
+// deadline has passed. Fast workers stay free for the tasks that need them.
 func (t *term) prefersSlow(s *stage, now time.Time) bool {
 	return t.placesBySpeed && !s.spec.Gang && t.toleratedSlowness(s, now, toleranceMargin) >= t.slowest
 }
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -13,12 +13,12 @@
 	"turmericgap/job"
 )
 
-// lookups and gangs are how many works of these queues are submitted.
-const lookups, gangs = 1200, 36
+// lookupCount and gangCount are how many works of these queues are submitted.
+const lookupCount, gangCount = 1200, 36
 
-// playUnlikeWorkers replays lookups, batches and gangs on workers of which each third is of another speed, and returns
+// replayUnlikeWorkers replays lookups, batches and gangs on workers of which each third is of another speed, and returns
 // how many works of each queue were in time.
-func playUnlikeWorkers(t *testing.T, mode string, factors [3]float64) (inTime map[string]int) {
+func replayUnlikeWorkers(t *testing.T, mode string, factors [3]float64) (inTime map[string]int) {
 	choices, err := feature.Parse([]string{"speed=" + mode})
 	if err != nil {
 		t.Fatal(err)
@@ -34,7 +34,7 @@
 			return factors[i/3%3]
 		}
 		l := &workload{rand.New(rand.NewPCG(3, 3)), r}
-		for i := range lookups {
+		for i := range lookupCount {
 			runs := time.Duration(l.sample(540, 0.5, 1600)) * time.Millisecond
 			w := l.newWork("lookup", i, nil, job.Step{Tasks: 3, Estimate: l.estimate(runs), TaskResources: job.Resources{Millicores: 2500, MemoryMB: 700}})
 			w.Queue.SlackFactor, w.Queue.Objective = 1.5, 100*time.Millisecond
@@ -46,7 +46,7 @@
 			w.Queue.SlackFactor, w.Queue.Objective, w.Queue.Priority = 4, 3*time.Second, 2
 			r.submitAt(time.Duration(i)*300*time.Millisecond+7*time.Millisecond, w, runs)
 		}
-		for i := range gangs {
+		for i := range gangCount {
 			runs := time.Duration(l.sample(5300, 0.3, 9000)) * time.Millisecond
 			w := l.newWork("gang", i, nil, job.Step{Tasks: 8, Gang: true, Estimate: runs, TaskResources: job.Resources{Millicores: 4500, MemoryMB: 400}})
 			w.Queue.Priority, w.Queue.SlackFactor = 1, 1.4
@@ -68,10 +68,10 @@
 func TestUnlikeWorkers(t *testing.T) {
 	is := is.New(t)
 	thirds := [3]float64{0.6, 1, 1.6}
-	off, on := playUnlikeWorkers(t, "off", thirds), playUnlikeWorkers(t, "auto", thirds)
+	off, on := replayUnlikeWorkers(t, "off", thirds), replayUnlikeWorkers(t, "auto", thirds)
 	t.Log("in time without and with placing by speed:", off, on)
-	is.True(lookups-on["lookup"] <= (lookups-off["lookup"])*2/3) // a third fewer are late
-	is.True(gangs-on["gang"] <= (gangs-off["gang"])*2/3)
+	is.True(lookupCount-on["lookup"] <= (lookupCount-off["lookup"])*2/3) // a third fewer are late
+	is.True(gangCount-on["gang"] <= (gangCount-off["gang"])*2/3)
 	is.True(on["batch"] >= off["batch"]-1)
 }
 
@@ -79,5 +79,5 @@
 func TestLikeWorkersArePlacedAsBefore(t *testing.T) {
 	is := is.New(t)
 	like := [3]float64{0.9, 1, 1.1}
-	is.Equal(playUnlikeWorkers(t, "auto", like), playUnlikeWorkers(t, "off", like))
+	is.Equal(replayUnlikeWorkers(t, "auto", like), replayUnlikeWorkers(t, "off", like))
 }
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -101,7 +101,7 @@
 	placesBySpeed     bool
 	slowest           int
 	speedsRefreshedAt time.Time
-	speedsStoredAt    time.Time
+	speedsSavedAt     time.Time
 	// tallies counts the outcomes of works by queue and size class.
 	tallies     tally.Table
 	maintenance maintenanceState
--- a/speed/estimate.go
+++ b/speed/estimate.go
@@ -9,11 +9,11 @@
 	// priorVariance is the variance of the logarithm of a worker's factor before any of its runs is known: most workers
 	// of a cell are within a factor of two of the typical one.
 	priorVariance = 0.25
-	// driftPerSecond is how much the variance grows with time, so that recent runs count for more than old ones: what
-	// was known of a worker is forgotten after a minute without runs.
+	// driftPerSecond is how much the variance grows with time, so that recent runs count for more than old ones: after a
+	// minute without runs the next one counts as much as the first. Until then the worker keeps its factor.
 	driftPerSecond = 0.004
-	// surprise is the number of standard deviations from which an observation counts as an outlier.
-	surprise = 3
+	// outlierDeviations is the number of standard deviations from which an observation counts as an outlier.
+	outlierDeviations = 3
 )
 
 // estimate is what is known of the logarithm of a worker's factor: the state of a one-dimensional Kalman filter.
@@ -36,7 +36,7 @@
 	e.at = now
 	e.samples++
 	residual := logFactor - e.mean
-	if math.Abs(residual) > surprise*math.Sqrt(e.variance+variance) {
+	if math.Abs(residual) > outlierDeviations*math.Sqrt(e.variance+variance) {
 		direction := math.Copysign(1, residual)
 		if e.outlier != direction {
 			e.outlier = direction
--- a/speed/snapshot.go
+++ b/speed/snapshot.go
@@ -1,7 +1,6 @@
 package speed
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -12,7 +11,8 @@
 	snapshotRuns  = 32
 )
 
-// Snapshot is what a new owner of the cell needs of a Stats: about 24 bytes a worker and 200 a kind when encoded.
+// Snapshot is what a new owner of the cell needs of a Stats: about 13 bytes a worker and 180 a kind when encoded, and
+// their names.
 type Snapshot struct {
 	Workers []Worker `msgpack:"w"`
 	// Kinds holds the kinds that were observed last.
@@ -42,18 +42,17 @@
 			out.Workers = append(out.Workers, Worker{ID: id, Mean: float32(e.mean), Variance: float32(e.variance)})
 		}
 	}
-	names := make([]string, 0, len(s.kinds))
-	for name := range s.kinds {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, func(a, b string) int { return s.kinds[b].at.Compare(s.kinds[a].at) })
+	names := s.kindsByAge()
 	for _, name := range names[:min(len(names), snapshotKinds)] {
 		d := s.kinds[name]
 		if len(d.recent) < minRuns {
 			continue
 		}
 		d.refresh()
-		k := Kind{Name: name, ErrorMean: float32(d.errorMean), ErrorVariance: float32(d.errorVariance)}
+		k := Kind{Name: name, ErrorVariance: baseVariance} // while too few estimates are known
+		if d.errors >= minRuns {
+			k.ErrorMean, k.ErrorVariance = float32(d.errorMean), float32(d.errorVariance)
+		}
 		for i := range snapshotRuns {
 			k.Runs = append(k.Runs, float32(d.quantile((float64(i)+0.5)/snapshotRuns)))
 		}
@@ -62,19 +61,21 @@
 	return out
 }
 
-// Restore takes over a snapshot into a Stats without observations. Values that are not numbers are left out.
+// maxLog bounds the logarithms that Restore accepts, to factors and run times that a duration can hold.
+const maxLog = 20
+
+// Restore takes over a snapshot into a Stats without observations. Values that cannot come from Snapshot are left out.
 func (s *Stats) Restore(from *Snapshot, now time.Time) {
 	for _, w := range from.Workers {
-		if isFinite(w.Mean) && w.Variance >= 0 && w.Variance <= priorVariance {
+		if isLog(w.Mean) && isVariance(w.Variance) && s.workers[w.ID] == nil {
 			e := newEstimate(now)
-			e.mean, e.variance, e.samples = float64(w.Mean), float64(w.Variance), minSamples
+			e.mean, e.variance, e.samples = float64(w.Mean), min(float64(w.Variance), priorVariance), minSamples
 			s.sum += e.mean
 			s.workers[w.ID] = e
 		}
 	}
 	for _, k := range from.Kinds {
-		if len(s.kinds) >= snapshotKinds || len(k.Runs) < minRuns || !isFinite(k.ErrorMean) || !(k.ErrorVariance >= 0) || !isFinite(k.ErrorVariance) ||
-			slices.ContainsFunc(k.Runs, func(v float32) bool { return !isFinite(v) }) {
+		if len(s.kinds) >= snapshotKinds || s.kinds[k.Name] != nil || !k.isValid() {
 			continue
 		}
 		d := s.kindOf(k.Name, now)
@@ -85,4 +86,13 @@
 	}
 }
 
-func isFinite(v float32) bool { return !math.IsNaN(float64(v)) && !math.IsInf(float64(v), 0) }
+func (k *Kind) isValid() bool {
+	return len(k.Runs) >= minRuns && isLog(k.ErrorMean) && isVariance(k.ErrorVariance) &&
+		!slices.ContainsFunc(k.Runs, func(v float32) bool { return !isLog(v) })
+}
+
+// isLog reports whether a value may be a logarithm; NaN is none.
+func isLog(v float32) bool { return v >= -maxLog && v <= maxLog }
+
+// isVariance reports whether a value may be a variance; NaN is none.
+func isVariance(v float32) bool { return v >= 0 && v <= maxLog*maxLog }
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -1,18 +1,21 @@
 package speed
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// maxKinds bounds the kinds of tasks that are remembered.
-	maxKinds = 10000
-	// mateVariance is the variance of the logarithm of the run time among tasks of one step: they do the same work on
-	// unlike inputs.
-	mateVariance = 0.06
-	// minSamples is how many runs of a worker must be known for it to count in Spread.
+	// maxKinds bounds the kinds of tasks that are remembered, to about 20 MB. One in evictedShare of them is evicted at a
+	// time: a scan of all kinds for each new one would take more of the owner's CPU than the rest of an end.
+	maxKinds     = 10000
+	evictedShare = 8
+	// withinStepVariance is the variance of the logarithm of the run time among tasks of one step: they do the same work
+	// on unlike inputs.
+	withinStepVariance = 0.06
+	// minSamples is how many runs of a worker must be known for it to count in Spread, Factors and Snapshot.
 	minSamples = 5
 )
 
@@ -21,7 +24,8 @@
 type Stats struct {
 	workers map[string]*estimate
 	kinds   map[string]*durations
-	// sum is the sum of the logarithms of all factors.
+	// sum is the sum of the logarithms of all factors. It is kept up to date, as computing it for each end would take a
+	// pass over all workers.
 	sum float64
 	// spread caches Spread as of spreadAt.
 	spread   float64
@@ -43,8 +47,9 @@
 	mixed  bool
 }
 
-// mates returns the sum and number of the runs that tell something about a worker: none while all were on that worker.
-func (s *Step) mates(worker string) (sum float64, runs int) {
+// comparable returns the sum and number of the runs with which a run on a worker is compared: none while all were on that
+// worker.
+func (s *Step) comparable(worker string) (sum float64, runs int) {
 	if !s.mixed && s.worker == worker {
 		return 0, 0
 	}
@@ -69,16 +74,16 @@
 	if len(d.recent) > 0 {
 		base, baseVar = d.expect(estimate)
 	}
-	sum, runs := step.mates(worker)
-	weight := 1/baseVar + float64(runs)/mateVariance
-	base = (base/baseVar + sum/mateVariance) / weight
+	sum, runs := step.comparable(worker)
+	weight := 1/baseVar + float64(runs)/withinStepVariance
+	base = (base/baseVar + sum/withinStepVariance) / weight
 	e := s.workers[worker]
 	if e == nil {
 		e = newEstimate(now)
 		s.workers[worker] = e
 	}
 	s.sum -= e.mean
-	e.observe(logRan-base, 1/weight+mateVariance, now)
+	e.observe(logRan-base, 1/weight+withinStepVariance, now)
 	s.sum += e.mean
 	s.recenter()
 	atTypical := logRan - e.mean
@@ -94,10 +99,11 @@
 	}
 }
 
-// Expect returns how long a task of a kind with a caller's estimate will probably run on a typical worker.
+// Expect returns how long a task of a kind with a caller's estimate will probably run on a typical worker. Without an
+// estimate it is the median of the kind.
 func (s *Stats) Expect(kind string, estimate time.Duration) time.Duration {
 	d := s.kinds[kind]
-	if d == nil || len(d.recent) < minRuns || estimate <= 0 {
+	if d == nil || len(d.recent) < minRuns {
 		return estimate
 	}
 	mean, _ := d.expect(estimate)
@@ -127,7 +133,7 @@
 	d := s.kinds[kind]
 	if d == nil {
 		if len(s.kinds) >= maxKinds {
-			s.forgetOldestKind()
+			s.evictKinds()
 		}
 		d = &durations{at: now}
 		s.kinds[kind] = d
@@ -135,14 +141,28 @@
 	return d
 }
 
-func (s *Stats) forgetOldestKind() {
-	oldest := ""
-	for kind, d := range s.kinds {
-		if oldest == "" || d.at.Before(s.kinds[oldest].at) {
-			oldest = kind
+// evictKinds drops the kinds whose last runs are the oldest.
+func (s *Stats) evictKinds() {
+	names := s.kindsByAge()
+	for _, name := range names[len(names)-len(names)/evictedShare:] {
+		delete(s.kinds, name)
+	}
+}
+
+// kindsByAge returns the names of all kinds, those that were observed last first.
+func (s *Stats) kindsByAge() []string {
+	names := slices.Collect(maps.Keys(s.kinds))
+	slices.SortFunc(names, func(a, b string) int { return s.kinds[b].at.Compare(s.kinds[a].at) })
+	return names
+}
+
+// Retain drops all workers but those that keep accepts.
+func (s *Stats) Retain(keep func(worker string) bool) {
+	for id := range s.workers {
+		if !keep(id) {
+			s.Forget(id)
 		}
 	}
-	delete(s.kinds, oldest)
 }
 
 // Forget drops a worker that has left.
@@ -172,22 +192,22 @@
 	return 0
 }
 
-// stepsPerE is the number of steps of slowness in which a factor grows by e.
-const stepsPerE = 4
+// levelsPerE is the number of levels of slowness in which a factor grows by e.
+const levelsPerE = 4
 
-// Slowness returns the factor of a worker as a number of steps of about a quarter each: 0 is typical, and faster workers
-// are below. Workers that differ by less than the estimates can tell apart share a step.
-func (s *Stats) Slowness(worker string) int { return int(math.Round(stepsPerE * s.logFactor(worker))) }
+// Slowness returns the factor of a worker as a level: each is about a quarter slower than the one below, 0 is typical, and
+// faster workers are below 0. Workers that differ by less than the estimates can tell apart share a level.
+func (s *Stats) Slowness(worker string) int { return int(math.Round(levelsPerE * s.logFactor(worker))) }
 
-// FactorOf returns the factor of a number of steps of slowness.
-func FactorOf(slowness int) float64 { return math.Exp(float64(slowness) / stepsPerE) }
+// FactorOf returns the factor of a level of slowness.
+func FactorOf(slowness int) float64 { return math.Exp(float64(slowness) / levelsPerE) }
 
-// MaxSlowness is more steps than any worker has.
+// MaxSlowness is a level above that of any worker.
 const MaxSlowness = 100
 
-// SlownessOf returns the number of whole steps of a factor, at most MaxSlowness either way.
+// SlownessOf returns the highest level of slowness whose factor is not above a factor, within MaxSlowness of 0.
 func SlownessOf(factor float64) int {
-	return int(max(min(math.Floor(stepsPerE*math.Log(factor)), MaxSlowness), -MaxSlowness))
+	return int(max(min(math.Floor(levelsPerE*math.Log(factor)), MaxSlowness), -MaxSlowness))
 }
 
 // Typical returns the median run time of a kind of task on a typical worker; ok is false while too few runs are known.
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -1,6 +1,7 @@
 package speed
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,6 +10,8 @@
 
 	"github.com/matryer/is"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"turmericgap/store"
 )
 
 // load runs steps of tasks of a kind on random workers. Their run times vary by step and by task, and one in thirty takes
@@ -138,15 +141,111 @@
 	is.True(len(raw) < 30*len(l.factors)+300)
 	var snapshot Snapshot
 	is.NoErr(msgpack.Unmarshal(raw, &snapshot))
-	nan := float32(math.NaN())
-	snapshot.Workers = append(snapshot.Workers, Worker{ID: "damaged", Mean: nan}, Worker{ID: "wide", Variance: nan})
-	snapshot.Kinds = append(snapshot.Kinds, Kind{Name: "damaged", Runs: make([]float32, minRuns), ErrorMean: nan})
+	nan, huge := float32(math.NaN()), float32(1e30)
+	snapshot.Workers = append(snapshot.Workers, Worker{ID: "damaged", Mean: nan}, Worker{ID: "wide", Variance: nan}, Worker{ID: "huge", Mean: huge},
+		snapshot.Workers[0])
+	snapshot.Kinds = append(snapshot.Kinds, Kind{Name: "damaged", Runs: make([]float32, minRuns), ErrorMean: nan}, Kind{Name: "huge", Runs: make([]float32, minRuns), ErrorMean: huge},
+		snapshot.Kinds[0])
 	next := New()
 	next.Restore(&snapshot, l.now)
 	for id := range l.factors {
 		is.True(math.Abs(next.Factor(id)/l.stats.Factor(id)-1) < 0.01)
 	}
-	is.Equal(next.Factor("damaged"), 1.0)
+	for _, id := range []string{"damaged", "wide", "huge"} {
+		is.Equal(next.workers[id], nil)
+	}
+	is.True(math.Abs(next.sum-next.sumOfFactors()) < 1e-6)
+	is.Equal(len(next.kinds["lookups"].recent), snapshotRuns)
 	is.Equal(len(next.kinds), 1)
 	is.True(math.Abs(next.Expect("lookups", time.Second).Seconds()/l.stats.Expect("lookups", time.Second).Seconds()-1) < 0.1)
 }
+
+// sumOfFactors returns what sum should be.
+func (s *Stats) sumOfFactors() (sum float64) {
+	for _, e := range s.workers {
+		sum += e.mean
+	}
+	return sum
+}
+
+// Guards against a new owner that lacks a worker because its speed has just changed, and that takes the estimates of a kind
+// for exact because none of them was known.
+func TestSnapshotOfUncertainValues(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(7, thirds)
+	l.run(800, l.anyWorker)
+	l.factors["w1"] = 8
+	for l.stats.workers["w1"].variance <= priorVariance {
+		l.now = l.now.Add(time.Second)
+		l.stats.Observe("w1", "unknown", &Step{}, 0, time.Duration(math.Exp(8*l.random.Float64())*float64(time.Second)), l.now)
+	}
+	for range 2 * minRuns {
+		l.stats.ObserveGang("no estimates", 1, 0, 3*time.Second, l.now)
+	}
+	next := New()
+	next.Restore(l.stats.Snapshot(), l.now)
+	is.True(next.workers["w1"] != nil)
+	is.True(next.Expect("no estimates", time.Minute) < 10*time.Second)
+}
+
+// Guards against a sum of the factors that drifts as workers come and go: all factors and run times would be off by it.
+func TestSumFollowsLeavingWorkers(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(8, thirds)
+	for range 30 {
+		l.run(50, l.anyWorker)
+		l.stats.Forget(l.anyWorker(0))
+		l.stats.Forget("never seen")
+		is.True(math.Abs(l.stats.sum-l.stats.sumOfFactors()) < 1e-6)
+	}
+	l.stats.Retain(func(id string) bool { return id == "w1" })
+	is.Equal(len(l.stats.workers), 1)
+	is.Equal(l.stats.Factor("w0"), 1.0)
+	is.True(math.Abs(l.stats.sum-l.stats.sumOfFactors()) < 1e-6)
+}
+
+// Guards against memory that grows with each new image, and against a scan of all kinds for each end.
+func TestKindsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s, at := New(), time.Unix(1000, 0)
+	for i := range 2*maxKinds + 1 {
+		at = at.Add(time.Millisecond)
+		s.ObserveGang(fmt.Sprint("kind", i), 1, time.Second, time.Second, at)
+		s.ObserveGang("kept", 1, time.Second, time.Second, at)
+		is.True(len(s.kinds) <= maxKinds)
+	}
+	is.Equal(len(s.kinds["kept"].recent), recentRuns)
+	is.True(len(s.kinds) >= maxKinds-maxKinds/evictedShare)
+}
+
+// Guards against a snapshot that is too large for the store, or that costs more than other writes, in the largest cells.
+func TestSnapshotOfLargeCell(t *testing.T) {
+	is := is.New(t)
+	s, at := New(), time.Unix(1000, 0)
+	for i := range 3000 {
+		for range minSamples {
+			s.Observe(fmt.Sprintf("worker-%029d", i), "kind", &Step{}, time.Second, time.Second, at)
+		}
+	}
+	for i := range 2 * snapshotKinds {
+		for range minRuns {
+			s.ObserveGang(fmt.Sprintf("kind-%059d", i), 1, time.Second, time.Second, at)
+		}
+	}
+	raw, err := msgpack.Marshal(s.Snapshot())
+	is.NoErr(err)
+	t.Log("bytes:", len(raw))
+	is.True(len(raw) < store.MaxValueBytes/4)
+	is.Equal(bytes.Count(raw, []byte("worker-")), 3000)
+}
+
+// Guards against tasks without an estimate that are taken for short although the run times of their kind are known.
+func TestExpectWithoutEstimate(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	is.Equal(s.Expect("batches", 0), time.Duration(0))
+	for range minRuns {
+		s.ObserveGang("batches", 1, 0, 3*time.Second, time.Unix(1000, 0))
+	}
+	is.True(math.Abs(s.Expect("batches", 0).Seconds()-3) < 0.1)
+}
