--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -11,6 +11,7 @@
 
 	"turmericgap/feature"
 	"turmericgap/job"
+	"turmericgap/speed"
 )
 
 // lookupCount and gangCount are how many works of these queues are submitted.
@@ -81,3 +82,29 @@
 	like := [3]float64{0.9, 1, 1.1}
 	is.Equal(replayUnlikeWorkers(t, "auto", like), replayUnlikeWorkers(t, "off", like))
 }
+
+// Guards against tasks of unknown run time that take slow workers first, as if they had any slack, and against services
+// that hold fast workers until they are cancelled.
+func TestPrefersSlowWorkers(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	tm := &term{speeds: speed.New(), placesBySpeed: true, slowest: 2}
+	prefers := func(step job.Step, objective time.Duration) bool {
+		step.Tasks = 1
+		s := newTestStage(&job.Work{Queue: job.Queue{Name: "q", Objective: objective}, Steps: []job.Step{step}, Accepted: now})
+		return tm.prefersSlow(s, now)
+	}
+	is.True(prefers(job.Step{Estimate: time.Second}, 10*time.Second))
+	is.True(!prefers(job.Step{Estimate: time.Second}, 2*time.Second)) // late at 1.65 times its run time with the margin
+	is.True(prefers(job.Step{Estimate: time.Second}, -time.Second))   // late anywhere
+	is.True(!prefers(job.Step{}, 10*time.Second))
+	is.True(!prefers(job.Step{Estimate: time.Second, Gang: true}, 10*time.Second))
+	is.True(prefers(job.Step{Service: true, Estimate: time.Second}, 2*time.Second))
+	for range 20 {
+		tm.speeds.ObserveGang("q/", 1, 0, time.Second, now)
+	}
+	is.True(prefers(job.Step{}, 10*time.Second))
+	is.True(!prefers(job.Step{}, 2*time.Second))
+	tm.placesBySpeed = false
+	is.True(!prefers(job.Step{Estimate: time.Second}, 10*time.Second))
+}
