Judge a submission as if it had just arrived, as the clock of its entry VM may be behind

With the feature on in all tests of dispatch, a submission that was repeated with its first time of acceptance was refused as worthless before anything was ahead of it.

--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -57,6 +57,14 @@
 // than estimated.
 func (s *Submission) shortest() time.Duration { return s.Permit + (s.Chain-s.Permit)/estimateError }
 
+// arrivedBy returns the submission as if it had arrived now if it arrived before. The clock of its entry VM may be behind,
+// and all that comes through that VM would be refused as worthless already.
+func (s *Submission) arrivedBy(now time.Time) Submission {
+	out, age := *s, max(now.Sub(s.Accepted), 0)
+	out.Accepted, out.Deadline, out.Expiry = s.Accepted.Add(age), s.Deadline.Add(age), s.Expiry.Add(age)
+	return out
+}
+
 // Demand is what the submissions of an account at a priority have lately asked for.
 type Demand struct {
 	Account   string
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -155,13 +155,13 @@
 	freed := g.freedPerSecond[s.Pool]
 	in := Inputs{Now: now, Cores: cores, Rate: max(cores, freed), Backlog: g.backlog, Demand: g.demand[s.Pool], accounts: len(g.accounts)}
 	first := g.returns.firstArrival(s)
-	asFirst := *s
+	asFirst := s.arrivedBy(now)
 	asFirst.SortTime = s.SortTime.Add(first.Sub(s.Accepted))
 	d := Decision{
-		Forecast: NewForecast(&in, &asFirst), Reason: ReasonBacklog, submission: s, now: now, freed: freed, cores: cores,
+		Forecast: NewForecast(&in, &asFirst), Reason: ReasonBacklog, submission: &asFirst, now: now, freed: freed, cores: cores,
 		rateAge: now.Sub(g.startedAt), firstArrival: now.Sub(first),
 	}
-	if d.Admitted = !d.Forecast.End.After(s.Expiry); d.Admitted {
+	if d.Admitted = !d.Forecast.End.After(asFirst.Expiry); d.Admitted {
 		return d
 	}
 	g.admitted = nil
