Do not tell a caller that its work never runs while the owner may accept it

A VM whose call to the owner got no answer creates the work itself. The outcome is unknown then, and is said to be.

--- a/front/accept.go
+++ b/front/accept.go
@@ -23,6 +23,9 @@
 	receivedAt time.Time
 	// mayBeAccepted is set if a transaction with it got no answer, so that it may have been accepted already.
 	mayBeAccepted bool
+	// ownerMayAccept is set if a call to the owner with it got no answer: the owner may yet accept it, also if it has
+	// refused an earlier submission of the ID.
+	ownerMayAccept bool
 	done          chan result
 }
 
@@ -93,7 +96,10 @@
 	return workrecord.Probe(ctx, a.opts.Store, w.ID)
 }
 
-var errBusy = errors.New("too many submissions wait")
+var (
+	errBusy        = errors.New("too many submissions wait")
+	errOwnerSilent = errors.New("the owner of the cell has refused the work before, and has not answered this submission")
+)
 
 // unknownOutcome returns the fault for a submission that may or may not have been accepted.
 func unknownOutcome(cause error) error {
@@ -221,6 +227,10 @@
 			s.done <- a.repeated(s, existing)
 			continue
 		}
+		if refused[s.work.ID] && s.ownerMayAccept {
+			s.done <- result{err: unknownOutcome(errOwnerSilent)}
+			continue
+		}
 		if refused[s.work.ID] {
 			s.done <- result{err: rpc.Refused(busyRetryAfter, "the owner of the cell has refused the work")}
 			continue
--- a/front/front.go
+++ b/front/front.go
@@ -92,7 +92,7 @@
 	if isPermanentRefusal(err) {
 		return f.refuseUnknown(ctx, w, err)
 	}
-	created, err := f.acceptor.submit(ctx, &submission{work: w, receivedAt: receivedAt, mayBeAccepted: !wasNotApplied(err)})
+	created, err := f.acceptor.submit(ctx, &submission{work: w, receivedAt: receivedAt, mayBeAccepted: !wasNotApplied(err), ownerMayAccept: !wasNotApplied(err)})
 	if err != nil {
 		return f.submitToOwner(ctx, w, err)
 	}
