--- a/front/accept.go
+++ b/front/accept.go
@@ -26,7 +26,7 @@
 	// ownerMayAccept is set if a call to the owner with it got no answer: the owner may yet accept it, also if it has
 	// refused an earlier submission of the ID.
 	ownerMayAccept bool
-	done          chan result
+	done           chan result
 }
 
 // result is the outcome of a submission: err is nil if the work is durable, created is set if this VM may have
