--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -118,25 +118,44 @@
 // choice is a worker with its sort keys.
 type choice struct {
 	node *node
-	// suspicion, dataDistance, outsideZone and slowness are penalties of the worker for the stage; gangSlowness takes the
-	// place of slowness for gangs. available is its available CPU.
-	suspicion, dataDistance, gangSlowness, outsideZone, slowness int
-	available                                                    int64
+	// penalty joins what counts against the worker for the stage, available is its available CPU.
+	penalty, available int64
+}
+
+// The largest values of the parts of a penalty; larger ones count as these. The size of a part is that of its value.
+const (
+	maxSuspicion = 1<<16 - 1
+	maxSpeedRank = 1<<speedBits - 1
+)
+
+// penaltyOf returns what counts against a worker for a stage, the smallest value for the best worker. The parts are, from
+// its highest bits: failures, distance from the data, for gangs the speed, the zone, and for other stages the speed.
+func (s *stage) penaltyOf(n *node, slowFirst bool) int64 {
+	speed := speedRank(n, slowFirst)
+	gangSpeed := 0
+	if s.spec.Gang {
+		gangSpeed, speed = speed, 0
+	}
+	p := int64(min(s.suspicion(n), maxSuspicion))<<1 | int64(s.dataDistance(n))
+	p = p<<speedBits | int64(gangSpeed)
+	p = p<<1 | int64(s.outsideZone(n))
+	return p<<speedBits | int64(speed)
+}
+
+// speedRank ranks a worker by its speed: the fastest first, or the slowest first.
+func speedRank(n *node, slowFirst bool) int {
+	rank := n.slowness
+	if slowFirst {
+		rank = -rank
+	}
+	return min(max(rank+1<<(speedBits-1), 0), maxSpeedRank)
 }
 
 // compare orders choices best first. emptiestFirst prefers the workers with the most available CPU.
 func (c *choice) compare(o *choice, emptiestFirst bool) int {
 	switch {
-	case c.suspicion != o.suspicion:
-		return c.suspicion - o.suspicion
-	case c.dataDistance != o.dataDistance:
-		return c.dataDistance - o.dataDistance
-	case c.gangSlowness != o.gangSlowness:
-		return c.gangSlowness - o.gangSlowness
-	case c.outsideZone != o.outsideZone:
-		return c.outsideZone - o.outsideZone
-	case c.slowness != o.slowness:
-		return c.slowness - o.slowness
+	case c.penalty != o.penalty:
+		return cmp.Compare(c.penalty, o.penalty)
 	case emptiestFirst:
 		c, o = o, c
 	}
@@ -156,16 +175,7 @@
 	slowFirst := t.prefersSlow(s, now)
 	for _, n := range candidates {
 		if keep(n) && t.usable(n, now) && t.matches(s, n) && !s.interferes(n) {
-			c := choice{node: n, suspicion: s.suspicion(n), dataDistance: s.dataDistance(n), outsideZone: s.outsideZone(n), available: n.available().Millicores}
-			switch {
-			case s.spec.Gang:
-				c.gangSlowness = n.slowness
-			case slowFirst:
-				c.slowness = -n.slowness
-			default:
-				c.slowness = n.slowness
-			}
-			choices = append(choices, c)
+			choices = append(choices, choice{n, s.penaltyOf(n, slowFirst), n.available().Millicores})
 		}
 	}
 	emptiestFirst := s.emptiestFirst()
--- a/dispatch/permitrequest.go
+++ b/dispatch/permitrequest.go
@@ -26,11 +26,7 @@
 // capacity elsewhere, then the others. For a gang, which runs at the pace of its slowest member, speed goes before the
 // zone.
 func (c *candidate) rank(s *stage, slowFirst bool) int {
-	slowness := c.node.slowness
-	if slowFirst {
-		slowness = -slowness
-	}
-	slowness = min(max(slowness+1<<(speedBits-1), 0), 1<<speedBits-1)
+	slowness := speedRank(c.node, slowFirst)
 	switch {
 	case c.fits <= 0:
 		return 2<<speedBits | slowness
