--- a/cmd/ctl/feature_test.go
+++ b/cmd/ctl/feature_test.go
@@ -18,7 +18,7 @@
 	at := time.Date(2026, 3, 1, 10, 0, 0, 0, time.UTC)
 	s := feature.State{Name: feature.Speed, Mode: feature.Auto, Effective: true, Reason: feature.Observed, Since: at}
 	is.Equal(strings.Join(featureCells(&s), "|"), "speed|auto|yes|observed|2026-03-01T10:00:00Z")
-	is.Equal(strings.Join(featureCells(&feature.State{Name: feature.Copies, Mode: feature.Auto, Reason: feature.Undecided}), "|"), "copies|auto|no|undecided|-")
+	is.Equal(strings.Join(featureCells(&feature.State{Name: feature.Notice, Mode: feature.Auto, Reason: feature.Undecided}), "|"), "notice|auto|no|undecided|-")
 	is.Equal(speedSummary(nil), "speeds of workers: none learned yet")
 	is.Equal(speedSummary([]feature.WorkerSpeed{{Worker: "a", Factor: 0.6}, {Worker: "b", Factor: 1}, {Worker: "c", Factor: 1.6}}),
 		"run times of 3 workers, 1 is typical: fastest tenth up to 0.60, median 1.00, slowest tenth from 1.60")
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -122,7 +122,7 @@
 	penalty, available int64
 }
 
-// The largest values of the parts of a penalty; larger ones count as these. The size of a part is that of its value.
+// The largest values of parts of a penalty; larger ones count as these. A part has as many bits as its largest value.
 const (
 	maxSuspicion = 1<<16 - 1
 	maxSpeedRank = 1<<speedBits - 1
--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -17,7 +17,7 @@
 
 // knownBorn returns what an entry, an answer or a record tells of a worker instance, or 0 if instances are not told apart.
 func (t *term) knownBorn(born int64) int64 {
-	if !t.o.Features.Enabled(feature.Restart, true) {
+	if born == 0 || !t.features.Decide(feature.Restart, true, feature.Observed, time.Now()) {
 		return 0
 	}
 	return born
--- a/feature/feature.go
+++ b/feature/feature.go
@@ -21,16 +21,12 @@
 	Preemption Name = "preemption"
 	// Speed places tasks by the learned speed of workers.
 	Speed Name = "speed"
-	// GangRoom chooses which workers a gang asks permits for.
-	GangRoom Name = "gangRoom"
 	// Notice moves tasks away from workers that have announced that they leave.
 	Notice Name = "notice"
-	// Copies runs second copies of tasks that take too long.
-	Copies Name = "copies"
 )
 
 // Names returns all names in alphabetical order.
-func Names() []Name { return []Name{Admission, Copies, GangRoom, Notice, Preemption, Restart, Speed} }
+func Names() []Name { return []Name{Admission, Notice, Preemption, Restart, Speed} }
 
 // Mode is an operator's choice for a feature.
 type Mode string
