Forecast once for similar submissions between two observations

A submission is admitted without one if even twice the wait of a similar one, admitted since the latest observation, leaves it useful; refusals are decided as before.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -45,6 +45,8 @@
 	freedPerSecond map[string]float64
 	demand         map[string][]Demand
 	returns        returns
+	// waits holds how long submissions admitted since the latest observation may have to wait at most.
+	waits map[waitKey]time.Duration
 	// admitted is the submission that was admitted last, unless it was accepted.
 	admitted *Submission
 }
@@ -56,7 +58,7 @@
 
 // NewGate returns a Gate without observations.
 func NewGate() *Gate {
-	return &Gate{accounts: make(map[string]int), cores: make(map[string]peak), weights: make(map[string]float64), returns: newReturns()}
+	return &Gate{accounts: make(map[string]int), cores: make(map[string]peak), weights: make(map[string]float64), returns: newReturns(), waits: make(map[waitKey]time.Duration)}
 }
 
 // Observe replaces the workers and the backlog. The gate uses the slice until the next call.
@@ -90,8 +92,21 @@
 	}
 	g.weights = weights
 	g.returns.forget(now)
+	clear(g.waits)
 }
 
+// waitKey identifies submissions that wait about equally long. Their forecast is made once for each observation: a
+// forecast looks at all waiting works, and under a burst the owner has no processor to spare for one a submission.
+type waitKey struct {
+	pool, account string
+	priority      int
+	surplus       bool
+}
+
+// waitMargin times the wait of a similar submission is what another one may have to wait, as it may come later in the
+// order.
+const waitMargin = 2
+
 // accountIndex returns the index of an account, and adds one if it has none.
 func (g *Gate) accountIndex(name string) int {
 	i, known := g.accounts[name]
@@ -155,11 +170,16 @@
 	first := g.returns.firstArrival(s)
 	asFirst := s.arrivedBy(now)
 	asFirst.SortTime = s.SortTime.Add(first.Sub(s.Accepted))
+	similar := waitKey{s.Pool, s.Account, s.Priority, s.Surplus}
+	if wait, known := g.waits[similar]; known && !now.Add(waitMargin*wait+asFirst.shortest()).After(asFirst.Expiry) {
+		return Decision{Admitted: true}
+	}
 	d := Decision{
 		Forecast: NewForecast(&in, &asFirst), Reason: ReasonBacklog, submission: &asFirst, now: now, freed: freed, cores: cores,
 		rateAge: now.Sub(g.startedAt), firstArrival: now.Sub(first),
 	}
 	if d.Admitted = !d.Forecast.End.After(asFirst.Expiry); d.Admitted {
+		g.waits[similar] = max(d.Forecast.End.Sub(now)-asFirst.shortest(), 0)
 		return d
 	}
 	g.admitted = nil
