--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -15,7 +15,7 @@
 // errOtherInstance is the outcome of a hold that was answered by another instance of the worker.
 var errOtherInstance = errors.New("another instance of the worker has answered")
 
-// knownBorn returns what an entry, an answer or a record tells of a worker instance, or 0 if instances are not told apart.
+// knownBorn returns what an entry, an answer or a record tells of a worker instance, or 0 if instances are not distinguished.
 func (t *term) knownBorn(born int64) int64 {
 	if born == 0 || !t.features.Decide(feature.Restart, true, feature.Observed, time.Now()) {
 		return 0
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -329,7 +329,7 @@
 	}
 }
 
-// Guards against telling instances apart although the operator has switched that off.
+// Guards against distinguishing instances although the operator has switched that off.
 func TestRestartOff(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		c := newRestartCell(t, runsFor(2*time.Second), "restart=off")
--- a/feature/feature.go
+++ b/feature/feature.go
@@ -13,7 +13,7 @@
 
 // The optional parts.
 const (
-	// Restart tells instances of a worker apart that share an ID.
+	// Restart distinguishes instances of a worker that share an ID.
 	Restart Name = "restart"
 	// Admission refuses works that can no longer be useful when they would end.
 	Admission Name = "admission"
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -196,7 +196,7 @@
 const levelsPerE = 4
 
 // Slowness returns the factor of a worker as a level: each is about a quarter slower than the one below, 0 is typical, and
-// faster workers are below 0. Workers that differ by less than the estimates can tell apart share a level.
+// faster workers are below 0. Workers whose estimates do not differ clearly share a level.
 func (s *Stats) Slowness(worker string) int { return int(math.Round(levelsPerE * s.logFactor(worker))) }
 
 // FactorOf returns the factor of a level of slowness.
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -53,8 +53,8 @@
 
 func thirds(i int) float64 { return []float64{0.6, 1, 1.6}[i%3] }
 
-// Guards against factors that do not tell the thirds of a cell of unlike workers apart.
-func TestThirdsAreToldApart(t *testing.T) {
+// Guards against factors that do not distinguish the thirds of a cell of unlike workers.
+func TestThirdsAreDistinguished(t *testing.T) {
 	is := is.New(t)
 	l := newLoad(1, thirds)
 	l.run(800, l.anyWorker)
