Follow the workers' entries without falling behind

Cause: the owner paused 300 ms after each response of the watch of the workers' entries, and a response holds some 350 of them. 6,000 workers that write every 3 s make 2,000 entries a second, of which it read 1,100: its list fell behind by a little more each second, without an error, and it started tasks on workers that had been leaving for over 5 s (DRAIN).

Change: the package workerlist follows the entries. The pause follows from the rate of changes (a response should hold 100), and there is none while the store is known to be ahead, as the revisions in all its answers show (health.Revisions). Entries that say nothing new are decoded beside the loop and not passed on. A list that is behind by half of the time within which a leaving worker must get nothing new stops starts; how far it is behind is in a histogram, in the state of the cell and in the line of a listed worker, which now also has the worker's labels.

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -81,7 +81,7 @@
 		Logger: logger.Part(p.log, "relay"), Metrics: service.Metrics(),
 	})
 	p.dispatch = dispatch.New(
-		dispatch.Store(kv), dispatch.StoreFailing(monitor.Failing), dispatch.StoreContact(monitor.Contact), dispatch.Workers(platform.WorkersPrefix, platform.DecodeWorker, p.relays.Agent),
+		dispatch.Store(kv), dispatch.StoreFailing(monitor.Failing), dispatch.StoreContact(monitor.Contact), dispatch.StoreAhead(monitor.Ahead), dispatch.DrainWithin(s.DrainWithin), dispatch.Workers(platform.WorkersPrefix, platform.DecodeWorker, p.relays.Agent),
 		dispatch.Config(func() *job.Config { return p.config.Current() }), dispatch.Rules(p.rules.Current),
 		dispatch.Permits(func() []owner.Node { return p.group.Nodes() }, p.requestPermitFrom(requestPermit)),
 		dispatch.Maintenance(maintenanceWaves(p.client, s)),
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -184,7 +184,7 @@
 	v.dispatcher = dispatch.New(
 		dispatch.Maintenance(waves), dispatch.OnExamined(c.onExamined), dispatch.Metrics(v.metrics),
 		dispatch.Features(c.features, c.pressure), dispatch.Checkpoints(checkpointInterval, 250*time.Millisecond),
-		dispatch.Store(kv), dispatch.StoreFailing(monitor.Failing), dispatch.StoreContact(monitor.Contact), dispatch.Config(c.currentConfig), dispatch.Rules(rules.Current), dispatch.Logger(log),
+		dispatch.Store(kv), dispatch.StoreFailing(monitor.Failing), dispatch.StoreContact(monitor.Contact), dispatch.StoreAhead(monitor.Ahead), dispatch.Config(c.currentConfig), dispatch.Rules(rules.Current), dispatch.Logger(log),
 		dispatch.Workers(workersPrefix, decodeWorker, v.relays.Agent),
 		dispatch.Permits(func() []owner.Node { return v.group.Nodes() },
 			func(ctx context.Context, from owner.Node, req *permit.Request) (*permit.Response, error) {
--- a/dispatch/forgotten_node_test.go
+++ b/dispatch/forgotten_node_test.go
@@ -11,8 +11,8 @@
 
 	"turmericgap/job"
 	"turmericgap/owner"
-	"turmericgap/store"
 	"turmericgap/worker"
+	"turmericgap/workerlist"
 )
 
 // Guards against forgetting a worker that is not listed as soon as its last run ends, before the end is durable. Once it
@@ -70,7 +70,7 @@
 }
 
 func unlist(term *term) {
-	term.changeWorkers([]store.Event{{Pair: store.Pair{Key: "workers/w"}, Deleted: true}})
+	term.changeWorkers([]workerlist.Entry{{ID: "w", Key: "workers/w", Removed: true}})
 }
 
 // makeDurable runs the effects of all queued changes, as after a commit.
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -16,10 +16,8 @@
 	"turmericgap/job"
 	"turmericgap/lag"
 	"turmericgap/presence"
-	"turmericgap/store"
-	"turmericgap/store/follow"
 	"turmericgap/worker"
-	"turmericgap/workrecord"
+	"turmericgap/workerlist"
 )
 
 // runKey identifies a run on a worker.
@@ -182,46 +180,57 @@
 	n.updateIndex()
 }
 
-// workersWatchInterval is the minimum interval between updates from the watch of workers, as each worker writes its
-// entry every second or two. A leaving worker must get nothing new after two seconds.
-const workersWatchInterval = 300 * time.Millisecond
-
-// followWorkers watches the workers' entries.
+// followWorkers follows the workers' entries.
 func (t *term) followWorkers() {
-	f := &follow.Follower{
-		Store: t.o.Store, Prefix: t.o.WorkersPrefix, MinInterval: workersWatchInterval, Logger: t.log,
-		OnReset:  func(pairs []store.Pair, _ int64) { t.post(func() { t.resetWorkers(pairs) }) },
-		OnChange: func(events []store.Event, _ int64) { t.post(func() { t.changeWorkers(events) }) },
-	}
 	failing := false
-	f.OnContact = func(err error) {
-		if failing == (err != nil) {
-			return
-		}
-		failing = err != nil
-		since := time.Time{}
-		if failing {
-			since = time.Now()
-		}
-		t.post(func() { t.workersUnreadSince = since })
-	}
-	t.wg.Go(func() { f.Run(t.ctx) })
+	t.workerList = workerlist.New(workerlist.Options{
+		Store: t.o.Store, Prefix: t.o.WorkersPrefix, Decode: t.o.DecodeWorker, Ahead: t.o.StoreAhead, Logger: t.log, Metrics: t.o.Metrics,
+		OnReset:  func(entries []workerlist.Entry) { t.post(func() { t.resetWorkers(entries) }) },
+		OnChange: func(entries []workerlist.Entry) { t.post(func() { t.changeWorkers(entries) }) },
+		OnContact: func(err error) {
+			if failing == (err != nil) {
+				return
+			}
+			failing = err != nil
+			since := time.Time{}
+			if failing {
+				since = time.Now()
+			}
+			t.post(func() { t.workersUnreadSince = since })
+		},
+	})
+	t.wg.Go(func() { t.workerList.Run(t.ctx) })
 }
 
-// workersUnreadGrace is how long the workers' entries may be unreadable before nothing new is started: time for reading
-// them again after a watch has ended.
-const workersUnreadGrace = 500 * time.Millisecond
+const (
+	// workersUnreadGrace is how long the workers' entries may be unreadable before nothing new is started: time for reading
+	// them again after a watch has ended.
+	workersUnreadGrace = 500 * time.Millisecond
+	// listAgeDivisor divides the time within which a leaving worker must get nothing new: for that part of it the list may be
+	// behind the store. The rest is for an order to be decided, made durable and sent.
+	listAgeDivisor = 2
+)
 
-// isWorkerListStale reports whether the capacities of the workers may have changed unnoticed.
+// isWorkerListStale reports whether the capacities of the workers may have changed unnoticed, or a worker may have been
+// leaving for too long.
 func (t *term) isWorkerListStale(now time.Time) bool {
-	return !t.workersUnreadSince.IsZero() && now.Sub(t.workersUnreadSince) > workersUnreadGrace
+	return !t.workersUnreadSince.IsZero() && now.Sub(t.workersUnreadSince) > workersUnreadGrace || t.listBehind > t.o.DrainWithin/listAgeDivisor
 }
 
-func (t *term) resetWorkers(pairs []store.Pair) {
-	present := make(map[string]bool, len(pairs))
-	for i := range pairs {
-		present[workrecord.IDFromKey(pairs[i].Key, t.o.WorkersPrefix)] = true
-		t.onListing(pairs[i].Key, pairs[i].Value)
+// observeWorkerList reads how far the list of workers is behind the store.
+func (t *term) observeWorkerList() {
+	before := t.listBehind
+	t.listBehind = t.workerList.Behind()
+	if limit := t.o.DrainWithin / listAgeDivisor; (before > limit) != (t.listBehind > limit) {
+		t.log.Warn("dispatch: starts wait for the list of workers, or go on", zap.Duration("behind", t.listBehind), zap.Duration("limit", limit))
+	}
+}
+
+func (t *term) resetWorkers(entries []workerlist.Entry) {
+	present := make(map[string]bool, len(entries))
+	for i := range entries {
+		present[entries[i].ID] = true
+		t.onListing(&entries[i])
 	}
 	for id, n := range t.nodes {
 		if n.listed && !present[id] {
@@ -235,45 +244,42 @@
 	}
 }
 
-func (t *term) changeWorkers(events []store.Event) {
-	for i := range events {
-		e := &events[i]
-		if e.Deleted {
-			id := workrecord.IDFromKey(e.Pair.Key, t.o.WorkersPrefix)
-			delete(t.unreadable, id)
-			if n := t.nodes[id]; n != nil {
-				t.onUnlisted(n)
-				t.checkDeparture(n)
-			}
+func (t *term) changeWorkers(entries []workerlist.Entry) {
+	for i := range entries {
+		e := &entries[i]
+		if !e.Removed {
+			t.onListing(e)
 			continue
 		}
-		t.onListing(e.Pair.Key, e.Pair.Value)
+		delete(t.unreadable, e.ID)
+		if n := t.nodes[e.ID]; n != nil {
+			t.onUnlisted(n)
+			t.checkDeparture(n)
+		}
 	}
 }
 
 // onListing processes an entry of a worker, which another writer may have written. If it cannot be decoded, nothing new
 // starts on the worker; its runs, its lease and the ends that it lists stay valid, as they do not depend on the entry.
 // This is logged once, not for each write of the entry.
-func (t *term) onListing(key string, raw []byte) {
-	id := workrecord.IDFromKey(key, t.o.WorkersPrefix)
-	l, err := t.o.DecodeWorker(key, raw)
-	n := t.nodes[id]
-	if err != nil {
-		if !t.unreadable[id] {
-			t.log.Warn("dispatch: worker's entry cannot be read", zap.String("key", key), zap.Bool("known", n != nil), zap.Error(err))
+func (t *term) onListing(e *workerlist.Entry) {
+	n, l := t.nodes[e.ID], e.Worker
+	if e.Err != nil {
+		if !t.unreadable[e.ID] {
+			t.log.Warn("dispatch: worker's entry cannot be read", zap.String("key", e.Key), zap.Bool("known", n != nil), zap.Error(e.Err))
 		}
-		t.unreadable[id] = true
+		t.unreadable[e.ID] = true
 		if n != nil {
 			n.unreadable = true
 		}
 		return
 	}
-	if t.unreadable[id] {
-		t.log.Info("dispatch: worker's entry can be read again", zap.String("key", key))
-		delete(t.unreadable, id)
+	if t.unreadable[e.ID] {
+		t.log.Info("dispatch: worker's entry can be read again", zap.String("key", e.Key))
+		delete(t.unreadable, e.ID)
 	}
 	l.Born = t.knownBorn(l.Born)
-	if known := cmp.Or(n, t.forgotten[id]); known != nil {
+	if known := cmp.Or(n, t.forgotten[e.ID]); known != nil {
 		switch presence.Compare(known.born, l.Born) {
 		case presence.Earlier:
 			return
@@ -350,7 +356,7 @@
 	n := t.nodeFor(l.ID)
 	if !n.listed || n.listing.Leaving != l.Leaving {
 		t.log.Info("dispatch: worker listed", zap.String("worker", l.ID), zap.String("pool", l.Pool),
-			zap.Bool("leaving", l.Leaving), zap.Duration("timeLeft", l.TimeLeft), zap.String("rack", l.Rack))
+			zap.Bool("leaving", l.Leaving), zap.Duration("timeLeft", l.TimeLeft), zap.Strings("labels", l.Labels), zap.String("rack", l.Rack), zap.Duration("listBehind", t.listBehind))
 	}
 	if n.listing.Has != l.Has {
 		t.nodesVersion++
--- a/dispatch/observed_test.go
+++ b/dispatch/observed_test.go
@@ -10,8 +10,8 @@
 
 	"turmericgap/job"
 	"turmericgap/owner"
-	"turmericgap/store"
 	"turmericgap/worker"
+	"turmericgap/workerlist"
 )
 
 // Guards against acknowledging the end of a run to its worker before the end is durable, when the worker's entry
@@ -38,7 +38,7 @@
 			term.onHold(term.nodes["w"], &worker.HoldReply{Clock: time.Second, Ended: ended}, time.Now(), nil)
 			is.Equal(term.entries["batch"].state, job.WorkCompleted)
 			if relisted {
-				term.changeWorkers([]store.Event{{Pair: store.Pair{Key: "workers/w"}, Deleted: true}})
+				term.changeWorkers([]workerlist.Entry{{ID: "w", Key: "workers/w", Removed: true}})
 				term.updateListing(listing)
 				term.onHold(term.nodes["w"], &worker.HoldReply{Clock: 2 * time.Second, Ended: ended}, time.Now(), nil)
 			}
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -24,6 +24,10 @@
 	// without a break.
 	StoreFailing func() (since time.Time, failing bool)
 	StoreContact func() time.Duration
+	// StoreAhead returns for how long the store is known to have been ahead of a revision; nil if that is not known.
+	StoreAhead func(revision int64) time.Duration
+	// DrainWithin is how long after a worker has announced that it leaves it may still get new work.
+	DrainWithin time.Duration
 	// WorkersPrefix is the key prefix of the worker entries; DecodeWorker decodes one entry.
 	WorkersPrefix string
 	DecodeWorker  func(key string, raw []byte) (worker.ListedWorker, error)
@@ -63,6 +67,7 @@
 	DefaultMaxHold        = 10 * time.Second
 	DefaultStopTimeout    = 200 * time.Millisecond
 	DefaultEndedRetention = 2 * time.Minute
+	DefaultDrainWithin    = 2 * time.Second
 
 	// eventBuffer is the capacity of the loop's event channel. A full channel blocks callers instead of using more
 	// memory.
@@ -128,6 +133,14 @@
 // StoreContact sets the function that returns for how long the store has answered this VM without a break.
 func StoreContact(f func() time.Duration) Option { return func(o *Options) { o.StoreContact = f } }
 
+// StoreAhead sets the function that returns for how long the store is known to have been ahead of a revision.
+func StoreAhead(f func(revision int64) time.Duration) Option {
+	return func(o *Options) { o.StoreAhead = f }
+}
+
+// DrainWithin sets how long after a worker has announced that it leaves it may still get new work.
+func DrainWithin(d time.Duration) Option { return func(o *Options) { o.DrainWithin = d } }
+
 // Workers sets the key prefix of the worker entries, their decoder and the constructor of worker clients.
 func Workers(prefix string, decode func(string, []byte) (worker.ListedWorker, error), agent func(worker.Info) *worker.Agent) Option {
 	return func(o *Options) { o.WorkersPrefix, o.DecodeWorker, o.Agent = prefix, decode, agent }
@@ -178,7 +191,7 @@
 func newOptions(opts []Option) *Options {
 	o := &Options{
 		Logger: zap.NewNop(), MaxHold: DefaultMaxHold, StopTimeout: DefaultStopTimeout,
-		EndedRetention: DefaultEndedRetention, StoreContact: func() time.Duration { return 0 },
+		EndedRetention: DefaultEndedRetention, DrainWithin: DefaultDrainWithin, StoreContact: func() time.Duration { return 0 },
 		StoreFailing: func() (time.Time, bool) { return time.Time{}, false },
 		Config:       func() *job.Config { return nil }, Rules: func() *rule.List { return nil },
 		Nodes: func() []owner.Node { return nil },
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -260,7 +260,7 @@
 // followWritten watches the keys below a prefix and calls onPairs with existing and newly written ones.
 func (t *term) followWritten(prefix string, onPairs func([]store.Pair)) {
 	f := &follow.Follower{
-		Store: t.o.Store, Prefix: prefix, MinInterval: worksWatchInterval, Logger: t.log,
+		Store: t.o.Store, Prefix: prefix, Pause: func(int, int64) time.Duration { return worksWatchInterval }, Logger: t.log,
 		OnReset: func(pairs []store.Pair, _ int64) { onPairs(pairs) },
 		OnChange: func(events []store.Event, _ int64) {
 			if pairs := follow.Puts(events); len(pairs) > 0 {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -40,7 +40,7 @@
 		zap.Int64("millicores", total), zap.Int64("freeMillicores", free), zap.Int64("keptMillicores", setAside),
 		zap.Int64("reservedMillicores", reserved), zap.Int("works", len(t.entries)), zap.Int("runs", runs),
 		zap.Int("waitingSteps", len(t.waitingStages)), zap.Int("waitingGangs", gangs), zap.Int("waitingTasks", waiting),
-		zap.Int("questions", openRequests), zap.Duration("lag", t.lag.Mean()),
+		zap.Int("questions", openRequests), zap.Duration("lag", t.lag.Mean()), zap.Duration("listBehind", t.listBehind),
 		zap.Float64("turnedAway", t.overloadDetector.RejectRatio()),
 		zap.Int64("passes", t.pass.number), zap.Int("stagesInPass", t.pass.triedStages),
 		zap.Int("looksInPass", t.pass.examined),
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -22,6 +22,7 @@
 	"turmericgap/rule"
 	"turmericgap/speed"
 	"turmericgap/tally"
+	"turmericgap/workerlist"
 	"turmericgap/workrecord"
 )
 
@@ -60,6 +61,10 @@
 	unreadable map[string]bool
 	// workersUnreadSince is when the workers' entries could no longer be read, zero while they can.
 	workersUnreadSince time.Time
+	// workerList follows the workers' entries; listBehind is for how long the store was known to be ahead of it at the last
+	// tick.
+	workerList *workerlist.List
+	listBehind time.Duration
 	// unlistedAt is when a worker's entry was last removed.
 	unlistedAt time.Time
 	// waitingStages holds the ready stages with waiting tasks.
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -8,6 +8,7 @@
 
 // onTick performs all time-driven checks.
 func (t *term) onTick(now time.Time) {
+	t.observeWorkerList()
 	t.endExpired(now)
 	t.endMembersOfEndedGangs()
 	t.clearSurvivors(now)
--- a/store/follow/follow.go
+++ b/store/follow/follow.go
@@ -35,9 +35,10 @@
 	// OnCurrent, if set, is called after OnReset or OnChange with a time and a revision up to which they have delivered all
 	// changes.
 	OnCurrent func(asOf time.Time, revision int64)
-	// MinInterval is the minimum time between two batches of the watch; it reduces the calls for a busy prefix.
-	MinInterval time.Duration
-	Logger      *zap.Logger
+	// Pause, if set, returns how long to wait after a batch of the watch with that many events, which ends at a revision. It
+	// reduces the calls for a busy prefix.
+	Pause  func(events int, revision int64) time.Duration
+	Logger *zap.Logger
 }
 
 // Run watches the keys until ctx ends.
@@ -60,8 +61,8 @@
 				}
 				revision = max(revision, batch.Revision)
 				f.reportCurrent(batch.AsOf, revision)
-				if len(batch.Events) > 0 && f.MinInterval > 0 {
-					retry.Sleep(ctx, f.MinInterval)
+				if len(batch.Events) > 0 && f.Pause != nil {
+					retry.Sleep(ctx, f.Pause(len(batch.Events), revision))
 				}
 			})
 		}
--- a/store/health/health.go
+++ b/store/health/health.go
@@ -40,6 +40,8 @@
 	// pending holds the send time of each call without a response.
 	pending map[int64]time.Time
 	calls   int64
+	// revisions holds the revisions that the responses have shown.
+	revisions Revisions
 }
 
 // New returns a Monitor and a store that passes calls to s and reports them to the Monitor.
@@ -47,10 +49,20 @@
 	m := &Monitor{lastAnswer: time.Now(), pending: make(map[int64]time.Time)}
 	return m, &store.Store{
 		Range: func(ctx context.Context, r store.Range) (store.RangeResult, error) {
-			return observe(ctx, m, func() (store.RangeResult, error) { return s.Range(ctx, r) })
+			sent := time.Now()
+			res, err := observe(ctx, m, func() (store.RangeResult, error) { return s.Range(ctx, r) })
+			if err == nil {
+				m.revisions.Record(res.Revision, sent)
+			}
+			return res, err
 		},
 		Txn: func(ctx context.Context, t store.Txn) (store.TxnResult, error) {
-			return observe(ctx, m, func() (store.TxnResult, error) { return s.Txn(ctx, t) })
+			sent := time.Now()
+			res, err := observe(ctx, m, func() (store.TxnResult, error) { return s.Txn(ctx, t) })
+			if err == nil {
+				m.revisions.Record(res.Revision, sent)
+			}
+			return res, err
 		},
 		Grant: func(ctx context.Context, ttl time.Duration) (int64, error) {
 			return observe(ctx, m, func() (int64, error) { return s.Grant(ctx, ttl) })
@@ -65,6 +77,9 @@
 		Watch: func(ctx context.Context, prefix string, from int64, each func(store.Batch)) error {
 			err := s.Watch(ctx, prefix, from, func(b store.Batch) {
 				m.recordResult(nil)
+				if len(b.Events) == 0 && !b.AsOf.IsZero() { // a response with events may leave later ones to the next
+					m.revisions.Record(b.Revision, b.AsOf)
+				}
 				each(b)
 			})
 			if ctx.Err() == nil {
@@ -82,6 +97,9 @@
 	return m.lastAnswer
 }
 
+// Ahead returns for how long the store is known to have been ahead of a revision, or 0 if it is not known to be.
+func (m *Monitor) Ahead(revision int64) time.Duration { return m.revisions.Ahead(revision) }
+
 // Contact returns for how long the store has responded to this process without a break: without a failed call, and without
 // a gap in which it may have been away unnoticed.
 func (m *Monitor) Contact() time.Duration {
