Do not decide a request by a version that came into force after it

Cause: a request for an unknown queue waits up to 700 ms for a newer configuration, and was then decided by it, while a request that arrived in between had been decided at once by the earlier version.

Measured: TestRequestThatWaitsIsNotDecidedByLaterVersion; without the check the case "changed after a longer wait" fails.

--- a/account/authenticator.go
+++ b/account/authenticator.go
@@ -22,6 +22,8 @@
 	Accounts *Directory
 	// ConfirmedAt is the time as of which the view was known to be the newest version.
 	ConfirmedAt time.Time
+	// AppliedAt is when the version came into force on this VM.
+	AppliedAt time.Time
 }
 
 // Authenticator finds the accounts of callers by their API keys.
@@ -33,14 +35,18 @@
 	View func() View
 	// Refresh asks the store or other VMs for a newer version, and returns once the view was confirmed or that failed.
 	Refresh func(ctx context.Context)
+	// ChangeWithin is how long after its arrival a request may be decided by a version that has come into force since; zero
+	// means that it may wait as long as it likes. A request that arrives meanwhile is decided by the earlier version: to the
+	// callers, the VM would seem to go back to it.
+	ChangeWithin time.Duration
 	// MaxAge is how old a view may be for its keys to be accepted; zero means that it may have any age, so that an
 	// availability zone that is cut off serves on.
 	MaxAge time.Duration
 }
 
-// Queue returns the queue of a request and the view in which it was found. The error is a Fault with CodeNotFound if no
+// Queue returns the queue of a request that arrived at that time, and the view in which it was found. The error is a Fault with CodeNotFound if no
 // queue matches, and with CodeRefused if this VM cannot tell.
-func (a *Authenticator) Queue(ctx context.Context, host, path string) (*job.Queue, View, error) {
+func (a *Authenticator) Queue(ctx context.Context, arrived time.Time, host, path string) (*job.Queue, View, error) {
 	v := a.View()
 	if v.Config == nil {
 		return nil, v, rpc.Refused(unconfirmedRetryAfter, "this entry VM has no configuration yet")
@@ -49,6 +55,9 @@
 		return q, v, nil
 	}
 	v, confirmed := a.confirm(ctx, ConfirmedWithin)
+	if a.cameTooLate(&v, arrived) {
+		return nil, v, errChanged(&v)
+	}
 	if q := v.Config.MatchQueue(host, path); q != nil {
 		return q, v, nil
 	}
@@ -58,9 +67,10 @@
 	return nil, v, &rpc.Fault{Code: rpc.CodeNotFound, Reason: "no such queue"}
 }
 
-// Account returns the name of the account that a caller of the queue acts for, which is empty for a public queue. The
-// error is a Fault with CodeDenied if the key is missing or unknown, and with CodeRefused if this VM cannot tell.
-func (a *Authenticator) Account(ctx context.Context, q *job.Queue, key string) (string, error) {
+// Account returns the name of the account that the caller of a request acts for, which is empty for a public queue. The
+// request arrived at that time. The error is a Fault with CodeDenied if the key is missing or unknown, and with CodeRefused
+// if this VM cannot tell.
+func (a *Authenticator) Account(ctx context.Context, arrived time.Time, q *job.Queue, key string) (string, error) {
 	if q.Public {
 		return "", nil
 	}
@@ -78,6 +88,8 @@
 	v, confirmed := a.confirm(ctx, limit)
 	found := v.Accounts.ByKey(key)
 	switch {
+	case a.cameTooLate(&v, arrived):
+		return "", errChanged(&v)
 	case found != nil && !a.isTooOld(&v):
 		return found.Name, nil
 	case !confirmed:
@@ -91,6 +103,11 @@
 	return a.MaxAge > 0 && time.Since(v.ConfirmedAt) > a.MaxAge
 }
 
+// cameTooLate reports whether the version came into force too long after a request arrived to decide it.
+func (a *Authenticator) cameTooLate(v *View, arrived time.Time) bool {
+	return a.ChangeWithin > 0 && v.AppliedAt.Sub(arrived) > a.ChangeWithin
+}
+
 // confirm returns the newest view, and whether it was confirmed within a time.
 func (a *Authenticator) confirm(ctx context.Context, within time.Duration) (View, bool) {
 	v := a.View()
@@ -103,6 +120,10 @@
 
 func errDenied(reason string) error { return &rpc.Fault{Code: rpc.CodeDenied, Reason: reason} }
 
+func errChanged(v *View) error {
+	return rpc.Refused(unconfirmedRetryAfter, "version %d of the configuration came into force while the request waited", v.Config.Version)
+}
+
 func errUnconfirmed(v *View) error {
 	return rpc.Refused(unconfirmedRetryAfter, "this entry VM last confirmed version %d of the configuration %v ago",
 		v.Config.Version, time.Since(v.ConfirmedAt).Round(time.Millisecond))
--- a/account/authenticator_test.go
+++ b/account/authenticator_test.go
@@ -71,9 +71,9 @@
 				if c.queue != "" {
 					path = c.queue + "1"
 				}
-				q, _, err := a.Queue(t.Context(), "h", path)
+				q, _, err := a.Queue(t.Context(), time.Now(), "h", path)
 				is.NoErr(err)
-				got, err := a.Account(t.Context(), q, c.key)
+				got, err := a.Account(t.Context(), time.Now(), q, c.key)
 				is.Equal(codeOf(err), c.wantCode)
 				is.Equal(got, c.want)
 				is.Equal(refreshes, c.wantRefresh)
@@ -118,7 +118,48 @@
 						v.ConfirmedAt = time.Now()
 					}
 				}}
-				_, _, err := a.Queue(t.Context(), "h", c.path)
+				_, _, err := a.Queue(t.Context(), time.Now(), "h", c.path)
+				is.Equal(codeOf(err), c.wantCode)
+			})
+		})
+	}
+}
+
+// Guards against a VM that seems to go back to an older version: a request for a queue that is new waited for the store for
+// 400 ms and was answered by the newer version, a request that arrived meanwhile was answered at once by the earlier one.
+func TestRequestThatWaitsIsNotDecidedByLaterVersion(t *testing.T) {
+	const slack = 250 * time.Millisecond
+	old, added := newAccount("kochi", "old"), newAccount("kollam", "added")
+	for name, c := range map[string]struct {
+		takes    time.Duration
+		applied  time.Duration
+		wantCode rpc.Code
+	}{
+		"found at once":                  {takes: 5 * time.Millisecond, applied: 5 * time.Millisecond},
+		"found after a while":            {takes: 400 * time.Millisecond, applied: 120 * time.Millisecond},
+		"changed after a longer wait":    {takes: 400 * time.Millisecond, applied: 390 * time.Millisecond, wantCode: rpc.CodeRefused},
+		"not changed, confirmed late":    {takes: 400 * time.Millisecond, applied: -time.Hour, wantCode: rpc.CodeDenied},
+		"changed just before it arrived": {takes: 400 * time.Millisecond, applied: -time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				v := testConfig(1, old)
+				v.ConfirmedAt = time.Now().Add(-time.Second)
+				a := &Authenticator{View: func() View { return v }, ChangeWithin: slack / 2, Refresh: func(context.Context) {
+					arrived := time.Now()
+					time.Sleep(c.takes)
+					accounts := []job.Account{old, added}
+					if c.applied == -time.Hour {
+						accounts = accounts[:1]
+					}
+					v = testConfig(2, accounts...)
+					v.ConfirmedAt, v.AppliedAt = time.Now(), arrived.Add(c.applied)
+				}}
+				arrived := time.Now()
+				q, _, err := a.Queue(t.Context(), arrived, "h", "/check/1")
+				is.NoErr(err)
+				_, err = a.Account(t.Context(), arrived, q, "added")
 				is.Equal(codeOf(err), c.wantCode)
 			})
 		})
--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -38,6 +38,9 @@
 	maxHeaderBytes = 16 << 10
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 60 * time.Second
+	// changeDivisor divides the time for which a VM may still serve by an older version, to leave time for the way of a
+	// request to a busy VM.
+	changeDivisor = 2
 	// membersHold is how long the store holds the watch of the other VMs, of which the calls to them tell as well.
 	membersHold = 5 * time.Second
 )
@@ -173,7 +176,7 @@
 
 func (p *program) serve(l listeners) {
 	handler := platform.IngressHandler(&platform.IngressBackend{
-		Authenticator: &account.Authenticator{View: p.config.View, Refresh: p.config.Refresh, MaxAge: p.settings.KeyMaxAge},
+		Authenticator: &account.Authenticator{View: p.config.View, Refresh: p.config.Refresh, ChangeWithin: p.settings.DowngradeWithin / changeDivisor, MaxAge: p.settings.KeyMaxAge},
 		Submit:        p.front.Submit, Status: p.front.Status, Cancel: p.front.Cancel,
 		Waiting: p.front.Waiting, OnAnswered: p.logAnswer,
 	})
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -77,6 +77,7 @@
 type inForce struct {
 	config   *job.Config
 	accounts *account.Directory
+	at       time.Time
 }
 
 // New returns a Watcher of the document under key.
@@ -137,7 +138,7 @@
 	if time.Since(confirmedAt) > w.within {
 		w.metrics.Counter("configuration.oldViews").Inc(1)
 	}
-	return account.View{Config: c.config, Accounts: c.accounts, ConfirmedAt: confirmedAt}
+	return account.View{Config: c.config, Accounts: c.accounts, ConfirmedAt: confirmedAt, AppliedAt: c.at}
 }
 
 // Document returns the configuration in force in the form written by the operators.
@@ -196,7 +197,7 @@
 	}
 	w.logApplied(c, accounts, len(raw), from, firstKnown)
 	w.doc, w.firstKnown = Document{Version: c.Version, Raw: raw}, firstKnown
-	w.current.Store(&inForce{c, accounts})
+	w.current.Store(&inForce{c, accounts, time.Now()})
 	select {
 	case w.applied <- struct{}{}:
 	default:
--- a/configuration/large_test.go
+++ b/configuration/large_test.go
@@ -221,7 +221,7 @@
 	for ctx.Err() == nil {
 		time.Sleep(confirmInterval)
 		ctx, cancel := context.WithTimeout(ctx, f.within)
-		_, _, _ = a.Queue(ctx, "a.example", "/unknown/")
+		_, _, _ = a.Queue(ctx, time.Now(), "a.example", "/unknown/")
 		cancel()
 	}
 }
