Send callers of a zone that is cut off to other zones

Cause: a VM of an availability zone that is cut off reaches neither the store nor the owner and refuses every caller, but reported that it was ready, so that the platform went on sending it the zone's callers and their retries: 45 refused and 31 failed in the windows of the zone cut of fleet-herd.

Change: a VM that the store has not answered for 300 ms asks six VMs of other availability zones. If none answers, it is not ready, and closes its callers' connections after the answer. While the store is silent for all VMs, or declines some of them, they reach each other and stay ready.

Measured: TestVMKnowsThatItIsCutOff: 1.5 s after a cut all VMs of the zone know it, 1 s after its end none is left; none of them while the store is silent for all or for a third.

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -178,7 +178,7 @@
 	handler := platform.IngressHandler(&platform.IngressBackend{
 		Authenticator: &account.Authenticator{View: p.config.View, Refresh: p.config.Refresh, ChangeWithin: p.settings.DowngradeWithin / changeDivisor, MaxAge: p.settings.KeyMaxAge},
 		Submit:        p.front.Submit, Status: p.front.Status, Cancel: p.front.Cancel,
-		Waiting: p.front.Waiting, OnAnswered: p.logAnswer,
+		Waiting: p.front.Waiting, CutOff: p.group.IsCutOff, OnAnswered: p.logAnswer,
 	})
 	p.callerServer = &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -213,6 +213,8 @@
 		return errors.New("this VM is stopping")
 	case p.config.Current() == nil:
 		return errors.New("no configuration yet")
+	case p.group.IsCutOff():
+		return errors.New("neither the store nor any VM of another availability zone answers")
 	}
 	return nil
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -110,6 +111,7 @@
 
 	// membersChanged signals that this VM may have to follow more or fewer of the other VMs.
 	membersChanged chan struct{}
+	cutOff         atomic.Bool
 
 	mu            sync.Mutex
 	members       members
@@ -158,6 +160,7 @@
 	g.wg.Go(g.watch)
 	g.wg.Go(g.membersLoop)
 	g.wg.Go(g.directoryLoop)
+	g.wg.Go(g.cutOffLoop)
 	g.wg.Go(g.claimLoop)
 	g.wg.Go(g.registerLoop)
 	g.wg.Go(g.takeoverLoop)
--- a/owner/scale_test.go
+++ b/owner/scale_test.go
@@ -15,6 +15,7 @@
 
 	"turmericgap/rpc"
 	"turmericgap/store"
+	"turmericgap/store/health"
 	"turmericgap/store/memory"
 )
 
@@ -143,6 +144,8 @@
 	t   *testing.T
 	kv  *memory.Service
 	vms []*fleetVM
+	// cutZone is the availability zone whose VMs reach neither the store nor those of other zones.
+	cutZone string
 	// compacted is closed when the store drops its history, which ends all watches.
 	compacted atomic.Pointer[chan struct{}]
 }
@@ -177,7 +180,8 @@
 	v.down.Store(false)
 	v.faults.Down(false)
 	dial := rpc.Dial(func(_ context.Context, address string) (net.Conn, error) { return f.dial(v, address) })
-	v.group = New(f.count(v), v.node, CPUProbe(func() time.Duration { return time.Millisecond }),
+	monitor, kv := health.New(f.count(v))
+	v.group = New(kv, v.node, StoreFailing(monitor.Failing), CPUProbe(func() time.Duration { return time.Millisecond }),
 		Dial(func(address string) *rpc.Client { return rpc.NewClient(address, dial) }))
 	v.group.Register(v.server)
 	v.group.Start()
@@ -185,7 +189,8 @@
 
 func (f *testFleet) dial(from *fleetVM, address string) (net.Conn, error) {
 	for _, v := range f.vms {
-		if v.node.ID == address && !v.down.Load() {
+		cut := v.node.Zone != from.node.Zone && (v.node.Zone == f.cutZone || from.node.Zone == f.cutZone)
+		if v.node.ID == address && !v.down.Load() && !cut {
 			v.asked.Add(1)
 			a, b := net.Pipe()
 			v.conns.Store(b, nil)
@@ -356,3 +361,44 @@
 		t.Run(name, func(t *testing.T) { is.New(t).Equal(agree(c.votes), c.want) })
 	}
 }
+
+// Guards against a zone that is cut off and goes on refusing its callers, whom other zones could serve, and against VMs that
+// send their callers away while the store is silent for all of them, or for a third.
+func TestVMKnowsThatItIsCutOff(t *testing.T) {
+	for name, c := range map[string]struct {
+		cutZone string
+		// unserved is how many of ten VMs the store does not answer.
+		unserved int
+		want     func(*fleetVM) bool
+	}{
+		"nothing":                      {want: func(*fleetVM) bool { return false }},
+		"a zone is cut off":            {cutZone: "kollam", want: func(v *fleetVM) bool { return v.node.Zone == "kollam" }},
+		"the store is silent for all":  {unserved: 10, want: func(*fleetVM) bool { return false }},
+		"the store is silent for some": {unserved: 3, want: func(*fleetVM) bool { return false }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newTestFleet(t, 40)
+				check := func(want func(*fleetVM) bool) {
+					for _, v := range f.vms {
+						is.Equal(v.group.IsCutOff(), want(v))
+					}
+				}
+				time.Sleep(3 * time.Second)
+				for i, v := range f.vms {
+					v.faults.Down(v.node.Zone == c.cutZone || i%10 < c.unserved)
+				}
+				f.cutZone = c.cutZone
+				time.Sleep(1500 * time.Millisecond)
+				check(c.want)
+				for _, v := range f.vms {
+					v.faults.Down(false)
+				}
+				f.cutZone = ""
+				time.Sleep(time.Second)
+				check(func(*fleetVM) bool { return false })
+			})
+		})
+	}
+}
