Hold watches longer where the configuration may take longer

Cause: each VM's watches of the configuration and of the owner return every 2 s, whatever the deployment allows: 584 calls a second on the whole fleet, a third of all that it makes.

Change: the store holds them for 2 s less than a new configuration may take to come into force, at least 2 s as before: 3 s on the fleet, where 5 s are allowed.

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -38,6 +38,10 @@
 	maxHeaderBytes = 16 << 10
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 60 * time.Second
+	// minCellHold is the shortest hold of the watches of the configuration and of the owner, configMargin the time that is
+	// left to learn of a new configuration after a dead connection was noticed.
+	minCellHold  = 2 * time.Second
+	configMargin = 2 * time.Second
 	// changeDivisor divides the time for which a VM may still serve by an older version, to leave time for the way of a
 	// request to a busy VM.
 	changeDivisor = 2
@@ -77,7 +81,8 @@
 	if err != nil {
 		return err
 	}
-	monitor, kv := health.New(p.client.Store(s.Store, platform.HoldWatch(owner.NodePrefix, membersHold)))
+	monitor, kv := health.New(p.client.Store(s.Store, platform.HoldWatch(owner.NodePrefix, membersHold),
+		platform.HoldWatch(owner.CellPrefix, cellHold(s)), platform.HoldWatch(platform.ConfigKey, cellHold(s))))
 	requestPermit := p.client.Permits(s.Permits)
 	p.rules = configuration.NewRules(logger.Part(p.log, "configuration"))
 	p.relay = relay.NewServer(p.client.Agent)
@@ -116,6 +121,12 @@
 }
 
 // maintenanceWaves returns the dispatcher's settings for maintenance waves, or nil if waves are disabled.
+// cellHold returns how long the store holds the watches of the configuration and of the owner. A dead connection must be
+// noticed well within the time in which a new configuration has to be in force; a longer hold would only cost fewer calls.
+func cellHold(s *platform.Settings) time.Duration {
+	return max(minCellHold, s.ConfigWithin-configMargin)
+}
+
 func maintenanceWaves(client *platform.Client, s *platform.Settings) *dispatch.Waves {
 	if !s.Waves {
 		return nil
--- a/owner/members.go
+++ b/owner/members.go
@@ -79,8 +79,8 @@
 // known reports whether this VM knows enough of the others to claim the cell in its turn.
 func (m *members) known() bool { return m.followed || m.directory != nil }
 
-// isCandidate reports whether the directory lists this VM.
-func (m *members) isCandidate() bool {
+// inDirectory reports whether the directory lists this VM.
+func (m *members) inDirectory() bool {
 	return m.directory != nil && contains(m.directory.Candidates, m.self.ID)
 }
 
--- a/owner/membership.go
+++ b/owner/membership.go
@@ -73,7 +73,7 @@
 func (g *Group) followsMembers() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.members.directory == nil || g.members.isCandidate() || g.tenure != nil || g.ownerNode.ID == g.self.ID
+	return g.members.directory == nil || g.members.inDirectory() || g.tenure != nil || g.ownerNode.ID == g.self.ID
 }
 
 func (g *Group) signalMembers() {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -16,11 +16,12 @@
 	"turmericgap/store/retry"
 )
 
-// Keys in the store.
+// CellPrefix is the prefix of the keys that each VM has to know: the owner, the directory of VMs and the rules.
+const CellPrefix = "turmericgap/cell/"
+
 const (
-	root         = "turmericgap/cell/"
-	ownerKey     = root + "owner"
-	directoryKey = root + "directory"
+	ownerKey     = CellPrefix + "owner"
+	directoryKey = CellPrefix + "directory"
 )
 
 // NodePrefix is the prefix of the entries of the VMs. They are apart from the keys that each VM has to know, since most VMs
@@ -29,7 +30,7 @@
 
 // RulesKey is the key of the operators' rules. It is next to the group's own keys, so that one watch covers all of
 // them.
-const RulesKey = root + "rules"
+const RulesKey = CellPrefix + "rules"
 
 // Defaults.
 const (
@@ -262,7 +263,7 @@
 
 // watch keeps the owner, the rules and the directory of VMs in sync with the store.
 func (g *Group) watch() {
-	f := follow.Follower{Store: g.store, Prefix: root, OnReset: g.reset, OnChange: g.applyEvents, Logger: g.log}
+	f := follow.Follower{Store: g.store, Prefix: CellPrefix, OnReset: g.reset, OnChange: g.applyEvents, Logger: g.log}
 	f.Run(g.ctx)
 }
 
