--- a/owner/scale_test.go
+++ b/owner/scale_test.go
@@ -386,19 +386,124 @@
 					}
 				}
 				time.Sleep(3 * time.Second)
+				f.cut(c.cutZone)
 				for i, v := range f.vms {
-					v.faults.Down(v.node.Zone == c.cutZone || i%10 < c.unserved)
+					if i%10 < c.unserved {
+						v.faults.Down(true)
+					}
 				}
-				f.cutZone = c.cutZone
 				time.Sleep(1500 * time.Millisecond)
 				check(c.want)
+				f.cut("")
+				time.Sleep(time.Second)
+				check(func(*fleetVM) bool { return false })
+			})
+		})
+	}
+}
+
+// Guards against a large cell that is left without an owner, or whose VMs know too little of each other, after faults of what
+// only large cells have: the candidates and the directory.
+func TestLargeCellOutlivesItsCandidates(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault func(f *testFleet)
+		// within is when the cell has an owner at the latest after the fault has begun, left how many VMs live afterwards.
+		within time.Duration
+		left   int
+		large  bool
+	}{
+		"all candidates and the owner are killed": {
+			fault: func(f *testFleet) {
+				for _, v := range f.vms {
+					if v.group.followsMembers() {
+						f.kill(v)
+					}
+				}
+			},
+			within: 2 * time.Second, left: 145, large: true,
+		},
+		"the zone of the owner is cut off and comes back": {
+			fault: func(f *testFleet) {
+				f.cut(f.owner().node.Zone)
+				time.Sleep(3 * time.Second)
+				f.cut("")
+			},
+			within: 4 * time.Second, left: 160, large: true,
+		},
+		"the store is silent for all and comes back": {
+			fault: func(f *testFleet) {
+				for _, v := range f.vms {
+					v.faults.Down(true)
+				}
+				time.Sleep(5 * time.Second)
 				for _, v := range f.vms {
 					v.faults.Down(false)
 				}
-				f.cutZone = ""
-				time.Sleep(time.Second)
-				check(func(*fleetVM) bool { return false })
+			},
+			within: 6 * time.Second, left: 160, large: true,
+		},
+		"the history is dropped while the owner is killed": {
+			fault: func(f *testFleet) {
+				f.kill(f.owner())
+				f.compact()
+			},
+			within: time.Second, left: 159, large: true,
+		},
+		"the cell becomes small": {
+			fault: func(f *testFleet) {
+				for _, v := range f.vms[smallCell:] {
+					f.kill(v)
+				}
+			},
+			within: 2 * time.Second, left: smallCell, large: false,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newTestFleet(t, 160)
+				time.Sleep(5 * time.Second)
+				is.True(f.owner().group.IsLarge())
+				start := time.Now()
+				c.fault(f)
+				f.owner()
+				t.Logf("an owner after %v", time.Since(start))
+				is.True(time.Since(start) <= c.within)
+				time.Sleep(20 * time.Second) // a VM learns its peers each 5 to 15 s
+				owners := 0
+				owner := f.owner()
+				is.Equal(len(owner.group.Nodes()), c.left)
+				for _, v := range f.vms {
+					if v.down.Load() {
+						continue
+					}
+					n, _, known := v.group.Owner()
+					is.True(known && n.ID == owner.node.ID)
+					is.Equal(v.group.IsLarge(), c.large)
+					is.True(len(v.group.Peers()) >= peersPerVM)
+					if v.group.owns() {
+						owners++
+					}
+				}
+				is.Equal(owners, 1)
 			})
 		})
 	}
 }
+
+func (g *Group) owns() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tenure != nil
+}
+
+// cut cuts an availability zone off from the store and the other zones, or ends that.
+func (f *testFleet) cut(zone string) {
+	f.cutZone = zone
+	for _, v := range f.vms {
+		v.faults.Down(v.node.Zone == zone)
+		if v.node.Zone == zone || zone == "" {
+			v.conns.Range(func(c, _ any) bool { c.(net.Conn).Close(); return true })
+		}
+	}
+}
