--- a/account/authenticator.go
+++ b/account/authenticator.go
@@ -44,8 +44,8 @@
 	MaxAge time.Duration
 }
 
-// Queue returns the queue of a request that arrived at that time, and the view in which it was found. The error is a Fault with CodeNotFound if no
-// queue matches, and with CodeRefused if this VM cannot tell.
+// Queue returns the queue of a request that arrived at that time, and the view in which it was found. The error is a Fault
+// with CodeNotFound if no queue matches, and with CodeRefused if this VM cannot tell.
 func (a *Authenticator) Queue(ctx context.Context, arrived time.Time, host, path string) (*job.Queue, View, error) {
 	v := a.View()
 	if v.Config == nil {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -24,7 +24,7 @@
 	directoryKey = CellPrefix + "directory"
 )
 
-// NodePrefix is the prefix of the entries of the VMs. They are apart from the keys that each VM has to know, since most VMs
+// NodePrefix is the prefix of the entries of the VMs. They are separate from the keys that each VM has to know, since most VMs
 // of a large cell do not follow them.
 const NodePrefix = "turmericgap/node/"
 
