Ask peers, not candidates, whether this VM is cut off

Cause: found by reading the change: while the store is silent for all VMs of a large cell, each asks six VMs of other zones four times a second, and most of those that it knows are the candidates, which all others know as well.

Change: it asks its peers, which are others for each VM. In cells of up to 128 VMs these are all VMs, as before.

--- a/owner/cutoff.go
+++ b/owner/cutoff.go
@@ -42,9 +42,11 @@
 }
 
 // isAlone asks some VMs of other availability zones and reports whether none of them answers. It is false if none is known.
+// It asks its peers: while the store is silent for all VMs of a large cell, the candidates, which all of them know, would
+// have to answer most of the questions.
 func (g *Group) isAlone() bool {
 	var others []Node
-	for _, n := range g.Nodes() {
+	for _, n := range g.Peers() {
 		if n.Zone != g.self.Zone {
 			others = append(others, n)
 		}
--- a/owner/scale_test.go
+++ b/owner/scale_test.go
@@ -516,3 +516,33 @@
 		}
 	}
 }
+
+// Guards against candidates that have to answer the questions of all VMs while the store is silent: each VM knows them, and
+// asks some VMs whether it is cut off.
+func TestSilenceOfStoreDoesNotLoadCandidates(t *testing.T) {
+	for _, size := range []int{160, 640} {
+		if size > largestCell {
+			continue
+		}
+		t.Run(fmt.Sprint(size, " VMs"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newTestFleet(t, size)
+				time.Sleep(18 * time.Second) // all have learned their peers from a complete list
+				before := make(map[*fleetVM]int64)
+				for _, v := range f.vms {
+					v.faults.Down(true)
+					before[v] = v.asked.Load()
+				}
+				time.Sleep(3 * time.Second)
+				var most, sum int64
+				for _, v := range f.vms {
+					asked := v.asked.Load() - before[v]
+					most, sum = max(most, asked), sum+asked
+				}
+				t.Logf("asked in 3 s: %d times a VM, at most %d", sum/int64(size), most)
+				is.True(most <= 3*sum/int64(size))
+			})
+		})
+	}
+}
