Review case: a session that lost its runner is never started again beside tasks that fill

Cause: a task with a target is kept from runners with tasks that fill, and nothing makes room for it. Change: the script of the case, in a folder of its own until the cases are put in order.

--- a/review/cell/cell.go
+++ b/review/cell/cell.go
@@ -21,6 +21,7 @@
 
 // Bounds of a small deployment, as its sheet gives them.
 const (
+	contact     = 3 * time.Second
 	cancelMs    = 3 * time.Second
 	stopTimeout = 200 * time.Millisecond
 	grace       = 6 * time.Second
@@ -280,13 +281,16 @@
 }
 
 type step struct {
-	Count       int
-	Cpu         int64
-	MemMb       int64
-	EstimateMs  int64  `json:",omitempty"`
-	After       []int  `json:",omitempty"`
-	Requires    string `json:",omitempty"`
-	LongRunning bool   `json:",omitempty"`
+	Count        int
+	Cpu          int64
+	MemMb        int64
+	EstimateMs   int64  `json:",omitempty"`
+	Requires     string `json:",omitempty"`
+	AntiAffinity int    `json:",omitempty"`
+	LongRunning  bool   `json:",omitempty"`
+	Image        string `json:",omitempty"`
+	TargetMs     int64  `json:",omitempty"`
+	FillCount    bool   `json:",omitempty"`
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
