--- a/review/cell/cell.go
+++ b/review/cell/cell.go
@@ -20,12 +20,7 @@
 )
 
 // Bounds of a small deployment, as its sheet gives them.
-const (
-	contact     = 3 * time.Second
-	cancelMs    = 3 * time.Second
-	stopTimeout = 200 * time.Millisecond
-	grace       = 6 * time.Second
-)
+const contact = 3 * time.Second
 
 const (
 	frontPort  = 8161
@@ -141,7 +136,7 @@
 		if err != nil {
 			return err
 		}
-		go func() { _ = http.Serve(l, c.store.Handler(vm.name)) }()
+		go func() { _ = http.Serve(l, c.store.Handler()) }()
 		vm.path = filepath.Join(c.dir, vm.name+".json")
 		if err := os.WriteFile(vm.path, vm.settings(zoneOf(i), l.Addr().String()), 0o600); err != nil {
 			return err
@@ -221,23 +216,6 @@
 	v.cell.Log("process of %s killed", v.name)
 }
 
-// Term ends the process with SIGTERM, or with SIGKILL after the grace time.
-func (v *VM) Term() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.cmd == nil {
-		return
-	}
-	v.cell.Log("process of %s gets SIGTERM", v.name)
-	_ = v.cmd.Process.Signal(syscall.SIGTERM)
-	process := v.cmd.Process
-	kill := time.AfterFunc(grace, func() { _ = process.Signal(syscall.SIGKILL) })
-	_ = v.cmd.Wait()
-	kill.Stop()
-	v.cmd = nil
-	v.cell.Log("process of %s has ended", v.name)
-}
-
 func (v *VM) ready() bool {
 	res, err := http.Get("http://" + v.ip + ":" + strconv.Itoa(readyPort) + "/turmericgap/readyz")
 	if err != nil {
@@ -247,16 +225,6 @@
 	return res.StatusCode == http.StatusOK
 }
 
-// VM returns the VM with a name, or nil.
-func (c *Cell) VM(name string) *VM {
-	for _, v := range c.vms {
-		if v.name == name {
-			return v
-		}
-	}
-	return nil
-}
-
 // Close ends all processes that the cell has started.
 func (c *Cell) Close() {
 	for _, v := range c.vms {
--- a/review/cell/fill.go
+++ b/review/cell/fill.go
@@ -70,3 +70,13 @@
 	return fmt.Errorf("%w: LOST, nothing of the session has run for %v, with %d of %d runners up and none of their cores taken but by tasks that fill",
 		errBroken, time.Since(lost).Round(time.Second), runners-1, runners)
 }
+
+// runningNow returns the runs of a submission that have not ended.
+func (c *Cell) runningNow(id string) (out []Run) {
+	for _, r := range c.fleet.Runs(id) {
+		if r.Ended.IsZero() {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- a/review/cell/store.go
+++ b/review/cell/store.go
@@ -40,8 +40,6 @@
 	history  []item
 	leases   map[int64]*lease
 	changed  chan struct{}
-	// lastWriter is the machine that last wrote under the condition that a key had not changed.
-	lastWriter string
 }
 
 func newStore() *Store {
@@ -66,13 +64,6 @@
 	s.wake()
 }
 
-// LastWriter returns the machine that last wrote under a condition on an existing key.
-func (s *Store) LastWriter() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lastWriter
-}
-
 func (s *Store) put(key string, value []byte, leaseID int64) {
 	created := s.revision
 	if old := s.items[key]; old != nil {
@@ -96,14 +87,14 @@
 	s.changed = make(chan struct{})
 }
 
-// Handler serves the store to one machine.
-func (s *Store) Handler(machine string) http.Handler {
+// Handler serves the store.
+func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	const p = "/turmericgap/"
 	mux.HandleFunc("GET "+p+"kv-key", s.serveKey)
 	mux.HandleFunc("GET "+p+"kv-range", s.serveRange)
 	mux.HandleFunc("GET "+p+"kv-watch", s.serveWatch)
-	mux.HandleFunc("POST "+p+"kv-txn", func(w http.ResponseWriter, r *http.Request) { s.serveTxn(w, r, machine) })
+	mux.HandleFunc("POST "+p+"kv-txn", s.serveTxn)
 	mux.HandleFunc("POST "+p+"kv-lease", s.serveLease)
 	mux.HandleFunc("POST "+p+"kv-keep/{id}", s.serveKeep)
 	mux.HandleFunc("DELETE "+p+"kv-lease-end/{id}", s.serveLeaseEnd)
@@ -196,7 +187,7 @@
 	Remove []string
 }
 
-func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request, machine string) {
+func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request) {
 	var t txn
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil || len(t.ExpectedRev)+len(t.Write)+len(t.Remove) > maxEntries {
 		reply(w, http.StatusBadRequest, struct{}{})
@@ -204,7 +195,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	holds, onExisting := true, false
+	holds := true
 	now := []item{}
 	for _, e := range t.ExpectedRev {
 		it := item{Key: e.Key}
@@ -212,7 +203,6 @@
 			it = *at
 		}
 		holds = holds && it.Revision == e.Revision
-		onExisting = onExisting || e.Revision > 0
 		now = append(now, it)
 	}
 	if !holds {
@@ -236,9 +226,6 @@
 	for _, k := range t.Remove {
 		s.remove(k)
 	}
-	if onExisting {
-		s.lastWriter = machine
-	}
 	s.wake()
 	reply(w, http.StatusOK, map[string]any{"Revision": s.revision})
 }
