--- a/review/cell/reborn.go
+++ b/review/cell/reborn.go
@@ -14,6 +14,8 @@
 	lateBy = 10 * time.Second
 	// taskLasts is how long each task works.
 	taskLasts = time.Second
+	// smallRunners is how many runners there are beside the one whose orders are held back.
+	smallRunners = 7
 )
 
 // playReborn holds back the orders to one runner for the first seconds of a submission. The runner crashes and starts again
@@ -21,12 +23,12 @@
 func playReborn(c *Cell, trouble bool) error {
 	c.PutConfig(1, queue("batch", 1))
 	c.runnersInOneZone = true
-	target, err := c.AddRunner("a", 32000, true)
+	target, err := c.AddRunner("a", 2*runnerCpu, true)
 	if err != nil {
 		return err
 	}
-	for range 3 {
-		if _, err := c.AddRunner("a", 16000, true); err != nil {
+	for range smallRunners {
+		if _, err := c.AddRunner("a", runnerCpu, true); err != nil {
 			return err
 		}
 	}
@@ -35,7 +37,7 @@
 	}
 	time.Sleep(20 * time.Second)
 	client, filler, id := c.newClient(), newID(), newID()
-	if !client.Submit(0, "batch", filler, "5s", step{Count: 12, Cpu: 4000, MemMb: 4000, EstimateMs: 5000}) {
+	if !client.Submit(0, "batch", filler, "5s", step{Count: smallRunners * runnerCpu / 4000, Cpu: 4000, MemMb: 4000, EstimateMs: 5000}) {
 		return fmt.Errorf("the submission was not accepted")
 	}
 	time.Sleep(time.Second)
