--- /dev/null
+++ b/review/second/platform/cases.go
@@ -0,0 +1,351 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+var (
+	openMu    sync.Mutex
+	openCells []*cell
+)
+
+// open starts a cell that closeAll closes.
+func open(log *record, o *options) (*cell, error) {
+	c, err := newCell(log, o)
+	if c != nil {
+		openMu.Lock()
+		openCells = append(openCells, c)
+		openMu.Unlock()
+	}
+	return c, err
+}
+
+func closeAll() {
+	openMu.Lock()
+	defer openMu.Unlock()
+	for _, c := range openCells {
+		c.close()
+	}
+	openCells = nil
+}
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// submission returns the body of a submission; ms is how long the tasks of each step take, 0 for tasks that last.
+func submission(ms []int, steps ...map[string]any) map[string]any {
+	parts := make([]string, len(ms))
+	for i, n := range ms {
+		parts[i] = fmt.Sprint(n)
+	}
+	return map[string]any{"Spec": `{"Ms":[` + strings.Join(parts, ",") + `]}`, "Steps": steps}
+}
+
+// await polls a condition.
+func await(d time.Duration, done func() bool) bool {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if done() {
+			return true
+		}
+	}
+	return done()
+}
+
+// kindsOf returns n runners of kind a; the last of them is of kind b if one is wanted.
+func kindsOf(n int, withB bool) []string {
+	kinds := slices.Repeat([]string{"a"}, n)
+	if withB {
+		kinds[n-1] = "b"
+	}
+	return kinds
+}
+
+// idleTooLong is for how long a task may not be at work although there is room, and settle for how long before that
+// nothing may have been disturbed.
+const (
+	idleTooLong = 3 * time.Second
+	settle      = 4 * time.Second
+	// afterLastRun is how long after its last run a task that lasts may be missing.
+	afterLastRun = 6 * time.Second
+	cancelWithin = 3 * time.Second
+	// finish is how long after the end of the traffic submissions are asked for.
+	finish = 14 * time.Second
+)
+
+// playQuarantine has the only runner of kind b fail all that it starts for some seconds, while submissions that need that
+// kind arrive: first three that last, then, in another cell, three with one task and attempts left.
+func playQuarantine(log *record, trouble bool) (string, error) {
+	var broken []string
+	for _, lasts := range []bool{true, false} {
+		log.printf("submissions that last: %v", lasts)
+		found, err := playGreyRunner(log, trouble, lasts)
+		if err != nil {
+			return "", err
+		}
+		if found != "" {
+			broken = append(broken, found)
+		}
+	}
+	return strings.Join(broken, "; "), nil
+}
+
+func playGreyRunner(log *record, trouble, lasts bool) (string, error) {
+	defer closeAll()
+	c, err := open(log, &options{vms: 6, kinds: kindsOf(12, true), cpu: 16000, mem: 65536, attempts: 5})
+	if err != nil {
+		return "", err
+	}
+	b := c.runners[len(c.runners)-1]
+	if trouble {
+		b.setGrey(true)
+	}
+	step, takes := map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 1000, "Requires": "b"}, 0
+	if lasts {
+		step["LongRunning"] = true
+	} else {
+		step["EstimateMs"], takes = 2000, 2000
+	}
+	var ids []string
+	for range 3 {
+		id := newID()
+		if !c.submit(id, submission([]int{takes}, step)) {
+			return "", errors.New("a submission was not accepted")
+		}
+		ids = append(ids, id)
+	}
+	time.Sleep(greyFor)
+	if trouble {
+		b.setGrey(false)
+	}
+	return c.findIdle(ids, time.Now(), 25*time.Second), nil
+}
+
+// greyFor is how long a runner fails all that it starts.
+const greyFor = 2 * time.Second
+
+// findIdle watches submissions of one task for a while, and returns which of them had no task at work for too long. sound
+// is when the last disturbance ended.
+func (c *cell) findIdle(ids []string, sound time.Time, d time.Duration) string {
+	idleSince := make(map[string]time.Time)
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, id := range ids {
+			runs := c.judge.runsOf(id)
+			from := sound.Add(settle)
+			if len(runs) > 0 {
+				last := runs[len(runs)-1]
+				if last.finished.IsZero() || last.how == "done" {
+					delete(idleSince, id)
+					continue
+				}
+				if at := last.finished.Add(afterLastRun); at.After(from) {
+					from = at
+				}
+			}
+			if time.Now().Before(from) {
+				continue
+			}
+			if idleSince[id].IsZero() {
+				idleSince[id] = time.Now()
+			}
+		}
+	}
+	var broken []string
+	for _, id := range ids {
+		if since := idleSince[id]; !since.IsZero() && time.Since(since) > idleTooLong {
+			broken = append(broken, fmt.Sprintf("%s is shown as %s and has had nothing running for %.1f s, with room for it", id, c.state(id), time.Since(since).Seconds()))
+		}
+	}
+	return strings.Join(broken, "; ")
+}
+
+// playCrashes has a runner crash twice, each time soon after a submission that lasts has begun on it.
+func playCrashes(log *record, trouble bool) (string, error) {
+	defer closeAll()
+	c, err := open(log, &options{vms: 6, kinds: kindsOf(12, true), cpu: 16000, mem: 65536, attempts: 3})
+	if err != nil {
+		return "", err
+	}
+	crashes := 0
+	var crashed sync.Mutex
+	c.judge.setOnStart(func(_ string, _ int64, r *runner) {
+		crashed.Lock()
+		defer crashed.Unlock()
+		if !trouble || crashes == 2 {
+			return
+		}
+		crashes++
+		time.Sleep(600 * time.Millisecond)
+		r.crash()
+		time.Sleep(3 * time.Second)
+		if err := r.start(); err != nil {
+			log.printf("runner doesn't start: %v", err)
+		}
+	})
+	id := newID()
+	if !c.submit(id, submission([]int{0}, map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 1000, "LongRunning": true, "Requires": "b"})) {
+		return "", errors.New("the submission was not accepted")
+	}
+	time.Sleep(25 * time.Second)
+	for _, r := range c.judge.runsOf(id) {
+		log.printf("run %d on %s: %q", r.number, r.runner, r.how)
+	}
+	switch state := c.state(id); {
+	case state == "failed" || state == "cancelled" || state == "gone":
+		return fmt.Sprintf("a submission that lasts and that nobody cancelled is shown as %s, none of its runs has ended failed", state), nil
+	case c.judge.running(id) == 0:
+		return "the submission has nothing running", nil
+	}
+	return "", nil
+}
+
+// playFillers has a large submission that fills run on all runners when a submission that serves users arrives.
+func playFillers(log *record, trouble bool) (string, error) {
+	defer closeAll()
+	const runners = 12
+	c, err := open(log, &options{vms: 6, kinds: kindsOf(runners, false), cpu: 16000, mem: 65536, attempts: 3})
+	if err != nil {
+		return "", err
+	}
+	if trouble {
+		id := newID()
+		if !c.submit(id, submission([]int{60000}, map[string]any{"Count": 2 * runners, "Cpu": 2000, "MemMb": 1000, "EstimateMs": 60000, "FillCount": true, "AntiAffinity": 2, "Image": "img-fill"})) {
+			return "", errors.New("the submission that fills was not accepted")
+		}
+		if !await(10*time.Second, func() bool { return c.judge.running(id) == 2*runners }) {
+			return "", errors.New("the submission that fills did not start")
+		}
+	}
+	id := newID()
+	if !c.submit(id, submission([]int{0}, map[string]any{"Count": 2, "Cpu": 1000, "MemMb": 1000, "LongRunning": true, "TargetMs": 200, "Image": "img-serve"})) {
+		return "", errors.New("the submission that serves was not accepted")
+	}
+	return c.findIdle([]string{id}, time.Now(), 25*time.Second), nil
+}
+
+// playOversize hands in one submission of 80,000 short tasks, beside usual ones.
+func playOversize(log *record, trouble bool) (string, error) {
+	defer closeAll()
+	c, err := open(log, &options{vms: 6, kinds: kindsOf(12, false), cpu: 16000, mem: 65536, attempts: 3})
+	if err != nil {
+		return "", err
+	}
+	if trouble {
+		steps := make([]map[string]any, 20)
+		ms := make([]int, len(steps))
+		for i := range steps {
+			steps[i], ms[i] = map[string]any{"Count": 4000, "Cpu": 100, "MemMb": 100, "EstimateMs": 1000}, 1000
+		}
+		accepted := c.submit(newID(), submission(ms, steps...))
+		log.printf("the large submission was accepted: %v", accepted)
+	}
+	var ids []string
+	for range 20 {
+		id := newID()
+		if c.submit(id, submission([]int{1000}, map[string]any{"Count": 2, "Cpu": 1000, "MemMb": 1000, "EstimateMs": 1000})) {
+			ids = append(ids, id)
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	time.Sleep(finish)
+	lost, began := 0, 0
+	for _, id := range ids {
+		if c.state(id) == "completed" {
+			continue
+		}
+		if lost++; len(c.judge.runsOf(id)) > 0 {
+			began++
+		}
+	}
+	c.store.mu.Lock()
+	declined, why := c.store.declined, c.store.declinedWhy
+	c.store.mu.Unlock()
+	log.printf("%d submissions accepted, %d of them not completed, %d of these have begun; the store has refused %d transactions: %s", len(ids), lost, began, declined, why)
+	if lost > 0 {
+		return fmt.Sprintf("%d of %d accepted submissions have nothing running %v after the end of the traffic, with the service empty", lost-began, len(ids), finish), nil
+	}
+	return "", nil
+}
+
+// playCancel kills the process of the VM that gives the orders, while clients cancel part of their submissions right after
+// the acknowledgement.
+func playCancel(log *record, trouble bool) (string, error) {
+	defer closeAll()
+	c, err := open(log, &options{vms: 6, kinds: kindsOf(12, false), cpu: 64000, mem: 256 << 10, attempts: 3})
+	if err != nil {
+		return "", err
+	}
+	// A first submission shows which VM gives the orders.
+	c.submit(newID(), submission([]int{200}, map[string]any{"Count": 1, "Cpu": 100, "MemMb": 100}))
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	gone := make(map[string]time.Time)
+	tick := time.NewTicker(time.Second / submissionsPerSecond)
+	defer tick.Stop()
+	began, kills := time.Now(), 0
+	for n := 0; time.Since(began) < 64*time.Second; n++ {
+		if trouble && kills < 5 && time.Since(began) > time.Duration(24+8*kills)*time.Second {
+			kills++
+			c.killOwner()
+		}
+		clients.Go(func() {
+			id := newID()
+			if !c.submitAndCancel(id, c.vms[n%len(c.vms)], n%5 < 2) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			gone[id] = time.Now()
+		})
+		<-tick.C
+	}
+	clients.Wait()
+	time.Sleep(12 * time.Second)
+	var broken []string
+	for id, at := range gone {
+		for _, r := range c.judge.runsOf(id) {
+			if after := r.began.Sub(at); after > cancelWithin {
+				log.printf("%s starts %.1f s after its cancelling was acknowledged with 410", r.task, after.Seconds())
+				broken = append(broken, r.task)
+			}
+		}
+	}
+	log.printf("%d cancels of accepted submissions were answered 410, %d of their tasks have started more than %v later", len(gone), len(broken), cancelWithin)
+	if len(broken) > 0 {
+		return fmt.Sprintf("%d tasks have started more than %v after the cancelling of their submissions was acknowledged, the first of them %s", len(broken), cancelWithin, broken[0]), nil
+	}
+	return "", nil
+}
+
+// submissionsPerSecond is twice the traffic of the small deployment.
+const submissionsPerSecond = 72
+
+// submitAndCancel hands a short submission in, or one with a second step after nine seconds that it cancels right after
+// the acknowledgement. It reports whether that was answered 410.
+func (c *cell) submitAndCancel(id string, v *vm, cancels bool) (gone bool) {
+	body := submission([]int{200}, map[string]any{"Count": 1, "Cpu": 100, "MemMb": 100, "EstimateMs": 200})
+	if cancels {
+		body = submission([]int{9000, 200},
+			map[string]any{"Count": 1, "Cpu": 100, "MemMb": 100, "EstimateMs": 9000},
+			map[string]any{"Count": 1, "Cpu": 100, "MemMb": 100, "EstimateMs": 200, "After": []int{0}})
+	}
+	status, answer := c.call(v, http.MethodPost, id, body)
+	if status/100 != 2 {
+		c.log.printf("POST %s at %s: %d %s", id, v.name, status, short(answer))
+		return false
+	}
+	if !cancels {
+		return false
+	}
+	acked := time.Now()
+	status, answer = c.call(v, http.MethodDelete, id, nil)
+	if status != http.StatusOK {
+		c.log.printf("POST %s at %s: 200; DELETE, answered %.1f ms later: %d %s", id, v.name, float64(time.Since(acked).Microseconds())/1000, status, short(answer))
+	}
+	return status == http.StatusGone
+}
