review: one crash counted by five owners fails six submissions (case 6)

Cause: a run whose worker has restarted under its ID stays with its task for a while, and each new owner weighs the same crash again.

Change: case 6 plays that as a second cell: one runner crashes once and starts again under its ID, and the owner's process is killed five times.

--- a/review/second/platform/cases.go
+++ b/review/second/platform/cases.go
@@ -164,8 +164,23 @@
 	return strings.Join(broken, "; ")
 }
 
-// playCrashes has a runner crash twice, each time soon after a submission that lasts has begun on it.
+// playCrashes plays both cases of crashes in cells of their own.
 func playCrashes(log *record, trouble bool) (string, error) {
+	var broken []string
+	for _, p := range []play{playTwoCrashes, playOneCrash} {
+		found, err := p(log, trouble)
+		if err != nil {
+			return "", err
+		}
+		if found != "" {
+			broken = append(broken, found)
+		}
+	}
+	return strings.Join(broken, "; "), nil
+}
+
+// playTwoCrashes has a runner crash twice, each time soon after a submission that lasts has begun on it.
+func playTwoCrashes(log *record, trouble bool) (string, error) {
 	defer closeAll()
 	c, err := open(log, &options{vms: 6, kinds: kindsOf(12, true), cpu: 16000, mem: 65536, attempts: 3})
 	if err != nil {
@@ -191,7 +206,7 @@
 	if !c.submit(id, submission([]int{0}, map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 1000, "LongRunning": true, "Requires": "b"})) {
 		return "", errors.New("the submission was not accepted")
 	}
-	time.Sleep(25 * time.Second)
+	time.Sleep(20 * time.Second)
 	for _, r := range c.judge.runsOf(id) {
 		log.printf("run %d on %s: %q", r.number, r.runner, r.how)
 	}
@@ -204,6 +219,57 @@
 	return "", nil
 }
 
+// playOneCrash has a runner crash and start again under its ID, while the process that gives the orders is killed some
+// times.
+func playOneCrash(log *record, trouble bool) (string, error) {
+	defer closeAll()
+	c, err := open(log, &options{vms: 8, kinds: kindsOf(12, true), cpu: 16000, mem: 65536, attempts: 5, keepsIDs: true})
+	if err != nil {
+		return "", err
+	}
+	var ids []string
+	for range 6 {
+		id := newID()
+		if !c.submit(id, submission([]int{8000}, map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 1000, "EstimateMs": 8000, "Requires": "b"})) {
+			return "", errors.New("a submission was not accepted")
+		}
+		ids = append(ids, id)
+	}
+	time.Sleep(time.Second)
+	if trouble {
+		b := c.runners[len(c.runners)-1]
+		b.crash()
+		time.AfterFunc(time.Second, func() {
+			if err := b.start(); err != nil {
+				log.printf("runner doesn't start: %v", err)
+			}
+		})
+		time.Sleep(killGap)
+		for range ownerKills {
+			c.killOwner()
+			time.Sleep(killGap)
+		}
+	}
+	time.Sleep(20 * time.Second)
+	var failed []string
+	for _, id := range ids {
+		runs := c.judge.runsOf(id)
+		for _, r := range runs {
+			log.printf("%s run %d on %s: %q", r.task, r.number, r.runner, r.how)
+		}
+		if state := c.state(id); state == "failed" || state == "cancelled" || state == "gone" {
+			failed = append(failed, fmt.Sprintf("%s, which nobody cancelled, is shown as %s after %d runs, none of which ended failed", id, state, len(runs)))
+		}
+	}
+	return strings.Join(failed, "; "), nil
+}
+
+// killGap is the pause between two of the ownerKills.
+const (
+	killGap    = 1200 * time.Millisecond
+	ownerKills = 5
+)
+
 // playFillers has a large submission that fills run on all runners when a submission that serves users arrives.
 func playFillers(log *record, trouble bool) (string, error) {
 	defer closeAll()
--- a/review/second/platform/cell.go
+++ b/review/second/platform/cell.go
@@ -72,6 +72,8 @@
 	logs    *os.File
 	client  *http.Client
 	queue   map[string]any
+	// keepsIDs is set if a runner starts again under the ID that it had.
+	keepsIDs bool
 }
 
 // options is the size of a cell.
@@ -81,6 +83,8 @@
 	kinds    []string
 	cpu, mem int64
 	attempts int
+	// keepsIDs is set if a runner starts again under the ID that it had.
+	keepsIDs bool
 }
 
 // newCell starts a cell and waits until it is ready. The caller closes it.
@@ -89,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cell{log: log, store: newStore(), judge: newJudge(), folder: folder}
+	c := &cell{log: log, store: newStore(), judge: newJudge(), folder: folder, keepsIDs: o.keepsIDs}
 	c.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	if c.logs, err = os.Create(filepath.Join(folder, "entry.log")); err != nil {
 		return c, err
@@ -301,8 +305,8 @@
 	}
 }
 
-// killOwner kills the process of the VM that has given the last order to a runner, and returns its name.
-func (c *cell) killOwner() string {
+// owner returns the VM that has given the last order to a runner, or nil.
+func (c *cell) owner() *vm {
 	var names []string
 	for _, v := range c.vms {
 		names = append(names, v.name)
@@ -310,11 +314,18 @@
 	name := c.store.ownerAt(c.judge.lastFence(), names)
 	for _, v := range c.vms {
 		if v.name == name {
-			v.signal(syscall.SIGKILL)
+			return v
 		}
 	}
-	c.log.printf("killed the process of %s", name)
-	return name
+	return nil
+}
+
+// killOwner kills the process of that VM.
+func (c *cell) killOwner() {
+	if v := c.owner(); v != nil {
+		c.log.printf("the process of %s is killed", v.name)
+		v.signal(syscall.SIGKILL)
+	}
 }
 
 // call makes a client's call at a VM, over a new connection. Status 0 stands for no answer.
--- a/review/second/platform/runner.go
+++ b/review/second/platform/runner.go
@@ -99,8 +99,12 @@
 	}
 	r.mu.Lock()
 	r.lives++
+	id := "i-" + strings.NewReplacer(".", "", ":", "-").Replace(r.address)
+	if !r.cell.keepsIDs {
+		id += fmt.Sprintf("-%d", r.lives)
+	}
 	r.life = &life{
-		id: fmt.Sprintf("i-%s-%d", strings.NewReplacer(".", "", ":", "-").Replace(r.address), r.lives), began: time.Now(),
+		id: id, began: time.Now(),
 		active: make(map[string]*activeRun), forbidden: make(map[string]int64), changed: make(chan struct{}),
 	}
 	me, server := r.life, &http.Server{Handler: r.handler()}
@@ -126,7 +130,13 @@
 	r.mu.Unlock()
 	r.cell.log.printf("runner %s crashes, lost: %s", me.id, strings.Join(lost, ", "))
 	server.Close()
-	time.AfterFunc(entryLifetime, func() { r.cell.store.remove("servers/" + me.id) })
+	time.AfterFunc(entryLifetime, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.life == me || r.life.id != me.id {
+			r.cell.store.remove("servers/" + me.id)
+		}
+	})
 }
 
 // beat writes the runner's entry.
@@ -138,11 +148,11 @@
 			return
 		}
 		me.sequence++
-		raw, err := json.Marshal(map[string]any{
+		raw, err := json.Marshal(me.says(map[string]any{
 			"Service": service, "Address": r.address, "Zone": r.zone, "Version": "v1", "Slots": 8, "State": "ready",
 			"ColdLeftMs": 0, "Capacity": map[string]int64{"Cpu": r.cpu, "MemMb": r.mem, "Gpu": 0}, "Labels": r.labels,
-			"ClockMs": time.Since(me.began).Milliseconds(), "Sequence": me.sequence,
-		})
+			"Sequence": me.sequence,
+		}))
 		r.mu.Unlock()
 		if err == nil {
 			r.cell.store.put("servers/"+me.id, raw)
@@ -229,8 +239,14 @@
 
 func (me *life) clock() int64 { return time.Since(me.began).Milliseconds() }
 
+// says adds to what a runner says of itself its clock, and when it started.
+func (me *life) says(body map[string]any) map[string]any {
+	body["ClockMs"], body["born"] = me.clock(), me.began.UnixMilli()
+	return body
+}
+
 func (me *life) refuse(w http.ResponseWriter, reason string) {
-	reply(w, http.StatusConflict, map[string]any{"ClockMs": me.clock(), "Reason": reason})
+	reply(w, http.StatusConflict, me.says(map[string]any{"Reason": reason}))
 }
 
 // admit takes the fence and the lease of an order, and reports whether the fence is high enough. The caller holds mu.
@@ -274,7 +290,7 @@
 		r.cell.judge.started(o.Task, o.RunId, me.id, r)
 		r.cell.log.printf("run %d of %s starts on %s, fence %d", o.RunId, o.Task, me.id, o.FencingToken)
 	}
-	reply(w, http.StatusOK, map[string]any{"ClockMs": me.clock()})
+	reply(w, http.StatusOK, me.says(map[string]any{}))
 }
 
 func (r *runner) serveStop(w http.ResponseWriter, _ *http.Request, me *life, o *order) {
@@ -298,7 +314,7 @@
 	} else if a == nil {
 		me.forbidden[o.Task] = max(me.forbidden[o.Task], o.RunId)
 	}
-	reply(w, http.StatusOK, map[string]any{"ClockMs": me.clock()})
+	reply(w, http.StatusOK, me.says(map[string]any{}))
 }
 
 func (r *runner) servePace(w http.ResponseWriter, _ *http.Request, me *life, o *order) {
@@ -308,7 +324,7 @@
 		me.refuse(w, "fence")
 		return
 	}
-	reply(w, http.StatusOK, map[string]any{"ClockMs": me.clock()})
+	reply(w, http.StatusOK, me.says(map[string]any{}))
 }
 
 func (r *runner) serveHold(w http.ResponseWriter, req *http.Request, me *life, o *order) {
@@ -337,7 +353,7 @@
 	for _, e := range me.ended[:min(len(me.ended), maxListed)] {
 		finished = append(finished, []any{e.n, e.task, e.number, e.how, ""})
 	}
-	reply(w, http.StatusOK, map[string]any{"ClockMs": me.clock(), "Active": active, "Finished": finished})
+	reply(w, http.StatusOK, me.says(map[string]any{"Active": active, "Finished": finished}))
 }
 
 // percent returns the progress of a task; a task that lasts is at work at 100.
