--- a/review/second/platform/cases.go
+++ b/review/second/platform/cases.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -133,6 +132,7 @@
 // is when the last disturbance ended.
 func (c *cell) findIdle(ids []string, sound time.Time, d time.Duration) string {
 	idleSince := make(map[string]time.Time)
+	longest := make(map[string]time.Duration)
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for _, id := range ids {
 			runs := c.judge.runsOf(id)
@@ -153,72 +153,18 @@
 			if idleSince[id].IsZero() {
 				idleSince[id] = time.Now()
 			}
+			longest[id] = max(longest[id], time.Since(idleSince[id]))
 		}
 	}
 	var broken []string
 	for _, id := range ids {
-		if since := idleSince[id]; !since.IsZero() && time.Since(since) > idleTooLong {
-			broken = append(broken, fmt.Sprintf("%s is shown as %s and has had nothing running for %.1f s, with room for it", id, c.state(id), time.Since(since).Seconds()))
+		if longest[id] > idleTooLong {
+			broken = append(broken, fmt.Sprintf("%s, now shown as %s, had nothing running for %.1f s, with room for it", id, c.state(id), longest[id].Seconds()))
 		}
 	}
 	return strings.Join(broken, "; ")
 }
 
-// playCrashes plays both cases of crashes in cells of their own.
-func playCrashes(log *record, trouble bool) (string, error) {
-	var broken []string
-	for _, p := range []play{playTwoCrashes, playOneCrash} {
-		found, err := p(log, trouble)
-		if err != nil {
-			return "", err
-		}
-		if found != "" {
-			broken = append(broken, found)
-		}
-	}
-	return strings.Join(broken, "; "), nil
-}
-
-// playTwoCrashes has a runner crash twice, each time soon after a submission that lasts has begun on it.
-func playTwoCrashes(log *record, trouble bool) (string, error) {
-	defer closeAll()
-	c, err := open(log, &options{vms: 6, kinds: kindsOf(12, true), cpu: 16000, mem: 65536, attempts: 3})
-	if err != nil {
-		return "", err
-	}
-	crashes := 0
-	var crashed sync.Mutex
-	c.judge.setOnStart(func(_ string, _ int64, r *runner) {
-		crashed.Lock()
-		defer crashed.Unlock()
-		if !trouble || crashes == 2 {
-			return
-		}
-		crashes++
-		time.Sleep(600 * time.Millisecond)
-		r.crash()
-		time.Sleep(3 * time.Second)
-		if err := r.start(); err != nil {
-			log.printf("runner doesn't start: %v", err)
-		}
-	})
-	id := newID()
-	if !c.submit(id, submission([]int{0}, map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 1000, "LongRunning": true, "Requires": "b"})) {
-		return "", errors.New("the submission was not accepted")
-	}
-	time.Sleep(20 * time.Second)
-	for _, r := range c.judge.runsOf(id) {
-		log.printf("run %d on %s: %q", r.number, r.runner, r.how)
-	}
-	switch state := c.state(id); {
-	case state == "failed" || state == "cancelled" || state == "gone":
-		return fmt.Sprintf("a submission that lasts and that nobody cancelled is shown as %s, none of its runs has ended failed", state), nil
-	case c.judge.running(id) == 0:
-		return "the submission has nothing running", nil
-	}
-	return "", nil
-}
-
 // playOneCrash has a runner crash and start again under its ID, while the process that gives the orders is killed some
 // times.
 func playOneCrash(log *record, trouble bool) (string, error) {
@@ -270,30 +216,6 @@
 	ownerKills = 5
 )
 
-// playFillers has a large submission that fills run on all runners when a submission that serves users arrives.
-func playFillers(log *record, trouble bool) (string, error) {
-	defer closeAll()
-	const runners = 12
-	c, err := open(log, &options{vms: 6, kinds: kindsOf(runners, false), cpu: 16000, mem: 65536, attempts: 3})
-	if err != nil {
-		return "", err
-	}
-	if trouble {
-		id := newID()
-		if !c.submit(id, submission([]int{60000}, map[string]any{"Count": 2 * runners, "Cpu": 2000, "MemMb": 1000, "EstimateMs": 60000, "FillCount": true, "AntiAffinity": 2, "Image": "img-fill"})) {
-			return "", errors.New("the submission that fills was not accepted")
-		}
-		if !await(10*time.Second, func() bool { return c.judge.running(id) == 2*runners }) {
-			return "", errors.New("the submission that fills did not start")
-		}
-	}
-	id := newID()
-	if !c.submit(id, submission([]int{0}, map[string]any{"Count": 2, "Cpu": 1000, "MemMb": 1000, "LongRunning": true, "TargetMs": 200, "Image": "img-serve"})) {
-		return "", errors.New("the submission that serves was not accepted")
-	}
-	return c.findIdle([]string{id}, time.Now(), 25*time.Second), nil
-}
-
 // playOversize hands in one submission of 80,000 short tasks, beside usual ones.
 func playOversize(log *record, trouble bool) (string, error) {
 	defer closeAll()
@@ -338,80 +260,72 @@
 	return "", nil
 }
 
-// playCancel kills the process of the VM that gives the orders, while clients cancel part of their submissions right after
-// the acknowledgement.
-func playCancel(log *record, trouble bool) (string, error) {
+// playIsolation has a runner crash twice, each time soon after the tasks of six submissions have begun on it.
+func playIsolation(log *record, trouble bool) (string, error) {
 	defer closeAll()
-	c, err := open(log, &options{vms: 6, kinds: kindsOf(12, false), cpu: 64000, mem: 256 << 10, attempts: 3})
+	c, err := open(log, &options{vms: 6, kinds: kindsOf(12, true), cpu: 16000, mem: 65536, attempts: 5})
 	if err != nil {
 		return "", err
 	}
-	// A first submission shows which VM gives the orders.
-	c.submit(newID(), submission([]int{200}, map[string]any{"Count": 1, "Cpu": 100, "MemMb": 100}))
-	var clients sync.WaitGroup
-	var mu sync.Mutex
-	gone := make(map[string]time.Time)
-	tick := time.NewTicker(time.Second / submissionsPerSecond)
-	defer tick.Stop()
-	began, kills := time.Now(), 0
-	for n := 0; time.Since(began) < 64*time.Second; n++ {
-		if trouble && kills < 5 && time.Since(began) > time.Duration(24+8*kills)*time.Second {
-			kills++
-			c.killOwner()
+	b := c.runners[len(c.runners)-1]
+	var ids []string
+	for range 6 {
+		id := newID()
+		if !c.submit(id, submission([]int{10000}, map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 1000, "EstimateMs": 10000, "Requires": "b"})) {
+			return "", errors.New("a submission was not accepted")
 		}
-		clients.Go(func() {
-			id := newID()
-			if !c.submitAndCancel(id, c.vms[n%len(c.vms)], n%5 < 2) {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			gone[id] = time.Now()
-		})
-		<-tick.C
+		ids = append(ids, id)
 	}
-	clients.Wait()
-	time.Sleep(12 * time.Second)
-	var broken []string
-	for id, at := range gone {
-		for _, r := range c.judge.runsOf(id) {
-			if after := r.began.Sub(at); after > cancelWithin {
-				log.printf("%s starts %.1f s after its cancelling was acknowledged with 410", r.task, after.Seconds())
-				broken = append(broken, r.task)
-			}
+	trafficEnd := time.Now()
+	for range 2 {
+		if !trouble {
+			break
+		}
+		if !await(10*time.Second, func() bool { return c.runningOf(ids) > 0 }) {
+			return "", errors.New("nothing has started")
+		}
+		time.Sleep(600 * time.Millisecond)
+		b.crash()
+		time.Sleep(time.Second)
+		if err := b.start(); err != nil {
+			return "", err
 		}
 	}
-	log.printf("%d cancels of accepted submissions were answered 410, %d of their tasks have started more than %v later", len(gone), len(broken), cancelWithin)
-	if len(broken) > 0 {
-		return fmt.Sprintf("%d tasks have started more than %v after the cancelling of their submissions was acknowledged, the first of them %s", len(broken), cancelWithin, broken[0]), nil
-	}
-	return "", nil
+	time.Sleep(time.Until(trafficEnd.Add(finish)))
+	return c.findIdle(ids, time.Now().Add(-settle), 8*time.Second), nil
 }
 
-// submissionsPerSecond is twice the traffic of the small deployment.
-const submissionsPerSecond = 72
+func (c *cell) runningOf(ids []string) int {
+	n := 0
+	for _, id := range ids {
+		n += c.judge.running(id)
+	}
+	return n
+}
 
-// submitAndCancel hands a short submission in, or one with a second step after nine seconds that it cancels right after
-// the acknowledgement. It reports whether that was answered 410.
-func (c *cell) submitAndCancel(id string, v *vm, cancels bool) (gone bool) {
-	body := submission([]int{200}, map[string]any{"Count": 1, "Cpu": 100, "MemMb": 100, "EstimateMs": 200})
-	if cancels {
-		body = submission([]int{9000, 200},
-			map[string]any{"Count": 1, "Cpu": 100, "MemMb": 100, "EstimateMs": 9000},
-			map[string]any{"Count": 1, "Cpu": 100, "MemMb": 100, "EstimateMs": 200, "After": []int{0}})
+// playLostRunner loses a runner for good on which a task that lasts is at work.
+func playLostRunner(log *record, trouble bool) (string, error) {
+	defer closeAll()
+	c, err := open(log, &options{vms: 6, kinds: kindsOf(12, false), cpu: 16000, mem: 65536, attempts: 5})
+	if err != nil {
+		return "", err
 	}
-	status, answer := c.call(v, http.MethodPost, id, body)
-	if status/100 != 2 {
-		c.log.printf("POST %s at %s: %d %s", id, v.name, status, short(answer))
-		return false
+	id := newID()
+	if !c.submit(id, submission([]int{0}, map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 1000, "LongRunning": true})) {
+		return "", errors.New("the submission was not accepted")
 	}
-	if !cancels {
-		return false
+	time.Sleep(settle)
+	lost := time.Now()
+	if trouble {
+		for _, r := range c.runners {
+			if r.runs(id) {
+				r.crash()
+			}
+		}
 	}
-	acked := time.Now()
-	status, answer = c.call(v, http.MethodDelete, id, nil)
-	if status != http.StatusOK {
-		c.log.printf("POST %s at %s: 200; DELETE, answered %.1f ms later: %d %s", id, v.name, float64(time.Since(acked).Microseconds())/1000, status, short(answer))
+	found := c.findIdle([]string{id}, lost, 25*time.Second)
+	for _, r := range c.judge.runsOf(id) {
+		log.printf("%s run %d starts %.1f s after the loss", r.task, r.number, r.began.Sub(lost).Seconds())
 	}
-	return status == http.StatusGone
+	return found, nil
 }
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -25,11 +25,11 @@
 type play func(log *record, trouble bool) (broken string, err error)
 
 var plays = map[string]play{
-	"oversize":   playOversize,
-	"quarantine": playQuarantine,
-	"crashes":    playCrashes,
-	"cancel":     playCancel,
-	"fillers":    playFillers,
+	"one-crash":   playOneCrash,
+	"quarantine":  playQuarantine,
+	"isolation":   playIsolation,
+	"lost-runner": playLostRunner,
+	"oversize":    playOversize,
 }
 
 func main() {
--- a/review/second/platform/runner.go
+++ b/review/second/platform/runner.go
@@ -83,6 +83,18 @@
 
 func (r *runner) name() string { return r.labels[0] + "@" + r.address }
 
+// runs reports whether a task of a submission is at work on the runner.
+func (r *runner) runs(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for task := range r.life.active {
+		if strings.HasPrefix(task, id+".") {
+			return true
+		}
+	}
+	return false
+}
+
 // setGrey makes the runner fail all that it starts, or ends that.
 func (r *runner) setGrey(on bool) {
 	r.mu.Lock()
