Weigh the loss of a worker instance once for each run

Cause: a run whose order may still arrive at the newer instance outlives the loss, and the record held only the sum of the weights. Each new owner restored the run with its first instance, saw the newer one and weighed the loss again.

The progress of a run now names the instance whose loss was weighed, in the same value as the weight: both are durable or neither. Records of the former version lack it and count as before.

--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -141,6 +141,8 @@
 	decidedAt, sentAt, confirmedAt time.Time
 	// undelivered is true if the start order certainly did not reach the worker.
 	undelivered bool
+	// lostWith is the latest worker instance whose loss has been weighed for this run, zero if none.
+	lostWith int64
 	// exclusive is true if nothing else may be placed on the worker until the run has ended.
 	exclusive bool
 	// stopping is true once the run was ordered to stop; haltedAt is when that order was last sent.
@@ -250,7 +252,7 @@
 				t := &s.tasks[i]
 				tr := workrecord.Task{Phase: t.phase, Run: t.number, Fails: t.failures, Checkpoint: t.checkpoint}
 				if t.run != nil {
-					tr.Worker, tr.Born = t.run.node.id, t.run.Born
+					tr.Worker, tr.Born, tr.LostWith = t.run.node.id, t.run.Born, t.run.lostWith
 				}
 				sr.Tasks[i] = tr
 			}
--- a/workrecord/record.go
+++ b/workrecord/record.go
@@ -90,19 +90,25 @@
 	Checkpoint string
 	// Born is the worker instance that the run was started on, zero if unknown. Records of older versions lack it.
 	Born int64
+	// LostWith is the latest worker instance whose loss has been weighed against the task for this run, zero if none.
+	// Records of older versions lack it.
+	LostWith int64
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder. Without an instance, older versions can decode the record.
 func (r *Task) EncodeMsgpack(e *msgpack.Encoder) error {
-	if r.Born == 0 {
-		return tuple.Encode(e, r.Phase, r.Run, r.Worker, r.Fails, r.Checkpoint)
+	switch {
+	case r.LostWith != 0:
+		return tuple.Encode(e, r.Phase, r.Run, r.Worker, r.Fails, r.Checkpoint, r.Born, r.LostWith)
+	case r.Born != 0:
+		return tuple.Encode(e, r.Phase, r.Run, r.Worker, r.Fails, r.Checkpoint, r.Born)
 	}
-	return tuple.Encode(e, r.Phase, r.Run, r.Worker, r.Fails, r.Checkpoint, r.Born)
+	return tuple.Encode(e, r.Phase, r.Run, r.Worker, r.Fails, r.Checkpoint)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *Task) DecodeMsgpack(d *msgpack.Decoder) error {
-	return tuple.Decode(d, &r.Phase, &r.Run, &r.Worker, &r.Fails, &r.Checkpoint, &r.Born)
+	return tuple.Decode(d, &r.Phase, &r.Run, &r.Worker, &r.Fails, &r.Checkpoint, &r.Born, &r.LostWith)
 }
 
 // Ended is the record that remains of a work after its end.
--- a/workrecord/record_test.go
+++ b/workrecord/record_test.go
@@ -16,8 +16,12 @@
 	is.NoErr(msgpack.Unmarshal(raw, &older))
 	is.Equal(older.Tasks, []Task{{Phase: Started, Run: 7, Worker: "w1", Fails: 2, Checkpoint: "c"}, {}})
 	is.Equal(Encode(&older.Tasks), Encode([][]any{{Phase(1), int64(7), "w1", 2, "c"}, {Phase(0), int64(0), "", 0, ""}})) // older versions can read it
-	present := Stage{Tasks: []Task{{Phase: Started, Run: 7, Worker: "w1", Born: 1764800000123}}}
-	var got Stage
-	is.NoErr(msgpack.Unmarshal(Encode(&present), &got))
-	is.Equal(got, present)
+	for _, present := range []Stage{
+		{Tasks: []Task{{Phase: Started, Run: 7, Worker: "w1", Born: 1764800000123}}},
+		{Tasks: []Task{{Phase: Started, Run: 7, Worker: "w1", Born: 1764800000123, LostWith: 1764800000123}}},
+	} {
+		var got Stage
+		is.NoErr(msgpack.Unmarshal(Encode(&present), &got))
+		is.Equal(got, present)
+	}
 }
