End the trial of a worker by time at work, and let each kind of stage be the trial

Cause: a worker on trial takes one run at a time until one ends as done, and no stage that has failed, nor a gang, may be that run. A service never ends as done; and where only the works that met the failing worker need it, none of them may be the trial. Neither condition had a bound. Ruled out: attempts used up, the label, the rest itself.

A trial run that has been at work for twice as long as the failed ones (1 to 2 s) now ends the trial; the next failure of another work begins a quarantine again. Stages that have not failed may be the trial at once, others after 0.5 s, gangs after 1 s, last attempts 5 s after the last failure.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -62,8 +62,8 @@
 	return now.Add(time.Duration(backfillMargin * float64(s.spec.Estimate)))
 }
 
-// limitTasks bounds a number of tasks by the stage's limit per worker, to a single trial run on a worker on trial, and to
-// none on a worker that is kept for a suspect.
+// limitTasks bounds a number of tasks by the stage's limit per worker, to a single trial run on a worker on trial, or one
+// gang's, and to none on a worker that is kept for a suspect.
 func (t *term) limitTasks(s *stage, n *node, now time.Time, k int) int {
 	if n.isKeptFromNewRuns(now) {
 		return 0
@@ -72,8 +72,10 @@
 		k = min(k, limit-s.tasksOn(n))
 	}
 	if n.IsOnTrial() {
-		k = min(k, 1)
-		if !n.acceptsTrial(s) {
+		if !s.spec.Gang {
+			k = min(k, 1)
+		}
+		if !n.acceptsTrial(s, now) {
 			k = 0
 		}
 	}
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -108,6 +108,7 @@
 		return
 	case how == worker.OutcomeFailed && !s.spec.Service:
 		task.failures++
+		s.mostFailures = max(s.mostFailures, task.failures)
 		s.recordFailureOn(r.node.id)
 		if task.failures >= s.entry.queue.MaxAttempts {
 			t.failWork(s)
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -105,6 +105,8 @@
 	expectedRun time.Duration
 	// runTimes holds the run times of the stage's tasks, to learn the speed of their workers.
 	runTimes speed.Step
+	// mostFailures is the largest number of failures of one of its tasks that are no gang.
+	mostFailures int
 	// failuresByWorker counts the failures of the stage's tasks by worker ID.
 	failuresByWorker map[string]int
 }
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -21,10 +21,35 @@
 	return h.IsActive(now) || h.IsOnTrial() && h.trial != nil
 }
 
-// acceptsTrial reports whether a stage may start a trial run on this worker. The stage must not have failed yet, so
-// that the trial cannot cost its last attempt, and must not be a gang, which needs other workers too.
-func (h *health) acceptsTrial(s *stage) bool {
-	return h.trial == nil && !s.spec.Gang && len(s.failuresByWorker) == 0
+// acceptsTrial reports whether a stage may start a trial run on this worker.
+func (h *health) acceptsTrial(s *stage, now time.Time) bool {
+	failures := max(s.failures, s.mostFailures)
+	return h.trial == nil && h.AcceptsTrial(quarantine.Candidate{
+		Failed:      failures > 0 || len(s.failuresByWorker) > 0,
+		LastAttempt: !s.spec.Service && failures+1 >= s.entry.queue.MaxAttempts,
+		Gang:        s.spec.Gang,
+	}, now)
+}
+
+// endTrials ends the trials whose run has been at work for long enough: a service never ends as done, and others may last.
+func (t *term) endTrials(now time.Time) {
+	for _, n := range t.nodes {
+		if r := n.trial; r != nil && n.EndTrial(r.timeAtWork(now)) {
+			n.trial = nil
+			t.passNeeded = true
+			t.o.Metrics.Counter("dispatch.trialsPassed").Inc(1)
+			t.log.Info("dispatch: worker is used again", zap.String("worker", n.id), zap.String("id", r.stage.entry.work.ID),
+				zap.Int("step", r.stage.index), zap.Int("task", r.index), zap.Int64("run", r.number), zap.Duration("atWork", r.timeAtWork(now)))
+		}
+	}
+}
+
+// timeAtWork returns for how long a run is known to have been at work, zero while a gang's member may wait for the others.
+func (r *run) timeAtWork(now time.Time) time.Duration {
+	if g := r.stage.gang; !r.Confirmed || r.confirmedAt.IsZero() || g != nil && !g.Complete {
+		return 0
+	}
+	return now.Sub(r.confirmedAt)
 }
 
 // recordEnding updates the health of a worker after the end of a run.
@@ -35,10 +60,18 @@
 	}
 	switch ending {
 	case worker.OutcomeDone:
+		if n.IsOnTrial() {
+			t.o.Metrics.Counter("dispatch.trialsPassed").Inc(1)
+			t.log.Info("dispatch: worker is used again", zap.String("worker", n.id), zap.String("id", r.stage.entry.work.ID),
+				zap.Int("step", r.stage.index), zap.Int("task", r.index), zap.Int64("run", r.number))
+		}
 		n.AddSuccess()
 	case worker.OutcomeFailed:
-		if rest := n.AddFailure(r.stage.entry.work.ID, time.Now(), t.canQuarantine); rest > 0 {
-			t.log.Info("dispatch: worker rests", zap.String("worker", n.id), zap.Int("failedInARow", n.FailedInARow), zap.Duration("rest", rest))
+		now := time.Now()
+		if rest := n.AddFailure(r.stage.entry.work.ID, r.timeAtWork(now), now, t.canQuarantine); rest > 0 {
+			t.o.Metrics.Counter("dispatch.quarantines").Inc(1)
+			t.log.Info("dispatch: worker rests", zap.String("worker", n.id), zap.String("id", r.stage.entry.work.ID), zap.Int64("run", r.number),
+				zap.Int("failedInARow", n.FailedInARow), zap.Duration("atWork", r.timeAtWork(now)), zap.Duration("rest", rest))
 		}
 	default:
 	}
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -80,7 +80,7 @@
 // enough, there must be capacity for it.
 func (s *stage) fitsAlone(u *suspect, n *node, now time.Time) bool {
 	switch {
-	case n.exclusiveRuns > 0, n.IsOnTrial(), n.vacatedFor != nil && n.vacatedFor != u && now.Before(n.vacatedUntil):
+	case n.exclusiveRuns > 0, n.IsOnTrial() && !n.acceptsTrial(s, now), n.vacatedFor != nil && n.vacatedFor != u && now.Before(n.vacatedUntil):
 		return false
 	case s.spec.MaxPerWorker > 0 && s.tasksOn(n) >= s.spec.MaxPerWorker:
 		return false
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -166,6 +166,7 @@
 		tr := &sr.Tasks[i]
 		task := &s.tasks[i]
 		task.failures, task.number, task.checkpoint = tr.Fails, tr.Run, tr.Checkpoint
+		s.mostFailures = max(s.mostFailures, task.failures)
 		switch tr.Phase {
 		case workrecord.Started:
 			task.phase = workrecord.Started
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -12,6 +12,7 @@
 	t.endExpired(now)
 	t.endMembersOfEndedGangs()
 	t.clearSurvivors(now)
+	t.endTrials(now)
 	t.retryHalts(now)
 	t.probeOverdue(now)
 	if now.Sub(t.speedsRefreshedAt) >= speedsInterval {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -16,6 +16,14 @@
 	// on which everything fails do so for several seconds.
 	minDuration = time.Second
 	maxDuration = 4 * time.Second
+	// trialWait is how long after a quarantine the trial run is kept for stages that have not failed, and then as long
+	// again for those that need no other worker.
+	trialWait = 500 * time.Millisecond
+	// A trial run that has been at work for proofFactor times as long as the failed runs before it were shows that the
+	// worker is sound, though it may last much longer. minProof and maxProof bound that time.
+	proofFactor = 2
+	minProof    = time.Second
+	maxProof    = 2 * time.Second
 	// Divisor limits quarantine to one worker in this many. If more of them fail, the workers are not the cause, and work
 	// must not wait for a quarantine to end.
 	Divisor = 4
@@ -29,15 +37,51 @@
 	FailedInARow int
 	// lastFailedWork is the ID of the latest of them.
 	lastFailedWork string
+	// longestFailure is how long the longest of their runs was at work.
+	longestFailure time.Duration
 	// duration is the duration of the latest quarantine, until its end.
 	duration time.Duration
 	until    time.Time
 }
 
+// Candidate is a stage that may have the trial run on a worker.
+type Candidate struct {
+	// Failed is true if one of its runs has failed. LastAttempt is true if another failure may end its work.
+	Failed, LastAttempt bool
+	// Gang is true if the run needs other workers as well.
+	Gang bool
+}
+
+// AcceptsTrial reports whether a trial run on the worker may be of the candidate's stage. Those that it could cost most
+// come last, but each comes: otherwise the worker would never be used again if nothing else needs it. A last attempt waits
+// as after the longest quarantine.
+func (r *Record) AcceptsTrial(c Candidate, now time.Time) bool {
+	from, wait := r.until, time.Duration(0)
+	switch {
+	case c.LastAttempt:
+		from, wait = r.until.Add(maxDuration-r.duration), 2*trialWait
+	case c.Gang:
+		wait = 2 * trialWait
+	case c.Failed:
+		wait = trialWait
+	}
+	return now.Sub(from) >= wait
+}
+
+// EndTrial ends the trial of a worker whose trial run has been at work for that long, and reports whether it did. The next
+// failure of another work begins a quarantine again.
+func (r *Record) EndTrial(atWork time.Duration) bool {
+	if !r.IsOnTrial() || atWork < min(max(proofFactor*r.longestFailure, minProof), maxProof) {
+		return false
+	}
+	r.FailedInARow, r.duration, r.longestFailure = After-1, 0, 0
+	return true
+}
+
 // IsSuspect reports whether other workers are to be preferred.
 func (r *Record) IsSuspect() bool { return r.failures > suspectFailures && r.failures > r.successes }
 
-// IsOnTrial reports whether the worker gets only one run at a time until one succeeds.
+// IsOnTrial reports whether the worker gets only one run at a time until one is done or has been at work for long enough.
 func (r *Record) IsOnTrial() bool { return r.FailedInARow >= After }
 
 // IsActive reports whether the worker gets no new runs. A worker on which every start fails always has free capacity:
@@ -47,15 +91,16 @@
 // AddSuccess records a run that was done.
 func (r *Record) AddSuccess() {
 	r.successes++
-	r.FailedInARow, r.duration = 0, 0
+	r.FailedInARow, r.duration, r.longestFailure = 0, 0, 0
 	r.decay()
 }
 
-// AddFailure records a failed run of a work. It returns the duration of the quarantine that this begins, or 0.
+// AddFailure records a run of a work that has failed after atWork. It returns the duration of the quarantine that this begins, or 0.
 // mayBegin reports whether one more worker may be quarantined. Failures of the same work count once towards a
 // quarantine, as they may be the work's own fault.
-func (r *Record) AddFailure(work string, now time.Time, mayBegin func() bool) time.Duration {
+func (r *Record) AddFailure(work string, atWork time.Duration, now time.Time, mayBegin func() bool) time.Duration {
 	r.failures++
+	r.longestFailure = max(r.longestFailure, atWork)
 	r.decay()
 	if r.lastFailedWork == work && !r.IsOnTrial() {
 		return 0
