Keep a record that the store rejects from taking other works with it

Cause, first part: the store answers 400 to a transaction with a value above its limit, and that was taken for a store that declines calls for the moment. The batch was queued again as it was, with a delay for all streams, so that the changes of the other works in it were rejected each time.

The works of such a commit go into commits of their own next, without a delay, and one that is rejected alone ends: its caller is told 400 if it is not durable yet, else it is failed (recordTooLarge). A commit takes no more works from 256 KB on. An entry VM that creates works itself does the same.

--- a/commitstream/streams.go
+++ b/commitstream/streams.go
@@ -126,3 +126,9 @@
 	c.inFlight = false
 	s.retryAt = now.Add(s.backoff.Next())
 }
+
+// Reject records that the store will never apply the commit on a stream. The changes may be sent again at once in others.
+func (s *Streams) Reject(c *Stream) {
+	s.inFlight--
+	c.inFlight = false
+}
--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -107,7 +107,7 @@
 
 // canCommit reports whether an entry may be part of a commit now.
 func (t *term) canCommit(e *entry, now time.Time) bool {
-	return e.inFlight == nil && !e.awaitsPermits(now) && !t.isHeldBack(e)
+	return e.inFlight == nil && !e.awaitsPermits(now) && !t.isHeldBack(e) && (!e.unwritable || e.isRemovable())
 }
 
 // isHeldBack reports whether an entry must not be sent now. A request to a failing store may have an unknown outcome:
@@ -149,7 +149,7 @@
 		switch {
 		case !e.needsCreate && e.inFlight == nil || t.entries[e.work.ID] != e:
 		case t.isHeldBack(e) && !e.state.Final() && now.Sub(e.work.Accepted) > unsentTimeout:
-			t.withdraw(e)
+			t.withdraw(e, errStoreUnavailable)
 		default:
 			left = append(left, e)
 		}
@@ -158,9 +158,9 @@
 	t.unsent = left
 }
 
-// withdraw removes a new work that was not sent. None of its tasks has started, since an intent is sent together with
+// withdraw removes a new work that is not durable and tells its callers the cause. None of its tasks has started, since an intent is sent together with
 // its work or later.
-func (t *term) withdraw(e *entry) {
+func (t *term) withdraw(e *entry, cause error) {
 	t.log.Info("dispatch: work given up unsent", zap.String("id", e.work.ID))
 	e.state = job.WorkCancelled
 	delete(t.entries, e.work.ID)
@@ -176,7 +176,7 @@
 	e.pendingSave = nil
 	t.passNeeded = true
 	for _, done := range e.waiters {
-		done <- errStoreUnavailable
+		done <- cause
 	}
 }
 
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -64,6 +64,8 @@
 	// features holds the operators' choices, pressure whether callers are expected to compete for too little capacity.
 	features *feature.Set
 	pressure bool
+	// maxValueBytes makes the store reject transactions with a larger value; zero means that only its own limit applies.
+	maxValueBytes int
 	// log receives the logs of the VMs.
 	log *zap.Logger
 
@@ -157,7 +159,7 @@
 	v := &vm{id: id, server: rpc.NewServer(), metrics: metric.New()}
 	monitor, kv := health.New(c.kv.Client(&v.store))
 	v.monitor = monitor
-	kv = v.disturbCommits(v.silenceReads(v.cutWorkersList(kv)))
+	kv = c.rejectLargeValues(v.disturbCommits(v.silenceReads(v.cutWorkersList(kv))))
 	dial := rpc.Dial(func(ctx context.Context, address string) (net.Conn, error) {
 		if v.peersCut.Load() {
 			return nil, errors.New("connection refused")
@@ -283,6 +285,20 @@
 	return &out
 }
 
+// rejectLargeValues returns a store that rejects transactions with a value above maxValueBytes.
+func (c *cell) rejectLargeValues(kv *store.Store) *store.Store {
+	out := *kv
+	out.Txn = func(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+		for i := range txn.Then {
+			if n := len(txn.Then[i].Value); c.maxValueBytes > 0 && n > c.maxValueBytes {
+				return store.TxnResult{}, fmt.Errorf("value of %d bytes: %w", n, store.ErrInvalid)
+			}
+		}
+		return kv.Txn(ctx, txn)
+	}
+	return &out
+}
+
 // reaches reports whether the VM's calls arrive at a worker.
 func (v *vm) reaches(id string) bool {
 	cut := v.cutFrom.Load()
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
 
 	"turmericgap/commitstream"
 	"turmericgap/job"
+	"turmericgap/rpc"
 	"turmericgap/store"
 	"turmericgap/store/retry"
 	"turmericgap/workrecord"
@@ -33,6 +35,8 @@
 	commitOverhead = 3
 	// maxOpsPerWork is the maximum number of operations for one work: its end deletes two keys and writes one.
 	maxOpsPerWork = 3
+	// maxBatchBytes is the size from which a commit takes no more works. A large record then delays few others.
+	maxBatchBytes = 256 << 10
 	// commitRetryMin and commitRetryMax bound the backoff between attempts of a commit.
 	commitRetryMin = 10 * time.Millisecond
 	commitRetryMax = 250 * time.Millisecond
@@ -51,9 +55,12 @@
 
 // batch is the content of one commit.
 type batch struct {
-	stream   *commitstream.Stream
-	txn      store.Txn
-	marker   []byte
+	stream *commitstream.Stream
+	txn    store.Txn
+	marker []byte
+	// bytes is the size of the values of works in the transaction. alone is true if it may hold one work only.
+	bytes    int
+	alone    bool
 	saves    []*pendingSave
 	states   map[*entry]job.WorkState
 	finished []*entry
@@ -66,8 +73,15 @@
 	before, started := b.stream.Revision, time.Now()
 	t.wg.Go(func() {
 		revision, err := t.commit(b, before)
-		if errors.Is(err, store.ErrNotSent) {
-			t.post(func() { t.onDeclined(b) })
+		switch {
+		case errors.Is(err, store.ErrInvalid):
+			t.post(func() { t.onRejected(b, err) })
+			return
+		case errors.Is(err, store.ErrNotSent):
+			t.post(func() {
+				t.committer.streams.Decline(b.stream, time.Now())
+				t.requeueChanges(b)
+			})
 			return
 		}
 		if err != nil {
@@ -92,16 +106,18 @@
 	var left []*pendingSave
 	now := time.Now()
 	for _, s := range c.queue {
-		if !t.canCommit(s.entry, now) || len(b.txn.Then)+maxOpsPerWork > maxTxnOps-commitOverhead+1 {
+		full := len(b.txn.Then)+maxOpsPerWork > maxTxnOps-commitOverhead+1 || b.bytes > maxBatchBytes || b.alone
+		if !t.canCommit(s.entry, now) || full || s.entry.commitAlone && len(b.saves) > 0 {
 			left = append(left, s)
 			continue
 		}
 		t.addToBatch(b, s.entry)
+		b.alone = s.entry.commitAlone
 		b.saves = append(b.saves, s)
 		s.entry.pendingSave, s.entry.inFlight = nil, s
 	}
 	c.queue = left
-	for len(t.endedToRemove) > 0 && len(b.txn.Then) < maxTxnOps-commitOverhead+1 {
+	for len(t.endedToRemove) > 0 && !b.alone && len(b.txn.Then) < maxTxnOps-commitOverhead+1 {
 		b.txn.Then = append(b.txn.Then, store.Op{Delete: true, Key: workrecord.EndedPrefix + t.endedToRemove[0]})
 		b.removed = append(b.removed, t.endedToRemove[0])
 		t.endedToRemove = t.endedToRemove[1:]
@@ -109,12 +125,41 @@
 	return b
 }
 
-// onDeclined handles a commit that the store has certainly not applied. Its changes are queued again, merged with newer
-// ones, so that a new work among them can still be withdrawn safely. Retrying the same commit instead would keep
-// callers waiting until they time out.
-func (t *term) onDeclined(b *batch) {
+// onRejected handles a commit that the store will never apply. If it holds several works, each goes into a commit of its
+// own next, so that one whose record the store does not take keeps no other back.
+func (t *term) onRejected(b *batch, cause error) {
+	t.committer.streams.Reject(b.stream)
+	t.o.Metrics.Counter("dispatch.commitsRejected").Inc(1)
+	t.log.Warn("dispatch: commit rejected", zap.Int("works", len(b.saves)), zap.Int("bytes", b.bytes), zap.Error(cause))
+	t.requeueChanges(b)
+	for _, s := range b.saves {
+		s.entry.commitAlone = true
+	}
+	if len(b.saves) == 1 {
+		t.onUnwritable(b.saves[0].entry, b.bytes)
+	}
+}
+
+// onUnwritable ends a work whose record the store does not take. One that is not durable yet never was accepted.
+func (t *term) onUnwritable(e *entry, bytes int) {
+	t.log.Error("dispatch: the record of a work cannot be written", zap.String("id", e.work.ID), zap.String("queue", e.work.Queue.Name),
+		zap.Int("bytes", bytes), zap.Int("running", e.activeRuns), zap.Bool("accepted", !e.needsCreate))
+	t.o.Metrics.Counter("dispatch.recordsUnwritable").Inc(1)
+	switch {
+	case e.needsCreate:
+		t.withdraw(e, &rpc.Fault{Code: rpc.CodeInvalid, Reason: fmt.Sprintf("the record of the submission has %d bytes, more than the store takes", bytes)})
+	case !e.state.Final():
+		e.failure = workrecord.RecordTooLarge
+		t.finish(e, job.WorkFailed)
+	}
+	e.unwritable = true
+}
+
+// requeueChanges queues the changes of a commit again that the store has certainly not applied, merged with newer ones, so
+// that a new work among them can still be withdrawn safely. Retrying the same commit instead would keep callers waiting
+// until they time out.
+func (t *term) requeueChanges(b *batch) {
 	c := &t.committer
-	c.streams.Decline(b.stream, time.Now())
 	for e := range b.states {
 		e.inFlight = nil
 	}
@@ -143,7 +188,7 @@
 	if e.needsCreate && !e.isRemovable() {
 		e.needsCreate = false
 		b.created = append(b.created, e)
-		b.txn.Then = append(b.txn.Then, store.Op{Key: workrecord.WorkPrefix + id, Value: workrecord.Encode(e.work)})
+		b.put(workrecord.WorkPrefix+id, workrecord.Encode(e.work))
 		if e.wasRefused {
 			b.txn.Then = append(b.txn.Then, store.Op{Delete: true, Key: workrecord.RefusedPrefix + id})
 		}
@@ -152,7 +197,7 @@
 		}
 	}
 	if !e.isRemovable() {
-		b.txn.Then = append(b.txn.Then, store.Op{Key: workrecord.StatePrefix + id, Value: workrecord.Encode(e.toProgress())})
+		b.put(workrecord.StatePrefix+id, workrecord.Encode(e.toProgress()))
 		return
 	}
 	if e.endQueued {
@@ -167,6 +212,12 @@
 		store.Op{Key: workrecord.EndedPrefix + id, Value: workrecord.Encode(&end)})
 }
 
+// put adds the record of a work.
+func (b *batch) put(key string, value []byte) {
+	b.txn.Then = append(b.txn.Then, store.Op{Key: key, Value: value})
+	b.bytes += len(value)
+}
+
 // reportedState is the state that callers see once it is durable.
 func (e *entry) reportedState() job.WorkState {
 	if !e.state.Final() && e.started {
@@ -186,7 +237,7 @@
 	t.committer.streams.Succeed(b.stream, revision)
 	t.o.Metrics.Histogram("dispatch.commitMillis").Update(took.Milliseconds())
 	for e, state := range b.states {
-		e.durableState, e.inFlight = state, nil
+		e.durableState, e.inFlight, e.commitAlone = state, nil, false
 	}
 	for _, e := range b.finished {
 		delete(t.entries, e.work.ID)
@@ -235,7 +286,7 @@
 		case err == nil:
 			t.tenure.RecordKept(sent)
 			return res.Revision, nil
-		case errors.Is(err, errTermClosed):
+		case errors.Is(err, errTermClosed), errors.Is(err, store.ErrInvalid):
 			return 0, err
 		case t.ctx.Err() != nil:
 			return 0, t.ctx.Err()
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -52,6 +52,9 @@
 	remainingAfter []time.Duration
 	// objective is how long after its due time an occurrence should be done.
 	objective time.Duration
+	// commitAlone is true if the next commit of the entry must hold no other. unwritable is true once the store has rejected
+	// its record; what remains to be written is its end.
+	commitAlone, unwritable bool
 	// needsCreate is true while the work itself is not durable: the next commit of the entry creates it.
 	needsCreate bool
 	// wasRefused is true if the creation must delete the record of an earlier refusal.
--- a/front/accept.go
+++ b/front/accept.go
@@ -161,6 +161,9 @@
 		case err == nil:
 			batch = a.resolveExisting(batch, existing)
 			continue
+		case errors.Is(err, store.ErrInvalid):
+			a.createEach(batch, err)
+			return
 		case errors.Is(err, store.ErrNotSent):
 			declined++
 			if batch = a.dropDeclined(batch, declined, err); len(batch) > 0 {
@@ -179,6 +182,19 @@
 	}
 }
 
+// createEach creates the works of a batch one by one after the store has rejected their common transaction, so that only
+// those that it does not take are refused.
+func (a *acceptor) createEach(batch []*submission, cause error) {
+	if len(batch) == 1 {
+		a.opts.Logger.Warn("front: the store rejects the record of a work", zap.String("id", batch[0].work.ID), zap.Error(cause))
+		batch[0].done <- result{err: &rpc.Fault{Code: rpc.CodeInvalid, Reason: "the store does not take the record of the submission"}}
+		return
+	}
+	for _, s := range batch {
+		a.createAll([]*submission{s})
+	}
+}
+
 // refuseUnsent refuses the submissions that were never sent to the store, and returns the others.
 func (a *acceptor) refuseUnsent(batch []*submission, cause error) []*submission {
 	var left []*submission
--- a/front/front.go
+++ b/front/front.go
@@ -118,13 +118,13 @@
 // isPermanentRefusal reports whether the owner of the cell refused a work for which a retry is useless.
 func isPermanentRefusal(err error) bool {
 	fault := rpc.AsFault(err)
-	return fault != nil && fault.Code == rpc.CodeRefused && fault.RetryAfter == 0
+	return fault != nil && (fault.Code == rpc.CodeInvalid || fault.Code == rpc.CodeRefused && fault.RetryAfter == 0)
 }
 
 // wasNotApplied reports whether a failed call to the owner certainly had no effect.
 func wasNotApplied(err error) bool {
 	fault := rpc.AsFault(err)
-	return errors.Is(err, rpc.ErrNotSent) || fault != nil && (fault.Code == rpc.CodeNotOwner || fault.Code == rpc.CodeRefused)
+	return errors.Is(err, rpc.ErrNotSent) || fault != nil && (fault.Code == rpc.CodeNotOwner || fault.Code == rpc.CodeRefused || fault.Code == rpc.CodeInvalid)
 }
 
 // acceptByOwner has the owner of the cell accept a work.
--- a/workrecord/record.go
+++ b/workrecord/record.go
@@ -128,6 +128,8 @@
 const (
 	// AttemptsFailed means that a task has failed in all permitted attempts.
 	AttemptsFailed Failure = "attemptsFailed"
+	// RecordTooLarge means that the store does not take the record of the work's progress.
+	RecordTooLarge Failure = "recordTooLarge"
 	// WorkersCrashed means that a task has crashed the workers that started it.
 	WorkersCrashed Failure = "workersCrashed"
 )
