Keep the record of a wide work within what the store takes

Cause, second part: the progress of a work was one value with a row for each task, and nothing compared it with the limit of the store. Such a work was accepted and could never be recorded.

Above a quarter of the limit, a record joins tasks that are alike and have no run, so that its size follows from the tasks that run. A task starts only if the record has room for the largest size of a running task; checkpoints are left out of a record that would be too large. Records from 16 KB on are paced, 1 us a byte. What can never fit (services, a gang, the work itself) is refused at once with 400, place and limit.

Records of smaller works are written as before. Earlier versions reject the new form, so that they start none of its tasks.

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
@@ -27,6 +28,7 @@
 	"turmericgap/relay"
 	"turmericgap/rpc"
 	_ "turmericgap/rule/standard" // Registers the standard rule actions.
+	"turmericgap/store"
 	"turmericgap/store/health"
 )
 
@@ -96,7 +98,7 @@
 		dispatch.Permits(func() []owner.Node { return p.group.Nodes() }, p.requestPermitFrom(requestPermit)),
 		dispatch.Maintenance(maintenanceWaves(p.client, s)),
 		dispatch.CapOverrun(s.CapOverrun), dispatch.Features(features, s.Pressure), dispatch.Checkpoints(s.CheckpointEvery, s.RestoreTakes),
-		dispatch.Limits(s.MostHold, s.StopWithin, s.KeepEnded),
+		dispatch.Limits(s.MostHold, s.StopWithin, s.KeepEnded), dispatch.MaxRecordBytes(cmp.Or(s.MaxRecordBytes, store.MaxValueBytes)),
 		dispatch.Logger(logger.Part(p.log, "dispatch")), dispatch.Metrics(service.Metrics()))
 	p.config = configuration.New(kv, platform.ConfigKey, platform.DecodeConfig, configuration.Peers(s.Peers, p.listPeers, p.askPeerConfig), configuration.ListsPart(func() bool { return p.group.IsLarge() }), configuration.ExchangeRules(p.rules),
 		configuration.ApplyWithin(s.ConfigWithin), configuration.StoreLastAnswer(monitor.LastAnswer),
@@ -106,7 +108,7 @@
 		owner.StoreFailing(monitor.Failing), owner.Overloaded(p.dispatch.Overloaded))
 	p.front = front.New(front.Options{
 		Store: kv, Dispatcher: p.dispatch, Group: p.group, Peers: p.peers, RequestPermit: requestPermit,
-		EvaluateRules: p.rules.Decide, StoreLastAnswer: monitor.LastAnswer, StoreFailing: monitor.Failing, StoreSilent: monitor.Silent, Logger: logger.Part(p.log, "front"), Metrics: service.Metrics(),
+		EvaluateRules: p.rules.Decide, StoreLastAnswer: monitor.LastAnswer, StoreFailing: monitor.Failing, StoreSilent: monitor.Silent, MaxRecordBytes: s.MaxRecordBytes, Logger: logger.Part(p.log, "front"), Metrics: service.Metrics(),
 	})
 	p.config.Start()
 	p.group.Start()
--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -107,7 +107,7 @@
 
 // canCommit reports whether an entry may be part of a commit now.
 func (t *term) canCommit(e *entry, now time.Time) bool {
-	return e.inFlight == nil && !e.awaitsPermits(now) && !t.isHeldBack(e) && (!e.unwritable || e.isRemovable())
+	return e.inFlight == nil && !now.Before(e.commitAfter) && !e.awaitsPermits(now) && !t.isHeldBack(e) && (!e.unwritable || e.isRemovable())
 }
 
 // isHeldBack reports whether an entry must not be sent now. A request to a failing store may have an unknown outcome:
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -65,7 +65,9 @@
 	features *feature.Set
 	pressure bool
 	// maxValueBytes makes the store reject transactions with a larger value; zero means that only its own limit applies.
+	// The VMs know of it if knowsMaxValue is set.
 	maxValueBytes int
+	knowsMaxValue bool
 	// log receives the logs of the VMs.
 	log *zap.Logger
 
@@ -195,11 +197,11 @@
 				}
 				return rpc.Call[permit.Request, permit.Response](ctx, v.peers.Get(from.Address), front.MethodRequestPermit, req)
 			}),
-		dispatch.Limits(maxHold, 200*time.Millisecond, 2*time.Minute))
+		dispatch.Limits(maxHold, 200*time.Millisecond, 2*time.Minute), dispatch.MaxRecordBytes(c.knownMaxValue()))
 	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id, Strength: strength}, owner.Logger(log), owner.RunTenure(v.dispatcher.RunTenure), owner.Rules(rules.Apply),
 		owner.StoreFailing(monitor.Failing), owner.Overloaded(v.overloaded.Load), owner.CPUProbe(v.probeCPU), owner.Dial(func(address string) *rpc.Client { return rpc.NewClient(address, dial) }))
 	v.front = front.New(front.Options{
-		Store: kv, Dispatcher: v.dispatcher, Group: v.group, Peers: v.peers, RequestPermit: requestPermit, EvaluateRules: rules.Decide, StoreLastAnswer: monitor.LastAnswer, StoreFailing: monitor.Failing, StoreSilent: monitor.Silent, Logger: log,
+		Store: kv, Dispatcher: v.dispatcher, Group: v.group, Peers: v.peers, RequestPermit: requestPermit, EvaluateRules: rules.Decide, StoreLastAnswer: monitor.LastAnswer, StoreFailing: monitor.Failing, StoreSilent: monitor.Silent, MaxRecordBytes: c.knownMaxValue(), Logger: log,
 	})
 	v.front.Register(v.server)
 	v.group.Register(v.server)
@@ -285,6 +287,14 @@
 	return &out
 }
 
+// knownMaxValue returns what the VMs take for the size of the largest value.
+func (c *cell) knownMaxValue() int {
+	if c.knowsMaxValue {
+		return c.maxValueBytes
+	}
+	return store.MaxValueBytes
+}
+
 // rejectLargeValues returns a store that rejects transactions with a value above maxValueBytes.
 func (c *cell) rejectLargeValues(kv *store.Store) *store.Store {
 	out := *kv
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -197,7 +197,15 @@
 		}
 	}
 	if !e.isRemovable() {
-		b.put(workrecord.StatePrefix+id, workrecord.Encode(e.toProgress()))
+		raw := workrecord.Encode(e.toProgress(t.o.MaxRecordBytes, true))
+		if len(raw) > t.o.MaxRecordBytes {
+			raw = workrecord.Encode(e.toProgress(t.o.MaxRecordBytes, false))
+		}
+		e.room.Recorded(len(raw))
+		if pause := workrecord.Pause(len(raw)); pause > 0 {
+			e.commitAfter = time.Now().Add(pause)
+		}
+		b.put(workrecord.StatePrefix+id, raw)
 		return
 	}
 	if e.endQueued {
--- a/dispatch/committer.go
+++ b/dispatch/committer.go
@@ -46,6 +46,9 @@
 			if s.entry.awaitsPermits(now) {
 				t.scheduleCommit(permitJoinTimeout)
 			}
+			if pause := s.entry.commitAfter.Sub(now); pause > 0 {
+				t.scheduleCommit(pause)
+			}
 			continue
 		}
 		if ready++; oldest.IsZero() {
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -52,6 +52,9 @@
 	remainingAfter []time.Duration
 	// objective is how long after its due time an occurrence should be done.
 	objective time.Duration
+	// room is how far the record of its progress may grow. commitAfter is when the next one may be sent.
+	room        workrecord.Room
+	commitAfter time.Time
 	// commitAlone is true if the next commit of the entry must hold no other. unwritable is true once the store has rejected
 	// its record; what remains to be written is its end.
 	commitAlone, unwritable bool
@@ -83,8 +86,9 @@
 	index      int
 	spec       *job.Step
 	tasks      []task
-	// waiting and done count the tasks in the respective phase.
+	// waiting and done count the tasks in the respective phase. begun is true once any task has run.
 	waiting, done int
+	begun         bool
 	// failures counts the failed runs of a gang; gang is its run in flight.
 	failures int
 	gang     *gangRun
@@ -243,31 +247,54 @@
 	return true
 }
 
-// toProgress returns the durable form of the entry.
-func (e *entry) toProgress() *workrecord.Progress {
+// toProgress returns the durable form of the entry in a store that takes values of maxBytes. Checkpoints may be left out: their tasks then start anew under another
+// owner.
+func (e *entry) toProgress(maxBytes int, withCheckpoints bool) *workrecord.Progress {
 	p := &workrecord.Progress{State: e.state, Runs: e.lastRun, Begun: e.occurrencesBegun, Failure: e.failure}
+	tasks := 0
+	for i := range e.work.Steps {
+		tasks += e.work.Steps[i].Tasks * len(e.occurrences)
+	}
 	for _, o := range e.occurrences {
 		or := workrecord.Occurrence{Number: o.number}
 		for _, s := range o.stages {
-			sr := workrecord.Stage{Fails: s.failures, Failing: s.gang != nil && s.gang.failed, Tasks: make([]workrecord.Task, len(s.tasks)), Crashes: s.recordsOfCrashes()}
-			for _, u := range s.unresolved {
-				sr.Unresolved = append(sr.Unresolved, workrecord.Unresolved{Run: u.number, Worker: u.node.id})
-			}
-			for i := range s.tasks {
-				t := &s.tasks[i]
-				tr := workrecord.Task{Phase: t.phase, Run: t.number, Fails: t.failures, Checkpoint: t.checkpoint}
-				if t.run != nil {
-					tr.Worker, tr.Born, tr.LostWith = t.run.node.id, t.run.Born, t.run.lostWith
-				}
-				sr.Tasks[i] = tr
-			}
-			or.Steps = append(or.Steps, sr)
+			or.Steps = append(or.Steps, s.toRecord(workrecord.IsCompact(tasks, maxBytes), withCheckpoints))
 		}
 		p.Live = append(p.Live, or)
 	}
 	return p
 }
 
+// toRecord returns the durable form of a stage.
+func (s *stage) toRecord(compact, withCheckpoints bool) workrecord.Stage {
+	sr := workrecord.Stage{Fails: s.failures, Failing: s.gang != nil && s.gang.failed, Crashes: s.recordsOfCrashes()}
+	for _, u := range s.unresolved {
+		sr.Unresolved = append(sr.Unresolved, workrecord.Unresolved{Run: u.number, Worker: u.node.id})
+	}
+	switch {
+	case compact && !s.begun:
+		sr.Tasks = workrecord.Same(workrecord.Task{}, len(s.tasks))
+		return sr
+	case compact && s.done == len(s.tasks):
+		sr.Tasks = workrecord.Same(workrecord.Task{Phase: workrecord.Done, Run: 1}, len(s.tasks))
+		return sr
+	case !compact:
+		sr.Tasks = make(workrecord.Tasks, 0, len(s.tasks))
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		tr := workrecord.Task{Phase: t.phase, Run: t.number, Fails: t.failures}
+		if withCheckpoints {
+			tr.Checkpoint = t.checkpoint
+		}
+		if t.run != nil {
+			tr.Worker, tr.Born, tr.LostWith = t.run.node.id, t.run.Born, t.run.lostWith
+		}
+		sr.Tasks.Append(tr, compact)
+	}
+	return sr
+}
+
 // removeOccurrence removes an occurrence that has ended.
 func (e *entry) removeOccurrence(o *occurrence) {
 	for i := range e.occurrences {
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -14,6 +14,7 @@
 	gangWaitPermit   gangWaitReason = "answer"   // a permit request is pending
 	gangWaitService  gangWaitReason = "service"  // no VM is free to send a permit request
 	gangWaitLastRun  gangWaitReason = "rest"     // members of the last run may still be running
+	gangWaitRecord   gangWaitReason = "record"   // the record of its work has no room for its members yet
 	gangWaitRule     gangWaitReason = "rule"     // its rule's limit of running tasks is reached
 	gangWaitCap      gangWaitReason = "cap"      // its client account has no part of its cap left for it
 	gangWaitReserved gangWaitReason = "reserved" // capacity is reserved for it
@@ -31,6 +32,10 @@
 		s.waitReason = gangWaitLastRun
 		return // a run that may still be reported as failed has not expired yet
 	}
+	if !t.recordHasRoom(s.entry, len(s.tasks)) {
+		s.waitReason = gangWaitRecord
+		return
+	}
 	if !t.ruleAllows(s.entry, len(s.tasks)) {
 		s.waitReason = gangWaitRule
 		return
--- a/dispatch/large_record_test.go
+++ b/dispatch/large_record_test.go
@@ -10,6 +10,8 @@
 
 	"turmericgap/job"
 	"turmericgap/rpc"
+	"turmericgap/standin/floor"
+	"turmericgap/worker"
 )
 
 // Guards against a work whose record the store rejects, and which keeps all others from being recorded: each commit that
@@ -84,3 +86,78 @@
 		})
 	}
 }
+
+// Guards against a work that grows beyond what the store takes for one record, and against one that keeps others waiting.
+func TestLargeWorkRunsBesideOthers(t *testing.T) {
+	steps := map[string][]job.Step{
+		"many tasks":       {{Tasks: 600}, {Tasks: 600}, {Tasks: 600}},
+		"gangs and tasks":  {{Tasks: 10, Gang: true}, {Tasks: 900}, {Tasks: 10, Gang: true, DependsOn: []int{0}}},
+		"with checkpoints": {{Tasks: 500, Checkpoints: true}},
+	}
+	for name, s := range steps {
+		for _, takeOver := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, owner is lost %v", name, takeOver), func(t *testing.T) {
+				inBubble(t, func(t *testing.T) { runBesideLarge(t, s, takeOver) })
+			})
+		}
+	}
+}
+
+// runBesideLarge submits a work beside others, in a cell whose store takes a fraction of what its progress would need task
+// by task.
+func runBesideLarge(t *testing.T, steps []job.Step, takeOver bool) {
+	is := is.New(t)
+	c := newCell(t, func(task worker.Task, _ int64) floor.Behaviour {
+		b := floor.Behaviour{Duration: 300 * time.Millisecond, Ending: worker.OutcomeDone, Resources: job.Resources{Millicores: 100, MemoryMB: 10}}
+		if steps[task.Step].Gang && task.Work == "large" {
+			b.GangSize = steps[task.Step].Tasks
+		}
+		if steps[task.Step].Checkpoints {
+			b.CheckpointInterval = 50 * time.Millisecond
+		}
+		return b
+	})
+	c.maxValueBytes, c.knowsMaxValue = 4<<10, true
+	c.startVM("vm1")
+	c.startVM("vm2")
+	c.addWorkers(6, 16)
+	v := c.waitForOwner()
+	time.Sleep(5 * time.Second)
+	w := c.newWork("large", job.Step{Tasks: 1})
+	w.Steps = steps
+	for i := range w.Steps {
+		w.Steps[i].TaskResources = job.Resources{Millicores: 100, MemoryMB: 10}
+	}
+	c.submit(v, w)
+	small := job.Step{Tasks: 2, TaskResources: job.Resources{Millicores: 100, MemoryMB: 10}}
+	for i := range 20 {
+		c.submit(v, c.newWork(fmt.Sprint("x", i), small))
+		time.Sleep(100 * time.Millisecond)
+		if takeOver && i == 10 {
+			c.kill(v)
+			v = c.waitForSuccessor(v)
+		}
+	}
+	for i := range 20 {
+		c.waitForState(v, fmt.Sprint("x", i), job.WorkCompleted, 4*time.Second)
+	}
+	c.waitForState(v, "large", job.WorkCompleted, time.Minute)
+	is.Equal(v.metrics.Counter("dispatch.commitsRejected").Count(), int64(0))
+	c.checkHistory()
+}
+
+// Guards against accepting a work whose services need a larger record than the store takes, and against keeping its caller
+// waiting for the answer.
+func TestWorkTooLargeToRecordIsInvalid(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, runsFor(time.Second), "vm1", "vm2")
+		v := c.waitForOwner()
+		w := c.newWork("x", job.Step{Tasks: job.MaxStepTasks, Service: true})
+		w.Steps = append(w.Steps, w.Steps[0], w.Steps[0])
+		fault := rpc.AsFault(v.front.Submit(t.Context(), w))
+		is.True(fault != nil && fault.Code == rpc.CodeInvalid && len(fault.Findings) == 1)
+		_, err := c.state(v, "x")
+		is.True(isNotFound(err))
+	})
+}
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -58,6 +58,8 @@
 	// expects callers to compete for too little capacity.
 	Features *feature.Set
 	Pressure bool
+	// MaxRecordBytes is the size of the largest value that the store takes.
+	MaxRecordBytes int
 	// EndedRetention is how long the state of ended work is kept.
 	EndedRetention time.Duration
 }
@@ -171,6 +173,9 @@
 	return func(o *Options) { o.MaxHold, o.StopTimeout, o.EndedRetention = maxHold, stopTimeout, endedRetention }
 }
 
+// MaxRecordBytes sets the size of the largest value that the store takes.
+func MaxRecordBytes(n int) Option { return func(o *Options) { o.MaxRecordBytes = n } }
+
 // Checkpoints sets the time between two checkpoints of a run and how long it takes to resume from one; zero is unknown.
 func Checkpoints(period, restore time.Duration) Option {
 	return func(o *Options) { o.Evacuation.CheckpointPeriod, o.Evacuation.RestoreTime = period, restore }
@@ -191,7 +196,7 @@
 func newOptions(opts []Option) *Options {
 	o := &Options{
 		Logger: zap.NewNop(), MaxHold: DefaultMaxHold, StopTimeout: DefaultStopTimeout,
-		EndedRetention: DefaultEndedRetention, DrainWithin: DefaultDrainWithin, StoreContact: func() time.Duration { return 0 },
+		EndedRetention: DefaultEndedRetention, MaxRecordBytes: store.MaxValueBytes, DrainWithin: DefaultDrainWithin, StoreContact: func() time.Duration { return 0 },
 		StoreFailing: func() (time.Time, bool) { return time.Time{}, false },
 		Config:       func() *job.Config { return nil }, Rules: func() *rule.List { return nil },
 		Nodes: func() []owner.Node { return nil },
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -292,6 +292,8 @@
 	r.exclusive = s.verdictOf(index) >= crash.Isolate
 	k.phase, k.run, k.number = workrecord.Started, r, number
 	s.waiting--
+	s.begun = true
+	e.room.Take(workrecord.TaskBytes)
 	e.activeRuns++
 	n.charge(r)
 	t.accounts.ledger.Charge(e.work.Account, s.spec.TaskResources)
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -23,7 +23,7 @@
 	s.preempted = slices.DeleteFunc(s.preempted, func(p preempted) bool {
 		return !slices.ContainsFunc(p.runs, func(r *run) bool { return !r.ended })
 	})
-	if e := s.entry; s.waiting == 0 || s.spec.Service || e.priority() != 0 ||
+	if e := s.entry; s.waiting == 0 || s.spec.Service || e.priority() != 0 || !t.recordHasRoom(e, 1) ||
 		!t.features.Decide(feature.Preemption, t.o.Pressure, feature.Settings, now) || t.urgencyOf(s, now).lateness != latenessOnTime {
 		s.preempted = nil
 		return
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -60,14 +60,15 @@
 // restore rebuilds the entries. A work without progress has not started; progress without a work belongs to a work that
 // has ended since. A work whose progress cannot be decoded stays as it is until its caller cancels it.
 func (t *term) restore(works, states []store.Pair) {
-	progressOf := make(map[string]*workrecord.Progress, len(states))
+	progressOf, sizeOf := make(map[string]*workrecord.Progress, len(states)), make(map[string]int, len(states))
 	for i := range states {
 		p := &workrecord.Progress{}
 		if err := msgpack.Unmarshal(states[i].Value, p); err != nil {
 			t.log.Error("dispatch: cannot decode the progress of a work", zap.String("key", states[i].Key), zap.Error(err))
 			p = nil
 		}
-		progressOf[workrecord.IDFromKey(states[i].Key, workrecord.StatePrefix)] = p
+		id := workrecord.IDFromKey(states[i].Key, workrecord.StatePrefix)
+		progressOf[id], sizeOf[id] = p, len(states[i].Value)
 	}
 	runs := 0
 	for _, w := range t.decodeWorks(works) {
@@ -78,6 +79,7 @@
 			t.entries[w.ID] = newEntry(w) // any of its tasks may be running or done, so nothing starts
 		default:
 			runs += t.restoreEntry(w, p)
+			t.entries[w.ID].room.Recorded(sizeOf[w.ID])
 		}
 	}
 	t.log.Info("dispatch: the cell's state was read", zap.Int("works", len(t.entries)), zap.Int("runs", runs),
@@ -154,8 +156,8 @@
 func (t *term) restoreStage(s *stage, sr *workrecord.Stage) {
 	s.failures = sr.Fails
 	s.restoreSuspects(sr.Crashes)
-	s.occurrence.started = s.occurrence.started ||
-		slices.ContainsFunc(sr.Tasks, func(tr workrecord.Task) bool { return tr.Run > 0 })
+	s.begun = slices.ContainsFunc(sr.Tasks, func(tr workrecord.Task) bool { return tr.Run > 0 })
+	s.occurrence.started = s.occurrence.started || s.begun
 	for _, u := range sr.Unresolved {
 		s.unresolved = append(s.unresolved, unresolvedRun{u.Run, &node{id: u.Worker}, t.initialLeaseEnd()})
 	}
--- a/dispatch/rules.go
+++ b/dispatch/rules.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "go.uber.org/zap"
+import (
+	"go.uber.org/zap"
+
+	"turmericgap/workrecord"
+)
 
 // applyRules sets the effect of the first of the operators' rules that matches a work. The configuration of the work's
 // queue applies to what the rule leaves open.
@@ -56,10 +60,16 @@
 	}
 }
 
-// mayStart reports whether one more task of a stage may run under its rule and the cap of its account.
+// mayStart reports whether one more task of a stage may run under its rule and the cap of its account, and whether the
+// record of its work has room for that.
 func (t *term) mayStart(s *stage) bool {
 	need := s.capNeed()
-	return t.ruleAllows(s.entry, 1) && t.accounts.ledger.Fit(&need) > 0
+	return t.ruleAllows(s.entry, 1) && t.accounts.ledger.Fit(&need) > 0 && t.recordHasRoom(s.entry, 1)
+}
+
+// recordHasRoom reports whether this many more tasks of a work may run without its record growing too large.
+func (t *term) recordHasRoom(e *entry, tasks int) bool {
+	return e.room.Fits(tasks*workrecord.TaskBytes, t.o.MaxRecordBytes)
 }
 
 // ruleAllows reports whether this many more tasks of a work may run under its rule.
--- a/front/front.go
+++ b/front/front.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"turmericgap/owner"
 	"turmericgap/rpc"
 	"turmericgap/rule"
+	"turmericgap/store"
 	"turmericgap/workrecord"
 )
 
@@ -65,6 +67,11 @@
 	if e := f.opts.EvaluateRules(w); e.Refuse != "" {
 		return f.refuse(ctx, w, &e)
 	}
+	if found := workrecord.Check(w, cmp.Or(f.opts.MaxRecordBytes, store.MaxValueBytes)); len(found) > 0 {
+		f.opts.Logger.Info("front: refused as too large", zap.String("id", w.ID), zap.String("queue", w.Queue.Name), zap.Error(found))
+		f.opts.Metrics.Counter("front.refusedTooLarge").Inc(1)
+		return f.refuseUnknown(ctx, w, &rpc.Fault{Code: rpc.CodeInvalid, Reason: "the submission is too large to be recorded", Findings: found})
+	}
 	err := f.submit(ctx, w, receivedAt)
 	switch fault := rpc.AsFault(err); {
 	case err == nil:
--- a/front/options.go
+++ b/front/options.go
@@ -67,6 +67,8 @@
 	StoreLastAnswer func() time.Time
 	StoreFailing    func() (since time.Time, failing bool)
 	StoreSilent     func() (since time.Time, silent bool)
-	Logger          *zap.Logger
-	Metrics         *metric.Registry
+	// MaxRecordBytes is the size of the largest value that the store takes; zero means store.MaxValueBytes.
+	MaxRecordBytes int
+	Logger         *zap.Logger
+	Metrics        *metric.Registry
 }
--- a/workrecord/record.go
+++ b/workrecord/record.go
@@ -1,10 +1,14 @@
 package workrecord
 
 import (
+	"errors"
+	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"turmericgap/crash"
 	"turmericgap/job"
@@ -66,7 +70,89 @@
 	Unresolved []Unresolved `msgpack:"u,omitempty"`
 	// Crashes lists the tasks that were lost with a worker.
 	Crashes []Crash `msgpack:"c,omitempty"`
-	Tasks   []Task  `msgpack:"t"`
+	Tasks   Tasks   `msgpack:"t"`
+}
+
+// Tasks is the progress of the tasks of a step, by index.
+type Tasks []Task
+
+// Append adds the progress of the next task. A compact record keeps no more of a task without a run than a successor
+// needs, and joins neighbours that are alike.
+func (t *Tasks) Append(r Task, compact bool) {
+	if compact && r.Phase != Started {
+		r.Run = min(r.Run, 1) // that it has run before
+		if r.Phase == Done {
+			r.Fails, r.Checkpoint = 0, ""
+		}
+		if last := len(*t) - 1; last >= 0 {
+			before := (*t)[last]
+			if before.more = 0; before == r {
+				(*t)[last].more++
+				return
+			}
+		}
+	}
+	*t = append(*t, r)
+}
+
+// Same returns the progress of n tasks that are alike.
+func Same(r Task, n int) Tasks {
+	r.more = n - 1
+	return Tasks{r}
+}
+
+// joinedKey is the key of the only entry of the map that holds joined tasks.
+const joinedKey = "joined"
+
+// EncodeMsgpack implements msgpack.CustomEncoder. Joined tasks are encoded in a map, each after the number of tasks that
+// follow in the same state. Older versions reject it: if they read no tasks, they would start them all again.
+func (t Tasks) EncodeMsgpack(e *msgpack.Encoder) error {
+	joined := slices.ContainsFunc(t, func(r Task) bool { return r.more > 0 })
+	length := len(t)
+	if joined {
+		length *= 2
+		if err := errors.Join(e.EncodeMapLen(1), e.EncodeString(joinedKey)); err != nil {
+			return err
+		}
+	}
+	err := e.EncodeArrayLen(length)
+	for i := 0; i < len(t) && err == nil; i++ {
+		if joined {
+			err = e.EncodeInt(int64(t[i].more))
+		}
+		err = errors.Join(err, t[i].EncodeMsgpack(e))
+	}
+	return err
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (t *Tasks) DecodeMsgpack(d *msgpack.Decoder) error {
+	code, err := d.PeekCode()
+	if err != nil {
+		return err
+	}
+	if !msgpcode.IsFixedMap(code) {
+		return d.Decode((*[]Task)(t))
+	}
+	if _, err := d.DecodeMapLen(); err != nil {
+		return err
+	}
+	if key, err := d.DecodeString(); err != nil || key != joinedKey {
+		return fmt.Errorf("tasks are a map of %q, want %q: %w", key, joinedKey, err)
+	}
+	n, err := d.DecodeArrayLen()
+	*t = nil
+	for i := 0; i < n && err == nil; i += 2 {
+		var more int
+		var r Task
+		if err = d.DecodeMulti(&more, &r); err == nil && (more < 0 || more >= job.MaxStepTasks) {
+			err = fmt.Errorf("%d tasks follow task %d of a step", more, len(*t))
+		}
+		if err == nil {
+			*t = append(*t, slices.Repeat([]Task{r}, more+1)...)
+		}
+	}
+	return err
 }
 
 // Crash is what is held against a task because of crashes.
@@ -93,6 +179,9 @@
 	// LostWith is the latest worker instance whose loss has been weighed against the task for this run, zero if none.
 	// Records of older versions lack it.
 	LostWith int64
+
+	// more is how many tasks follow in the same state.
+	more int
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder. Without an instance, older versions can decode the record.
--- a/workrecord/record_test.go
+++ b/workrecord/record_test.go
@@ -14,7 +14,7 @@
 	is.NoErr(err)
 	var older Stage
 	is.NoErr(msgpack.Unmarshal(raw, &older))
-	is.Equal(older.Tasks, []Task{{Phase: Started, Run: 7, Worker: "w1", Fails: 2, Checkpoint: "c"}, {}})
+	is.Equal([]Task(older.Tasks), []Task{{Phase: Started, Run: 7, Worker: "w1", Fails: 2, Checkpoint: "c"}, {}})
 	is.Equal(Encode(&older.Tasks), Encode([][]any{{Phase(1), int64(7), "w1", 2, "c"}, {Phase(0), int64(0), "", 0, ""}})) // older versions can read it
 	for _, present := range []Stage{
 		{Tasks: []Task{{Phase: Started, Run: 7, Worker: "w1", Born: 1764800000123}}},
