--- a/dispatch/large_record_test.go
+++ b/dispatch/large_record_test.go
@@ -146,6 +146,26 @@
 	c.checkHistory()
 }
 
+// Guards against a work whose occurrences are all due at once, and which takes the owner's memory and time.
+func TestOpenOccurrencesAreBounded(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCell(t, runsFor(100*time.Millisecond), "vm1", "vm2")
+		c.addWorkers(6, 16)
+		v := c.waitForOwner()
+		time.Sleep(5 * time.Second)
+		w := c.newWork("often", job.Step{Tasks: 1})
+		w.Occurrences, w.FirstDue = 1_000_000_000, time.Now().Add(-time.Second)
+		c.submit(v, w)
+		c.submit(v, c.newWork("x", job.Step{Tasks: 2}))
+		c.waitForState(v, "x", job.WorkCompleted, 4*time.Second)
+		time.Sleep(10 * time.Second)
+		if n := c.countRuns("often"); n < 3000 {
+			t.Errorf("%d of its occurrences have run, with room for 960 at a time", n)
+		}
+		c.checkHistory()
+	})
+}
+
 // Guards against accepting a work whose services need a larger record than the store takes, and against keeping its caller
 // waiting for the answer.
 func TestWorkTooLargeToRecordIsInvalid(t *testing.T) {
