Count the failure of a gang's run once

A gang could fail with attempts left: if two members of one run fail and one of them, on a silent worker, is heard of late, the end of the last member and the late report each counted the run.

A late failure of a run in flight now marks the run as failed, and a run that has counted is not awaited any more. TestFailureOfGangCountsOnce failed in 2 of 2 cases before and passes.

--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -147,6 +147,7 @@
 		return
 	}
 	if g.failed {
+		s.resolve(g.number)
 		if s.failures++; s.failures >= s.entry.queue.MaxAttempts && !s.spec.Service {
 			t.failWork(s)
 		}
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -51,6 +51,11 @@
 	}
 }
 
+// resolve forgets that workers may still report a run as failed, once it counts as failed.
+func (s *stage) resolve(number int64) {
+	s.unresolved = slices.DeleteFunc(s.unresolved, func(u unresolvedRun) bool { return u.number == number })
+}
+
 // endMembersOfEndedGangs ends gang members on silent workers if another member has proved that the run is over. A
 // worker that crashed reports nothing; without this the gang would wait until its lease expires although no member can
 // still be running. A gang with a suspect waits for the worker's fate: a member that crashes its workers would otherwise be
@@ -96,8 +101,12 @@
 	if !slices.ContainsFunc(s.unresolved, func(u unresolvedRun) bool { return u.number == number && u.node.id == n.id }) {
 		return
 	}
-	s.unresolved = slices.DeleteFunc(s.unresolved, func(u unresolvedRun) bool { return u.number == number })
-	s.failures++
+	s.resolve(number)
+	if g := s.gang; g != nil && g.number == number {
+		g.failed = true // counted once its last member has ended
+	} else {
+		s.failures++
+	}
 	t.log.Info("dispatch: a failure was heard of late", zap.String("id", s.entry.work.ID), zap.Int("step", s.index),
 		zap.Int64("run", number), zap.String("worker", n.id), zap.Int("fails", s.failures))
 	if s.failures >= s.entry.queue.MaxAttempts && !s.spec.Service {
