Move decisions on records, resources and losses out of dispatch

No change of behaviour: job.Resources.Count, job.Work.NumTasks, presence.Run.WeighOnce, workrecord.Room.MayOpen, and one function for what blocks a gang. Tests of the packages pass as before.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -2,32 +2,11 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"strings"
 	"time"
 )
 
-// fitCount returns how many times need fits into has.
-func fitCount(has, need resources) int {
-	if has.Millicores < need.Millicores || has.MemoryMB < need.MemoryMB || has.Accelerators < need.Accelerators {
-		return 0
-	}
-	return min(quotient(has.Millicores, need.Millicores), quotient(has.MemoryMB, need.MemoryMB),
-		quotient(has.Accelerators, need.Accelerators))
-}
-
-// quotient returns how many times need fits into has for one resource.
-func quotient(has, need int64) int {
-	switch {
-	case has < 0:
-		return 0
-	case need <= 0:
-		return math.MaxInt32
-	}
-	return int(min(has/need, math.MaxInt32))
-}
-
 // taskResources returns the resources that one task is charged for. Best-effort tasks run on CPU that others leave
 // unused and are not charged for it.
 func (s *stage) taskResources() resources {
@@ -45,15 +24,15 @@
 
 // tasksFitting returns how many tasks of a stage fit on a worker now.
 func (t *term) tasksFitting(s *stage, n *node, now time.Time) int {
-	if fitCount(n.free.Minus(n.setAside), s.taskResources()) == 0 {
+	if n.free.Minus(n.setAside).Count(s.taskResources()) == 0 {
 		return 0 // a cheap check that suffices for most workers of a full cell
 	}
-	return t.limitTasks(s, n, now, fitCount(n.availableUntil(s.taskEndBound(now)), s.taskResources()))
+	return t.limitTasks(s, n, now, n.availableUntil(s.taskEndBound(now)).Count(s.taskResources()))
 }
 
 // tasksFittingUnclaimed returns how many tasks of a stage fit on a worker without using capacity claimed by gangs.
 func (t *term) tasksFittingUnclaimed(s *stage, n *node, now time.Time) int {
-	return t.limitTasks(s, n, now, fitCount(n.unclaimedUntil(s.taskEndBound(now)), s.taskResources()))
+	return t.limitTasks(s, n, now, n.unclaimedUntil(s.taskEndBound(now)).Count(s.taskResources()))
 }
 
 // taskEndBound returns when a task that starts now should have ended at the latest: its estimate times backfillMargin.
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -150,8 +150,6 @@
 	decidedAt, sentAt, confirmedAt time.Time
 	// undelivered is true if the start order certainly did not reach the worker.
 	undelivered bool
-	// lostWith is the latest worker instance whose loss has been weighed for this run, zero if none.
-	lostWith int64
 	// exclusive is true if nothing else may be placed on the worker until the run has ended.
 	exclusive bool
 	// stopping is true once the run was ordered to stop; haltedAt is when that order was last sent.
@@ -247,18 +245,15 @@
 	return true
 }
 
-// toProgress returns the durable form of the entry in a store that takes values of maxBytes. Checkpoints may be left out: their tasks then start anew under another
-// owner.
+// toProgress returns the durable form of the entry in a store that takes values of maxBytes. Checkpoints may be left out:
+// their tasks then start anew under another owner.
 func (e *entry) toProgress(maxBytes int, withCheckpoints bool) *workrecord.Progress {
 	p := &workrecord.Progress{State: e.state, Runs: e.lastRun, Begun: e.occurrencesBegun, Failure: e.failure}
-	tasks := 0
-	for i := range e.work.Steps {
-		tasks += e.work.Steps[i].Tasks * len(e.occurrences)
-	}
+	compact := workrecord.IsCompact(e.work.NumTasks()*len(e.occurrences), maxBytes)
 	for _, o := range e.occurrences {
 		or := workrecord.Occurrence{Number: o.number}
 		for _, s := range o.stages {
-			or.Steps = append(or.Steps, s.toRecord(workrecord.IsCompact(tasks, maxBytes), withCheckpoints))
+			or.Steps = append(or.Steps, s.toRecord(compact, withCheckpoints))
 		}
 		p.Live = append(p.Live, or)
 	}
@@ -288,7 +283,7 @@
 			tr.Checkpoint = t.checkpoint
 		}
 		if t.run != nil {
-			tr.Worker, tr.Born, tr.LostWith = t.run.node.id, t.run.Born, t.run.lostWith
+			tr.Worker, tr.Born, tr.LostWith = t.run.node.id, t.run.Born, t.run.LostWith
 		}
 		sr.Tasks.Append(tr, compact)
 	}
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -24,24 +24,8 @@
 // placeGang starts all tasks of a gang together. If it lacks permits, it sets capacity aside and requests them; if it
 // lacks capacity, it makes a reservation.
 func (t *term) placeGang(s *stage, now time.Time) {
-	if s.gang != nil {
-		s.waitReason = gangWaitLastRun
-		return // members of the aborted run have not ended yet
-	}
-	if !s.attemptsLeft(now) {
-		s.waitReason = gangWaitLastRun
-		return // a run that may still be reported as failed has not expired yet
-	}
-	if !t.recordHasRoom(s.entry, len(s.tasks)) {
-		s.waitReason = gangWaitRecord
-		return
-	}
-	if !t.ruleAllows(s.entry, len(s.tasks)) {
-		s.waitReason = gangWaitRule
-		return
-	}
-	if t.fitsNowhere(s) && !t.canReserve(s, now) {
-		s.waitReason = gangWaitCapacity
+	if reason := t.blockedBy(s, now); reason != "" {
+		s.waitReason = reason
 		return
 	}
 	nodes := t.sortedCandidates(s, now, anyNode)
@@ -81,6 +65,23 @@
 	t.sendPermitRequest(s, names, now)
 }
 
+// blockedBy returns why a gang cannot start or ask for permits now, whatever workers there are; empty if it may.
+func (t *term) blockedBy(s *stage, now time.Time) gangWaitReason {
+	switch {
+	case s.gang != nil:
+		return gangWaitLastRun // members of the aborted run have not ended yet
+	case !s.attemptsLeft(now):
+		return gangWaitLastRun // a run that may still be reported as failed has not expired yet
+	case !t.recordHasRoom(s.entry, len(s.tasks)):
+		return gangWaitRecord
+	case !t.ruleAllows(s.entry, len(s.tasks)):
+		return gangWaitRule
+	case t.fitsNowhere(s) && !t.canReserve(s, now):
+		return gangWaitCapacity
+	}
+	return ""
+}
+
 // planGang assigns all tasks of a gang to eligible nodes, or returns nil if they do not fit. A gang that prefers a
 // single rack is spread over several only if it fits in none.
 func (t *term) planGang(s *stage, nodes []*node, now time.Time, eligible func(*node) bool) []allocation {
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -89,7 +89,7 @@
 	if u.hasWaited(now) {
 		capacity = n.free.Minus(n.setAside)
 	}
-	return fitCount(capacity, s.taskResources()) > 0
+	return capacity.Count(s.taskResources()) > 0
 }
 
 // hasWaited reports whether a suspect has waited long enough for an empty worker.
--- a/dispatch/permitrequest.go
+++ b/dispatch/permitrequest.go
@@ -70,10 +70,10 @@
 		return list
 	}
 	need := s.taskResources()
-	if fitCount(n.listing.Has, need) == 0 {
+	if n.listing.Has.Count(need) == 0 {
 		return list
 	}
-	c := candidate{node: n, fits: fitCount(n.available(), need)}
+	c := candidate{node: n, fits: n.available().Count(need)}
 	if !t.usable(n, now) {
 		c.fits = -1
 	}
@@ -198,7 +198,7 @@
 	t.refreshCapacities()
 	most := 0
 	for has := range t.capacities {
-		most = max(most, fitCount(has, s.taskResources()))
+		most = max(most, has.Count(s.taskResources()))
 	}
 	return most
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -267,7 +267,7 @@
 	}
 	need := s.taskResources()
 	for i, n := range t.sortedNodes {
-		if fitCount(n.available(), need) == 0 || !t.usable(n, now) || !t.matches(s, n) {
+		if n.available().Count(need) == 0 || !t.usable(n, now) || !t.matches(s, n) {
 			continue
 		}
 		if _, named := s.tickets[n.id]; !named {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -197,7 +197,7 @@
 	if n.leaseEnd.IsZero() {
 		n.leaseEnd = t.initialLeaseEnd()
 	}
-	r := &run{stage: s, index: index, number: tr.Run, node: n, need: s.taskResources(), Run: presence.Run{Recovered: true, Resumed: true, Born: t.knownBorn(tr.Born)}, lostWith: tr.LostWith, sentAt: t.startedAt}
+	r := &run{stage: s, index: index, number: tr.Run, node: n, need: s.taskResources(), Run: presence.Run{Recovered: true, Resumed: true, Born: t.knownBorn(tr.Born), LostWith: tr.LostWith}, sentAt: t.startedAt}
 	if n.born == 0 || r.Born > 0 && r.Born < n.born {
 		n.born = r.Born // the earliest one: the entry or an answer shows the present one, which replaces it
 	}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -86,7 +86,7 @@
 		limit = min(limit, s.spec.MaxPerWorker-s.tasksOn(n))
 	}
 	available := n.available()
-	fitting := min(fitCount(available, need), limit)
+	fitting := min(available.Count(need), limit)
 	if fitting > 0 {
 		out = append(out, release{n, now, fitting})
 	}
@@ -95,7 +95,7 @@
 			break
 		}
 		available = available.Plus(r.need)
-		if fits := min(fitCount(available, need), limit); fits > fitting {
+		if fits := min(available.Count(need), limit); fits > fitting {
 			out = append(out, release{n, r.plannedEnd(now), fits - fitting})
 			fitting = fits
 		}
--- a/dispatch/size.go
+++ b/dispatch/size.go
@@ -21,13 +21,9 @@
 	t.sizes.Observe(name, e.size)
 	e.class = t.sizes.Class(name, e.size)
 	t.countOutcome(e, tally.Taken)
-	tasks := 0
-	for i := range e.work.Steps {
-		tasks += e.work.Steps[i].Tasks
-	}
 	t.log.Info("dispatch: work taken", zap.String("id", e.work.ID), zap.String("queue", name), zap.String("zone", e.work.Zone), zap.String("account", e.work.Account),
 		zap.Bool("surplus", e.surplus), zap.Int64("version", t.configVersion()),
-		zap.Float64("coreSeconds", e.size), zap.Stringer("class", e.class), zap.Int("steps", len(e.work.Steps)), zap.Int("tasks", tasks),
+		zap.Float64("coreSeconds", e.size), zap.Stringer("class", e.class), zap.Int("steps", len(e.work.Steps)), zap.Int("tasks", e.work.NumTasks()),
 		zap.Duration("objective", e.objective), zap.Duration("age", time.Since(e.work.Accepted)))
 }
 
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -44,21 +44,6 @@
 	return !r.sentAt.After(n.silentSince)
 }
 
-// weighOnce reports whether the loss of a worker instance is still to be weighed for a run, and records that it was. The
-// record is saved with the weight: a run that may start late on a newer instance outlives the loss, and each later owner
-// learns of the same loss again. Where instances are not distinguished, the loss ends the run.
-func (r *run) weighOnce(n *node) bool {
-	instance := max(n.born, r.Born)
-	if instance == 0 {
-		return true
-	}
-	if r.lostWith >= instance {
-		return false
-	}
-	r.lostWith = instance
-	return true
-}
-
 // recordLoss weighs the loss of a worker against the tasks whose runs may have been there.
 func (t *term) recordLoss(n *node, cause presence.Proof, now time.Time) {
 	if cause == presence.Left {
@@ -77,10 +62,10 @@
 	scope := t.scopeOfLoss(n, lostAt)
 	alone := len(present) == 1 && present[0].Confirmed && n.unknownRuns == 0
 	for _, r := range present {
-		if !r.weighOnce(n) {
+		if !r.WeighOnce(n.born) {
 			t.o.Metrics.Counter("dispatch.lossesKnown").Inc(1)
 			t.log.Info("dispatch: loss was weighed before", zap.String("id", r.stage.entry.work.ID), zap.Int("step", r.stage.index),
-				zap.Int("task", r.index), zap.Int64("run", r.number), zap.String("worker", n.id), zap.Int64("instance", r.lostWith))
+				zap.Int("task", r.index), zap.Int64("run", r.number), zap.String("worker", n.id), zap.Int64("instance", r.LostWith))
 			continue
 		}
 		l := crash.Loss{
@@ -153,7 +138,7 @@
 	}
 	t.log.Info("dispatch: lost run weighed", zap.String("id", s.entry.work.ID), zap.Int("occurrence", s.occurrence.number),
 		zap.Int("step", s.index), zap.Int("task", r.index), zap.Int64("run", r.number), zap.String("worker", r.node.id),
-		zap.Int64("instance", r.lostWith), zap.Bool("crashed", l.Crashed), zap.Bool("alone", l.Alone), zap.Stringer("scope", l.Scope),
+		zap.Int64("instance", r.LostWith), zap.Bool("crashed", l.Crashed), zap.Bool("alone", l.Alone), zap.Stringer("scope", l.Scope),
 		zap.Duration("age", l.Age), zap.Int("crashes", u.Crashes), zap.Int("losses", u.Losses),
 		zap.Int("evidence", u.Evidence), zap.Stringer("verdict", u.Verdict()))
 	if u.Record == (crash.Record{}) {
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -4,9 +4,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"turmericgap/job"
-	"turmericgap/workrecord"
 )
 
 // onTick performs all time-driven checks.
@@ -95,8 +92,8 @@
 		delete(t.timed, e)
 		return
 	}
-	for e.occurrencesBegun < e.work.NumOccurrences() && !now.Before(e.work.DueAt(e.occurrencesBegun)) && t.mayOpenOccurrence(e) {
-		e.room.Take(len(e.work.Steps) * workrecord.StageBytes)
+	for e.occurrencesBegun < e.work.NumOccurrences() && !now.Before(e.work.DueAt(e.occurrencesBegun)) &&
+		e.room.MayOpen(e.work, len(e.occurrences), t.o.MaxRecordBytes) {
 		t.openStages(e.openOccurrence(e.occurrencesBegun))
 		t.save(e, nil)
 	}
@@ -105,23 +102,6 @@
 	}
 }
 
-// maxOpenOccurrences and maxOpenTasks bound the occurrences of one work that have begun and not ended. Further ones that
-// are due begin as these end.
-const (
-	maxOpenOccurrences = 1024
-	maxOpenTasks       = job.MaxSteps * job.MaxStepTasks
-)
-
-// mayOpenOccurrence reports whether another occurrence of a work may begin beside those that have not ended.
-func (t *term) mayOpenOccurrence(e *entry) bool {
-	tasks, open := 0, len(e.occurrences)
-	for i := range e.work.Steps {
-		tasks += e.work.Steps[i].Tasks
-	}
-	return open == 0 || open < maxOpenOccurrences && (open+1)*tasks <= maxOpenTasks &&
-		e.room.Fits(len(e.work.Steps)*workrecord.StageBytes, t.o.MaxRecordBytes)
-}
-
 // forgetEnded removes the records of ended work whose retention time is over.
 func (t *term) forgetEnded(now time.Time) {
 	for len(t.endedOrder) > 0 {
--- a/job/job.go
+++ b/job/job.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"math"
 	"time"
 
 	"turmericgap/finding"
@@ -74,6 +75,26 @@
 	return Resources{r.Millicores * k, r.MemoryMB * k, r.Accelerators * k}
 }
 
+// Count returns how many times need fits into the resources.
+func (r Resources) Count(need Resources) int {
+	if r.Millicores < need.Millicores || r.MemoryMB < need.MemoryMB || r.Accelerators < need.Accelerators {
+		return 0
+	}
+	return min(quotient(r.Millicores, need.Millicores), quotient(r.MemoryMB, need.MemoryMB),
+		quotient(r.Accelerators, need.Accelerators))
+}
+
+// quotient returns how many times need fits into has for one resource.
+func quotient(has, need int64) int {
+	switch {
+	case has < 0:
+		return 0
+	case need <= 0:
+		return math.MaxInt32
+	}
+	return int(min(has/need, math.MaxInt32))
+}
+
 // FitsIn reports whether no resource in r exceeds that in o.
 func (r Resources) FitsIn(o Resources) bool {
 	return r.Millicores <= o.Millicores && r.MemoryMB <= o.MemoryMB && r.Accelerators <= o.Accelerators
--- a/job/work.go
+++ b/job/work.go
@@ -86,6 +86,15 @@
 	return sum
 }
 
+// NumTasks returns the number of tasks of one occurrence.
+func (w *Work) NumTasks() int {
+	n := 0
+	for i := range w.Steps {
+		n += w.Steps[i].Tasks
+	}
+	return n
+}
+
 // NumOccurrences returns how often the work runs, at least once.
 func (w *Work) NumOccurrences() int { return max(w.Occurrences, 1) }
 
--- a/presence/instance.go
+++ b/presence/instance.go
@@ -63,3 +63,19 @@
 func (r *Run) MoveToNewer(ofFormerOwner bool, until time.Time) {
 	r.Recovered, r.Uncertain, r.Expires, r.LateUntil = ofFormerOwner, true, 0, until
 }
+
+// WeighOnce reports whether the loss of a worker instance is still to be weighed against the task of a run that may have
+// been there, and records that it was. A run that may start late on a newer instance outlives the loss, and each later owner
+// learns of the same loss again; LostWith is therefore saved with the weight. Where instances are not distinguished, the loss
+// ends the run.
+func (r *Run) WeighOnce(born int64) bool {
+	instance := max(born, r.Born)
+	if instance == 0 {
+		return true
+	}
+	if r.LostWith >= instance {
+		return false
+	}
+	r.LostWith = instance
+	return true
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -39,6 +39,8 @@
 	Expires time.Duration
 	// Born is the instance that the start order was sent to; zero if unknown.
 	Born int64
+	// LostWith is the latest instance whose loss has been weighed against the task for this run, zero if none.
+	LostWith int64
 	// LateUntil is when the start order can no longer arrive, if the worker may restart under its ID; a newer instance
 	// would take the order for valid although it was void on the clock of the earlier one.
 	LateUntil time.Time
--- a/workrecord/size.go
+++ b/workrecord/size.go
@@ -13,8 +13,8 @@
 	TaskBytes = 112
 	// memberBytes is the size of a gang's member, whose run may also be unresolved.
 	memberBytes = TaskBytes + 80
-	// StageBytes is the size of a step of an occurrence without its running tasks.
-	StageBytes = 64
+	// stageBytes is the size of a step of an occurrence without its running tasks.
+	stageBytes = 64
 	// headBytes is the size of the rest.
 	headBytes = 128
 	// stepBytes is the size of a step of a work without its strings and lists, numberBytes that of a number.
@@ -50,6 +50,12 @@
 // usable returns how much of a record of at most maxBytes may be planned for.
 func usable(maxBytes int) int { return maxBytes - maxBytes/reserveDivisor }
 
+// maxOpenOccurrences and maxOpenTasks bound the occurrences of one work that have begun and not ended.
+const (
+	maxOpenOccurrences = 1024
+	maxOpenTasks       = job.MaxSteps * job.MaxStepTasks
+)
+
 // Check returns a finding for each record of a work that cannot be kept within maxBytes, however few of its tasks run at a
 // time: services run all at once, and so do the members of a gang.
 func Check(w *job.Work, maxBytes int) finding.List {
@@ -59,7 +65,7 @@
 	for i := range w.Steps {
 		s := &w.Steps[i]
 		itself += stepBytes + len(s.Label) + len(s.DataRack) + len(s.Image) + numberBytes*len(s.DependsOn)
-		progress += StageBytes
+		progress += stageBytes
 		each := TaskBytes
 		if s.Gang {
 			each = memberBytes
@@ -94,3 +100,14 @@
 
 // Recorded notes the size of a new record, which holds all that was added before.
 func (r *Room) Recorded(bytes int) { r.recorded, r.taken = bytes, 0 }
+
+// MayOpen reports whether another occurrence of a work may begin beside those that are open in a record of at most maxBytes,
+// and if so reserves the bytes for it. Further ones that are due begin as these end.
+func (r *Room) MayOpen(w *job.Work, open, maxBytes int) bool {
+	bytes := len(w.Steps) * stageBytes
+	if open > 0 && (open >= maxOpenOccurrences || (open+1)*w.NumTasks() > maxOpenTasks || !r.Fits(bytes, maxBytes)) {
+		return false
+	}
+	r.Take(bytes)
+	return true
+}
--- a/workrecord/size_test.go
+++ b/workrecord/size_test.go
@@ -76,7 +76,7 @@
 	is.True(len(Encode(&worst))+len(Encode(&held))+3 <= TaskBytes)
 	member := len(Encode(&worst)) + len(Encode(&held)) + len(Encode(&Unresolved{Run: math.MaxInt32, Worker: worst.Worker}))
 	is.True(member+3 <= memberBytes)
-	is.True(len(Encode(&Stage{Fails: 999, Failing: true, Tasks: Same(Task{Phase: Done, Run: 1}, job.MaxStepTasks)})) <= StageBytes)
+	is.True(len(Encode(&Stage{Fails: 999, Failing: true, Tasks: Same(Task{Phase: Done, Run: 1}, job.MaxStepTasks)})) <= stageBytes)
 }
 
 // Checks which works are refused as too large to be recorded.
