Take a call that the store rejects as invalid for an answer of the store

store.ErrInvalid counts as an answer now, like a lease that is gone. A commit without works that is rejected, or one of a work that is unwritable already, is repeated with a growing delay.

TestRejectedCallIsAnAnswer failed before (1 of 1) and passes.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -128,7 +128,11 @@
 // onRejected handles a commit that the store will never apply. If it holds several works, each goes into a commit of its
 // own next, so that one whose record the store does not take keeps no other back.
 func (t *term) onRejected(b *batch, cause error) {
-	t.committer.streams.Reject(b.stream)
+	if len(b.saves) == 0 || b.saves[0].entry.unwritable {
+		t.committer.streams.Decline(b.stream, time.Now()) // the next one may be rejected as well
+	} else {
+		t.committer.streams.Reject(b.stream)
+	}
 	t.o.Metrics.Counter("dispatch.commitsRejected").Inc(1)
 	t.log.Warn("dispatch: commit rejected", zap.Int("works", len(b.saves)), zap.Int("bytes", b.bytes), zap.Error(cause))
 	t.requeueChanges(b)
--- a/store/health/health.go
+++ b/store/health/health.go
@@ -192,7 +192,7 @@
 func (m *Monitor) recordResult(err error) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err != nil && !errors.Is(err, store.ErrLeaseGone) && !errors.Is(err, store.ErrCompacted) {
+	if err != nil && !errors.Is(err, store.ErrLeaseGone) && !errors.Is(err, store.ErrCompacted) && !errors.Is(err, store.ErrInvalid) {
 		m.contactSince = time.Time{}
 		m.failures.add()
 		if !store.NotApplied(err) {
--- a/store/health/health_test.go
+++ b/store/health/health_test.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,3 +115,20 @@
 		is.Equal(m.Contact(), time.Duration(0))
 	})
 }
+
+// Guards against taking a store for failing because it rejects calls that are invalid: it has answered.
+func TestRejectedCallIsAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, s := New(memory.New().Client(&memory.Faults{}))
+		invalid := store.Txn{Then: []store.Op{{Key: "k", Value: make([]byte, store.MaxValueBytes+1)}}}
+		for range 10 {
+			_, err := s.Txn(t.Context(), invalid)
+			is.True(errors.Is(err, store.ErrInvalid))
+			time.Sleep(20 * time.Millisecond)
+		}
+		_, failing := m.Failing()
+		is.True(!failing)
+		is.True(m.Contact() > 0)
+	})
+}
