--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -158,8 +158,8 @@
 	t.unsent = left
 }
 
-// withdraw removes a new work that is not durable and tells its callers the cause. None of its tasks has started, since an intent is sent together with
-// its work or later.
+// withdraw removes a new work that is not durable and tells its callers the cause. None of its tasks has started, since an
+// intent is sent together with its work or later.
 func (t *term) withdraw(e *entry, cause error) {
 	t.log.Info("dispatch: work given up unsent", zap.String("id", e.work.ID))
 	e.state = job.WorkCancelled
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -202,7 +202,7 @@
 	}
 	if !e.isRemovable() {
 		raw := workrecord.Encode(e.toProgress(t.o.MaxRecordBytes, true))
-		if len(raw) > t.o.MaxRecordBytes {
+		if len(raw) > workrecord.Usable(t.o.MaxRecordBytes) {
 			raw = workrecord.Encode(e.toProgress(t.o.MaxRecordBytes, false))
 		}
 		e.room.Recorded(len(raw))
--- a/workrecord/size.go
+++ b/workrecord/size.go
@@ -47,8 +47,8 @@
 	return time.Duration(bytes) * pacePerByte
 }
 
-// usable returns how much of a record of at most maxBytes may be planned for.
-func usable(maxBytes int) int { return maxBytes - maxBytes/reserveDivisor }
+// Usable returns how much of a record of at most maxBytes may be planned for.
+func Usable(maxBytes int) int { return maxBytes - maxBytes/reserveDivisor }
 
 // maxOpenOccurrences and maxOpenTasks bound the occurrences of one work that have begun and not ended.
 const (
@@ -80,8 +80,8 @@
 	if itself > maxBytes {
 		l.Add("body", "the submission needs %d bytes in the store, which takes at most %d", itself, maxBytes)
 	}
-	if need := progress + services + max(largestGang, TaskBytes); need > usable(maxBytes) {
-		l.Add("Steps", "the tasks that run at the same time need %d bytes in a record, which has at most %d", need, usable(maxBytes))
+	if need := progress + services + max(largestGang, TaskBytes); need > Usable(maxBytes) {
+		l.Add("Steps", "the tasks that run at the same time need %d bytes in a record, which has at most %d", need, Usable(maxBytes))
 	}
 	return l
 }
@@ -93,7 +93,7 @@
 }
 
 // Fits reports whether so many bytes more fit into a record of at most maxBytes.
-func (r *Room) Fits(bytes, maxBytes int) bool { return r.recorded+r.taken+bytes <= usable(maxBytes) }
+func (r *Room) Fits(bytes, maxBytes int) bool { return r.recorded+r.taken+bytes <= Usable(maxBytes) }
 
 // Take reserves bytes until the next record.
 func (r *Room) Take(bytes int) { r.taken += bytes }
