--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -113,9 +113,9 @@
 	r.decay()
 }
 
-// AddFailure records a run of a work that has failed after atWork. It returns the duration of the quarantine that this begins, or 0.
-// mayBegin reports whether one more worker may be quarantined. Failures of the same work count once towards a
-// quarantine, as they may be the work's own fault.
+// AddFailure records a run of a work that has failed after atWork. It returns the duration of the quarantine that this
+// begins or prolongs, or 0. mayBegin reports whether one more worker may be quarantined. Failures of the same work count
+// once towards a quarantine, as they may be the work's own fault.
 func (r *Record) AddFailure(work string, atWork time.Duration, now time.Time, mayBegin func() bool) time.Duration {
 	r.failures++
 	r.longestFailure = max(r.longestFailure, atWork)
--- a/workrecord/record.go
+++ b/workrecord/record.go
@@ -137,16 +137,20 @@
 	if _, err := d.DecodeMapLen(); err != nil {
 		return err
 	}
-	if key, err := d.DecodeString(); err != nil || key != joinedKey {
-		return fmt.Errorf("tasks are a map of %q, want %q: %w", key, joinedKey, err)
+	key, err := d.DecodeString()
+	if err == nil && key != joinedKey {
+		err = fmt.Errorf("the tasks of a step are a map with the key %q, want %q", key, joinedKey)
+	}
+	if err != nil {
+		return err
 	}
 	n, err := d.DecodeArrayLen()
 	*t = nil
 	for i := 0; i < n && err == nil; i += 2 {
 		var more int
 		var r Task
-		if err = d.DecodeMulti(&more, &r); err == nil && (more < 0 || more >= job.MaxStepTasks) {
-			err = fmt.Errorf("%d tasks follow task %d of a step", more, len(*t))
+		if err = d.DecodeMulti(&more, &r); err == nil && (more < 0 || more >= job.MaxStepTasks-len(*t)) {
+			err = fmt.Errorf("%d tasks follow task %d of a step, which has %d at most", more, len(*t), job.MaxStepTasks)
 		}
 		if err == nil {
 			*t = append(*t, slices.Repeat([]Task{r}, more+1)...)
--- a/workrecord/size_test.go
+++ b/workrecord/size_test.go
@@ -64,7 +64,10 @@
 		var got Stage
 		is.True(msgpack.Unmarshal(raw, &got) != nil)
 	}
+	row := []any{0, 0, "", 0, ""}
+	many := Encode(map[string]any{"t": map[string]any{joinedKey: []any{job.MaxStepTasks - 1, row, 0, row}}})
 	var got Stage
+	is.True(msgpack.Unmarshal(many, &got) != nil)
 	is.True(msgpack.Unmarshal(Encode(map[string]any{"t": map[string]any{"other": []any{}}}), &got) != nil)
 }
 
