End the trial of a worker by a gang of services

The time at work of a gang's member counted from when the gang is known to be complete, which progress shows, and services report none that does. It counts from when all members are known to be there now.

TestWorkerThatFailedIsUsedAgain: the three new cases of gangs of services failed before and pass.

--- a/dispatch/grey_worker_test.go
+++ b/dispatch/grey_worker_test.go
@@ -31,6 +31,7 @@
 		"tasks that last":     {step: job.Step{Tasks: 1, Estimate: time.Hour}},
 		"last attempts":       {step: job.Step{Tasks: 1, Estimate: 2 * time.Second}, attempts: 3},
 		"gangs":               {step: job.Step{Tasks: 2, Gang: true, Estimate: 2 * time.Second}},
+		"gangs of services":   {step: job.Step{Tasks: 2, Gang: true, Service: true}},
 		"gangs' last attempt": {step: job.Step{Tasks: 2, Gang: true, Estimate: 2 * time.Second}, attempts: 3},
 	}
 	for name, k := range kinds {
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -45,12 +45,23 @@
 	}
 }
 
-// timeAtWork returns for how long a run is known to have been at work, zero while a gang's member may wait for the others.
+// timeAtWork returns for how long a run is known to have been at work. The members of a gang work from when all are there.
 func (r *run) timeAtWork(now time.Time) time.Duration {
-	if g := r.stage.gang; !r.Confirmed || r.confirmedAt.IsZero() || g != nil && !g.Complete {
-		return 0
+	members := []task{{run: r}}
+	if r.stage.gang != nil {
+		members = r.stage.tasks
 	}
-	return now.Sub(r.confirmedAt)
+	since := r.confirmedAt
+	for i := range members {
+		m := members[i].run
+		if m == nil || !m.Confirmed {
+			return 0
+		}
+		if m.confirmedAt.After(since) {
+			since = m.confirmedAt
+		}
+	}
+	return elapsed(since, now)
 }
 
 // recordEnding updates the health of a worker after the end of a run.
