--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -66,7 +66,7 @@
 	pressure bool
 	// maxValueBytes makes the store reject transactions with a larger value; zero means that only its own limit applies.
 	// The VMs know of it if knowsMaxValue is set.
-	maxValueBytes int
+	maxValueBytes atomic.Int64
 	knowsMaxValue bool
 	// log receives the logs of the VMs.
 	log *zap.Logger
@@ -290,7 +290,7 @@
 // knownMaxValue returns what the VMs take for the size of the largest value.
 func (c *cell) knownMaxValue() int {
 	if c.knowsMaxValue {
-		return c.maxValueBytes
+		return int(c.maxValueBytes.Load())
 	}
 	return store.MaxValueBytes
 }
@@ -300,7 +300,7 @@
 	out := *kv
 	out.Txn = func(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
 		for i := range txn.Then {
-			if n := len(txn.Then[i].Value); c.maxValueBytes > 0 && n > c.maxValueBytes {
+			if n, most := len(txn.Then[i].Value), int(c.maxValueBytes.Load()); most > 0 && n > most {
 				return store.TxnResult{}, fmt.Errorf("value of %d bytes: %w", n, store.ErrInvalid)
 			}
 		}
--- a/dispatch/grey_worker_test.go
+++ b/dispatch/grey_worker_test.go
@@ -89,8 +89,10 @@
 			b.GangSize = step.Tasks
 		}
 		return b
-	}, "vm1", "vm2")}
+	})}
 	c.config.Queues[0].MaxAttempts = attempts
+	c.startVM("vm1")
+	c.startVM("vm2")
 	c.addWorkers(11, 16)
 	info := worker.Info{ID: "grey", Address: "grey", Zone: "kochi-hall", Rack: "r1", Has: job.Resources{Millicores: 16000, MemoryMB: 64000}}
 	c.grey = c.cluster.Add(info)
--- a/dispatch/large_record_test.go
+++ b/dispatch/large_record_test.go
@@ -33,7 +33,7 @@
 func commitBesideRejected(t *testing.T, large job.Step, takeOver bool) {
 	is := is.New(t)
 	c := newCell(t, runsFor(time.Second), "vm1", "vm2")
-	c.maxValueBytes = 700
+	c.maxValueBytes.Store(700)
 	v := c.waitForOwner()
 	time.Sleep(5 * time.Second)
 	c.submit(v, c.newWork("large", large)) // no worker is there, so that only the work itself is recorded
@@ -64,7 +64,7 @@
 			inBubble(t, func(t *testing.T) {
 				is := is.New(t)
 				c := newCell(t, runsFor(time.Second), "vm1", "vm2")
-				c.maxValueBytes = 700
+				c.maxValueBytes.Store(700)
 				v := c.waitForOwner()
 				time.Sleep(5 * time.Second)
 				if !owned {
@@ -117,7 +117,8 @@
 		}
 		return b
 	})
-	c.maxValueBytes, c.knowsMaxValue = 4<<10, true
+	c.knowsMaxValue = true
+	c.maxValueBytes.Store(4 << 10)
 	c.startVM("vm1")
 	c.startVM("vm2")
 	c.addWorkers(6, 16)
