Test crowds of clients that misuse the protocol

Clients that sent requests of legal size ended a process: it ran out of memory. The new package crowd starts entry VMs and a gate as processes and sends them such crowds. It checks what does not depend on speed: that the process lives, that its memory and connections stay within its VM's limits, and that an ordinary request is answered beside the crowd and after it. Each form is also sent alone. The VM has the limits of the weakest deployments, 144 MB and 3,075 descriptors, or 400 descriptors where they are to run out; the gate has the 256 MB that it will assume by default. Bounds are these limits, less 200 descriptors for files.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	go test -count=1 -v -timeout 30m -run TestSoak ./soak -args -seed $$(date +%s) -seeds $(SOAK_SEEDS) -logs $(CURDIR)/run/soak
 
 test: check build
-	go test -race -count=1 $$(go list ./... | grep -v -e /policy$$ -e /dispatch$$ -e /configuration$$ -e /owner$$)
+	go test -race -count=1 $$(go list ./... | grep -v -e /policy$$ -e /dispatch$$ -e /configuration$$ -e /owner$$ -e /crowd$$)
 	@# The race detector may crash in synctest bubbles on several processors (docs/incidents/0010). dispatch, configuration and
 	@# owner are therefore tested with the race detector on one processor, and without it on all, including the tests with the
 	@# constraint !race.
@@ -32,6 +32,8 @@
 	go test -count=1 ./dispatch ./configuration ./owner
 	@# policy runs in a single goroutine, so the race detector would only slow down its long replays.
 	go test -count=1 ./policy
+	@# crowd measures processes, so nothing else may run beside it.
+	go test -count=1 ./crowd
 	./script/knownred.sh
 
 # Runs every fuzz target in turn with a fixed number of inputs. Not part of test.
