Keep callers' connections from using up an entry VM's descriptors

Callers saw: an entry VM that answered nobody while others kept connections open, idle after one ordinary request or without one.

Cause: the callers' port took any number of connections and kept each for 60 s after its last request.

Change: connection.Budget admits connections up to a quarter of the descriptors. At the limit it closes the one that has been idle for longest, then the one whose request has stood still for longest, never one that is being served. connection.Conn applies the timeouts of the configuration. A limit that only stopped accepting would let idle connections keep ordinary ones out.

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -16,6 +16,7 @@
 	"turmericgap"
 	"turmericgap/account"
 	"turmericgap/configuration"
+	"turmericgap/connection"
 	"turmericgap/dispatch"
 	"turmericgap/feature"
 	"turmericgap/front"
@@ -36,10 +37,9 @@
 	// rotationDelay is how long the platform may still send new connections after this VM reports that it is not
 	// ready: two readiness probes at one per second.
 	rotationDelay = 2200 * time.Millisecond
-	// maxHeaderBytes, headerTimeout and idleTimeout limit callers' connections before the configuration is known.
-	maxHeaderBytes = 16 << 10
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 60 * time.Second
+	// headerTimeout and idleTimeout limit callers' connections before the configuration is known.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 60 * time.Second
 	// minCellHold is the shortest hold of the watches of the configuration and of the owner, configMargin the time that is
 	// left to learn of a new configuration after a dead connection was noticed.
 	minCellHold  = 2 * time.Second
@@ -193,16 +193,24 @@
 		Submit:        p.front.Submit, Status: p.front.Status, Cancel: p.front.Cancel,
 		Waiting: p.front.Waiting, CutOff: p.group.IsCutOff, OnAnswered: p.logAnswer,
 	})
-	p.callerServer = &http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}
+	budget := connection.NewBudget("callers", connection.LimitsFor(p.settings.MemoryMB, p.settings.MaxFiles), p.metrics)
+	p.callerServer = connection.NewServer(handler)
 	p.readinessServer = &http.Server{Handler: platform.ReadinessHandler(p.checkReady), ReadHeaderTimeout: headerTimeout}
-	go p.serveListener("callers", func() error { return p.callerServer.Serve(l.callers) })
+	go p.serveListener("callers", func() error { return p.callerServer.Serve(connection.Listen(l.callers, budget, p.callerTimeouts)) })
 	go p.serveListener("readiness", func() error { return p.readinessServer.Serve(l.ready) })
 	go p.logCounters()
 	go p.serveListener("peers", func() error { return p.server.Serve(l.peers) })
 }
 
+// callerTimeouts returns the timeouts of the configuration for callers' connections.
+func (p *program) callerTimeouts() connection.Timeouts {
+	t := connection.Timeouts{Header: headerTimeout, Idle: idleTimeout}
+	if c := p.config.Current(); c != nil {
+		t.Header, t.Idle = cmp.Or(c.Limits.HeaderTimeout, t.Header), cmp.Or(c.Limits.IdleTimeout, t.Idle)
+	}
+	return t
+}
+
 func (p *program) serveListener(name string, serve func() error) {
 	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		p.log.Error("entry: listener stopped serving", zap.String("port", name), zap.Error(err))
