Count what headers take in memory, not on the wire

Callers saw: an entry VM that ran out of memory while clients sent headers of 16 KB made of very short lines and kept their requests open, one byte short of the body's end or without the end of the headers.

Cause: net/http parses all headers before a handler runs and limits only their bytes on the wire. A line of five bytes takes over a hundred once it is parsed, and the request holds them until it is answered.

Change: a connection counts bytes and lines while headers arrive, and takes what they will need from the budget of all callers, a quarter of MemoryMb. When it is exhausted, those are closed that have stood still for longest. Headers of ordinary size take nothing. A Conn obeys the configuration's MaxHeaderBytes with 431; the server's own limit was a constant.

One such request alone is answered with 200.

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -37,7 +37,8 @@
 	// rotationDelay is how long the platform may still send new connections after this VM reports that it is not
 	// ready: two readiness probes at one per second.
 	rotationDelay = 2200 * time.Millisecond
-	// headerTimeout and idleTimeout limit callers' connections before the configuration is known.
+	// headerBytes, headerTimeout and idleTimeout limit callers' requests unless the configuration does.
+	headerBytes   = 16 << 10
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 60 * time.Second
 	// minCellHold is the shortest hold of the watches of the configuration and of the owner, configMargin the time that is
@@ -196,19 +197,22 @@
 	budget := connection.NewBudget("callers", connection.LimitsFor(p.settings.MemoryMB, p.settings.MaxFiles), p.metrics)
 	p.callerServer = connection.NewServer(handler)
 	p.readinessServer = &http.Server{Handler: platform.ReadinessHandler(p.checkReady), ReadHeaderTimeout: headerTimeout}
-	go p.serveListener("callers", func() error { return p.callerServer.Serve(connection.Listen(l.callers, budget, p.callerTimeouts)) })
+	go p.serveListener("callers", func() error { return p.callerServer.Serve(connection.Listen(l.callers, budget, p.requestLimits)) })
 	go p.serveListener("readiness", func() error { return p.readinessServer.Serve(l.ready) })
 	go p.logCounters()
 	go p.serveListener("peers", func() error { return p.server.Serve(l.peers) })
 }
 
-// callerTimeouts returns the timeouts of the configuration for callers' connections.
-func (p *program) callerTimeouts() connection.Timeouts {
-	t := connection.Timeouts{Header: headerTimeout, Idle: idleTimeout}
+// requestLimits returns the limits of the configuration for callers' requests.
+func (p *program) requestLimits() connection.RequestLimits {
+	var l job.Limits
 	if c := p.config.Current(); c != nil {
-		t.Header, t.Idle = cmp.Or(c.Limits.HeaderTimeout, t.Header), cmp.Or(c.Limits.IdleTimeout, t.Idle)
+		l = c.Limits
+	}
+	return connection.RequestLimits{
+		HeaderBytes: cmp.Or(l.HeaderBytes, headerBytes), HeaderTimeout: cmp.Or(l.HeaderTimeout, headerTimeout),
+		IdleTimeout: cmp.Or(l.IdleTimeout, idleTimeout),
 	}
-	return t
 }
 
 func (p *program) serveListener(name string, serve func() error) {
--- a/connection/conn.go
+++ b/connection/conn.go
@@ -1,39 +1,64 @@
 package connection
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
 )
 
-// Timeouts end connections that stand still.
-type Timeouts struct {
-	// Header limits the time from the first byte of a request to the end of its headers, and from the opening of a
+// RequestLimits are the limits of single requests.
+type RequestLimits struct {
+	// HeaderBytes limits the headers of a request on the wire; some bytes more are accepted.
+	HeaderBytes int
+	// HeaderTimeout limits the time from the first byte of a request to the end of its headers, and from the opening of a
 	// connection to the first byte.
-	Header time.Duration
-	// Idle limits the time between two requests, and the time in which a caller has to take a part of an answer.
-	Idle time.Duration
-}
+	HeaderTimeout time.Duration
+	// IdleTimeout limits the time between two requests, and the time in which a caller has to take a part of an answer.
+	IdleTimeout time.Duration
+}
+
+const (
+	// headerSlack is how many bytes of headers are accepted beyond the limit.
+	headerSlack = 4 << 10
+	// progressBytes is how much of a request a connection must receive not to count as standing still.
+	progressBytes = 4 << 10
+	// rejectTimeout and rejectBytes limit what is read and dropped so that a caller can read why its request is rejected.
+	rejectTimeout = 500 * time.Millisecond
+	rejectBytes   = 256 << 10
+)
+
+// headersTooLarge is the answer to a request whose headers are too large.
+const headersTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+var errHeadersTooLarge = errors.New("the headers of the request are too large")
 
-// Conn is a connection of a caller. It ends reads and writes that stand still, as the timeouts that apply at that time say.
+// Conn is a connection of a caller. It ends reads and writes that stand still, as the limits that apply at that time say.
 type Conn struct {
 	net.Conn
-	holder   *Holder
-	timeouts func() Timeouts
+	holder *Holder
+	limits func() RequestLimits
 
 	mu sync.Mutex
 	// since is when the connection was opened, ended its last request or received the first byte of its next one.
 	since time.Time
 	// head follows the headers of the request being received.
 	head head
+	// headHeld is the memory taken for it, and progress the bytes of it that the connection had received when it last
+	// counted as making progress.
+	headHeld int64
+	progress int
+	// tail follows what has been read last behind the headers: it may be the beginning of the next request.
+	tail head
 	// first is true until the first request has been received.
 	first bool
 	// readUntil and writeUntil are the deadlines that the server has set, armedUntil is the one in force for reads.
 	readUntil, writeUntil, armedUntil time.Time
 }
 
-func newConn(inner net.Conn, b *Budget, timeouts func() Timeouts) *Conn {
-	c := &Conn{Conn: inner, timeouts: timeouts, since: time.Now(), first: true}
+func newConn(inner net.Conn, b *Budget, limits func() RequestLimits) *Conn {
+	c := &Conn{Conn: inner, limits: limits, since: time.Now(), first: true}
 	c.holder = b.Open(func() { inner.Close() })
 	return c
 }
@@ -43,7 +68,10 @@
 	c.armRead()
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.received(p[:n])
+		if rejected := c.received(p[:n]); rejected != nil {
+			// The server answers any other kind of error, as if the request was malformed.
+			return 0, &net.OpError{Op: "read", Net: "tcp", Err: rejected}
+		}
 	}
 	return n, err
 }
@@ -57,14 +85,14 @@
 
 // headUntil returns until when the headers may arrive; zero if the connection receives none.
 func (c *Conn) headUntil() time.Time {
-	t := c.timeouts()
+	l := c.limits()
 	switch {
 	case c.head.ended:
 		return time.Time{}
 	case c.head.started || c.first:
-		return c.since.Add(t.Header)
+		return c.since.Add(l.HeaderTimeout)
 	default:
-		return c.since.Add(t.Idle)
+		return c.since.Add(l.IdleTimeout)
 	}
 }
 
@@ -76,15 +104,47 @@
 	_ = c.Conn.SetReadDeadline(until) // fails if the connection is closed, and so does the read
 }
 
-// received follows the headers.
-func (c *Conn) received(p []byte) {
+// received follows the headers and takes the memory that they need once they are parsed.
+func (c *Conn) received(p []byte) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.head.started && !c.head.ended {
+	receiving := !c.head.ended
+	if receiving && !c.head.started {
 		c.since = time.Now()
+	}
+	c.tail = head{}
+	c.tail.count(p[c.head.add(p):])
+	need := c.head.parsedBytes() - c.headHeld
+	tooLarge := c.head.bytes > c.limits().HeaderBytes+headerSlack
+	progress := c.head.bytes - c.progress
+	if progress >= progressBytes {
+		c.progress = c.head.bytes
+	}
+	c.mu.Unlock()
+	switch {
+	case !receiving:
+		return nil
+	case tooLarge:
+		c.reject()
+		return errHeadersTooLarge
+	case progress >= progressBytes || progress == c.head.bytes:
 		c.holder.Receiving()
 	}
-	c.head.add(p)
+	if need <= 0 {
+		return nil
+	}
+	if err := c.holder.Grow(need); err != nil {
+		return err
+	}
+	c.headHeld += need
+	return nil
+}
+
+// reject answers a request whose headers are too large.
+func (c *Conn) reject() {
+	if _, err := c.Write([]byte(headersTooLarge)); err != nil || c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(rejectTimeout)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, rejectBytes)) // ends at the deadline at the latest
 }
 
 // beginRequest records that the headers of a request have been parsed.
@@ -98,7 +158,8 @@
 // endRequest records that a request has been answered.
 func (c *Conn) endRequest() {
 	c.mu.Lock()
-	c.head, c.since = head{}, time.Now()
+	c.head, c.since = c.tail, time.Now()
+	c.tail, c.headHeld, c.progress = head{}, 0, 0
 	c.mu.Unlock()
 	c.holder.Idle()
 }
@@ -122,7 +183,7 @@
 // Write writes a part of an answer.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	until := earlier(c.writeUntil, time.Now().Add(c.timeouts().Idle))
+	until := earlier(c.writeUntil, time.Now().Add(c.limits().IdleTimeout))
 	c.mu.Unlock()
 	if err := c.Conn.SetWriteDeadline(until); err != nil {
 		return 0, err
--- a/connection/server.go
+++ b/connection/server.go
@@ -6,12 +6,9 @@
 	"net/http"
 )
 
-// MaxHeaderBytes limits the headers of a request on the wire, unless the settings of a server say otherwise.
-const MaxHeaderBytes = 16 << 10
-
 // NewServer returns an HTTP server for connections of a Listener.
 func NewServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: serveWithin(h), MaxHeaderBytes: MaxHeaderBytes, ConnContext: withConn} //nolint:gosec // a Conn has the timeouts
+	return &http.Server{Handler: serveWithin(h), ConnContext: withConn} //nolint:gosec // a Conn has the limits
 }
 
 // connKey is the key of a request's Conn in its context.
@@ -50,13 +47,13 @@
 // Listener admits connections within a budget.
 type Listener struct {
 	net.Listener
-	budget   *Budget
-	timeouts func() Timeouts
+	budget *Budget
+	limits func() RequestLimits
 }
 
 // Listen returns a listener that admits the connections of another one within a budget.
-func Listen(l net.Listener, b *Budget, timeouts func() Timeouts) *Listener {
-	return &Listener{Listener: l, budget: b, timeouts: timeouts}
+func Listen(l net.Listener, b *Budget, limits func() RequestLimits) *Listener {
+	return &Listener{Listener: l, budget: b, limits: limits}
 }
 
 // Accept returns the next connection, once the budget admits it.
@@ -65,5 +62,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(conn, l.budget, l.timeouts), nil
+	return newConn(conn, l.budget, l.limits), nil
 }
--- a/connection/server_test.go
+++ b/connection/server_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -40,8 +41,9 @@
 }
 
 const (
-	testHeader = 3 * time.Second
-	testIdle   = 20 * time.Second
+	testHeader      = 3 * time.Second
+	testIdle        = 20 * time.Second
+	testHeaderBytes = 16 << 10
 )
 
 // serveTest runs a server within limits; its Close must be called.
@@ -50,7 +52,9 @@
 	b := NewBudget("test", l, metric.New())
 	s := NewServer(h)
 	go func() {
-		_ = s.Serve(Listen(p, b, func() Timeouts { return Timeouts{Header: testHeader, Idle: testIdle} }))
+		_ = s.Serve(Listen(p, b, func() RequestLimits {
+			return RequestLimits{HeaderBytes: testHeaderBytes, HeaderTimeout: testHeader, IdleTimeout: testIdle}
+		}))
 	}()
 	return p, b, func() { _ = s.Close() }
 }
@@ -129,7 +133,7 @@
 				end := -1
 				for i := range c.in {
 					if i%size == 0 && !h.ended {
-						h.add([]byte(c.in[i:min(i+size, len(c.in))]))
+						_ = h.add([]byte(c.in[i:min(i+size, len(c.in))]))
 						if h.ended {
 							end = min(i+size, len(c.in))
 						}
@@ -147,3 +151,61 @@
 		})
 	}
 }
+
+// lines returns header lines of n bytes each, that many bytes in all.
+func lines(n, all int) string {
+	var b strings.Builder
+	for i := 0; b.Len()+n <= all; i++ {
+		name := strconv.Itoa(i)
+		b.WriteString(name + ":" + strings.Repeat("x", n-len(name)-3) + "\r\n")
+	}
+	return b.String()
+}
+
+// Guards against headers that take more memory once parsed than a budget has, and against a limit that rejects what is
+// allowed: any headers within the limit are served alone, and larger ones are rejected with an answer.
+func TestHeaders(t *testing.T) {
+	cases := []struct {
+		name, head string
+		budget     int64
+		want       int
+	}{
+		{"short lines", lines(7, testHeaderBytes-100), 1 << 20, http.StatusOK},
+		{"long lines", lines(1000, testHeaderBytes-100), 1 << 20, http.StatusOK},
+		{"one line", lines(testHeaderBytes-100, testHeaderBytes-100), 1 << 20, http.StatusOK},
+		{"too large", lines(1000, testHeaderBytes+2*headerSlack), 1 << 20, http.StatusRequestHeaderFieldsTooLarge},
+		{"short lines beyond the budget", lines(7, testHeaderBytes-100), 64 << 10, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p, b, stop := serveTest(Limits{Connections: 2, Bytes: c.budget}, func(http.ResponseWriter, *http.Request) {})
+				defer stop()
+				conn := p.dial()
+				is.Equal(ask(conn, "GET / HTTP/1.1\r\nHost: a\r\n"+c.head+"\r\n"), c.want)
+				synctest.Wait()
+				conn.Close()
+				synctest.Wait()
+				is.Equal(b.used, int64(0))
+			})
+		})
+	}
+}
+
+// Guards against headers that come behind the last request in the same read, and are not counted.
+func TestPipelinedHeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, b, stop := serveTest(Limits{Connections: 2, Bytes: 1 << 20}, func(http.ResponseWriter, *http.Request) {})
+		defer stop()
+		conn := p.dial()
+		defer conn.Close()
+		is.Equal(ask(conn, get+"GET / HTTP/1.1\r\nHost: a\r\n"+lines(7, 3000)), http.StatusOK)
+		synctest.Wait()
+		_, err := io.WriteString(conn, "z:\r\n")
+		is.NoErr(err)
+		synctest.Wait()
+		is.True(b.used > 3000/7*lineBytes)
+	})
+}
--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -1,6 +1,9 @@
 package crowd
 
-import "testing"
+import (
+	"net/http"
+	"testing"
+)
 
 // Guards against connections that stay open after a request and use up all descriptors.
 func TestIdleConnections(t *testing.T) {
@@ -23,3 +26,16 @@
 	crowd.close()
 	c.check(t, "after the crowd", 3000)
 }
+
+// Guards against headers of many short lines, which take many times their size once parsed, beside bodies that never end.
+func TestShortHeaderLines(t *testing.T) {
+	f := &form{path: "/check/", head: shortHeaders(headBytes), body: work(100), holdBack: 1}
+	play(t, newCell(t, 1, weakVM), f, crowdSize, []int{0}, http.StatusOK)
+}
+
+// Guards against headers of many short lines that never end.
+func TestShortHeaderLinesWithoutEnd(t *testing.T) {
+	body := work(100)
+	f := &form{path: "/check/", head: shortHeaders(headBytes), body: body, holdBack: len(body) + 2}
+	play(t, newCell(t, 1, weakVM), f, crowdSize, []int{0}, http.StatusOK)
+}
--- a/crowd/red_test.go
+++ b/crowd/red_test.go
@@ -10,19 +10,6 @@
 	"turmericgap/platform"
 )
 
-// Guards against headers of many short lines, which take many times their size once parsed, beside bodies that never end.
-func TestShortHeaderLines(t *testing.T) {
-	f := &form{path: "/check/", head: shortHeaders(headBytes), body: work(100), holdBack: 1}
-	play(t, newCell(t, 1, weakVM), f, crowdSize, []int{0}, http.StatusOK)
-}
-
-// Guards against headers of many short lines that never end.
-func TestShortHeaderLinesWithoutEnd(t *testing.T) {
-	body := work(100)
-	f := &form{path: "/check/", head: shortHeaders(headBytes), body: body, holdBack: len(body) + 2}
-	play(t, newCell(t, 1, weakVM), f, crowdSize, []int{0}, http.StatusOK)
-}
-
 // Guards against large bodies that stop one byte short of their end.
 func TestBodiesWithoutEnd(t *testing.T) {
 	f := &form{path: "/check/", body: work(maxBodyBytes), holdBack: 1}
