Keep bodies that never end from filling an entry VM's memory

Callers saw: an entry VM that ran out of memory while clients sent large bodies, whole, in pieces or in chunks, that stopped one byte short of their end and stayed open.

Cause: each body was read with io.ReadAll, which takes up to twice its size, without a limit for all of them and without an end: a caller's deadline applied to its answer only. Requests that were answered without their body waited for it in the server.

If requests being served hold all memory, a body is refused with 503, once it is known that no earlier submission of its ID was accepted. Answers without the body are sent at once.

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -191,7 +191,7 @@
 func (p *program) serve(l listeners) {
 	handler := platform.IngressHandler(&platform.IngressBackend{
 		Authenticator: &account.Authenticator{View: p.config.View, Refresh: p.config.Refresh, ChangeWithin: p.settings.DowngradeWithin / changeDivisor, MaxAge: p.settings.KeyMaxAge},
-		Submit:        p.front.Submit, Status: p.front.Status, Cancel: p.front.Cancel,
+		Submit:        p.front.Submit, Refuse: p.front.Refuse, Status: p.front.Status, Cancel: p.front.Cancel,
 		Waiting: p.front.Waiting, CutOff: p.group.IsCutOff, OnAnswered: p.logAnswer,
 	})
 	budget := connection.NewBudget("callers", connection.LimitsFor(p.settings.MemoryMB, p.settings.MaxFiles), p.metrics)
--- a/connection/conn.go
+++ b/connection/conn.go
@@ -49,7 +49,7 @@
 	// counted as making progress.
 	headHeld int64
 	progress int
-	// tail follows what has been read last behind the headers: it may be the beginning of the next request.
+	// tail counts the lines read last behind the headers: they may belong to the next request.
 	tail head
 	// first is true until the first request has been received.
 	first bool
@@ -107,12 +107,12 @@
 // received follows the headers and takes the memory that they need once they are parsed.
 func (c *Conn) received(p []byte) error {
 	c.mu.Lock()
-	receiving := !c.head.ended
-	if receiving && !c.head.started {
+	receiving, first := !c.head.ended, !c.head.started
+	if receiving && first {
 		c.since = time.Now()
 	}
 	c.tail = head{}
-	c.tail.count(p[c.head.add(p):])
+	c.tail.countLines(p[c.head.add(p):])
 	need := c.head.parsedBytes() - c.headHeld
 	tooLarge := c.head.bytes > c.limits().HeaderBytes+headerSlack
 	progress := c.head.bytes - c.progress
@@ -126,7 +126,7 @@
 	case tooLarge:
 		c.reject()
 		return errHeadersTooLarge
-	case progress >= progressBytes || progress == c.head.bytes:
+	case first || progress >= progressBytes:
 		c.holder.Receiving()
 	}
 	if need <= 0 {
@@ -155,10 +155,17 @@
 	c.arm(c.readUntil)
 }
 
-// endRequest records that a request has been answered.
-func (c *Conn) endRequest() {
+// endRequest records that a request has been answered, and whether the connection is closed then.
+func (c *Conn) endRequest(closing bool) {
 	c.mu.Lock()
-	c.head, c.since = c.tail, time.Now()
+	c.since = time.Now()
+	if closing {
+		// The server would read the rest of the body first.
+		c.readUntil = c.since
+		c.arm(c.since)
+	} else {
+		c.head = c.tail
+	}
 	c.tail, c.headHeld, c.progress = head{}, 0, 0
 	c.mu.Unlock()
 	c.holder.Idle()
--- a/connection/head.go
+++ b/connection/head.go
@@ -9,6 +9,8 @@
 	textCopies = 2
 	// headBytes is up to how much parsed headers take of what every connection holds anyway.
 	headBytes = 4 << 10
+	// serverBufferBytes is how much net/http may read beyond a request.
+	serverBufferBytes = 4 << 10
 )
 
 // head follows the first line and the headers of a request on the wire.
@@ -43,10 +45,9 @@
 	return before - len(p)
 }
 
-// count adds bytes that may belong to headers, without following them.
-func (h *head) count(p []byte) {
-	h.bytes += len(p)
-	h.lines += bytes.Count(p, []byte{'\n'})
+// countLines adds the lines at the end of p, as many as the server's buffer may hold, without following them.
+func (h *head) countLines(p []byte) {
+	h.lines += bytes.Count(p[max(len(p)-serverBufferBytes, 0):], []byte{'\n'})
 }
 
 // parsedBytes returns how much memory the headers take once they are parsed, beyond what every connection holds.
--- a/connection/server.go
+++ b/connection/server.go
@@ -36,11 +36,13 @@
 			return
 		}
 		c.beginRequest()
-		defer c.endRequest()
+		defer func() { c.endRequest(r.Close || w.Header().Get("Connection") == "close") }()
 		if err := c.holder.Serve(); err != nil {
 			panic(http.ErrAbortHandler)
 		}
+		expectsBody(w, r)
 		h.ServeHTTP(w, r)
+		c.dropBody(w, r)
 	})
 }
 
--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -39,3 +39,27 @@
 	f := &form{path: "/check/", head: shortHeaders(headBytes), body: body, holdBack: len(body) + 2}
 	play(t, newCell(t, 1, weakVM), f, crowdSize, []int{0}, http.StatusOK)
 }
+
+// Guards against large bodies that stop one byte short of their end.
+func TestBodiesWithoutEnd(t *testing.T) {
+	f := &form{path: "/check/", body: work(maxBodyBytes), holdBack: 1}
+	play(t, newCell(t, 1, weakVM), f, crowdSize, []int{0}, http.StatusOK)
+}
+
+// Guards against large bodies that come in pieces and stop one byte short of their end.
+func TestBodiesInPiecesWithoutEnd(t *testing.T) {
+	f := &form{path: "/check/", body: work(maxBodyBytes), pieceBytes: 4 << 10, holdBack: 1}
+	play(t, newCell(t, 1, weakVM), f, crowdSize, []int{0}, http.StatusOK)
+}
+
+// Guards against bodies in large chunks that stop just short of their end.
+func TestLargeChunksWithoutEnd(t *testing.T) {
+	f := &form{path: "/check/", body: inChunks(work(maxBodyBytes), 32<<10), chunked: true, holdBack: 1}
+	play(t, newCell(t, 1, weakVM), f, crowdSize, []int{0}, http.StatusOK)
+}
+
+// Guards against bodies in chunks of one byte that stop just short of their end.
+func TestSmallChunksWithoutEnd(t *testing.T) {
+	f := &form{path: "/check/", body: inChunks(work(maxBodyBytes/2), 1), chunked: true, holdBack: 1}
+	play(t, newCell(t, 1, weakVM), f, crowdSize, []int{0}, http.StatusOK)
+}
--- a/front/front.go
+++ b/front/front.go
@@ -28,6 +28,8 @@
 	unknown  unknownIDs
 	// ownerCache holds the owner that other VMs reported.
 	ownerCache ownerCache
+	// refusing limits the concurrent refusals of submissions that were not read.
+	refusing chan struct{}
 	// silent is the last owner that did not answer a call.
 	silent atomic.Pointer[silentOwner]
 }
@@ -44,7 +46,7 @@
 		o.EvaluateRules = func(*job.Work) rule.Effect { return rule.Effect{} }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Front{opts: o, cancel: cancel}
+	f := &Front{opts: o, cancel: cancel, refusing: make(chan struct{}, maxConcurrentRefusals)}
 	f.acceptor = newAcceptor(ctx, &f.opts)
 	return f
 }
--- a/front/options.go
+++ b/front/options.go
@@ -21,6 +21,8 @@
 	// maxConcurrentTxns limits the concurrent transactions: more than one, so that a slow store does not
 	// serialize submissions, and few, so that an unavailable store is not flooded.
 	maxConcurrentTxns = 4
+	// maxConcurrentRefusals limits the calls that establish whether a submission that was not read may be refused.
+	maxConcurrentRefusals = 4
 	// submissionsPerTxn is how many submissions fit into a transaction of 32 entries; each takes four.
 	submissionsPerTxn = 8
 	// storeTimeout limits one call to the store.
--- a/front/refuse.go
+++ b/front/refuse.go
@@ -36,3 +36,17 @@
 	}
 	return refusal
 }
+
+// Refuse returns the refusal of a submission that was not read if its ID is not known, nil if an earlier submission of it was
+// accepted, and an unknown outcome if neither can be established.
+func (f *Front) Refuse(ctx context.Context, id, account string, refusal error) error {
+	select {
+	case f.refusing <- struct{}{}:
+		defer func() { <-f.refusing }()
+	default:
+		// The calls must not add to the load that the refusal is about.
+		return unknownOutcome(refusal)
+	}
+	f.opts.Metrics.Counter("front.refusedUnread").Inc(1)
+	return f.refuseUnknown(ctx, &job.Work{ID: id, Account: account}, refusal)
+}
