--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -63,3 +64,21 @@
 	f := &form{path: "/check/", body: inChunks(work(maxBodyBytes/2), 1), chunked: true, holdBack: 1}
 	play(t, newCell(t, 1, weakVM), f, crowdSize, []int{0}, http.StatusOK)
 }
+
+// Guards against a body of many invalid steps, whose findings take many times its size.
+func TestInvalidSteps(t *testing.T) {
+	f := &form{path: "/check/", body: steps(`{}`)}
+	play(t, newCell(t, 1, weakVM), f, 20, []int{0}, http.StatusBadRequest)
+}
+
+// Guards against a body of more steps than a work may have, which take many times its size once decoded.
+func TestTooManySteps(t *testing.T) {
+	f := &form{path: "/check/", body: steps(`{"Count":1}`)}
+	play(t, newCell(t, 1, weakVM), f, 100, []int{0}, http.StatusBadRequest)
+}
+
+// Guards against a list of dependencies as long as a body, each entry of which has a finding.
+func TestInvalidDependencies(t *testing.T) {
+	f := &form{path: "/check/", body: []byte(`{"Steps":[{"Count":1,"After":[` + strings.Repeat("9,", maxBodyBytes/2-30) + `9]}]}`)}
+	play(t, newCell(t, 1, weakVM), f, 40, []int{0}, http.StatusBadRequest)
+}
