Refuse new works that the cell's owner has no memory for

Callers saw, with the ingress mended: an owner that ran out of memory while clients handed in whole, valid bodies of 256 KB through all entry VMs.

Cause: the owner holds each work until it ends, 48 bytes a task besides its own size, and overload was measured by time alone.

Change: admission.Memory counts what open works hold. Beyond an eighth of MemoryMb the owner refuses new works durably, as in overload, so that the refusal is true whichever VM has sent them.

--- a/cmd/entry/wire.go
+++ b/cmd/entry/wire.go
@@ -41,6 +41,8 @@
 	headerBytes   = 16 << 10
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 60 * time.Second
+	// workMemoryDivisor divides the memory of a VM to get what the works that have not ended may hold of its owner.
+	workMemoryDivisor = 8
 	// minCellHold is the shortest hold of the watches of the configuration and of the owner, configMargin the time that is
 	// left to learn of a new configuration after a dead connection was noticed.
 	minCellHold  = 2 * time.Second
@@ -100,6 +102,7 @@
 		dispatch.Maintenance(maintenanceWaves(p.client, s)),
 		dispatch.CapOverrun(s.CapOverrun), dispatch.Features(features, s.Pressure), dispatch.Checkpoints(s.CheckpointEvery, s.RestoreTakes),
 		dispatch.Limits(s.MostHold, s.StopWithin, s.KeepEnded), dispatch.MaxRecordBytes(cmp.Or(s.MaxRecordBytes, store.MaxValueBytes)),
+		dispatch.MaxWorkBytes(int64(cmp.Or(s.MemoryMB, connection.DefaultMemoryMB))<<20/workMemoryDivisor),
 		dispatch.Logger(logger.Part(p.log, "dispatch")), dispatch.Metrics(service.Metrics()))
 	p.config = configuration.New(kv, platform.ConfigKey, platform.DecodeConfig, configuration.Peers(s.Peers, p.listPeers, p.askPeerConfig), configuration.ListsPart(func() bool { return p.group.IsLarge() }), configuration.ExchangeRules(p.rules),
 		configuration.ApplyWithin(s.ConfigWithin), configuration.StoreLastAnswer(monitor.LastAnswer),
--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -82,3 +82,10 @@
 	f := &form{path: "/check/", body: []byte(`{"Steps":[{"Count":1,"After":[` + strings.Repeat("9,", maxBodyBytes/2-30) + `9]}]}`)}
 	play(t, newCell(t, 1, weakVM), f, 40, []int{0}, http.StatusBadRequest)
 }
+
+// Guards against large works that all VMs send to the owner of the cell, and that wait there.
+func TestLargeWorksAtOwner(t *testing.T) {
+	name := strings.Repeat("a", maxBodyBytes-100)
+	f := &form{path: "/check/", body: []byte(`{"Steps":[{"Count":1,"Cpu":500,"MemMb":256,"Image":"` + name + `"}]}`)}
+	play(t, newCell(t, 3, weakVM), f, 400, []int{0, 1, 2}, http.StatusOK)
+}
--- a/crowd/red_test.go
+++ b/crowd/red_test.go
@@ -4,19 +4,11 @@
 
 import (
 	"net/http"
-	"strings"
 	"testing"
 
 	"turmericgap/platform"
 )
 
-// Guards against large works that all VMs send to the owner of the cell, and that wait there.
-func TestLargeWorksAtOwner(t *testing.T) {
-	name := strings.Repeat("a", maxBodyBytes-100)
-	f := &form{path: "/check/", body: []byte(`{"Steps":[{"Count":1,"Cpu":500,"MemMb":256,"Image":"` + name + `"}]}`)}
-	play(t, newCell(t, 3, weakVM), f, 400, []int{0, 1, 2}, http.StatusOK)
-}
-
 // Guards against headers of many short lines at a gate.
 func TestShortHeaderLinesAtGate(t *testing.T) {
 	f := &form{path: "/v1/checks/desk/", head: shortHeaders(headBytes), body: work(100), holdBack: 1}
--- a/dispatch/accept.go
+++ b/dispatch/accept.go
@@ -164,6 +164,7 @@
 	t.log.Info("dispatch: work given up unsent", zap.String("id", e.work.ID))
 	e.state = job.WorkCancelled
 	delete(t.entries, e.work.ID)
+	t.memory.Remove(e.work.ID)
 	delete(t.timed, e)
 	for _, o := range e.occurrences {
 		for _, s := range o.stages {
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -57,6 +57,8 @@
 
 	// onExamined is called with the number of workers that the owner has examined, to simulate CPU time; nil uses none.
 	onExamined func(examined int)
+	// maxWorkBytes is what the works of VMs that start later may hold in their memory; zero means no limit.
+	maxWorkBytes int64
 	// directWorkers is how many workers a VM calls directly; zero means all of them, without relays.
 	directWorkers int
 	// cloud carries out maintenance orders; nil if the test has no maintenance.
@@ -197,7 +199,7 @@
 				}
 				return rpc.Call[permit.Request, permit.Response](ctx, v.peers.Get(from.Address), front.MethodRequestPermit, req)
 			}),
-		dispatch.Limits(maxHold, 200*time.Millisecond, 2*time.Minute), dispatch.MaxRecordBytes(c.knownMaxValue()))
+		dispatch.Limits(maxHold, 200*time.Millisecond, 2*time.Minute), dispatch.MaxRecordBytes(c.knownMaxValue()), dispatch.MaxWorkBytes(c.maxWorkBytes))
 	v.group = owner.New(kv, owner.Node{ID: id, Zone: "kochi-hall", Address: id, Strength: strength}, owner.Logger(log), owner.RunTenure(v.dispatcher.RunTenure), owner.Rules(rules.Apply),
 		owner.StoreFailing(monitor.Failing), owner.Overloaded(v.overloaded.Load), owner.CPUProbe(v.probeCPU), owner.Dial(func(address string) *rpc.Client { return rpc.NewClient(address, dial) }))
 	v.front = front.New(front.Options{
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -253,6 +253,7 @@
 	}
 	for _, e := range b.finished {
 		delete(t.entries, e.work.ID)
+		t.memory.Remove(e.work.ID)
 		t.countEnded(e, time.Now())
 		t.addEnded(e.work.ID, workrecord.Ended{State: e.state, At: time.Now(), Queue: e.work.Queue.Name, Account: e.work.Account, Failure: e.failure})
 		t.log.Info("dispatch: work ended", zap.String("id", e.work.ID), zap.String("queue", e.work.Queue.Name),
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -60,6 +60,8 @@
 	Pressure bool
 	// MaxRecordBytes is the size of the largest value that the store takes.
 	MaxRecordBytes int
+	// MaxWorkBytes is what the works that have not ended may hold in memory before new ones are refused; zero means no limit.
+	MaxWorkBytes int64
 	// EndedRetention is how long the state of ended work is kept.
 	EndedRetention time.Duration
 }
@@ -176,6 +178,9 @@
 // MaxRecordBytes sets the size of the largest value that the store takes.
 func MaxRecordBytes(n int) Option { return func(o *Options) { o.MaxRecordBytes = n } }
 
+// MaxWorkBytes sets what the works that have not ended may hold in memory.
+func MaxWorkBytes(n int64) Option { return func(o *Options) { o.MaxWorkBytes = n } }
+
 // Checkpoints sets the time between two checkpoints of a run and how long it takes to resume from one; zero is unknown.
 func Checkpoints(period, restore time.Duration) Option {
 	return func(o *Options) { o.Evacuation.CheckpointPeriod, o.Evacuation.RestoreTime = period, restore }
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -119,6 +119,7 @@
 	}
 	e.durableState = e.reportedState()
 	t.entries[w.ID] = e
+	t.memory.Add(w.ID, workrecord.MemoryBytes(w))
 	t.recordSize(e)
 	for i := range p.Live {
 		t.restoreOccurrence(e, &p.Live[i])
--- a/dispatch/refuse.go
+++ b/dispatch/refuse.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"turmericgap/admission"
+	"turmericgap/job"
 	"turmericgap/refusal"
 	"turmericgap/rpc"
 	"turmericgap/store"
@@ -66,7 +69,10 @@
 		done <- errOverloaded(ownerRetryAfter)
 		return true
 	}
-	fault := t.refusalByForecast(e)
+	fault := t.refusalForMemory(w)
+	if fault == nil {
+		fault = t.refusalByForecast(e)
+	}
 	if fault == nil {
 		admitted, retryAfter := r.shedder.Admit(w.Queue.Name, t.overloadDetector.RejectRatio(), t.exceedsRate(w))
 		if admitted {
@@ -86,6 +92,17 @@
 	return true
 }
 
+// refusalForMemory returns the refusal of a new work that the owner has no memory for beside the open ones, or nil.
+func (t *term) refusalForMemory(w *job.Work) *rpc.Fault {
+	bytes := workrecord.MemoryBytes(w)
+	if t.memory.Admits(bytes) {
+		return nil
+	}
+	t.log.Info("dispatch: refused for memory", zap.String("id", w.ID), zap.Int64("bytes", bytes), zap.Int64("held", t.memory.Held()), zap.Int64("limit", t.memory.Limit))
+	t.o.Metrics.Counter("dispatch.refusedForMemory").Inc(1)
+	return &rpc.Fault{Code: rpc.CodeBusy, Reason: "open works hold all memory of the cell's owner for them", RetryAfter: ownerRetryAfter}
+}
+
 // sendRefusals writes the records of pending refusals, in one transaction at a time.
 func (t *term) sendRefusals() {
 	r := &t.refusals
--- a/dispatch/term.go
+++ b/dispatch/term.go
@@ -82,6 +82,7 @@
 	passNeeded       bool
 	lag              lag.Meter
 	overloadDetector admission.OverloadDetector
+	memory           admission.Memory
 	refusals         refusals
 	gate             *admission.Gate
 	preemptor        preemption.Preemptor
@@ -133,7 +134,7 @@
 		timed: make(map[*entry]struct{}), pass: newPass(), capacities: make(map[resources]struct{}),
 		vmSelector: permit.NewVMSelector(), callLimiter: calllimit.New(), grantShares: make(map[string]float64),
 		sizes: aging.New(), speeds: speed.New(), tallies: make(tally.Table), ruleCapacity: make(map[string]int),
-		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun), gate: admission.NewGate(),
+		silentLosses: make(map[string][]silentLoss), accounts: newAccounts(o.CapOverrun), gate: admission.NewGate(), memory: admission.Memory{Limit: o.MaxWorkBytes},
 		refusals: refusals{
 			open: make(map[string]*openRefusal), refusedAt: make(map[string]time.Time), writtenAt: make(map[string]time.Time),
 			recorder: refusal.NewRecorder(o.Store, tenure.Compare(), storeTimeout),
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -7,6 +7,7 @@
 
 	"turmericgap/job"
 	"turmericgap/presence"
+	"turmericgap/workrecord"
 )
 
 // addWork adds an accepted work unless the term already knows it.
@@ -34,6 +35,7 @@
 	w := e.work
 	e.surplus = t.accounts.rates.Exceeds(w.Account, e.weight, w.Accepted)
 	t.entries[w.ID] = e
+	t.memory.Add(w.ID, workrecord.MemoryBytes(w))
 	t.recordSize(e)
 	if w.Occurrences > 0 {
 		t.timed[e] = struct{}{}
--- a/workrecord/size.go
+++ b/workrecord/size.go
@@ -56,15 +56,30 @@
 	maxOpenTasks       = job.MaxSteps * job.MaxStepTasks
 )
 
+// taskMemoryBytes is what the owner's memory holds for a task that has not started.
+const taskMemoryBytes = 48
+
+// MemoryBytes returns what the owner's memory holds for a work that has not started.
+func MemoryBytes(w *job.Work) int64 { return int64(definitionBytes(w) + taskMemoryBytes*w.NumTasks()) }
+
+// definitionBytes returns the size of a work without its progress.
+func definitionBytes(w *job.Work) int {
+	n := workBytes + len(w.Spec) + len(w.Queue.Name) + len(w.Queue.Pool)
+	for i := range w.Steps {
+		s := &w.Steps[i]
+		n += stepBytes + len(s.Label) + len(s.DataRack) + len(s.Image) + numberBytes*len(s.DependsOn)
+	}
+	return n
+}
+
 // Check returns a finding for each record of a work that cannot be kept within maxBytes, however few of its tasks run at a
 // time: services run all at once, and so do the members of a gang.
 func Check(w *job.Work, maxBytes int) finding.List {
 	var l finding.List
-	itself := workBytes + len(w.Spec) + len(w.Queue.Name) + len(w.Queue.Pool)
+	itself := definitionBytes(w)
 	progress, services, largestGang := headBytes, 0, 0
 	for i := range w.Steps {
 		s := &w.Steps[i]
-		itself += stepBytes + len(s.Label) + len(s.DataRack) + len(s.Image) + numberBytes*len(s.DependsOn)
 		progress += stageBytes
 		each := TaskBytes
 		if s.Gang {
