Hold a gate's callers within the budget of connections

Cause: headers were limited by their bytes on the wire; bodies of jobs and unfinished lines of streams were not counted; those of checks were reserved by the announced length, so that bodies which never come kept others out; the listener stopped accepting at 8,192 connections, whatever the process may open.

Change: the gate serves callers through connection.Budget, with BufferedBytes for all that they hold. A check's body is reserved once it has arrived. Connections are limited to a quarter of the files the process may open.

--- a/cmd/gate/main.go
+++ b/cmd/gate/main.go
@@ -4,14 +4,17 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"strconv"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"turmericgap"
 	"turmericgap/cmd/internal/process"
+	"turmericgap/connection"
 	"turmericgap/finding"
 	"turmericgap/gate"
 	"turmericgap/gate/target"
@@ -105,7 +108,7 @@
 		gate.Member(p.group.Valid, p.group.JoinedVersion), gate.OverRPC(p.pool, p.gateAddress, p.gateAddresses),
 		gate.SessionKeys(s.keys()...), gate.JobOwner(p.jobClient(s)),
 		gate.Rules(func(c *gate.Check) gate.Decision { return applyRules(rules.List(), s.Zone, c) }),
-		gate.Logger(logger.Part(log, "gate")), gate.Metrics(service.Metrics()))
+		gate.Limit(limitConnections), gate.Logger(logger.Part(log, "gate")), gate.Metrics(service.Metrics()))
 	p.register()
 	service.Init(
 		turmericgap.Ready(p.gate.Ready), turmericgap.AddPage("/gate", p.gate.ServeStatus),
@@ -119,6 +122,15 @@
 	return nil
 }
 
+// limitConnections leaves most files that the process may open to its own connections.
+func limitConnections(l *gate.Limits) {
+	var files unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &files); err != nil {
+		return
+	}
+	l.Connections = min(l.Connections, connection.LimitsFor(0, int(min(files.Cur, math.MaxInt32))).Connections)
+}
+
 func (p *program) register() {
 	p.follower.Register(p.server)
 	rpc.Handle(p.server, member.HeartbeatMethod, p.group.HandleHeartbeat)
--- a/connection/body.go
+++ b/connection/body.go
@@ -1,6 +1,7 @@
 package connection
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -54,6 +55,15 @@
 	return raw, nil
 }
 
+// Grow takes memory for the request of a context, beside its headers and body, until it is answered.
+func Grow(ctx context.Context, n int64) error {
+	c := fromContext(ctx)
+	if c == nil {
+		return nil
+	}
+	return c.holder.Grow(n)
+}
+
 // cause returns why the connection failed.
 func (c *Conn) cause(err error) error {
 	if c.holder.Evicted() {
--- a/crowd/gate_test.go
+++ b/crowd/gate_test.go
@@ -57,3 +57,27 @@
 	f := &form{path: "/v1/checks/desk/", body: work(maxBodyBytes), holdBack: 1}
 	playAtGate(t, f, 1200, gateLimits)
 }
+
+// Guards against headers of many short lines at a gate.
+func TestShortHeaderLinesAtGate(t *testing.T) {
+	f := &form{path: "/v1/checks/desk/", head: shortHeaders(headBytes), body: work(100), holdBack: 1}
+	playAtGate(t, f, 1200, gateLimits)
+}
+
+// Guards against headers of many short lines that never end at a gate.
+func TestShortHeaderLinesWithoutEndAtGate(t *testing.T) {
+	body := work(100)
+	f := &form{path: "/v1/checks/desk/", head: shortHeaders(headBytes), body: body, holdBack: len(body) + 2}
+	playAtGate(t, f, 1200, gateLimits)
+}
+
+// Guards against large bodies of jobs that stop one byte short of their end at a gate.
+func TestJobsWithoutEndAtGate(t *testing.T) {
+	f := &form{path: "/v1/jobs?", body: work(64 << 10), holdBack: 1}
+	playAtGate(t, f, 3000, gateLimits)
+}
+
+// Guards against connections that use up all descriptors of a gate.
+func TestConnectionsAtGate(t *testing.T) {
+	playAtGate(t, &form{path: "/v1/jobs/"}, 500, limits{memoryMB: gateLimits.memoryMB, files: fewFiles.files})
+}
--- a/gate/api.go
+++ b/gate/api.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -14,8 +13,8 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
-	"golang.org/x/net/netutil"
 
+	"turmericgap/connection"
 	"turmericgap/finding"
 	"turmericgap/job"
 )
@@ -75,15 +74,14 @@
 // Serve handles HTTP connections of l until Close is called.
 func (g *Gate) Serve(l net.Listener) error {
 	limits := &g.opts.Limits
-	server := &http.Server{
-		Handler: g.handler, ReadHeaderTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxHeaderBytes: limits.HeaderBytes,
-	}
+	budget := connection.NewBudget("callers", connection.Limits{Connections: limits.Connections, Bytes: limits.BufferedBytes}, g.opts.Metrics)
+	requests := connection.RequestLimits{HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout}
+	server := connection.NewServer(g.handler)
 	g.background.Go(func() {
 		<-g.stop
 		_ = server.Close()
 	})
-	err := server.Serve(netutil.LimitListener(l, limits.Connections))
+	err := server.Serve(connection.Listen(l, budget, func() connection.RequestLimits { return requests }))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -105,50 +103,62 @@
 	ctx.Next()
 }
 
-// readBody reads the request body within limit and the read timeout, and adds a finding if that
-// fails.
-func (g *Gate) readBody(ctx iris.Context, limit int64, l *finding.List) []byte {
+// readBody reads the request body within limit and the read timeout, and adds a finding if that fails. If no memory is left
+// for it, it responds to the caller and returns false.
+func (g *Gate) readBody(ctx iris.Context, limit int64, l *finding.List) ([]byte, bool) {
 	w := ctx.ResponseWriter().Naive()
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.opts.Limits.ReadTimeout))
-	raw, err := io.ReadAll(http.MaxBytesReader(w, ctx.Request().Body, limit))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	raw, err := connection.ReadBody(w, ctx.Request(), limit, time.Now().Add(g.opts.Limits.ReadTimeout))
 	var tooLong *http.MaxBytesError
 	switch {
+	case errors.Is(err, connection.ErrExhausted):
+		g.shedBody(ctx, limitExceeded("gate holds too many bodies", fullRetryAfter))
+		return nil, false
 	case errors.As(err, &tooLong):
 		l.Add("body", "must be at most %d bytes", limit)
 	case err != nil:
 		l.Add("body", "was not received: %s", err)
 	}
-	return raw
+	return raw, true
 }
 
-// reserveBody reserves memory for the body of a request and returns the number of bytes to release.
-// If the memory budget is exhausted it responds to the caller and returns false.
-func (g *Gate) reserveBody(ctx iris.Context) (int64, bool) {
+// reserveBody reads the body of a check and reserves its memory until releaseBody. A body is not read if those of the checks
+// in progress leave no memory for it. If the memory is exhausted it responds to the caller and returns false.
+func (g *Gate) reserveBody(ctx iris.Context, l *finding.List) ([]byte, bool) {
 	size := ctx.Request().ContentLength
 	if size < 0 || size > g.opts.Limits.BodyBytes {
 		size = g.opts.Limits.BodyBytes
 	}
-	if r := g.inProgress.reserveBody(size, g.opts.Limits.BufferedBytes); r != nil {
-		g.metrics.shed.Inc(1)
-		reply(ctx, r)
-		return 0, false
+	r := g.inProgress.admitBody(size, g.opts.Limits.BufferedBytes)
+	if r != nil {
+		g.shedBody(ctx, r)
+		return nil, false
+	}
+	raw, ok := g.readBody(ctx, g.opts.Limits.BodyBytes, l)
+	if !ok {
+		return nil, false
+	}
+	if r = g.inProgress.reserveBody(int64(len(raw)), g.opts.Limits.BufferedBytes); r != nil {
+		g.shedBody(ctx, r)
 	}
-	return size, true
+	return raw, r == nil
+}
+
+func (g *Gate) shedBody(ctx iris.Context, r *Result) {
+	g.metrics.shed.Inc(1)
+	reply(ctx, r)
 }
 
 func (g *Gate) postCheck(ctx iris.Context) {
-	size, ok := g.reserveBody(ctx)
+	var l, inBody finding.List
+	body, ok := g.reserveBody(ctx, &inBody)
 	if !ok {
 		return
 	}
-	defer g.inProgress.releaseBody(size)
-	var l finding.List
-	c := &Check{Service: ctx.Params().Get("service"), Method: ctx.Params().Get("method")}
+	defer g.inProgress.releaseBody(int64(len(body)))
+	c := &Check{Service: ctx.Params().Get("service"), Method: ctx.Params().Get("method"), Body: body}
 	g.readHeaders(ctx, c, &l)
 	checkNames(c, &l)
-	c.Body = g.readBody(ctx, g.opts.Limits.BodyBytes, &l)
-	if len(l) > 0 {
+	if l = append(l, inBody...); len(l) > 0 {
 		replyInvalid(ctx, l)
 		return
 	}
--- a/gate/inprogress.go
+++ b/gate/inprogress.go
@@ -58,14 +58,24 @@
 	return nil
 }
 
-// reserveBody reserves memory for a request body before it is read. Without a limit on the total,
-// callers with large bodies could exhaust memory long before the limit on checks is reached.
-func (p *inProgress) reserveBody(n, limit int64) *Result {
+// admitBody rejects a request whose body finds no memory beside those of the checks in progress.
+func (p *inProgress) admitBody(n, limit int64) *Result {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.bodyBytes+n > limit {
 		return limitExceeded("gate holds too many bodies", fullRetryAfter)
 	}
+	return nil
+}
+
+// reserveBody reserves memory for a request body that has been read. Without a limit on the total,
+// callers with large bodies could exhaust memory long before the limit on checks is reached.
+func (p *inProgress) reserveBody(n, limit int64) *Result {
+	if r := p.admitBody(n, limit); r != nil {
+		return r
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.bodyBytes += n
 	return nil
 }
--- a/gate/jobs.go
+++ b/gate/jobs.go
@@ -29,7 +29,10 @@
 func (g *Gate) postJob(ctx iris.Context) {
 	var l finding.List
 	s := &job.Submission{}
-	raw := g.readBody(ctx, maxJobBytes, &l)
+	raw, ok := g.readBody(ctx, maxJobBytes, &l)
+	if !ok {
+		return
+	}
 	if len(l) == 0 {
 		check := func(found *finding.List) {
 			if s.Key == "" {
--- a/gate/sessions.go
+++ b/gate/sessions.go
@@ -143,19 +143,17 @@
 	if !ok {
 		return
 	}
-	size, ok := g.reserveBody(ctx)
-	if !ok {
+	var l, inBody finding.List
+	if c.Body, ok = g.reserveBody(ctx, &inBody); !ok {
 		return
 	}
-	defer g.inProgress.releaseBody(size)
-	var l finding.List
+	defer g.inProgress.releaseBody(int64(len(c.Body)))
 	c.Method = ctx.URLParam("method")
 	checkNames(c, &l)
 	if c.Method == "" {
 		l.Add("method", "must not be empty")
 	}
-	c.Body = g.readBody(ctx, g.opts.Limits.BodyBytes, &l)
-	if len(l) > 0 {
+	if l = append(l, inBody...); len(l) > 0 {
 		replyInvalid(ctx, l)
 		return
 	}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
 
+	"turmericgap/connection"
 	"turmericgap/finding"
 	"turmericgap/job"
 	"turmericgap/session"
@@ -63,7 +66,7 @@
 func (st *stream) readLines(ctx context.Context, r *http.Request, lines chan<- []byte) {
 	defer close(lines)
 	limit := int(st.gate.opts.Limits.BodyBytes)*4/3 + streamLineExtra
-	scanner := bufio.NewScanner(r.Body)
+	scanner := bufio.NewScanner(&lineReader{Reader: r.Body, grow: func(n int64) error { return connection.Grow(ctx, n) }})
 	scanner.Buffer(make([]byte, 0, streamLineExtra), limit)
 	for scanner.Scan() {
 		line := append([]byte(nil), scanner.Bytes()...)
@@ -76,6 +79,35 @@
 	st.readErr = scanner.Err()
 }
 
+// lineCopies is how many times a line is held: in the buffer, which doubles, and when it is handed on.
+const lineCopies = 3
+
+// lineReader takes the memory that the lines need before they have ended. It is returned with the end of the stream, as is
+// the buffer.
+type lineReader struct {
+	io.Reader
+	grow func(n int64) error
+	// line is the length of the current line so far, held the memory taken.
+	line, held int64
+}
+
+// Read reads a part of a line, or of several.
+func (r *lineReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if end := bytes.LastIndexByte(p[:n], '\n'); end >= 0 {
+		r.line = int64(n - end - 1)
+	} else {
+		r.line += int64(n)
+	}
+	if need := r.line*lineCopies - streamLineExtra; need > r.held {
+		if err := r.grow(need - r.held); err != nil {
+			return 0, err
+		}
+		r.held = need
+	}
+	return n, err
+}
+
 // reportReadError sends the caller the error that ended reading.
 func (st *stream) reportReadError(ctx context.Context) {
 	if st.readErr == nil || ctx.Err() != nil {
