Let ordinary requests pass many bodies that are being parsed

Cause: some 700 bodies were being parsed at a time, each until the scheduler interrupts it, and each new request waited for all of them. At the limit of connections, idle ones were closed first, also one that had just come and was not read yet.

Change: a body lets others run after every read. At the limit, the connection is closed that has stood still for longest, whichever kind it is. Metrics are looked up once, not at each change.

--- a/connection/body.go
+++ b/connection/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"time"
 )
 
@@ -74,21 +75,14 @@
 
 // readBody reads a body of a size, which is negative if it is not known.
 func (c *Conn) readBody(body io.Reader, size, limit int64) ([]byte, error) {
-	target := size
-	if size < 0 {
-		target = limit + 1
-	}
-	buf := make([]byte, 0, min(firstBodyBytes, target))
+	buf := make([]byte, 0, firstBodyBytes)
 	progress := 0
-	for int64(len(buf)) < target {
+	for {
 		if len(buf) == cap(buf) {
-			next := min(int64(2*cap(buf)), target)
-			if err := c.growBeyond(firstBodyBytes, next); err != nil {
+			var err error
+			if buf, err = c.enlarge(buf); err != nil {
 				return nil, err
 			}
-			larger := append(make([]byte, 0, next), buf...)
-			c.shrinkBeyond(firstBodyBytes, int64(cap(buf)))
-			buf = larger
 		}
 		n, err := body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -97,16 +91,26 @@
 			c.holder.Receiving()
 		}
 		switch {
+		case int64(len(buf)) > limit:
+			return nil, &http.MaxBytesError{Limit: limit}
 		case errors.Is(err, io.EOF) && (size < 0 || int64(len(buf)) == size):
 			return buf, nil
 		case err != nil:
 			return nil, err
 		}
+		// Small chunks take time to parse. Others must not wait until the scheduler interrupts each of many such bodies.
+		runtime.Gosched()
 	}
-	if size < 0 {
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
-	return buf, nil
+}
+
+// enlarge replaces a full buffer by one of twice its size.
+func (c *Conn) enlarge(buf []byte) ([]byte, error) {
+	if err := c.growBeyond(firstBodyBytes, int64(2*cap(buf))); err != nil {
+		return nil, err
+	}
+	larger := append(make([]byte, 0, 2*cap(buf)), buf...)
+	c.shrinkBeyond(firstBodyBytes, int64(cap(buf)))
+	return larger, nil
 }
 
 // growBeyond takes memory for n bytes if they are more than every connection holds.
--- a/connection/budget.go
+++ b/connection/budget.go
@@ -6,6 +6,8 @@
 	"errors"
 	"sync"
 
+	"github.com/rcrowley/go-metrics"
+
 	"turmericgap/metric"
 )
 
@@ -36,8 +38,7 @@
 // network.
 type Budget struct {
 	limits  Limits
-	metrics *metric.Registry
-	name    string
+	metrics budgetMetrics
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -48,17 +49,34 @@
 	// idle and receiving hold the connections without a request and those that receive one. The first ones have stood
 	// still for longest.
 	idle, receiving list.List
+	// moves counts the changes of these lists.
+	moves int64
 }
 
 // NewBudget returns a budget. Its metrics are named "connection.", the name and what they count.
 func NewBudget(name string, l Limits, m *metric.Registry) *Budget {
-	b := &Budget{limits: l, metrics: m, name: "connection." + name + "."}
+	b := &Budget{limits: l, metrics: newBudgetMetrics("connection."+name+".", m)}
 	b.changed = sync.NewCond(&b.mu)
-	m.Gauge(b.name + "limit").Update(int64(l.Connections))
-	m.Gauge(b.name + "bytesLimit").Update(l.Bytes)
+	b.metrics.connectionsLimit.Update(int64(l.Connections))
+	b.metrics.bytesLimit.Update(l.Bytes)
 	return b
 }
 
+// budgetMetrics show what connections hold, the limits, and which connections were evicted or found no memory.
+type budgetMetrics struct {
+	connections, connectionsLimit, bytes, bytesLimit metrics.Gauge
+	evictedIdle, evictedReceiving, exhausted         metrics.Counter
+}
+
+func newBudgetMetrics(prefix string, m *metric.Registry) budgetMetrics {
+	return budgetMetrics{
+		connections: m.Gauge(prefix + "open"), connectionsLimit: m.Gauge(prefix + "openLimit"),
+		bytes: m.Gauge(prefix + "bytes"), bytesLimit: m.Gauge(prefix + "bytesLimit"),
+		evictedIdle: m.Counter(prefix + "evictedIdle"), evictedReceiving: m.Counter(prefix + "evictedReceiving"),
+		exhausted: m.Counter(prefix + "exhausted"),
+	}
+}
+
 // Holder is what one connection holds of a Budget.
 type Holder struct {
 	budget *Budget
@@ -68,6 +86,7 @@
 	held            int64
 	place           *list.Element
 	in              *list.List
+	movedAt         int64
 	evicted, closed bool
 }
 
@@ -77,7 +96,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for b.count >= b.limits.Connections || b.used+baseBytes > b.limits.Bytes {
-		if b.leaving == 0 && (b.evictFirst(&b.idle, nil) || b.evictFirst(&b.receiving, nil)) {
+		if b.leaving == 0 && b.evictFirst(b.stillest(), nil) {
 			continue
 		}
 		b.changed.Wait()
@@ -111,7 +130,7 @@
 		case b.used-b.leaving+n <= limit:
 			b.changed.Wait()
 		case b.used-b.leaving-b.evictableBeside(h)+n > limit:
-			b.metrics.Counter(b.name + "exhausted").Inc(1)
+			b.metrics.exhausted.Inc(1)
 			return ErrExhausted
 		case !b.evictFirst(&b.receiving, h):
 			b.evictFirst(&b.idle, h)
@@ -196,6 +215,8 @@
 		h.in.Remove(h.place)
 		h.budget.evictable -= h.held
 	}
+	h.budget.moves++
+	h.movedAt = h.budget.moves
 	if h.in = to; to != nil {
 		h.place = to.PushBack(h)
 		h.budget.evictable += h.held
@@ -210,6 +231,15 @@
 	return b.evictable - h.held
 }
 
+// stillest returns the list whose first connection has stood still for longest.
+func (b *Budget) stillest() *list.List {
+	idle, receiving := b.idle.Front(), b.receiving.Front()
+	if idle == nil || receiving != nil && receiving.Value.(*Holder).movedAt < idle.Value.(*Holder).movedAt {
+		return &b.receiving
+	}
+	return &b.idle
+}
+
 // evictFirst evicts the first connection of a list but for the one given, and reports whether there was one.
 func (b *Budget) evictFirst(l *list.List, except *Holder) bool {
 	e := l.Front()
@@ -221,9 +251,9 @@
 	}
 	h := e.Value.(*Holder)
 	if l == &b.idle {
-		b.metrics.Counter(b.name + "evictedIdle").Inc(1)
+		b.metrics.evictedIdle.Inc(1)
 	} else {
-		b.metrics.Counter(b.name + "evictedReceiving").Inc(1)
+		b.metrics.evictedReceiving.Inc(1)
 	}
 	h.move(nil)
 	h.evicted = true
@@ -243,19 +273,18 @@
 	if h.evicted {
 		b.leaving += n
 	}
-	b.update()
+	b.metrics.connections.Update(int64(b.count))
+	b.metrics.bytes.Update(b.used)
 	b.changed.Broadcast()
 }
 
-func (b *Budget) update() {
-	b.metrics.Gauge(b.name + "open").Update(int64(b.count))
-	b.metrics.Gauge(b.name + "bytes").Update(b.used)
-}
+// DefaultMemoryMB is the memory of a process whose settings name none, in MB.
+const DefaultMemoryMB = 256
+
+// DefaultFiles is how many files a process may open whose settings do not say.
+const DefaultFiles = 4096
 
 const (
-	// DefaultMemoryMB and DefaultFiles are the memory in MB and the open files of a process whose settings name none.
-	DefaultMemoryMB = 256
-	DefaultFiles    = 4096
 	// fileReserve of the files of a process are for other files than connections.
 	fileReserve = 200
 	// callersDivisor divides memory and files of a process to get what callers may hold.
--- a/connection/server_test.go
+++ b/connection/server_test.go
@@ -66,6 +66,7 @@
 	if err != nil {
 		return 0
 	}
+	defer res.Body.Close()
 	_, _ = io.Copy(io.Discard, res.Body)
 	return res.StatusCode
 }
