--- a/connection/body.go
+++ b/connection/body.go
@@ -17,10 +17,10 @@
 	unreadBytes = 4 << 10
 )
 
-// ReadBody reads the body of a request, at most limit bytes and until a deadline. If it fails, the connection is closed after
-// the answer. While it arrives, the connection may be
+// ReadBody reads the body of a request, at most limit bytes and until a deadline. While it arrives, the connection may be
 // closed in favor of others: that is ErrEvicted. ErrExhausted means that no memory is left for it, *http.MaxBytesError that
-// it is too large, os.ErrDeadlineExceeded that it has not arrived in time.
+// it is too large, os.ErrDeadlineExceeded that it has not arrived in time. After an error, the connection is closed with the
+// answer.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
 	c := fromContext(r.Context())
 	if r.ContentLength > limit {
@@ -127,8 +127,8 @@
 	}
 }
 
-// expectsBody prepares the answer to a request whose body may remain unread.
-func expectsBody(w http.ResponseWriter, r *http.Request) {
+// closeUnlessRead has the connection closed after the answer to a request with a large body, until ReadBody has read it.
+func closeUnlessRead(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength < 0 || r.ContentLength > unreadBytes {
 		w.Header().Set("Connection", "close")
 	}
--- a/connection/server.go
+++ b/connection/server.go
@@ -41,7 +41,7 @@
 		if err := c.holder.Serve(); err != nil {
 			panic(http.ErrAbortHandler)
 		}
-		expectsBody(w, r)
+		closeUnlessRead(w, r)
 		h.ServeHTTP(w, r)
 		c.dropBody(w, r)
 		aborted = false
