Bound the bytes of log lines that wait

Callers could (by reading; the test shows the writer alone) fill an entry VM's memory by way of its log while the output is slow: 8,192 lines may wait, and a line holds up to 16 KB of a request's path, or all findings of an answer.

Change: lines that wait are limited to 4 MB as well.

Measured: TestQueuedBytesAreBounded, 8 MB of lines behind an output that stands still: 4 MB wait, the others are dropped and counted.

--- a/logger/async.go
+++ b/logger/async.go
@@ -13,6 +13,8 @@
 const (
 	// queueLines is how many lines may wait for a slow output; further lines are dropped and counted.
 	queueLines = 8192
+	// queueBytes limits the lines that wait by their size, as they may hold what a caller has sent.
+	queueBytes = 4 << 20
 	// flushInterval is how long lines are collected before they are written together. One write for many
 	// lines costs less than one write per line.
 	flushInterval = 100 * time.Millisecond
@@ -25,6 +27,8 @@
 type AsyncWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	// queued is the size of the lines that wait.
+	queued atomic.Int64
 	out     io.Writer
 	buf     []byte
 	stop    chan struct{}
@@ -41,11 +45,15 @@
 
 // Write queues a line, or drops it if the queue is full.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
-		w.dropped.Add(1)
+	if w.queued.Add(int64(len(line))) <= queueBytes {
+		select {
+		case w.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	w.queued.Add(-int64(len(line)))
+	w.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -98,6 +106,7 @@
 		w.flush()
 	}
 	w.buf = append(w.buf, line...)
+	w.queued.Add(-int64(len(line)))
 }
 
 func (w *AsyncWriter) flush() {
--- a/logger/async_test.go
+++ b/logger/async_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -63,3 +64,23 @@
 		is.Equal(bytes.Join(out.writes, nil), append(append([]byte("a\n"), long...), []byte("b\n")...))
 	})
 }
+
+// Guards against lines with what callers have sent that fill memory while the output is slow.
+func TestQueuedBytesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		reader, out := io.Pipe()
+		w := NewAsyncWriter(out)
+		line := bytes.Repeat([]byte("x"), 16<<10)
+		const sent = 2 * queueBytes / (16 << 10)
+		for range sent {
+			_, _ = w.Write(line)
+		}
+		is.True(w.queued.Load() <= queueBytes)
+		is.Equal(w.Dropped(), int64(sent/2))
+		go func() { _, _ = io.Copy(io.Discard, reader) }()
+		w.Close()
+		is.Equal(w.queued.Load(), int64(0))
+		reader.Close()
+	})
+}
