--- a/logger/async.go
+++ b/logger/async.go
@@ -29,11 +29,11 @@
 	dropped atomic.Int64
 	// queued is the size of the lines that wait.
 	queued atomic.Int64
-	out     io.Writer
-	buf     []byte
-	stop    chan struct{}
-	once    sync.Once
-	wg      sync.WaitGroup
+	out    io.Writer
+	buf    []byte
+	stop   chan struct{}
+	once   sync.Once
+	wg     sync.WaitGroup
 }
 
 // NewAsyncWriter returns an AsyncWriter that writes to out until it is closed.
